--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets for people who build and try peridotpath. `make help` lists them.
+SHELL := /bin/bash
+MODULES := peridotpath peridotd peridotctl standin
+PROGRAMS := peridotd peridotctl standin
+LINT_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+PATTERNS := $(MODULES:%=./%/...)
+
+.PHONY: help build test lint format unit tools fuzz bench
+
+help: ## lists the targets
+	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
+
+build: ## builds the programs into bin/
+	@mkdir -p bin
+	@for program in $(PROGRAMS); do go build -o bin/$$program ./$$program || exit 1; done
+
+tools: ## installs the linter, at a pinned version
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q '$(LINT_VERSION:v%=%)' || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+format: tools ## formats the code
+	@for module in $(MODULES); do (cd $$module && $(GOBIN)/golangci-lint fmt) || exit 1; done
+
+lint: tools ## formatter, vet and linter, without changing a file
+	@for module in $(MODULES); do \
+		(cd $$module && $(GOBIN)/golangci-lint fmt --diff && go vet ./... && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+
+unit: ## race tests of every module
+	go test -race -timeout 20m $(PATTERNS)
+
+test: lint build unit ## what CI runs: formatter, linter, vet, build, race tests
--- /dev/null
+++ b/peridotctl/main.go
@@ -0,0 +1,4 @@
+// Command peridotctl is part of peridotpath.
+package main
+
+func main() {}
--- /dev/null
+++ b/peridotd/main.go
@@ -0,0 +1,4 @@
+// Command peridotd is part of peridotpath.
+package main
+
+func main() {}
--- /dev/null
+++ b/peridotpath/config.go
@@ -0,0 +1,80 @@
+package peridotpath
+
+import "fmt"
+
+// Config is the operators' whole configuration as one Instance sees it. It is
+// read without locks and never changed in place; a change makes a new one.
+type Config struct {
+	Profiles  []Profile  `json:"profiles"`
+	Customers []Customer `json:"customers"`
+
+	profiles  map[string]*Profile
+	customers map[string]*Customer
+}
+
+// Defaults fills what was left out.
+func (config *Config) Defaults() {
+	for i := range config.Profiles {
+		config.Profiles[i].Defaults()
+	}
+	for i := range config.Customers {
+		config.Customers[i].Defaults()
+	}
+}
+
+// Validate returns every fault by field. Names, aliases and keys are unique.
+func (config *Config) Validate() Faults {
+	var faults Faults
+	names := map[string]string{}
+	for i := range config.Profiles {
+		profile := &config.Profiles[i]
+		prefix := fmt.Sprintf("profiles[%d]", i)
+		faults = append(faults, profile.Validate(prefix)...)
+		checkUnique(&faults, names, prefix+".name", string(profile.Name))
+		for j, alias := range profile.Aliases {
+			checkUnique(&faults, names, fmt.Sprintf("%s.aliases[%d]", prefix, j), alias)
+		}
+	}
+	ids, keys := map[string]string{}, map[string]string{}
+	for i := range config.Customers {
+		customer := &config.Customers[i]
+		prefix := fmt.Sprintf("customers[%d]", i)
+		faults = append(faults, customer.Validate(prefix)...)
+		checkUnique(&faults, ids, prefix+".id", string(customer.ID))
+		checkUnique(&faults, keys, prefix+".key_sha256", customer.KeySHA256)
+	}
+	return faults
+}
+
+// checkUnique adds a fault when value was seen before, and remembers its path.
+func checkUnique(faults *Faults, seen map[string]string, path, value string) {
+	if first, ok := seen[value]; ok {
+		faults.Add(path, "repeats %s", first)
+		return
+	}
+	seen[value] = path
+}
+
+// Index builds the look-up tables. Call it once, before the Config is shared.
+func (config *Config) Index() {
+	config.profiles = map[string]*Profile{}
+	for i := range config.Profiles {
+		profile := &config.Profiles[i]
+		config.profiles[string(profile.Name)] = profile
+		for _, alias := range profile.Aliases {
+			config.profiles[alias] = profile
+		}
+	}
+	config.customers = map[string]*Customer{}
+	for i := range config.Customers {
+		config.customers[config.Customers[i].KeySHA256] = &config.Customers[i]
+	}
+}
+
+// Profile returns the profile with that name or alias, or nil.
+func (config *Config) Profile(name string) *Profile { return config.profiles[name] }
+
+// CustomerByKey returns the customer that holds the API key, or nil.
+func (config *Config) CustomerByKey(key string) *Customer {
+	return config.customers[HashKey(key)]
+}
--- /dev/null
+++ b/peridotpath/keyvalue/http.go
@@ -0,0 +1,144 @@
+package keyvalue
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"peridotpath.example/peridotpath/outbound"
+)
+
+type (
+	// Call is the body of every call of the service's HTTP form. The stand-in
+	// speaks the same form; where the users' service speaks another, this file
+	// is what changes.
+	Call struct {
+		Key    string  `json:"key,omitempty"`
+		Expect Version `json:"expect,omitempty"`
+		Value  []byte  `json:"value,omitempty"`
+		Delete bool    `json:"delete,omitempty"`
+		Lease  LeaseID `json:"lease,omitempty"`
+		After  Version `json:"after,omitempty"`
+		WaitMS int64   `json:"wait_ms,omitempty"`
+		TTLMS  int64   `json:"ttl_ms,omitempty"`
+	}
+	// Reply is the body of every answer.
+	Reply struct {
+		Entry   Entry   `json:"entry"`
+		Entries []Entry `json:"entries,omitempty"`
+		Version Version `json:"version,omitempty"`
+		Lease   LeaseID `json:"lease,omitempty"`
+		Error   string  `json:"error,omitempty"`
+	}
+)
+
+// PathPrefix comes before a call's name in the service's HTTP form.
+const PathPrefix = "/kv/"
+
+const (
+	callTimeout = 3 * time.Second
+	maxReply    = 64 << 20
+)
+
+// Connect returns a Store that speaks to the service at address.
+func Connect(address netip.AddrPort) *Store {
+	client := &client{base: "http://" + address.String() + PathPrefix}
+	return &Store{
+		Get: client.get, List: client.list, Swap: client.swap,
+		Grant: client.grant, Renew: client.renew, Release: client.release,
+		Watch: client.watch,
+	}
+}
+
+type client struct{ base string }
+
+func (client *client) get(ctx context.Context, key string) (Entry, error) {
+	reply, err := client.call(ctx, "get", Call{Key: key}, callTimeout)
+	return reply.Entry, err
+}
+
+func (client *client) list(ctx context.Context, prefix string) ([]Entry, Version, error) {
+	reply, err := client.call(ctx, "list", Call{Key: prefix}, callTimeout)
+	return reply.Entries, reply.Version, err
+}
+
+func (client *client) swap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error) {
+	call := Call{Key: key, Expect: expect, Value: value, Delete: value == nil, Lease: lease}
+	reply, err := client.call(ctx, "swap", call, callTimeout)
+	return reply.Version, err
+}
+
+func (client *client) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	reply, err := client.call(ctx, "grant", Call{TTLMS: ttl.Milliseconds()}, callTimeout)
+	return reply.Lease, err
+}
+
+func (client *client) renew(ctx context.Context, lease LeaseID) error {
+	_, err := client.call(ctx, "renew", Call{Lease: lease}, callTimeout)
+	return err
+}
+
+func (client *client) release(ctx context.Context, lease LeaseID) error {
+	_, err := client.call(ctx, "release", Call{Lease: lease}, callTimeout)
+	return err
+}
+
+func (client *client) watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Entry, Version, error) {
+	call := Call{Key: prefix, After: after, WaitMS: wait.Milliseconds()}
+	reply, err := client.call(ctx, "watch", call, wait+callTimeout)
+	return reply.Entries, reply.Version, err
+}
+
+// call sends one call. The error's class says whether a write may stand.
+func (client *client) call(ctx context.Context, name string, call Call, timeout time.Duration) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(call)
+	if err != nil {
+		return Reply{}, ErrInvalid.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.base+name, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, ErrInvalid.Wrap(err)
+	}
+	response, err := outbound.Do(request)
+	if err != nil {
+		return Reply{}, classify(err)
+	}
+	defer response.Body.Close()
+	return decode(response)
+}
+
+// classify tells a connection that was never made from an answer that was lost.
+func classify(err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return ErrNotSent.Wrap(err)
+	}
+	return ErrUnavailable.Wrap(err)
+}
+
+func decode(response *http.Response) (Reply, error) {
+	var reply Reply
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&reply); err != nil {
+		return Reply{}, ErrUnavailable.Wrap(err)
+	}
+	switch response.StatusCode {
+	case http.StatusOK:
+		return reply, nil
+	case http.StatusConflict:
+		return reply, ErrConflict.New("%s", reply.Error)
+	case http.StatusGone:
+		return reply, ErrLeaseGone.New("%s", reply.Error)
+	case http.StatusBadRequest:
+		return reply, ErrInvalid.New("%s", reply.Error)
+	default:
+		return reply, ErrUnavailable.New("status %d: %s", response.StatusCode, reply.Error)
+	}
+}
--- /dev/null
+++ b/peridotpath/keyvalue/memory/memory.go
@@ -0,0 +1,255 @@
+// Package memory is a key-value service in one process's memory. The stand-in
+// serves it over HTTP, and tests use it directly, with faults switched on.
+package memory
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotpath.example/peridotpath/keyvalue"
+)
+
+// Memory is the service. Set the exported fields before use; the zero value
+// works and has no faults.
+type Memory struct {
+	// Fault, when set, is asked before (applied false) and after (applied true)
+	// each call. An error it returns is what the caller gets; the write stands
+	// if it was already applied. It may block, to play a slow service.
+	Fault func(ctx context.Context, call string, key string, applied bool) error
+	// Now is the clock; nil stands for time.Now.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	entries map[string]keyvalue.Entry
+	deleted map[string]keyvalue.Entry
+	leases  map[keyvalue.LeaseID]*lease
+	version keyvalue.Version
+	nextID  keyvalue.LeaseID
+	changed chan struct{}
+	calls   map[string]int
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store returns the service behind the seams that the system stands on.
+func (memory *Memory) Store() *keyvalue.Store {
+	return &keyvalue.Store{
+		Get: memory.get, List: memory.list, Swap: memory.swap,
+		Grant: memory.grant, Renew: memory.renew, Release: memory.release,
+		Watch: memory.watch,
+	}
+}
+
+// Calls returns how often each call was made so far, by name.
+func (memory *Memory) Calls() map[string]int {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	counts := make(map[string]int, len(memory.calls))
+	for name, count := range memory.calls {
+		counts[name] = count
+	}
+	return counts
+}
+
+// begin locks, counts the call and drops lapsed leases.
+func (memory *Memory) begin(ctx context.Context, call, key string) error {
+	if err := memory.fault(ctx, call, key, false); err != nil {
+		return err
+	}
+	memory.mu.Lock()
+	if memory.entries == nil {
+		memory.entries = map[string]keyvalue.Entry{}
+		memory.deleted = map[string]keyvalue.Entry{}
+		memory.leases = map[keyvalue.LeaseID]*lease{}
+		memory.calls = map[string]int{}
+		memory.changed = make(chan struct{})
+	}
+	memory.calls[call]++
+	memory.expire()
+	return nil
+}
+
+func (memory *Memory) fault(ctx context.Context, call, key string, applied bool) error {
+	if memory.Fault == nil {
+		return nil
+	}
+	return memory.Fault(ctx, call, key, applied)
+}
+
+func (memory *Memory) now() time.Time {
+	if memory.Now == nil {
+		return time.Now()
+	}
+	return memory.Now()
+}
+
+func (memory *Memory) expire() {
+	now := memory.now()
+	for id, held := range memory.leases {
+		if !now.Before(held.expires) {
+			memory.dropLease(id)
+		}
+	}
+}
+
+func (memory *Memory) dropLease(id keyvalue.LeaseID) {
+	delete(memory.leases, id)
+	for key, entry := range memory.entries {
+		if entry.Lease == id {
+			memory.remove(key)
+		}
+	}
+}
+
+func (memory *Memory) remove(key string) {
+	memory.version++
+	delete(memory.entries, key)
+	memory.deleted[key] = keyvalue.Entry{Key: key, Version: memory.version, Deleted: true}
+	memory.wake()
+}
+
+func (memory *Memory) wake() {
+	close(memory.changed)
+	memory.changed = make(chan struct{})
+}
+
+func (memory *Memory) get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	if err := memory.begin(ctx, "get", key); err != nil {
+		return keyvalue.Entry{}, err
+	}
+	entry := memory.entries[key]
+	memory.mu.Unlock()
+	if err := memory.fault(ctx, "get", key, true); err != nil {
+		return keyvalue.Entry{}, err
+	}
+	return entry, nil
+}
+
+func (memory *Memory) list(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Version, error) {
+	if err := memory.begin(ctx, "list", prefix); err != nil {
+		return nil, 0, err
+	}
+	entries := above(memory.entries, prefix, 0)
+	version := memory.version
+	memory.mu.Unlock()
+	if err := memory.fault(ctx, "list", prefix, true); err != nil {
+		return nil, 0, err
+	}
+	return entries, version, nil
+}
+
+func above(from map[string]keyvalue.Entry, prefix string, after keyvalue.Version) []keyvalue.Entry {
+	var entries []keyvalue.Entry
+	for key, entry := range from {
+		if strings.HasPrefix(key, prefix) && entry.Version > after {
+			entries = append(entries, entry)
+		}
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries
+}
+
+func (memory *Memory) swap(ctx context.Context, key string, expect keyvalue.Version, value []byte, id keyvalue.LeaseID) (keyvalue.Version, error) {
+	if err := memory.begin(ctx, "swap", key); err != nil {
+		return 0, err
+	}
+	version, err := memory.swapLocked(key, expect, value, id)
+	memory.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	if err := memory.fault(ctx, "swap", key, true); err != nil {
+		return 0, err
+	}
+	return version, nil
+}
+
+func (memory *Memory) swapLocked(key string, expect keyvalue.Version, value []byte, id keyvalue.LeaseID) (keyvalue.Version, error) {
+	if len(value) > keyvalue.MaxValue {
+		return 0, keyvalue.ErrInvalid.New("%s: value has %d bytes", key, len(value))
+	}
+	if current := memory.entries[key].Version; current != expect {
+		return 0, keyvalue.ErrConflict.New("%s is at version %d, not %d", key, current, expect)
+	}
+	if id != 0 && memory.leases[id] == nil {
+		return 0, keyvalue.ErrLeaseGone.New("lease %d", id)
+	}
+	if value == nil {
+		memory.remove(key)
+		return memory.version, nil
+	}
+	memory.version++
+	delete(memory.deleted, key)
+	memory.entries[key] = keyvalue.Entry{Key: key, Value: append([]byte{}, value...), Version: memory.version, Lease: id}
+	memory.wake()
+	return memory.version, nil
+}
+
+func (memory *Memory) grant(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
+	if err := memory.begin(ctx, "grant", ""); err != nil {
+		return 0, err
+	}
+	memory.nextID++
+	id := memory.nextID
+	memory.leases[id] = &lease{ttl: ttl, expires: memory.now().Add(ttl)}
+	memory.mu.Unlock()
+	return id, memory.fault(ctx, "grant", "", true)
+}
+
+func (memory *Memory) renew(ctx context.Context, id keyvalue.LeaseID) error {
+	if err := memory.begin(ctx, "renew", ""); err != nil {
+		return err
+	}
+	held := memory.leases[id]
+	if held != nil {
+		held.expires = memory.now().Add(held.ttl)
+	}
+	memory.mu.Unlock()
+	if held == nil {
+		return keyvalue.ErrLeaseGone.New("lease %d", id)
+	}
+	return memory.fault(ctx, "renew", "", true)
+}
+
+func (memory *Memory) release(ctx context.Context, id keyvalue.LeaseID) error {
+	if err := memory.begin(ctx, "release", ""); err != nil {
+		return err
+	}
+	memory.dropLease(id)
+	memory.mu.Unlock()
+	return memory.fault(ctx, "release", "", true)
+}
+
+func (memory *Memory) watch(ctx context.Context, prefix string, after keyvalue.Version, wait time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		if first {
+			if err := memory.begin(ctx, "watch", prefix); err != nil {
+				return nil, 0, err
+			}
+		} else {
+			memory.mu.Lock()
+			memory.expire()
+		}
+		entries := append(above(memory.entries, prefix, after), above(memory.deleted, prefix, after)...)
+		version, changed := memory.version, memory.changed
+		memory.mu.Unlock()
+		if len(entries) > 0 {
+			return entries, version, memory.fault(ctx, "watch", prefix, true)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, version, memory.fault(ctx, "watch", prefix, true)
+		case <-ctx.Done():
+			return nil, after, keyvalue.ErrUnavailable.Wrap(ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/peridotpath/outbound/outbound.go
@@ -0,0 +1,52 @@
+// Package outbound makes every HTTP call of the system, through go-zero's
+// httpc, with connection limits that suit long streams to many endpoints.
+package outbound
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	dialTimeout        = 2 * time.Second
+	idleConnections    = 256
+	idlePerEndpoint    = 64
+	idleTimeout        = 90 * time.Second
+	maxResponseHeaders = 64 << 10
+)
+
+var once sync.Once
+
+// Do sends the request and returns the response as soon as its headers are in.
+//
+// httpc's package function is used and not its named services: those carry a
+// breaker of their own, which would refuse calls without a counter of ours.
+func Do(request *http.Request) (*http.Response, error) {
+	once.Do(tune)
+	return httpc.DoRequest(request)
+}
+
+// tune replaces the default transport: it keeps two idle connections to a
+// host, which costs a dial for nearly every request of a busy endpoint, and it
+// honours proxy variables, though addresses are IP numbers from settings.
+// Redirects are not followed: an endpoint may not send a request elsewhere.
+func tune() {
+	logx.Disable()
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	http.DefaultClient.Transport = &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           idleConnections,
+		MaxIdleConnsPerHost:    idlePerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+		DisableCompression:     true,
+	}
+	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}
+}
--- /dev/null
+++ b/peridotpath/profile.go
@@ -0,0 +1,93 @@
+package peridotpath
+
+import "fmt"
+
+// Profile says how one class of work is treated. Operators write profiles;
+// a caller picks one by name or by a model alias.
+type Profile struct {
+	Name    ProfileName `json:"name"`
+	Service Service     `json:"service"`
+	// Aliases are model names that pick this profile.
+	Aliases []string `json:"aliases,omitempty"`
+	// Idempotent work may be run again when an attempt failed.
+	Idempotent bool `json:"idempotent"`
+	// Priority orders work on the engines; higher goes first.
+	Priority int `json:"priority"`
+	// DeadlineMS is the time from arrival within which a request finishes or fails.
+	DeadlineMS Millis `json:"deadline_ms"`
+	// MaxPromptTokens refuses longer prompts.
+	MaxPromptTokens Tokens `json:"max_prompt_tokens"`
+	// MaxOutputTokens bounds the answer where the caller sets no bound.
+	MaxOutputTokens Tokens `json:"max_output_tokens"`
+	// MaxAttempts bounds the attempts of one request, the first included.
+	MaxAttempts int `json:"max_attempts"`
+	// MaxQueueMS bounds the time a request waits for a place.
+	MaxQueueMS Millis `json:"max_queue_ms"`
+	// MaxQueued bounds the requests of this profile that wait on one Instance.
+	MaxQueued int `json:"max_queued"`
+}
+
+// Bounds of a Profile's fields.
+const (
+	MaxDeadlineMS  = 6 * 60 * 60 * 1000
+	MaxOutput      = 200_000
+	MaxAttemptsCap = 5
+	MaxQueuedCap   = 10_000
+)
+
+// Defaults fills every field that was left zero.
+func (profile *Profile) Defaults() {
+	setDefault(&profile.DeadlineMS, 60_000)
+	setDefault(&profile.MaxPromptTokens, MaxPrompt)
+	setDefault(&profile.MaxOutputTokens, 1_024)
+	setDefault(&profile.MaxAttempts, 2)
+	setDefault(&profile.MaxQueueMS, profile.DeadlineMS/2)
+	setDefault(&profile.MaxQueued, 200)
+}
+
+// Validate returns every fault, each path under prefix.
+func (profile *Profile) Validate(prefix string) Faults {
+	var faults Faults
+	checkName(&faults, prefix+".name", string(profile.Name))
+	checkName(&faults, prefix+".service", string(profile.Service))
+	for i, alias := range profile.Aliases {
+		checkName(&faults, fmt.Sprintf("%s.aliases[%d]", prefix, i), alias)
+	}
+	faults.Range(prefix+".priority", int64(profile.Priority), 0, 9)
+	faults.Range(prefix+".deadline_ms", int64(profile.DeadlineMS), 10, MaxDeadlineMS)
+	faults.Range(prefix+".max_prompt_tokens", int64(profile.MaxPromptTokens), 1, int64(MaxPrompt))
+	faults.Range(prefix+".max_output_tokens", int64(profile.MaxOutputTokens), 1, MaxOutput)
+	faults.Range(prefix+".max_attempts", int64(profile.MaxAttempts), 1, MaxAttemptsCap)
+	faults.Range(prefix+".max_queue_ms", int64(profile.MaxQueueMS), 0, int64(profile.DeadlineMS))
+	faults.Range(prefix+".max_queued", int64(profile.MaxQueued), 0, MaxQueuedCap)
+	return faults
+}
+
+// setDefault sets *field when it is the zero value of its type.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+const maxNameLength = 64
+
+// checkName adds a fault unless name is 1 to 64 letters, digits, '-', '_', '.' or '/'.
+func checkName(faults *Faults, path, name string) {
+	if name == "" {
+		faults.Add(path, "is missing")
+		return
+	}
+	if len(name) > maxNameLength {
+		faults.Add(path, "is %d bytes long, at most %d are allowed", len(name), maxNameLength)
+	}
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '_' && r != '.' && r != '/' {
+			faults.Add(path, "has the character %q; letters, digits, - _ . / are allowed", r)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/peridotpath/result.go
@@ -0,0 +1,143 @@
+package peridotpath
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code numbers one result that a caller may see. Codes are stable: clients
+// and alerts match on them. docs/CODES.md has the table; a test holds it to
+// this file. 1xxx is the caller's fault, 2xxx a limit, 3xxx the endpoints',
+// 4xxx an outcome of an attempt, 5xxx the platform's or our own.
+type Code int
+
+// The codes.
+const (
+	CodeOK Code = 0
+
+	CodeBadRequest        Code = 1001 // body is not the JSON we take
+	CodeBodyTooLarge      Code = 1002
+	CodeBodyIncomplete    Code = 1003
+	CodeUnauthorized      Code = 1004
+	CodeUnknownProfile    Code = 1005
+	CodeNotFound          Code = 1006
+	CodePromptTooLong     Code = 1007
+	CodeBadDeadline       Code = 1008
+	CodeBadCursor         Code = 1009
+	CodeBadIdempotencyKey Code = 1010
+	CodeKeyReused         Code = 1011 // same key, another body
+	CodeHeaderTooLarge    Code = 1012
+
+	CodeRateLimited      Code = 2001
+	CodeTooManyRequests  Code = 2002 // concurrency share used up
+	CodeQueueFull        Code = 2003
+	CodeCannotFinish     Code = 2004 // predicted to miss the deadline
+	CodeBodyMemory       Code = 2005
+	CodeQueueTimeout     Code = 2006
+	CodeCustomerOverload Code = 2007 // the customer's fair share is used up
+
+	CodeNoEndpoint      Code = 3001
+	CodeEndpointRefused Code = 3002
+	CodeEndpointFailed  Code = 3003
+	CodeBadAnswer       Code = 3004 // garbage or an empty success
+	CodeStreamCut       Code = 3005
+	CodeNoMemory        Code = 3006 // no endpoint or group holds the prompt
+
+	CodeDeadline       Code = 4001
+	CodeOutcomeUnknown Code = 4002 // may have run; never run again
+	CodeAnswerGone     Code = 4003 // ran, the answer is no longer held
+	CodeCallerGone     Code = 4004
+
+	CodePlatformDown Code = 5001
+	CodeNotReady     Code = 5002
+	CodeStopping     Code = 5003
+	CodeInternal     Code = 5004
+)
+
+// codeInfo is what is fixed about a code.
+type codeInfo struct {
+	status  int
+	name    string
+	notRun  bool
+	message string
+}
+
+var codes = map[Code]codeInfo{
+	CodeOK:                {http.StatusOK, "ok", false, "the whole answer was delivered"},
+	CodeBadRequest:        {http.StatusBadRequest, "bad_request", true, "the body is not a request this path takes"},
+	CodeBodyTooLarge:      {http.StatusRequestEntityTooLarge, "body_too_large", true, "the body is larger than allowed"},
+	CodeBodyIncomplete:    {http.StatusBadRequest, "body_incomplete", true, "the body ended early or came too slowly"},
+	CodeUnauthorized:      {http.StatusUnauthorized, "unauthorized", true, "the API key is missing or unknown"},
+	CodeUnknownProfile:    {http.StatusNotFound, "unknown_profile", true, "no profile or model has that name"},
+	CodeNotFound:          {http.StatusNotFound, "not_found", true, "nothing is served under that path"},
+	CodePromptTooLong:     {http.StatusRequestEntityTooLarge, "prompt_too_long", true, "the prompt is longer than the profile allows"},
+	CodeBadDeadline:       {http.StatusBadRequest, "bad_deadline", true, "the deadline header is not a whole number of milliseconds in range"},
+	CodeBadCursor:         {http.StatusBadRequest, "bad_cursor", true, "the resume cursor is not one this system gave out"},
+	CodeBadIdempotencyKey: {http.StatusBadRequest, "bad_idempotency_key", true, "the idempotency key is empty or too long"},
+	CodeKeyReused:         {http.StatusUnprocessableEntity, "key_reused", true, "the idempotency key was used with another body"},
+	CodeHeaderTooLarge:    {http.StatusRequestHeaderFieldsTooLarge, "header_too_large", true, "the headers are larger than allowed"},
+
+	CodeRateLimited:      {http.StatusTooManyRequests, "rate_limited", true, "the customer's request rate is used up"},
+	CodeTooManyRequests:  {http.StatusTooManyRequests, "too_many_requests", true, "the customer's concurrent requests are used up"},
+	CodeQueueFull:        {http.StatusServiceUnavailable, "queue_full", true, "the profile's queue is full"},
+	CodeCannotFinish:     {http.StatusServiceUnavailable, "cannot_finish", true, "no endpoint is predicted to finish in time"},
+	CodeBodyMemory:       {http.StatusServiceUnavailable, "body_memory", true, "the instance holds as many request bodies as it may"},
+	CodeQueueTimeout:     {http.StatusServiceUnavailable, "queue_timeout", true, "no place came free within the profile's queue time"},
+	CodeCustomerOverload: {http.StatusTooManyRequests, "customer_overload", true, "the customer's fair share is used up while others wait"},
+
+	CodeNoEndpoint:      {http.StatusServiceUnavailable, "no_endpoint", true, "no live endpoint serves this profile"},
+	CodeEndpointRefused: {http.StatusServiceUnavailable, "endpoint_refused", true, "every endpoint tried refused the request"},
+	CodeEndpointFailed:  {http.StatusBadGateway, "endpoint_failed", false, "the endpoint failed while it ran the request"},
+	CodeBadAnswer:       {http.StatusBadGateway, "bad_answer", false, "the endpoint's answer was empty or not understood"},
+	CodeStreamCut:       {http.StatusBadGateway, "stream_cut", false, "the answer broke off and could not be resumed"},
+	CodeNoMemory:        {http.StatusServiceUnavailable, "no_memory", true, "no endpoint or group has memory for the prompt"},
+
+	CodeDeadline:       {http.StatusGatewayTimeout, "deadline", false, "the request's time ran out"},
+	CodeOutcomeUnknown: {http.StatusBadGateway, "outcome_unknown", false, "the request may have run and will not be run again"},
+	CodeAnswerGone:     {http.StatusConflict, "answer_gone", false, "the request ran; its answer is no longer held"},
+	CodeCallerGone:     {499, "caller_gone", false, "the caller left before the answer was whole"},
+
+	CodePlatformDown: {http.StatusServiceUnavailable, "platform_down", true, "the key-value service cannot record the request"},
+	CodeNotReady:     {http.StatusServiceUnavailable, "not_ready", true, "the instance has no configuration yet"},
+	CodeStopping:     {http.StatusServiceUnavailable, "stopping", true, "the instance is being stopped"},
+	CodeInternal:     {http.StatusInternalServerError, "internal", false, "a fault of this system"},
+}
+
+// Codes returns every code, in no order.
+func Codes() []Code {
+	all := make([]Code, 0, len(codes))
+	for code := range codes {
+		all = append(all, code)
+	}
+	return all
+}
+
+// Status returns the HTTP status that goes with the code.
+func (code Code) Status() int { return codes[code].status }
+
+// String returns the code's name as logs and metrics write it.
+func (code Code) String() string { return codes[code].name }
+
+// Message returns the sentence that callers see.
+func (code Code) Message() string { return codes[code].message }
+
+// NotRun reports that a request that ended with this code certainly ran nowhere.
+func (code Code) NotRun() bool { return codes[code].notRun }
+
+// Result is a typed failure of a request.
+type Result struct {
+	Code Code
+	// RetryAfter is when the caller may come back; zero says nothing.
+	RetryAfter time.Duration
+	// Detail adds to the code's message; may be empty.
+	Detail string
+}
+
+// Error returns the code, its name and the detail.
+func (result *Result) Error() string {
+	if result.Detail == "" {
+		return fmt.Sprintf("%d %s", int(result.Code), result.Code)
+	}
+	return fmt.Sprintf("%d %s: %s", int(result.Code), result.Code, result.Detail)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is part of peridotpath.
+package main
+
+func main() {}
