Decide under load: admit, queue, place, eject, retry; measure against baselines

Cause: the scheduler placed everything at once on the endpoint with the fewest of its own requests, knew no deadline, no memory, no customer, and was measured nowhere.

Change: decide/ splits into admission, queues (deficit round robin by tokens, earliest deadline first), placement by predicted time to first token and memory, a subset for long work, ejection, retry budgets and spread return times. The program measure runs it and five baselines on the same arrivals, on a fake fleet and clock, eight instances deciding separately on lagging reports.

Load is in percent of what one fake engine sustains when fed in order.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin
-PROGRAMS := peridotd peridotctl standin
+MODULES := peridotpath peridotd peridotctl standin measure
+PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
 
-.PHONY: help build test lint format unit tools fuzz bench
+.PHONY: help build test lint format unit tools fuzz bench measure
 
 help: ## lists the targets
 	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -30,3 +30,9 @@
 	go test -race -timeout 20m $(PATTERNS)
 
 test: lint build unit ## what CI runs: formatter, linter, vet, build, race tests
+
+measure: ## compares the decisions under load with simple policies, on a fake clock
+	@cd measure && go run . figures
+
+bench: ## what a decision costs, with parallel callers
+	@go test -run '^$$' -bench . -benchmem ./peridotpath/decide/...
--- /dev/null
+++ b/measure/bench/policy.go
@@ -0,0 +1,61 @@
+package bench
+
+import (
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/decide"
+)
+
+// decider is one Instance's policy: the methods of decide.Scheduler as
+// functions.
+type decider struct {
+	setEndpoints func(now time.Time, endpoints []peridotpath.Endpoint)
+	report       func(now time.Time, id peridotpath.EndpointID, load peridotpath.Load)
+	submit       func(now time.Time, work *decide.Work) decide.Decision
+	advance      func(now time.Time) []decide.Decision
+	next         func() time.Time
+	cancel       func(now time.Time, work *decide.Work)
+	firstToken   func(now time.Time, work *decide.Work)
+	done         func(now time.Time, work *decide.Work, outcome decide.Outcome, tokens peridotpath.Tokens)
+	retry        func(now time.Time, work *decide.Work, last *peridotpath.Result) decide.Decision
+}
+
+// Policy makes the deciders of a fleet's instances.
+type Policy struct {
+	Name string
+	// build returns a maker of deciders for one run; what they share lives in it.
+	build func(deployment Deployment, seed uint64) func(instance int) *decider
+}
+
+// Peridotpath is the policy under test, without the given mechanisms.
+func Peridotpath(name string, without decide.Mechanism) Policy {
+	return Policy{Name: name, build: func(deployment Deployment, seed uint64) func(int) *decider {
+		return func(instance int) *decider {
+			scheduler := &decide.Scheduler{Seed: seed*1000 + uint64(instance), Disabled: without}
+			scheduler.SetInstances(deployment.Instances)
+			return &decider{
+				setEndpoints: scheduler.SetEndpoints,
+				report:       scheduler.Report,
+				submit:       scheduler.Submit,
+				advance:      scheduler.Advance,
+				next:         scheduler.Next,
+				cancel:       scheduler.Cancel,
+				firstToken:   scheduler.FirstToken,
+				done:         scheduler.Done,
+				retry:        scheduler.Retry,
+			}
+		}
+	}}
+}
+
+// Baselines returns the simple policies.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "round_robin", build: roundRobin},
+		{Name: "least_in_flight", build: leastInFlight(false)},
+		{Name: "least_in_flight_priority", build: leastInFlight(true)},
+		{Name: "one_fifo", build: oneFIFO},
+		{Name: "split_fleets", build: splitFleets},
+	}
+}
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,19 @@
+// Command measure compares the decisions under load with simple policies, on
+// a fake fleet and a fake clock.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(&figuresCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- a/peridotpath/decide/work.go
+++ b/peridotpath/decide/work.go
@@ -9,6 +9,9 @@
 	"peridotpath.example/peridotpath"
 )
 
+// PrefixBlock is the length of the shortest prefix that Work.Prefixes covers.
+const PrefixBlock peridotpath.Tokens = 1024
+
 // Work is one request as the decisions see it. The caller of this package
 // fills the exported fields before Submit and leaves them alone afterwards.
 type Work struct {
@@ -20,8 +23,9 @@
 	Prompt peridotpath.Tokens
 	// Output bounds the answer.
 	Output peridotpath.Tokens
-	// Prefixes are hashes of the prompt's leading blocks, shortest first; empty
-	// when nothing is known of the prompt's text.
+	// Prefixes are hashes of the prompt's leading tokens, shortest first:
+	// Prefixes[i] covers the first PrefixBlock<<i tokens, so that ten hashes
+	// reach half a million tokens. Empty when nothing is known of the text.
 	Prefixes []uint64
 	// Arrived is when the request came in.
 	Arrived time.Time
@@ -34,6 +38,26 @@
 	Endpoint peridotpath.EndpointID
 	// avoid lists endpoints that failed this work.
 	avoid []peridotpath.EndpointID
+
+	customer  *customer
+	placement placement
+	// outcome is how the latest attempt ended.
+	outcome Outcome
+	// queuedAt is when the work began to wait, in nanoseconds; zero when it does not.
+	queuedAt int64
+	sequence uint64
+}
+
+// placement is what the current attempt has been charged with.
+type placement struct {
+	member    *member
+	band      band
+	uncached  int64
+	memory    int64
+	at        int64
+	predicted int64
+	probe     bool
+	started   bool
 }
 
 // Verdict says what becomes of Work.
@@ -54,6 +78,9 @@
 	Work     *Work
 	Verdict  Verdict
 	Endpoint peridotpath.Endpoint
+	// Priority goes to the engine with the request, higher first. It is the
+	// profile's, doubled, plus one while the customer keeps within its share.
+	Priority int
 	Result   *peridotpath.Result
 }
 
@@ -73,3 +100,18 @@
 	// Abandoned: the caller left or the time ran out; says nothing of the endpoint.
 	Abandoned
 )
+
+func (work *Work) avoids(id peridotpath.EndpointID) bool {
+	for _, avoided := range work.avoid {
+		if avoided == id {
+			return true
+		}
+	}
+	return false
+}
+
+// memoryNeed is the KV memory that the work holds at its end.
+func (work *Work) memoryNeed() int64 { return int64(work.Prompt + work.Output) }
+
+// plain reports work for a plain service, which has no tokens.
+func (work *Work) plain() bool { return work.Prompt == 0 }
