--- a/measure/bench/cluster.go
+++ b/measure/bench/cluster.go
@@ -30,6 +30,7 @@
 	make      func(int) *decider
 	customers []*peridotpath.Customer
 	requests  []*request
+	capacity  float64 // of one engine, see Load.capacity
 	attempts  int
 	prefilled float64 // tokens, while arrivals were counted
 }
--- a/measure/bench/compare.go
+++ b/measure/bench/compare.go
@@ -54,6 +54,7 @@
 func measure(load *Load, offered int, policy Policy, seed uint64) Figures {
 	arrivals := load.arrivals(float64(offered)/100, seed)
 	whole := run(load, policy, arrivals, seed)
+	whole.capacity = load.capacity(seed)
 	figures := whole.figures(offered)
 	short := func(*arrival) bool { return true }
 	if load.Shares[peridotpath.Short] > 0 {
--- a/measure/bench/figures.go
+++ b/measure/bench/figures.go
@@ -32,7 +32,7 @@
 	// InTime is the share of all admitted requests that finished in time.
 	InTime float64
 	// Goodput is the work that was finished in time while arrivals were counted,
-	// in percent of capacity. What is finished after the last arrival is not in it.
+	// in percent of Load.capacity. What is finished after the last arrival is not in it.
 	Goodput float64
 	// Unfair is the other customers' short p99 over the same without the flooder.
 	Unfair float64
@@ -129,7 +129,7 @@
 	figures.ReturnedAdmitted = share(int(figures.ReturnedAdmitted), figures.Returned)
 	figures.Amplification = float64(cluster.attempts) / float64(max(triedAll, 1))
 	engineSeconds := float64(len(cluster.engines)) * (arrivalsTime - warmUp).Seconds()
-	figures.Goodput = 100 * good / engineSeconds
+	figures.Goodput = 100 * good / engineSeconds / cluster.capacity
 	figures.Utilisation = cluster.prefilled / fullPrefillPerS / engineSeconds
 	return figures
 }
--- a/peridotpath/decide/budget.go
+++ b/peridotpath/decide/budget.go
@@ -10,6 +10,13 @@
 	// retryBurst is how many retries may be saved up: enough for the work that
 	// one endpoint holds when it dies.
 	retryBurst = 50
+	// endpointAllowance is what an endpoint's budget begins with. One that fails
+	// from the start is ejected before it has earned a single retry, and the
+	// requests that found it out would go unanswered. What it can add to the
+	// load is bounded by the customers' budgets.
+	endpointAllowance = 10
+	// customerAllowance lets a customer's first request be retried.
+	customerAllowance = 1
 	// budgetUnit is one retry in the budget's whole numbers.
 	budgetUnit = 1000
 )
@@ -20,6 +27,9 @@
 	saved atomic.Int64
 }
 
+// allow puts retries in to begin with.
+func (budget *budget) allow(retries int64) { budget.saved.Store(retries * budgetUnit) }
+
 // earn adds the share that one first attempt brings.
 func (budget *budget) earn() {
 	if budget.saved.Load() < retryBurst*budgetUnit {
--- a/peridotpath/decide/customer.go
+++ b/peridotpath/decide/customer.go
@@ -12,14 +12,14 @@
 	// usageSpan is the time over which a customer's use is averaged: longer than
 	// a long prompt runs, so that one of them does not make its customer greedy
 	// forever, and short enough to tell a flood within seconds.
-	usageSpan = 10 * time.Second
+	usageSpan = 20 * time.Second
 	// rateBurst is the time's worth of requests that may come at once. The
 	// balancer spreads a customer unevenly over the instances, so a bucket of
 	// exactly one's share would refuse customers that keep their rate.
 	rateBurst = 2 * time.Second
 	// overShare is the multiple of its fair share above which a customer's work
 	// gives way. Above one, so that noise does not demote steady customers.
-	overShare = 1.25
+	overShare = 1.5
 	// concurrencySlack widens an instance's part of a concurrency limit, again
 	// for the balancer's unevenness.
 	concurrencySlack = 1.5
@@ -71,6 +71,7 @@
 		for class := range classes {
 			found.usage[class].span = usageSpan
 		}
+		found.retries.allow(customerAllowance)
 		customers.byID[pointer.ID] = found
 		customers.list = append(customers.list, found)
 	}
--- a/peridotpath/decide/group.go
+++ b/peridotpath/decide/group.go
@@ -87,11 +87,16 @@
 	return sum
 }
 
+// estimateSlack is how far above an endpoint's memory an estimated need may
+// be. Estimates are off by some percent, and the engine, which counts exactly,
+// refuses at no cost what it cannot hold.
+const estimateSlack = 1.1
+
 // oversize reports work that no single endpoint can ever hold. Here is the seam
 // for groups of endpoints that hold a prompt together.
 func (group *group) oversize(work *Work) bool {
 	largest := group.largest.Load()
-	return largest > 0 && work.memoryNeed() > largest
+	return largest > 0 && float64(work.memoryNeed()) > estimateSlack*float64(largest)
 }
 
 func largestMemory(members []*member) int64 {
--- a/peridotpath/decide/health.go
+++ b/peridotpath/decide/health.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"peridotpath.example/peridotpath"
 )
 
 const (
@@ -20,6 +22,8 @@
 	// Beyond it the failures are probably not the endpoints' own, and the rest
 	// would get more than twice their load and fail as well.
 	maxEjected = 0.5
+	// probeAnyAfter is when an endpoint that no short work probed gets any.
+	probeAnyAfter = 10 * time.Second
 	// slownessStep weighs one observation: ten of them show a slow endpoint.
 	slownessStep = 0.1
 	// slownessMost bounds the correction, so that an endpoint still gets the
@@ -31,6 +35,10 @@
 	// slownessDecay is what is left of a slowness after a second without an
 	// observation, so that an avoided endpoint is tried again after a minute.
 	slownessDecay = 0.97
+	// decodeStep weighs one answer in the rate at which answers come, and
+	// leastDecoded is the shortest that counts.
+	decodeStep   = 0.1
+	leastDecoded = 16
 	// leastPredicted keeps ratios of very short times from counting as slow.
 	leastPredicted = 100 * time.Millisecond
 )
@@ -41,6 +49,7 @@
 	ejectedUntil atomic.Int64
 	probing      atomic.Bool
 	slow         atomicFloat // natural logarithm of the factor, zero or more
+	decode       atomicFloat // tokens per second and request as seen, zero while unknown
 
 	mu       sync.Mutex // guards what follows
 	failures int        // in a row
@@ -69,6 +78,20 @@
 	health.slow.store(min(slow, math.Log(slownessMost)))
 }
 
+// observeDecode takes in how fast an answer came.
+func (health *health) observeDecode(tokens peridotpath.Tokens, took time.Duration) {
+	if tokens < leastDecoded || took <= 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	if known := health.decode.load(); known > 0 {
+		seen = known + decodeStep*(seen-known)
+	}
+	health.decode.store(seen)
+}
+
 // decay lets an old observation fade.
 func (health *health) decay(elapsed time.Duration) {
 	health.mu.Lock()
@@ -107,13 +130,16 @@
 
 // usable reports whether work may go to the endpoint. After the time out, one
 // request at a time probes it: an endpoint that is still dead must not be met
-// by everything that waits.
-func (health *health) usable(at int64) (usable, probe bool) {
+// by everything that waits. A probe is work that may run twice, and short work
+// if there is any: it loses least.
+func (health *health) usable(at int64, work *Work) (usable, probe bool) {
 	until := health.ejectedUntil.Load()
 	switch {
 	case until == 0:
 		return true, false
-	case at < until:
+	case at < until || !work.Profile.Idempotent:
+		return false, false
+	case work.slot() != peridotpath.Short && at < until+int64(probeAnyAfter):
 		return false, false
 	default:
 		return !health.probing.Load(), true
--- a/peridotpath/decide/member.go
+++ b/peridotpath/decide/member.go
@@ -66,12 +66,18 @@
 	return float64(load.PrefillPerS) / member.health.slowness()
 }
 
+// decodeRate is the answer tokens per second that one request gets: the lower
+// of what the endpoint says of this moment and what answers have shown. An idle
+// endpoint reports a rate that it keeps only while it is idle.
 func (member *member) decodeRate() float64 {
-	load := member.load.Load()
-	if load == nil || load.DecodePerS <= 0 {
-		return assumedDecode
+	rate := float64(assumedDecode)
+	if load := member.load.Load(); load != nil && load.DecodePerS > 0 {
+		rate = float64(load.DecodePerS)
+	}
+	if seen := member.health.decode.load(); seen > 0 {
+		return min(rate, seen)
 	}
-	return float64(load.DecodePerS)
+	return rate
 }
 
 // pendingUpTo is this Instance's unanswered prompt work at the band or before it.
--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -33,6 +33,11 @@
 	peridotpath.Long:   1.2,
 }
 
+// overReserve is the further share of memory that customers above their fair
+// share leave to the others. Priority alone does not help those: memory that a
+// flood holds comes back only as its requests end.
+const overReserve = 0.1
+
 // backlogLimit is how much prompt work an endpoint may have ahead when work of
 // a class is sent to it. Work inside an engine can no longer be reordered,
 // moved or refused, so it stays with us until the engine is nearly ready for
@@ -47,7 +52,7 @@
 // of a class. Engines run higher priorities first, so that a short prompt
 // hardly waits for the long one beside it.
 var backlogSeen = [classes]float64{
-	peridotpath.Short:  0.1,
+	peridotpath.Short:  0.97,
 	peridotpath.Medium: 0.9,
 	peridotpath.Long:   1.2,
 }
@@ -104,9 +109,9 @@
 // be one.
 func (scheduler *Scheduler) consider(at int64, work *Work, member *member, cached int64, best *candidate, met *obstacle) {
 	next := candidate{member: member, uncached: max(int64(work.Prompt)-cached, 0)}
-	usable, probe := member.health.usable(at)
 	if scheduler.on(MechanismEjection) {
-		if !usable || probe && !work.Profile.Idempotent {
+		usable, probe := member.health.usable(at, work)
+		if !usable {
 			*met |= obstacleOut
 			return
 		}
@@ -147,9 +152,12 @@
 func (scheduler *Scheduler) considerEngine(at int64, work *Work, next *candidate) obstacle {
 	member, need := next.member, work.memoryNeed()
 	total := member.memoryTotal()
-	if total > 0 && need > total {
+	if total > 0 && float64(need) > estimateSlack*float64(total) {
 		return obstacleSmall
 	}
+	if total > 0 {
+		need = min(need, total)
+	}
 	rate := member.rate()
 	ahead := member.prefillAhead(at, scheduler.on(MechanismSent))
 	own := float64(member.pendingUpTo(work.placement.band))
@@ -183,6 +191,9 @@
 	if aged && work.slot() == peridotpath.Long && scheduler.on(MechanismAgeing) {
 		return 2
 	}
+	if work.placement.band%2 == 1 {
+		return memoryFill[work.slot()] - overReserve
+	}
 	return memoryFill[work.slot()]
 }
 
--- a/peridotpath/decide/retry.go
+++ b/peridotpath/decide/retry.go
@@ -66,6 +66,8 @@
 		return false
 	case work.outcome == Failed && !work.Profile.Idempotent:
 		return false
+	case work.outcome == Rejected && scheduler.tooLarge(work):
+		return false
 	case at >= work.Deadline.UnixNano():
 		return false
 	case !scheduler.on(MechanismRetryBudget):
@@ -74,6 +76,13 @@
 	return scheduler.spendRetry(work)
 }
 
+// tooLarge reports work that an engine probably refused for its size; the
+// others would say the same.
+func (scheduler *Scheduler) tooLarge(work *Work) bool {
+	group := (*scheduler.groups.Load())[work.Profile.Service]
+	return group != nil && work.memoryNeed() > group.largest.Load() && group.largest.Load() > 0
+}
+
 // spendRetry takes a retry from both budgets or from neither.
 func (scheduler *Scheduler) spendRetry(work *Work) bool {
 	failed := (*scheduler.members.Load())[work.avoid[len(work.avoid)-1]]
--- a/peridotpath/decide/scheduler.go
+++ b/peridotpath/decide/scheduler.go
@@ -95,6 +95,7 @@
 		fresh.state = old.state
 	} else {
 		fresh.state = &state{}
+		fresh.retries.allow(endpointAllowance)
 	}
 	if endpoint.State == peridotpath.StateLive {
 		fresh.current.Store(fresh)
@@ -305,6 +306,12 @@
 	if group := (*scheduler.groups.Load())[work.Profile.Service]; group != nil {
 		group.drained[work.slot()].add(at, work.cost())
 	}
+	placed.firstAt = at
+	scheduler.observe(at, placed)
+}
+
+// observe compares the time that a placement has taken with the prediction.
+func (scheduler *Scheduler) observe(at int64, placed *placement) {
 	if scheduler.on(MechanismSlowness) {
 		placed.member.health.observe(time.Duration(at-placed.at), time.Duration(placed.predicted))
 	}
@@ -312,12 +319,21 @@
 
 // Done ends the current placement. It must be called exactly once for each
 // Place verdict. tokens is how many answer tokens were produced.
-func (scheduler *Scheduler) Done(now time.Time, work *Work, outcome Outcome, _ peridotpath.Tokens) {
+func (scheduler *Scheduler) Done(now time.Time, work *Work, outcome Outcome, tokens peridotpath.Tokens) {
 	placed := &work.placement
 	if placed.member == nil {
 		return
 	}
 	at := now.UnixNano()
+	switch {
+	case placed.started && scheduler.on(MechanismSlowness):
+		placed.member.health.observeDecode(tokens, time.Duration(at-placed.firstAt))
+	case !placed.started && outcome == Abandoned:
+		// The caller gave up before the first token: the time until then is the
+		// least that it would have taken, and left out it would hide exactly the
+		// endpoints that answer too late for anybody.
+		scheduler.observe(at, placed)
+	}
 	placed.member.end(at, placed)
 	scheduler.judge(at, work.Profile.Service, placed, outcome)
 	work.customer.active.Add(-1)
--- a/peridotpath/decide/work.go
+++ b/peridotpath/decide/work.go
@@ -56,6 +56,7 @@
 	memory    int64
 	at        int64
 	predicted int64
+	firstAt   int64
 	probe     bool
 	started   bool
 }
