--- a/peridotpath/decide/affinity.go
+++ b/peridotpath/decide/affinity.go
@@ -36,7 +36,8 @@
 			continue
 		}
 		age := time.Duration(at - slot.at.Load())
-		if age >= affinityFade {
+		worth := 1 - age.Seconds()/affinityFade.Seconds()
+		if worth <= 0 {
 			continue
 		}
 		state := slot.state.Load()
@@ -47,7 +48,6 @@
 		if member == nil {
 			continue
 		}
-		worth := 1 - age.Seconds()/affinityFade.Seconds()
 		length := min(PrefixBlock<<i, work.Prompt)
 		return member, int64(float64(length) * worth)
 	}
--- a/peridotpath/decide/member.go
+++ b/peridotpath/decide/member.go
@@ -90,8 +90,8 @@
 }
 
 // prefillAhead predicts the prompt work on the endpoint, in tokens: what it
-// reported, less what it has worked off since, plus what was sent since. Work
-// of our own that has had no first token is there for certain.
+// reported, less what it has worked off since, plus what was sent since and has
+// had no first token. All of our own that has had none is there for certain.
 func (member *member) prefillAhead(at int64, sent bool) float64 {
 	own := float64(member.pendingUpTo(band(bands - 1)))
 	load := member.load.Load()
@@ -102,9 +102,9 @@
 	if !sent {
 		return ahead
 	}
-	ahead += float64(member.ledger.sent.Load() - load.before.sent)
 	ahead -= float64(load.PrefillPerS) * time.Duration(at-load.asOf).Seconds()
-	return max(ahead, own)
+	since := float64(member.ledger.sent.Load() - load.before.sent)
+	return max(max(ahead, 0)+min(since, own), own)
 }
 
 // memoryUsed predicts the KV memory, in tokens, that is taken for work of a
--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -81,6 +81,17 @@
 // none.
 func (scheduler *Scheduler) choose(at int64, group *group, work *Work) (candidate, obstacle) {
 	pool := group.pool(work.Class)
+	best, met := scheduler.chooseFrom(at, pool, work)
+	all := group.pools.Load().all
+	if best.member == nil && met&(obstacleFull|obstacleBusy) == 0 && len(pool) < len(all) {
+		// None of the subset can ever take the work: they are too small, too slow
+		// or ejected. It would wait in vain for them while others could.
+		return scheduler.chooseFrom(at, all, work)
+	}
+	return best, met
+}
+
+func (scheduler *Scheduler) chooseFrom(at int64, pool []*member, work *Work) (candidate, obstacle) {
 	var best candidate
 	var met obstacle
 	if scheduler.on(MechanismAffinity) {
