--- /dev/null
+++ b/measure/chart/chart_test.go
@@ -0,0 +1,34 @@
+package chart
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/measure/bench"
+	"peridotpath.example/peridotpath"
+)
+
+// The files are SVG and name what they compare.
+func TestChartsNameWhatTheyCompare(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	all := []bench.Figures{
+		{Policy: "round_robin", Offered: 60, P95: [3]float64{900, 1, 1}},
+		{Policy: "round_robin", Offered: 80, P95: [3]float64{1_900, 1, 1}},
+		{Policy: "peridotpath_without_memory", Offered: 60, P95: [3]float64{90, 1, 1}},
+		{Policy: "peridotpath_without_memory", Offered: 80, P95: [3]float64{190, 1, 1}},
+	}
+	is.NoErr(Latency(folder, peridotpath.Short, all))
+	effect := Effects()[0]
+	is.NoErr(Mechanisms(folder, effect, 80, all))
+	for name, want := range map[string]string{"ttft_short": ">round_robin<", effect.Name: ">memory<"} {
+		drawn, err := os.ReadFile(filepath.Join(folder, name+".svg"))
+		is.NoErr(err)
+		is.True(strings.Contains(string(drawn), "<svg"))
+		is.True(strings.Contains(string(drawn), want))
+	}
+}
--- a/peridotpath/decide/affinity.go
+++ b/peridotpath/decide/affinity.go
@@ -11,7 +11,7 @@
 	// affinityFade is the time over which a remembered prefix loses its worth.
 	// Engines evict without telling us in time, and a wrong guess sends work to
 	// a busier endpoint for nothing.
-	affinityFade = 3 * time.Minute
+	affinityFade = 45 * time.Second
 )
 
 // affinity remembers which endpoint got a prefix last. It is a guess at what
--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -52,7 +52,7 @@
 // of a class. Engines run higher priorities first, so that a short prompt
 // hardly waits for the long one beside it.
 var backlogSeen = [classes]float64{
-	peridotpath.Short:  0.97,
+	peridotpath.Short:  0.4,
 	peridotpath.Medium: 0.9,
 	peridotpath.Long:   1.2,
 }
