Count returners' work, promise two fifths of the drain, queue for half the deadline

Cause: work that a refused caller brought back was missing from the goodput, so that a burst looked worse than it was; the bench's profiles queued for less than the documented default of half the deadline, and refused what could still finish.

--- a/measure/bench/figures.go
+++ b/measure/bench/figures.go
@@ -89,8 +89,9 @@
 		if request.again != nil && request.again.placed {
 			triedAll++
 		}
-		if request.finished && request.ended >= warmUp && request.ended < arrivalsTime {
-			good += request.arrival.cost()
+		good += request.goodWork()
+		if request.again != nil {
+			good += request.again.goodWork()
 		}
 		if !request.counted() {
 			continue
@@ -137,6 +138,15 @@
 	return figures
 }
 
+// goodWork is the work of a request that finished in time while arrivals were
+// counted, in seconds of an engine.
+func (request *request) goodWork() float64 {
+	if !request.finished || request.ended < warmUp || request.ended >= arrivalsTime {
+		return 0
+	}
+	return request.arrival.cost()
+}
+
 func count(yes bool) int {
 	if yes {
 		return 1
--- a/measure/bench/load.go
+++ b/measure/bench/load.go
@@ -96,9 +96,9 @@
 
 // The profiles, one for each class of work.
 var profiles = [3]*peridotpath.Profile{
-	{Name: "line", Service: "model", Idempotent: true, Priority: 4, DeadlineMS: 20_000, MaxAttempts: 3, MaxQueueMS: 5_000, MaxQueued: 1_000},
-	{Name: "page", Service: "model", Idempotent: true, Priority: 2, DeadlineMS: 60_000, MaxAttempts: 3, MaxQueueMS: 15_000, MaxQueued: 500},
-	{Name: "volume", Service: "model", Idempotent: true, Priority: 0, DeadlineMS: 120_000, MaxAttempts: 3, MaxQueueMS: 40_000, MaxQueued: 100},
+	{Name: "line", Service: "model", Idempotent: true, Priority: 4, DeadlineMS: 20_000, MaxAttempts: 3, MaxQueueMS: 10_000, MaxQueued: 1_000},
+	{Name: "page", Service: "model", Idempotent: true, Priority: 2, DeadlineMS: 60_000, MaxAttempts: 3, MaxQueueMS: 30_000, MaxQueued: 500},
+	{Name: "volume", Service: "model", Idempotent: true, Priority: 0, DeadlineMS: 120_000, MaxAttempts: 3, MaxQueueMS: 60_000, MaxQueued: 100},
 }
 
 // customerShares are the customers' parts of the arrivals, and their weights.
--- a/peridotpath/decide/returns.go
+++ b/peridotpath/decide/returns.go
@@ -6,7 +6,7 @@
 	// returnShare is the part of the drain rate that is promised to callers who
 	// were refused. The rest is for callers who come for the first time; were
 	// all of it promised, the returners would find it taken.
-	returnShare = 0.25
+	returnShare = 0.4
 	// returnLeast keeps a refused caller from coming back within the same
 	// overload.
 	returnLeast = time.Second
