Add the request path: callers, dispatch, engine client, stand-ins

Cause: a prompt cannot yet travel from a caller to an engine and back. Change: caller interface on go-zero routes, dispatch with retries and stream resumption, engine client, signed resume cursors, membership follower, small stand-ins.

--- /dev/null
+++ b/peridotpath/caller/complete.go
@@ -0,0 +1,186 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/cursor"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/dispatch"
+)
+
+// bytesPerToken is the estimate of a prompt's length from its bytes.
+const bytesPerToken = 4
+
+// complete serves the completion and chat-completion paths.
+func (server *Server) complete(exchange *exchange) *peridotpath.Result {
+	if exchange.request.Header.Get(HeaderLastEventID) != "" {
+		return server.resume(exchange)
+	}
+	body, free, result := server.Bodies.Read(exchange.writer, exchange.request)
+	if result != nil {
+		return result
+	}
+	defer free()
+	request, result := server.classify(exchange, body)
+	if result != nil {
+		return result
+	}
+	exchange.work = request.Work
+	return server.Do(exchange.request.Context(), request, server.sink(exchange, request.Work))
+}
+
+// classify turns a body into a request: profile, length, deadline.
+func (server *Server) classify(exchange *exchange, body []byte) (*dispatch.Request, *peridotpath.Result) {
+	if !utf8.Valid(body) || !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "the body is not a JSON object in UTF-8"}
+	}
+	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "max_completion_tokens", "prompt", "messages")
+	profile, result := exchange.profile(fields[0].String())
+	if result != nil {
+		return nil, result
+	}
+	if fields[4].Raw == "" && fields[5].Raw == "" {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "neither prompt nor messages"}
+	}
+	deadline, result := exchange.deadline(profile)
+	if result != nil {
+		return nil, result
+	}
+	text := fields[4].Raw + fields[5].Raw
+	prompt := peridotpath.Tokens(len(text)/bytesPerToken + 1)
+	if prompt > profile.MaxPromptTokens {
+		return nil, &peridotpath.Result{Code: peridotpath.CodePromptTooLong, Detail: "about " + strconv.Itoa(int(prompt)) + " tokens"}
+	}
+	output := peridotpath.Tokens(max(fields[2].Int(), fields[3].Int()))
+	if output <= 0 || output > profile.MaxOutputTokens {
+		output = profile.MaxOutputTokens
+	}
+	work := &decide.Work{
+		ID: exchange.id, Customer: exchange.customer, Profile: profile,
+		Class:  peridotpath.ClassOf(prompt+output, server.EngineHolds(profile.Service)),
+		Prompt: prompt, Output: output, Prefixes: prefixes(text),
+		Arrived: exchange.arrived, Deadline: deadline,
+	}
+	return &dispatch.Request{Work: work, Path: exchange.request.URL.Path, Body: body, Stream: fields[1].Bool()}, nil
+}
+
+// profile picks by header, else by the model's name.
+func (exchange *exchange) profile(model string) (*peridotpath.Profile, *peridotpath.Result) {
+	name := exchange.request.Header.Get(HeaderProfile)
+	if name == "" {
+		name = model
+	}
+	profile := exchange.config.Profile(name)
+	if profile == nil {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeUnknownProfile, Detail: strconv.Quote(name)}
+	}
+	return profile, nil
+}
+
+// deadline is the profile's, or an earlier one that the caller asks for.
+func (exchange *exchange) deadline(profile *peridotpath.Profile) (time.Time, *peridotpath.Result) {
+	span := profile.DeadlineMS
+	if text := exchange.request.Header.Get(HeaderDeadlineMS); text != "" {
+		asked, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || asked <= 0 {
+			return time.Time{}, &peridotpath.Result{Code: peridotpath.CodeBadDeadline, Detail: strconv.Quote(text)}
+		}
+		span = min(span, peridotpath.Millis(asked))
+	}
+	return exchange.arrived.Add(span.Duration()), nil
+}
+
+// Prefixes are hashed at these lengths in bytes, each four times the one before:
+// enough to see a shared dossier or volume, few enough to keep everywhere.
+const (
+	firstPrefix = 4 << 10
+	prefixStep  = 4
+)
+
+func prefixes(text string) []uint64 {
+	var sums []uint64
+	hash := xxhash.New()
+	done := 0
+	for end := firstPrefix; end <= len(text); end *= prefixStep {
+		_, _ = hash.WriteString(text[done:end])
+		sums = append(sums, hash.Sum64())
+		done = end
+	}
+	return sums
+}
+
+// resume goes on with a stream after the event that the caller had last, at
+// this Instance, whichever one began it.
+func (server *Server) resume(exchange *exchange) *peridotpath.Result {
+	text := exchange.request.Header.Get(HeaderLastEventID)
+	stream, after, err := server.Signer.Open(exchange.customer.ID, text)
+	if err != nil {
+		return &peridotpath.Result{Code: peridotpath.CodeBadCursor, Detail: err.Error()}
+	}
+	profile := exchange.config.Profile(string(stream.Profile))
+	endpoint, found := server.Endpoint(stream.Endpoint)
+	if profile == nil || !found {
+		return &peridotpath.Result{Code: peridotpath.CodeStreamCut, Detail: "the stream's endpoint is gone"}
+	}
+	if !time.Now().Before(stream.Deadline()) {
+		return &peridotpath.Result{Code: peridotpath.CodeDeadline, Detail: "the request's time has run out"}
+	}
+	work := &decide.Work{
+		ID: exchange.id, Customer: exchange.customer, Profile: profile,
+		Arrived: exchange.arrived, Deadline: stream.Deadline(), Attempts: 1,
+	}
+	exchange.work = work
+	return server.Continue(exchange.request.Context(), work, endpoint, stream.ID, after, server.sink(exchange, work))
+}
+
+// sink writes the answer to the caller.
+func (server *Server) sink(exchange *exchange, work *decide.Work) *dispatch.Sink {
+	var token string
+	var buffer []byte
+	controller := http.NewResponseController(exchange.writer)
+	// A caller that stops reading would hold its stream's memory until the
+	// engine gives up; its write fails at the deadline instead.
+	_ = controller.SetWriteDeadline(work.Deadline.Add(time.Second))
+	start := func(_ http.Header, endpoint peridotpath.EndpointID, stream string) {
+		exchange.begun = true
+		exchange.writer.Header().Set(HeaderEndpoint, string(endpoint))
+		if stream != "" {
+			token = server.Signer.Token(work.Customer.ID, cursor.Stream{
+				Endpoint: endpoint, ID: stream, Profile: work.Profile.Name, DeadlineMS: work.Deadline.UnixMilli(),
+			})
+		}
+	}
+	event := func(offset int64, data []byte) error {
+		if len(buffer) == 0 {
+			header := exchange.writer.Header()
+			header.Set("Content-Type", "text/event-stream")
+			header.Set("Cache-Control", "no-cache")
+		}
+		buffer = buffer[:0]
+		if token != "" {
+			buffer = append(buffer, "id: "...)
+			buffer = cursor.At(buffer, token, offset)
+			buffer = append(buffer, '\n')
+		}
+		buffer = append(buffer, "data: "...)
+		buffer = append(buffer, data...)
+		buffer = append(buffer, "\n\n"...)
+		if _, err := exchange.writer.Write(buffer); err != nil {
+			return err
+		}
+		return controller.Flush()
+	}
+	whole := func(body []byte) error {
+		exchange.writer.Header().Set("Content-Type", "application/json")
+		_, err := exchange.writer.Write(body)
+		return err
+	}
+	return &dispatch.Sink{Start: start, Event: event, Whole: whole}
+}
--- /dev/null
+++ b/peridotpath/caller/failure.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"peridotpath.example/peridotpath"
+)
+
+// failureBody is the error object that clients of language models expect.
+type failureBody struct {
+	Error failureDetail `json:"error"`
+}
+
+type failureDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	// Number is the result code; docs/CODES.md has the table.
+	Number peridotpath.Code `json:"number"`
+	// NotRun says that the request certainly ran nowhere.
+	NotRun       bool   `json:"not_run"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	RequestID    string `json:"request_id"`
+}
+
+func (exchange *exchange) failureJSON(result *peridotpath.Result) []byte {
+	message := result.Code.Message()
+	if result.Detail != "" {
+		message += ": " + result.Detail
+	}
+	body, err := json.Marshal(failureBody{Error: failureDetail{
+		Message: message, Type: failureType(result.Code), Code: result.Code.String(),
+		Number: result.Code, NotRun: result.Code.NotRun(),
+		RetryAfterMS: result.RetryAfter.Milliseconds(), RequestID: string(exchange.id),
+	}})
+	if err != nil {
+		return []byte("{}")
+	}
+	return body
+}
+
+func failureType(code peridotpath.Code) string {
+	switch status := code.Status(); {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// fail writes the failure: as the whole answer, or as the last event where a
+// stream has begun. An interrupted stream has no end mark, so that no client
+// takes half an answer for a whole one.
+func (exchange *exchange) fail(result *peridotpath.Result) {
+	if result.Code == peridotpath.CodeCallerGone {
+		return
+	}
+	body := exchange.failureJSON(result)
+	if exchange.begun {
+		line := append([]byte("event: error\ndata: "), body...)
+		_, _ = exchange.writer.Write(append(line, '\n', '\n'))
+		_ = http.NewResponseController(exchange.writer).Flush()
+		return
+	}
+	header := exchange.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderCode, strconv.Itoa(int(result.Code)))
+	if result.RetryAfter > 0 {
+		header.Set("Retry-After", retryAfterSeconds(result.RetryAfter))
+	}
+	exchange.writer.WriteHeader(result.Code.Status())
+	_, _ = exchange.writer.Write(body)
+}
+
+// retryAfterSeconds rounds up: the header has whole seconds, and a caller that
+// comes back early would be refused again. The body has milliseconds.
+func retryAfterSeconds(span time.Duration) string {
+	return strconv.FormatInt(int64(math.Ceil(span.Seconds())), 10)
+}
--- /dev/null
+++ b/peridotpath/caller/models.go
@@ -0,0 +1,33 @@
+package caller
+
+import (
+	"encoding/json"
+
+	"peridotpath.example/peridotpath"
+)
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists what a caller may name as model: profiles and their aliases.
+func (server *Server) models(exchange *exchange) *peridotpath.Result {
+	list := modelList{Object: "list", Data: []model{}}
+	for _, profile := range exchange.config.Profiles {
+		for _, name := range append([]string{string(profile.Name)}, profile.Aliases...) {
+			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: string(profile.Service)})
+		}
+	}
+	exchange.writer.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(exchange.writer).Encode(list); err != nil {
+		return &peridotpath.Result{Code: peridotpath.CodeCallerGone}
+	}
+	return nil
+}
--- /dev/null
+++ b/peridotpath/caller/server.go
@@ -0,0 +1,163 @@
+// Package caller speaks HTTP to callers: the completion and chat-completion
+// interface that clients of language models already use, with streams as
+// server-sent events, and plain services under a path prefix.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/cursor"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/dispatch"
+	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderProfile        = "Peridotpath-Profile"
+	HeaderDeadlineMS     = "Peridotpath-Deadline-Ms"
+	HeaderCode           = "Peridotpath-Code"
+	HeaderEndpoint       = "Peridotpath-Endpoint"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderLastEventID    = "Last-Event-Id"
+)
+
+// Server answers callers. Set the exported fields before Routes.
+type Server struct {
+	Log zerolog.Logger
+	// Config returns the configuration in force, nil before there is one.
+	Config func() *peridotpath.Config
+	// Do runs a request; Continue goes on with a stream by its cursor.
+	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
+	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
+	// Endpoint returns the endpoint with that id, if the fleet has it.
+	Endpoint func(id peridotpath.EndpointID) (peridotpath.Endpoint, bool)
+	// EngineHolds returns the KV memory of the service's largest engine.
+	EngineHolds func(service peridotpath.Service) peridotpath.Tokens
+	Signer      *cursor.Signer
+	Bodies      *Bodies
+
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// Routes returns the routes for go-zero's rest.
+func (server *Server) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: engine.PathCompletions, Handler: server.handle(server.complete)},
+		{Method: http.MethodPost, Path: engine.PathChatCompletions, Handler: server.handle(server.complete)},
+		{Method: http.MethodGet, Path: "/v1/streams", Handler: server.handle(server.resume)},
+		{Method: http.MethodGet, Path: "/v1/models", Handler: server.handle(server.models)},
+		{Method: http.MethodGet, Path: "/health/live", Handler: server.live},
+		{Method: http.MethodGet, Path: "/health/ready", Handler: server.ready},
+	}
+}
+
+// Stop makes the instance not ready; what comes in all the same is still served.
+func (server *Server) Stop() { server.stopping.Store(true) }
+
+// Active returns how many requests are being served.
+func (server *Server) Active() int64 { return server.active.Load() }
+
+func (server *Server) live(writer http.ResponseWriter, _ *http.Request) {
+	writer.WriteHeader(http.StatusOK)
+}
+
+// ready answers the balancer. An Instance without configuration or about to
+// stop asks for no new callers, but still serves the ones that come.
+func (server *Server) ready(writer http.ResponseWriter, _ *http.Request) {
+	if server.stopping.Load() || server.Config() == nil {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// exchange is one caller's request while it is being served.
+type exchange struct {
+	id       peridotpath.RequestID
+	customer *peridotpath.Customer
+	config   *peridotpath.Config
+	request  *http.Request
+	writer   http.ResponseWriter
+	arrived  time.Time
+	work     *decide.Work
+	begun    bool
+}
+
+// handle wraps a handler with what all share: an id, the customer, the final
+// answer of a failure, one log line and the counters.
+func (server *Server) handle(serve func(*exchange) *peridotpath.Result) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		server.active.Add(1)
+		defer server.active.Add(-1)
+		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrived: time.Now()}
+		writer.Header().Set(HeaderRequestID, string(exchange.id))
+		result := server.authenticate(exchange)
+		if result == nil {
+			result = serve(exchange)
+		}
+		server.finish(exchange, result)
+	}
+}
+
+const maxRequestID = 128
+
+// requestID keeps the caller's own id where it has a sane one. Nothing is
+// looked up by it, so two callers with the same id cannot meet.
+func requestID(request *http.Request) peridotpath.RequestID {
+	id := request.Header.Get(HeaderRequestID)
+	if id == "" || len(id) > maxRequestID || strings.ContainsAny(id, "\r\n\t ") {
+		id = uuid.NewString()
+	}
+	return peridotpath.RequestID(id)
+}
+
+func (server *Server) authenticate(exchange *exchange) *peridotpath.Result {
+	exchange.config = server.Config()
+	if exchange.config == nil {
+		return &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: time.Second}
+	}
+	key, found := strings.CutPrefix(exchange.request.Header.Get("Authorization"), "Bearer ")
+	if found {
+		exchange.customer = exchange.config.CustomerByKey(key)
+	}
+	if exchange.customer == nil {
+		return &peridotpath.Result{Code: peridotpath.CodeUnauthorized}
+	}
+	return nil
+}
+
+// finish gives a failure its answer at once, counts it and logs the request.
+func (server *Server) finish(exchange *exchange, result *peridotpath.Result) {
+	code := peridotpath.CodeOK
+	if result != nil {
+		code = result.Code
+		exchange.fail(result)
+	}
+	telemetry.Result(code)
+	event := server.Log.Info().Str("request", string(exchange.id)).Int("code", int(code)).
+		Str("result", code.String()).Dur("took_ms", time.Since(exchange.arrived))
+	if exchange.customer != nil {
+		event = event.Str("customer", string(exchange.customer.ID))
+	}
+	if work := exchange.work; work != nil {
+		telemetry.Total(work.Class, time.Since(exchange.arrived))
+		event = event.Str("profile", string(work.Profile.Name)).Str("length", work.Class.String()).Int("attempts", work.Attempts)
+	}
+	if result != nil && result.Detail != "" {
+		event = event.Str("detail", result.Detail)
+	}
+	event.Msg("request")
+}
--- /dev/null
+++ b/peridotpath/cursor/cursor.go
@@ -0,0 +1,103 @@
+// Package cursor makes and reads the resume cursors that callers get as SSE
+// event ids. A cursor says where a stream lives, so that any Instance can go on
+// with it after the one that began it has died, without keeping state anywhere.
+package cursor
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath"
+)
+
+// Error is the class of this package's errors: the cursor is not one that this
+// system gave to this Customer.
+var Error = errs.Class("cursor")
+
+const (
+	macLength = 16
+	maxLength = 1024
+)
+
+// Stream says where a stream lives and until when.
+type Stream struct {
+	Endpoint peridotpath.EndpointID  `json:"e"`
+	ID       string                  `json:"s"`
+	Profile  peridotpath.ProfileName `json:"p"`
+	// DeadlineMS is the request's deadline in Unix milliseconds. A resumed
+	// request keeps it: a deadline only shrinks.
+	DeadlineMS int64 `json:"d"`
+}
+
+// Deadline returns the request's deadline.
+func (stream *Stream) Deadline() time.Time { return time.UnixMilli(stream.DeadlineMS) }
+
+// Signer makes and checks cursors. All instances share one Secret.
+type Signer struct {
+	Secret []byte
+}
+
+// Token returns the part of a cursor that all events of a stream share. It is
+// made once a stream; At adds the offset for each event.
+func (signer *Signer) Token(customer peridotpath.CustomerID, stream Stream) string {
+	payload, err := json.Marshal(stream)
+	if err != nil {
+		return ""
+	}
+	sealed := append(signer.mac(customer, payload), payload...)
+	return base64.RawURLEncoding.EncodeToString(sealed)
+}
+
+// mac covers the Customer, so that a cursor that leaked to another Customer
+// opens nothing. The offset is left out: any offset of one's own answer is
+// one's own.
+func (signer *Signer) mac(customer peridotpath.CustomerID, payload []byte) []byte {
+	hash := hmac.New(sha256.New, signer.Secret)
+	hash.Write([]byte(customer))
+	hash.Write([]byte{0})
+	hash.Write(payload)
+	return hash.Sum(nil)[:macLength]
+}
+
+// At appends the cursor of the event with the given offset to buffer.
+func At(buffer []byte, token string, offset int64) []byte {
+	buffer = append(buffer, token...)
+	buffer = append(buffer, '.')
+	return strconv.AppendInt(buffer, offset, 10)
+}
+
+// Open checks a cursor and returns the stream and the offset of the last event
+// that the caller has.
+func (signer *Signer) Open(customer peridotpath.CustomerID, text string) (Stream, int64, error) {
+	var stream Stream
+	if len(text) > maxLength {
+		return stream, 0, Error.New("longer than %d bytes", maxLength)
+	}
+	token, number, found := strings.Cut(text, ".")
+	if !found {
+		return stream, 0, Error.New("no offset")
+	}
+	offset, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || offset < 0 {
+		return stream, 0, Error.New("bad offset")
+	}
+	sealed, err := base64.RawURLEncoding.DecodeString(token)
+	if err != nil || len(sealed) < macLength {
+		return stream, 0, Error.New("bad encoding")
+	}
+	payload := sealed[macLength:]
+	if !hmac.Equal(sealed[:macLength], signer.mac(customer, payload)) {
+		return stream, 0, Error.New("not given to this customer")
+	}
+	if err := json.Unmarshal(payload, &stream); err != nil {
+		return stream, 0, Error.Wrap(err)
+	}
+	return stream, offset, nil
+}
--- /dev/null
+++ b/peridotpath/dispatch/dispatch.go
@@ -0,0 +1,182 @@
+// Package dispatch carries a request from its admission to its last byte: it
+// asks package decide where the work may run, sends it there, relays the
+// answer, resumes a stream that broke off, and tries again where that is safe.
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/engine"
+)
+
+// Request is one admitted-or-not-yet request of a caller.
+type Request struct {
+	Work *decide.Work
+	// Path is the engine's path that the caller asked for.
+	Path string
+	Body []byte
+	// Stream says that the caller wants the answer as events.
+	Stream bool
+}
+
+// Sink is where the answer goes. Its functions are called from one goroutine.
+type Sink struct {
+	// Start is called once, when the first content is there. A failure before
+	// it is returned by Run and can still become an ordinary error answer.
+	Start func(header http.Header, endpoint peridotpath.EndpointID, stream string)
+	// Event writes one event of a stream. An error means the caller is gone.
+	Event func(offset int64, data []byte) error
+	// Whole writes an answer that is not a stream.
+	Whole func(body []byte) error
+}
+
+// Dispatcher runs requests. Set the exported fields before Run.
+type Dispatcher struct {
+	Scheduler *decide.Scheduler
+	Log       zerolog.Logger
+	// Send, Resume and Cancel speak to an engine.
+	Send   func(ctx context.Context, address netip.AddrPort, request *engine.Request) (*engine.Answer, error)
+	Resume func(ctx context.Context, address netip.AddrPort, stream string, after int64) (*engine.Answer, error)
+	Cancel func(ctx context.Context, address netip.AddrPort, stream string, onlyDetached bool) error
+	// ResumeWindow is how long a stream whose caller left is kept for a return.
+	ResumeWindow time.Duration
+
+	waiters   waiters
+	kick      chan struct{}
+	cancels   chan cancellation
+	startOnce sync.Once
+}
+
+// start makes the channels, whichever of Run and Do comes first.
+func (dispatcher *Dispatcher) start() {
+	dispatcher.startOnce.Do(func() {
+		dispatcher.kick = make(chan struct{}, 1)
+		dispatcher.cancels = make(chan cancellation, cancelQueue)
+	})
+}
+
+// idleAdvance bounds how long queued work waits when no event wakes the queue.
+const idleAdvance = 50 * time.Millisecond
+
+// Run advances the queue and cancels abandoned streams until ctx ends.
+func (dispatcher *Dispatcher) Run(ctx context.Context) error {
+	dispatcher.start()
+	cancelled := make(chan struct{})
+	go func() {
+		defer close(cancelled)
+		dispatcher.cancelAbandoned(ctx)
+	}()
+	defer func() { <-cancelled }()
+	timer := time.NewTimer(idleAdvance)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-dispatcher.kick:
+		case <-timer.C:
+		}
+		dispatcher.advance()
+		timer.Reset(dispatcher.untilNext())
+	}
+}
+
+func (dispatcher *Dispatcher) untilNext() time.Duration {
+	next := dispatcher.Scheduler.Next()
+	if next.IsZero() {
+		return idleAdvance
+	}
+	return min(max(time.Until(next), time.Millisecond), idleAdvance)
+}
+
+func (dispatcher *Dispatcher) advance() {
+	for _, decision := range dispatcher.Scheduler.Advance(time.Now()) {
+		if !dispatcher.waiters.deliver(decision) && decision.Verdict == decide.Place {
+			dispatcher.Scheduler.Done(time.Now(), decision.Work, decide.Abandoned, 0)
+		}
+	}
+}
+
+// wake has Run look at the queue: a place may have come free.
+func (dispatcher *Dispatcher) wake() {
+	select {
+	case dispatcher.kick <- struct{}{}:
+	default:
+	}
+}
+
+// done ends a placement and wakes the queue.
+func (dispatcher *Dispatcher) done(work *decide.Work, outcome decide.Outcome, tokens peridotpath.Tokens) {
+	dispatcher.Scheduler.Done(time.Now(), work, outcome, tokens)
+	dispatcher.wake()
+}
+
+// await turns a decision that says Wait into one that places or refuses.
+func (dispatcher *Dispatcher) await(ctx context.Context, work *decide.Work, ask func() decide.Decision) decide.Decision {
+	granted := dispatcher.waiters.add(work)
+	decision := ask()
+	if decision.Verdict != decide.Wait {
+		dispatcher.waiters.remove(work)
+		return decision
+	}
+	select {
+	case decision = <-granted:
+		return decision
+	case <-ctx.Done():
+	}
+	dispatcher.Scheduler.Cancel(time.Now(), work)
+	if !dispatcher.waiters.remove(work) {
+		// The decision came at the same moment; it is in the channel.
+		decision = <-granted
+		if decision.Verdict == decide.Place {
+			dispatcher.done(work, decide.Abandoned, 0)
+		}
+	}
+	return decide.Decision{Work: work, Verdict: decide.Refuse, Result: dispatcher.ended(ctx, work, true)}
+}
+
+// waiters holds the queued requests that wait for a decision.
+type waiters struct {
+	mu   sync.Mutex
+	byID map[*decide.Work]chan decide.Decision
+}
+
+func (waiters *waiters) add(work *decide.Work) <-chan decide.Decision {
+	granted := make(chan decide.Decision, 1)
+	waiters.mu.Lock()
+	defer waiters.mu.Unlock()
+	if waiters.byID == nil {
+		waiters.byID = map[*decide.Work]chan decide.Decision{}
+	}
+	waiters.byID[work] = granted
+	return granted
+}
+
+// remove reports whether the work was still waiting.
+func (waiters *waiters) remove(work *decide.Work) bool {
+	waiters.mu.Lock()
+	defer waiters.mu.Unlock()
+	_, waiting := waiters.byID[work]
+	delete(waiters.byID, work)
+	return waiting
+}
+
+// deliver hands the decision to its waiter and reports whether there was one.
+func (waiters *waiters) deliver(decision decide.Decision) bool {
+	waiters.mu.Lock()
+	defer waiters.mu.Unlock()
+	granted, waiting := waiters.byID[decision.Work]
+	if waiting {
+		delete(waiters.byID, decision.Work)
+		granted <- decision
+	}
+	return waiting
+}
--- /dev/null
+++ b/peridotpath/keyvalue/memory/serve.go
@@ -0,0 +1,72 @@
+package memory
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"peridotpath.example/peridotpath/keyvalue"
+)
+
+// ServeHTTP serves the service in the HTTP form that keyvalue.Connect speaks.
+func (memory *Memory) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	var call keyvalue.Call
+	if err := json.NewDecoder(request.Body).Decode(&call); err != nil {
+		reply(writer, keyvalue.Reply{}, keyvalue.ErrInvalid.Wrap(err))
+		return
+	}
+	answer, err := memory.serve(request, strings.TrimPrefix(request.URL.Path, keyvalue.PathPrefix), call)
+	reply(writer, answer, err)
+}
+
+func (memory *Memory) serve(request *http.Request, name string, call keyvalue.Call) (answer keyvalue.Reply, err error) {
+	ctx := request.Context()
+	switch name {
+	case "get":
+		answer.Entry, err = memory.get(ctx, call.Key)
+	case "list":
+		answer.Entries, answer.Version, err = memory.list(ctx, call.Key)
+	case "swap":
+		value := call.Value
+		if call.Delete {
+			value = nil
+		} else if value == nil {
+			value = []byte{}
+		}
+		answer.Version, err = memory.swap(ctx, call.Key, call.Expect, value, call.Lease)
+	case "grant":
+		answer.Lease, err = memory.grant(ctx, time.Duration(call.TTLMS)*time.Millisecond)
+	case "renew":
+		err = memory.renew(ctx, call.Lease)
+	case "release":
+		err = memory.release(ctx, call.Lease)
+	case "watch":
+		wait := time.Duration(call.WaitMS) * time.Millisecond
+		answer.Entries, answer.Version, err = memory.watch(ctx, call.Key, call.After, wait)
+	default:
+		err = keyvalue.ErrInvalid.New("no call %q", name)
+	}
+	return answer, err
+}
+
+func reply(writer http.ResponseWriter, answer keyvalue.Reply, err error) {
+	status := http.StatusOK
+	switch {
+	case err == nil:
+	case keyvalue.ErrConflict.Has(err):
+		status = http.StatusConflict
+	case keyvalue.ErrLeaseGone.Has(err):
+		status = http.StatusGone
+	case keyvalue.ErrInvalid.Has(err):
+		status = http.StatusBadRequest
+	default:
+		status = http.StatusServiceUnavailable
+	}
+	if err != nil {
+		answer.Error = err.Error()
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(answer)
+}
