--- a/peridotpath/config.go
+++ b/peridotpath/config.go
@@ -9,7 +9,7 @@
 	Customers []Customer `json:"customers"`
 
 	profiles  map[string]*Profile
-	customers map[string]*Customer
+	customers customerIndex
 }
 
 // Defaults fills what was left out.
@@ -57,6 +57,12 @@
 
 // Index builds the look-up tables. Call it once, before the Config is shared.
 func (config *Config) Index() {
+	config.indexProfiles()
+	config.customers = customerIndex{}
+	config.customers.add(config.Customers)
+}
+
+func (config *Config) indexProfiles() {
 	config.profiles = map[string]*Profile{}
 	for i := range config.Profiles {
 		profile := &config.Profiles[i]
@@ -65,10 +71,26 @@
 			config.profiles[alias] = profile
 		}
 	}
-	config.customers = map[string]*Customer{}
-	for i := range config.Customers {
-		config.customers[config.Customers[i].KeySHA256] = &config.Customers[i]
-	}
+}
+
+// ReplaceProfiles returns an indexed copy with other profiles. The customers'
+// look-up table is shared with config.
+func (config *Config) ReplaceProfiles(profiles []Profile) *Config {
+	next := *config
+	next.Profiles = profiles
+	next.indexProfiles()
+	return &next
+}
+
+// ReplaceCustomers returns an indexed copy without the customers of before and
+// with those of after. Its cost grows with the two lists, not with the number
+// of customers, so Customers, the plain list, is nil in the copy. Each customer
+// must be an allocation of its own: the index holds on to some of either list.
+func (config *Config) ReplaceCustomers(before, after []*Customer) *Config {
+	next := *config
+	next.Customers = nil
+	next.customers.replace(before, after)
+	return &next
 }
 
 // Profile returns the profile with that name or alias, or nil.
@@ -76,5 +98,10 @@
 
 // CustomerByKey returns the customer that holds the API key, or nil.
 func (config *Config) CustomerByKey(key string) *Customer {
-	return config.customers[HashKey(key)]
+	return config.customers.find(HashKey(key))
+}
+
+// CustomerByKeySHA256 returns the customer that holds the hashed key, or nil.
+func (config *Config) CustomerByKeySHA256(hash string) *Customer {
+	return config.customers.find(hash)
 }
