--- a/peridotpath/engine/events.go
+++ b/peridotpath/engine/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 )
@@ -84,7 +85,7 @@
 		if err == nil {
 			return trimEnd(events.line), nil
 		}
-		if err != bufio.ErrBufferFull {
+		if !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
 		if len(events.line) > maxEvent {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -21,11 +21,10 @@
 `
 
 type engineCommand struct {
-	address    string
-	prefill    int64
-	decode     int64
-	kvTokens   int64
-	lastStream int64
+	address  string
+	prefill  int64
+	decode   int64
+	kvTokens int64
 }
 
 func (*engineCommand) Name() string     { return "engine" }
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -28,7 +28,7 @@
 		return subcommands.ExitFailure
 	case <-ctx.Done():
 		_ = server.Close()
-		<-ended
+		_ = <-ended
 		return subcommands.ExitSuccess
 	}
 }
