--- a/standin/serve.go
+++ b/standin/serve.go
@@ -19,16 +19,16 @@
 	ended := make(chan error, 1)
 	go func() { ended <- server.ListenAndServe() }()
 	fmt.Printf("event=listening stand_in=%s address=%s\n", name, address)
+	var err error
 	select {
-	case err := <-ended:
-		if errors.Is(err, http.ErrServerClosed) {
-			return subcommands.ExitSuccess
-		}
-		fmt.Fprintf(os.Stderr, "standin %s: %v\n", name, err)
-		return subcommands.ExitFailure
+	case err = <-ended:
 	case <-ctx.Done():
 		_ = server.Close()
-		_ = <-ended
+		err = <-ended
+	}
+	if errors.Is(err, http.ErrServerClosed) {
 		return subcommands.ExitSuccess
 	}
+	fmt.Fprintf(os.Stderr, "standin %s: %v\n", name, err)
+	return subcommands.ExitFailure
 }
