settings: strict JSON, every fault at once with its path

A process learns its addresses, data centre and limits from one file. encoding/json lets unknown and repeated keys pass and stops at the first wrong type, so a small decoder, strictjson, walks the text against the struct and goes on after a fault.

--- a/peridotpath/customer.go
+++ b/peridotpath/customer.go
@@ -26,15 +26,15 @@
 
 // Defaults fills every field that was left zero.
 func (customer *Customer) Defaults() {
-	setDefault(&customer.Weight, 1)
-	setDefault(&customer.MaxRequestsPerS, 100)
-	setDefault(&customer.MaxConcurrent, 200)
+	SetDefault(&customer.Weight, 1)
+	SetDefault(&customer.MaxRequestsPerS, 100)
+	SetDefault(&customer.MaxConcurrent, 200)
 }
 
 // Validate returns every fault, each path under prefix.
 func (customer *Customer) Validate(prefix string) Faults {
 	var faults Faults
-	checkName(&faults, prefix+".id", string(customer.ID))
+	CheckName(&faults, prefix+".id", string(customer.ID))
 	if raw, err := hex.DecodeString(customer.KeySHA256); err != nil || len(raw) != sha256.Size {
 		faults.Add(prefix+".key_sha256", "must be %d hex digits", 2*sha256.Size)
 	}
--- a/peridotpath/profile.go
+++ b/peridotpath/profile.go
@@ -37,21 +37,21 @@
 
 // Defaults fills every field that was left zero.
 func (profile *Profile) Defaults() {
-	setDefault(&profile.DeadlineMS, 60_000)
-	setDefault(&profile.MaxPromptTokens, MaxPrompt)
-	setDefault(&profile.MaxOutputTokens, 1_024)
-	setDefault(&profile.MaxAttempts, 2)
-	setDefault(&profile.MaxQueueMS, profile.DeadlineMS/2)
-	setDefault(&profile.MaxQueued, 200)
+	SetDefault(&profile.DeadlineMS, 60_000)
+	SetDefault(&profile.MaxPromptTokens, MaxPrompt)
+	SetDefault(&profile.MaxOutputTokens, 1_024)
+	SetDefault(&profile.MaxAttempts, 2)
+	SetDefault(&profile.MaxQueueMS, profile.DeadlineMS/2)
+	SetDefault(&profile.MaxQueued, 200)
 }
 
 // Validate returns every fault, each path under prefix.
 func (profile *Profile) Validate(prefix string) Faults {
 	var faults Faults
-	checkName(&faults, prefix+".name", string(profile.Name))
-	checkName(&faults, prefix+".service", string(profile.Service))
+	CheckName(&faults, prefix+".name", string(profile.Name))
+	CheckName(&faults, prefix+".service", string(profile.Service))
 	for i, alias := range profile.Aliases {
-		checkName(&faults, fmt.Sprintf("%s.aliases[%d]", prefix, i), alias)
+		CheckName(&faults, fmt.Sprintf("%s.aliases[%d]", prefix, i), alias)
 	}
 	faults.Range(prefix+".priority", int64(profile.Priority), 0, 9)
 	faults.Range(prefix+".deadline_ms", int64(profile.DeadlineMS), 10, MaxDeadlineMS)
@@ -63,8 +63,8 @@
 	return faults
 }
 
-// setDefault sets *field when it is the zero value of its type.
-func setDefault[T comparable](field *T, value T) {
+// SetDefault sets *field when it is the zero value of its type.
+func SetDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
 		*field = value
@@ -73,8 +73,8 @@
 
 const maxNameLength = 64
 
-// checkName adds a fault unless name is 1 to 64 letters, digits, '-', '_', '.' or '/'.
-func checkName(faults *Faults, path, name string) {
+// CheckName adds a fault unless name is 1 to 64 letters, digits, '-', '_', '.' or '/'.
+func CheckName(faults *Faults, path, name string) {
 	if name == "" {
 		faults.Add(path, "is missing")
 		return
--- /dev/null
+++ b/peridotpath/settings/settings.go
@@ -0,0 +1,177 @@
+// Package settings reads the settings file of peridotd. A process learns its
+// addresses and its data centre from there and nowhere else.
+package settings
+
+import (
+	"net/netip"
+	"os"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/strictjson"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("settings")
+
+// Settings are one instance's settings. Fields without omitempty must be given.
+type Settings struct {
+	InstanceID peridotpath.InstanceID `json:"instance_id"`
+	DataCentre peridotpath.DataCentre `json:"data_centre"`
+	// CallerAddress is listened on for callers and the balancer's probes.
+	CallerAddress netip.AddrPort `json:"caller_address"`
+	// PeerAddress is listened on for other instances and operators.
+	PeerAddress netip.AddrPort `json:"peer_address"`
+	// KeyValueAddress is where the platform's key-value service listens.
+	KeyValueAddress netip.AddrPort `json:"key_value_address"`
+	// MembershipAddress is where the platform's membership list is served.
+	MembershipAddress netip.AddrPort `json:"membership_address"`
+	// Limits bound what the instance holds at a time.
+	Limits Limits `json:"limits,omitempty"`
+	// Drain sets the pauses of a planned stop.
+	Drain Drain `json:"drain,omitempty"`
+	// ConfigReaders is how many instances of a data centre watch the platform.
+	ConfigReaders int `json:"config_readers,omitempty"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Limits bound what an instance holds at a time.
+type Limits struct {
+	// BodyMemoryBytes bounds the request bodies held together.
+	BodyMemoryBytes peridotpath.Bytes `json:"body_memory_bytes,omitempty"`
+	// MaxBodyBytes bounds one request body.
+	MaxBodyBytes peridotpath.Bytes `json:"max_body_bytes,omitempty"`
+	// MaxHeaderBytes bounds one request's headers.
+	MaxHeaderBytes peridotpath.Bytes `json:"max_header_bytes,omitempty"`
+	// MaxConnections bounds the callers' connections.
+	MaxConnections int `json:"max_connections,omitempty"`
+}
+
+// Drain sets the pauses of a planned stop. Running requests are not limited
+// by it: they end by their own deadlines.
+type Drain struct {
+	// BalancerNoticeMS is how long new callers are still served after the
+	// instance has turned not ready, until the balancer has noticed.
+	BalancerNoticeMS peridotpath.Millis `json:"balancer_notice_ms,omitempty"`
+	// HandoverMS is how long peers are still answered after the last request.
+	HandoverMS peridotpath.Millis `json:"handover_ms,omitempty"`
+}
+
+// The bounds and the defaults of the limits.
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+	gibibyte = 1 << 30
+
+	// defaultMaxBody takes a prompt of a million tokens, which is 4 to 6 MB.
+	defaultMaxBody = 16 * mebibyte
+	// defaultBodyMemory holds some forty of the longest prompts.
+	defaultBodyMemory = 256 * mebibyte
+	defaultMaxHeader  = 64 * kibibyte
+	defaultMaxConns   = 20_000
+	defaultNoticeMS   = 5_000
+	defaultHandoverMS = 1_000
+	defaultReaders    = 2
+	defaultLogLevel   = "info"
+)
+
+// Read returns the settings in the file at path. The error lists every fault.
+func Read(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	settings, faults := Parse(text)
+	if err := faults.OrNil(); err != nil {
+		return nil, Error.New("%s:\n%w", path, err)
+	}
+	return settings, nil
+}
+
+// Parse returns the settings in text with defaults filled in, and every fault.
+func Parse(text []byte) (*Settings, peridotpath.Faults) {
+	settings := &Settings{}
+	faults := strictjson.Decode(text, settings, strictjson.Complete)
+	settings.Defaults()
+	return settings, merge(faults, settings.Validate())
+}
+
+// merge adds the faults of paths that have none yet: a value that couldn't be
+// read needs no second fault for being absent.
+func merge(faults, more peridotpath.Faults) peridotpath.Faults {
+	seen := map[string]bool{}
+	for _, fault := range faults {
+		seen[fault.Path] = true
+	}
+	for _, fault := range more {
+		if !seen[fault.Path] {
+			faults = append(faults, fault)
+		}
+	}
+	return faults
+}
+
+// Defaults fills every optional field that was left zero.
+func (settings *Settings) Defaults() {
+	limits, drain := &settings.Limits, &settings.Drain
+	peridotpath.SetDefault(&limits.BodyMemoryBytes, defaultBodyMemory)
+	peridotpath.SetDefault(&limits.MaxBodyBytes, defaultMaxBody)
+	peridotpath.SetDefault(&limits.MaxHeaderBytes, defaultMaxHeader)
+	peridotpath.SetDefault(&limits.MaxConnections, defaultMaxConns)
+	peridotpath.SetDefault(&drain.BalancerNoticeMS, defaultNoticeMS)
+	peridotpath.SetDefault(&drain.HandoverMS, defaultHandoverMS)
+	peridotpath.SetDefault(&settings.ConfigReaders, defaultReaders)
+	peridotpath.SetDefault(&settings.LogLevel, defaultLogLevel)
+}
+
+// Validate returns every fault by path.
+func (settings *Settings) Validate() peridotpath.Faults {
+	var faults peridotpath.Faults
+	peridotpath.CheckName(&faults, "instance_id", string(settings.InstanceID))
+	peridotpath.CheckName(&faults, "data_centre", string(settings.DataCentre))
+	settings.checkAddresses(&faults)
+	limits, drain := settings.Limits, settings.Drain
+	faults.Range("limits.body_memory_bytes", int64(limits.BodyMemoryBytes), int64(limits.MaxBodyBytes), 64*gibibyte)
+	faults.Range("limits.max_body_bytes", int64(limits.MaxBodyBytes), mebibyte, 64*mebibyte)
+	faults.Range("limits.max_header_bytes", int64(limits.MaxHeaderBytes), 4*kibibyte, mebibyte)
+	faults.Range("limits.max_connections", int64(limits.MaxConnections), 10, 1_000_000)
+	faults.Range("drain.balancer_notice_ms", int64(drain.BalancerNoticeMS), 1, 120_000)
+	faults.Range("drain.handover_ms", int64(drain.HandoverMS), 1, 120_000)
+	faults.Range("config_readers", int64(settings.ConfigReaders), 1, 10)
+	settings.checkLogLevel(&faults)
+	return faults
+}
+
+func (settings *Settings) checkAddresses(faults *peridotpath.Faults) {
+	addresses := []struct {
+		path    string
+		address netip.AddrPort
+	}{
+		{"caller_address", settings.CallerAddress},
+		{"peer_address", settings.PeerAddress},
+		{"key_value_address", settings.KeyValueAddress},
+		{"membership_address", settings.MembershipAddress},
+	}
+	seen := map[netip.AddrPort]string{}
+	for _, entry := range addresses {
+		if !entry.address.IsValid() || entry.address.Port() == 0 {
+			faults.Add(entry.path, "must be an IP number and a port, such as 10.0.0.1:8080")
+			continue
+		}
+		if first := seen[entry.address]; first != "" {
+			faults.Add(entry.path, "is the same as %s", first)
+		}
+		seen[entry.address] = entry.path
+	}
+}
+
+func (settings *Settings) checkLogLevel(faults *peridotpath.Faults) {
+	switch settings.LogLevel {
+	case zerolog.LevelDebugValue, zerolog.LevelInfoValue, zerolog.LevelWarnValue, zerolog.LevelErrorValue:
+	default:
+		faults.Add("log_level", "is %q, must be debug, info, warn or error", settings.LogLevel)
+	}
+}
