--- a/peridotd/main.go
+++ b/peridotd/main.go
@@ -1,4 +1,20 @@
-// Command peridotd is part of peridotpath.
+// Command peridotd serves prompts of very different lengths on one fleet of
+// endpoints. Every instance runs the same program; none is special.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&checkSettingsCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- a/peridotpath/caller/rest.go
+++ b/peridotpath/caller/rest.go
@@ -58,6 +58,8 @@
 	if err != nil {
 		return Error.New("listen on %s: %v", listener.Address, err)
 	}
+	// NewServer sets its own log up again.
+	logx.Disable()
 	inner.AddRoutes(listener.Routes)
 	err = run(inner, func(server *http.Server) {
 		server.ReadHeaderTimeout = readHeaderTimeout
--- a/peridotpath/cursor/cursor.go
+++ b/peridotpath/cursor/cursor.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -39,27 +40,33 @@
 // Deadline returns the request's deadline.
 func (stream *Stream) Deadline() time.Time { return time.UnixMilli(stream.DeadlineMS) }
 
-// Signer makes and checks cursors. All instances share one Secret.
+// Signer makes and checks cursors. All instances share one secret, which SetSecret
+// or Run gives it; until then it makes no cursors and opens none.
 type Signer struct {
-	Secret []byte
+	secret atomic.Pointer[[]byte]
 }
 
+// SetSecret sets the secret.
+func (signer *Signer) SetSecret(secret []byte) { signer.secret.Store(&secret) }
+
 // Token returns the part of a cursor that all events of a stream share. It is
-// made once a stream; At adds the offset for each event.
+// made once a stream; At adds the offset for each event. It is empty while
+// there is no secret: the stream then has no cursors.
 func (signer *Signer) Token(customer peridotpath.CustomerID, stream Stream) string {
+	secret := signer.secret.Load()
 	payload, err := json.Marshal(stream)
-	if err != nil {
+	if err != nil || secret == nil {
 		return ""
 	}
-	sealed := append(signer.mac(customer, payload), payload...)
+	sealed := append(mac(*secret, customer, payload), payload...)
 	return base64.RawURLEncoding.EncodeToString(sealed)
 }
 
 // mac covers the Customer, so that a cursor that leaked to another Customer
 // opens nothing. The offset is left out: any offset of one's own answer is
 // one's own.
-func (signer *Signer) mac(customer peridotpath.CustomerID, payload []byte) []byte {
-	hash := hmac.New(sha256.New, signer.Secret)
+func mac(secret []byte, customer peridotpath.CustomerID, payload []byte) []byte {
+	hash := hmac.New(sha256.New, secret)
 	hash.Write([]byte(customer))
 	hash.Write([]byte{0})
 	hash.Write(payload)
@@ -77,6 +84,10 @@
 // that the caller has.
 func (signer *Signer) Open(customer peridotpath.CustomerID, text string) (Stream, int64, error) {
 	var stream Stream
+	secret := signer.secret.Load()
+	if secret == nil {
+		return stream, 0, Error.New("this instance has no secret yet")
+	}
 	if len(text) > maxLength {
 		return stream, 0, Error.New("longer than %d bytes", maxLength)
 	}
@@ -93,7 +104,7 @@
 		return stream, 0, Error.New("bad encoding")
 	}
 	payload := sealed[macLength:]
-	if !hmac.Equal(sealed[:macLength], signer.mac(customer, payload)) {
+	if !hmac.Equal(sealed[:macLength], mac(*secret, customer, payload)) {
 		return stream, 0, Error.New("not given to this customer")
 	}
 	if err := json.Unmarshal(payload, &stream); err != nil {
