dispatch: plain services, and proofs of what is safe to repeat

Cause: plain services were not reachable, and nothing showed that a request which may have run is never run again. Change: /services/{profile}/ passes any method, path, header and body on. Whether a failed call can have run is read off the transport: headers never written means certainly not run. A plain answer that breaks off breaks the caller's connection.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -20,6 +20,7 @@
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/membership"
+	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/settings"
 	"peridotpath.example/peridotpath/telemetry"
 )
@@ -76,6 +77,7 @@
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
+		SendPlain: service.Send,
 	}
 	daemon.signer = &cursor.Signer{}
 	daemon.joinCallers()
@@ -86,14 +88,15 @@
 	limits := daemon.settings.Limits
 	daemon.callers = &caller.Server{
 		Log: daemon.log, Config: daemon.currentConfig,
-		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue,
+		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
 		Endpoint: daemon.follower.Endpoint, EngineHolds: daemon.engineHolds,
 		Signer: daemon.signer,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
 	daemon.callerSide = &caller.Listener{
 		Name: "callers", Address: daemon.settings.CallerAddress,
-		Routes: daemon.callers.Routes(), MaxHeaderBytes: int(limits.MaxHeaderBytes),
+		Routes: daemon.callers.Routes(), Prefix: caller.ServicePrefix, PrefixHandler: daemon.callers.Services(),
+		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 	}
 	daemon.peerSide = &caller.Listener{
 		Name: "peers", Address: daemon.settings.PeerAddress, MaxHeaderBytes: int(limits.MaxHeaderBytes),
--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -63,6 +63,11 @@
 	if result.Code == peridotpath.CodeCallerGone {
 		return
 	}
+	if exchange.opaque {
+		// Half of a plain service's answer would look whole, did the
+		// connection end in good order: break it.
+		panic(http.ErrAbortHandler)
+	}
 	body := exchange.failureJSON(result)
 	if exchange.begun {
 		line := append([]byte("event: error\ndata: "), body...)
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -19,6 +19,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -41,6 +42,7 @@
 	// Do runs a request; Continue goes on with a stream by its cursor.
 	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
 	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
+	DoPlain  func(ctx context.Context, work *decide.Work, call *service.Request, writer http.ResponseWriter) *peridotpath.Result
 	// Endpoint returns the endpoint with that id, if the fleet has it.
 	Endpoint func(id peridotpath.EndpointID) (peridotpath.Endpoint, bool)
 	// EngineHolds returns the KV memory of the service's largest engine.
@@ -93,7 +95,10 @@
 	writer   http.ResponseWriter
 	arrived  time.Time
 	work     *decide.Work
-	begun    bool
+	// begun says that part of the answer was written; opaque, that it is of a
+	// form in which no failure can be told.
+	begun  bool
+	opaque bool
 }
 
 // handle wraps a handler with what all share: an id, the customer, the final
@@ -144,7 +149,7 @@
 	code := peridotpath.CodeOK
 	if result != nil {
 		code = result.Code
-		exchange.fail(result)
+		defer exchange.fail(result)
 	}
 	telemetry.Result(code)
 	event := server.Log.Info().Str("request", string(exchange.id)).Int("code", int(code)).
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -32,11 +32,17 @@
 	tokens  peridotpath.Tokens
 }
 
-// Do runs the request and returns nil when the whole answer was delivered. ctx
+// Do runs a prompt and returns nil when the whole answer was delivered. ctx
 // ends when the caller leaves.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request *Request, sink *Sink) *peridotpath.Result {
+	return dispatcher.run(ctx, request.Work, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
+		return dispatcher.try(ctx, request, endpoint, sink)
+	})
+}
+
+// run has the work placed, tries it there, and repeats it where that is safe.
+func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
 	dispatcher.start()
-	work := request.Work
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	decision := dispatcher.await(ctx, work, func() decide.Decision {
@@ -46,7 +52,7 @@
 		if decision.Verdict == decide.Refuse {
 			return decision.Result
 		}
-		attempt := dispatcher.try(ctx, request, decision.Endpoint, sink)
+		attempt := try(ctx, decision.Endpoint)
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
 		if attempt.result == nil || !mayRepeat(ctx, work, &attempt) {
@@ -110,14 +116,14 @@
 func (dispatcher *Dispatcher) sendFailed(ctx context.Context, work *decide.Work, err error) attempt {
 	detail := err.Error()
 	switch {
-	case engine.ErrUnreached.Has(err):
+	case engine.ErrUnreached.Has(err) && ctx.Err() == nil:
 		return attempt{outcome: decide.Unreached, reason: telemetry.RetryUnreached, result: failure(peridotpath.CodeNoEndpoint, detail)}
 	case engine.ErrRefused.Has(err):
 		return attempt{outcome: decide.Rejected, reason: telemetry.RetryRefused, result: failure(peridotpath.CodeEndpointRefused, detail)}
 	case engine.ErrBadRequest.Has(err):
 		return attempt{outcome: decide.Finished, result: failure(peridotpath.CodeBadRequest, detail)}
 	case ctx.Err() != nil:
-		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, false)}
+		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, engine.ErrUnreached.Has(err))}
 	default:
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, result: mayHaveRun(work, peridotpath.CodeEndpointFailed, detail)}
 	}
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/service"
 )
 
 // Request is one admitted-or-not-yet request of a caller.
@@ -46,6 +47,8 @@
 	Send   func(ctx context.Context, address netip.AddrPort, request *engine.Request) (*engine.Answer, error)
 	Resume func(ctx context.Context, address netip.AddrPort, stream string, after int64) (*engine.Answer, error)
 	Cancel func(ctx context.Context, address netip.AddrPort, stream string, onlyDetached bool) error
+	// SendPlain speaks to a plain service.
+	SendPlain func(ctx context.Context, address netip.AddrPort, call *service.Request) (*http.Response, error)
 	// ResumeWindow is how long a stream whose caller left is kept for a return.
 	ResumeWindow time.Duration
 
--- /dev/null
+++ b/peridotpath/dispatch/plain.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/service"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// relayBuffer is the size of the pieces in which a plain service's answer is
+// passed on.
+const relayBuffer = 32 << 10
+
+// DoPlain makes a call to a plain service and returns nil when the service's
+// whole answer, whatever its status, was delivered to writer.
+func (dispatcher *Dispatcher) DoPlain(ctx context.Context, work *decide.Work, call *service.Request, writer http.ResponseWriter) *peridotpath.Result {
+	return dispatcher.run(ctx, work, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
+		return dispatcher.tryPlain(ctx, work, endpoint, call, writer)
+	})
+}
+
+func (dispatcher *Dispatcher) tryPlain(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, call *service.Request, writer http.ResponseWriter) attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := dispatcher.SendPlain(ctx, endpoint.Address, call)
+	if err != nil {
+		return dispatcher.plainFailed(ctx, work, err)
+	}
+	defer response.Body.Close()
+	dispatcher.firstToken(work)
+	header := writer.Header()
+	for name, values := range service.EndToEnd(response.Header) {
+		header[name] = values
+	}
+	writer.WriteHeader(response.StatusCode)
+	return dispatcher.copyPlain(ctx, work, response, writer)
+}
+
+func (dispatcher *Dispatcher) plainFailed(ctx context.Context, work *decide.Work, err error) attempt {
+	detail := err.Error()
+	switch {
+	case service.ErrUnreached.Has(err) && ctx.Err() == nil:
+		return attempt{outcome: decide.Unreached, reason: telemetry.RetryUnreached, result: failure(peridotpath.CodeNoEndpoint, detail)}
+	case service.ErrRefused.Has(err):
+		return attempt{outcome: decide.Rejected, reason: telemetry.RetryRefused, result: failure(peridotpath.CodeEndpointRefused, detail)}
+	case ctx.Err() != nil:
+		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, service.ErrUnreached.Has(err))}
+	default:
+		return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, result: mayHaveRun(work, peridotpath.CodeEndpointFailed, detail)}
+	}
+}
+
+// copyPlain passes the body on as it comes. When it breaks off, the caller's
+// connection is broken too (see caller), so that half is not taken for whole.
+func (dispatcher *Dispatcher) copyPlain(ctx context.Context, work *decide.Work, response *http.Response, writer http.ResponseWriter) attempt {
+	controller := http.NewResponseController(writer)
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			if _, err := writer.Write(buffer[:n]); err != nil {
+				return attempt{outcome: decide.Abandoned, started: true, result: &peridotpath.Result{Code: peridotpath.CodeCallerGone}}
+			}
+			_ = controller.Flush()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return attempt{outcome: decide.Finished, started: true}
+		case ctx.Err() != nil:
+			return attempt{outcome: decide.Abandoned, started: true, result: dispatcher.ended(ctx, work, false)}
+		case err != nil:
+			return attempt{outcome: decide.Failed, started: true, result: mayHaveRun(work, peridotpath.CodeStreamCut, err.Error())}
+		}
+	}
+}
--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -70,8 +68,11 @@
 
 // answer sorts what came back into an Answer or a class of failure.
 func answer(response *http.Response, err error) (*Answer, error) {
+	if outbound.ErrNotSent.Has(err) {
+		return nil, ErrUnreached.Wrap(err)
+	}
 	if err != nil {
-		return nil, classify(err)
+		return nil, ErrFailed.Wrap(err)
 	}
 	if response.StatusCode == http.StatusOK {
 		return &Answer{
@@ -97,16 +98,6 @@
 	return class.New("status %d: %s", response.StatusCode, text)
 }
 
-// classify tells a connection that was never made from one that broke: only
-// the first is certain to have run nothing.
-func classify(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return ErrUnreached.Wrap(err)
-	}
-	return ErrFailed.Wrap(err)
-}
-
 // Resume attaches to a stream that the engine still holds and returns its
 // events after the given offset.
 func (client *Client) Resume(ctx context.Context, address netip.AddrPort, stream string, after int64) (*Answer, error) {
--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -108,22 +106,16 @@
 		return Reply{}, ErrInvalid.Wrap(err)
 	}
 	response, err := outbound.Do(request)
+	if outbound.ErrNotSent.Has(err) {
+		return Reply{}, ErrNotSent.Wrap(err)
+	}
 	if err != nil {
-		return Reply{}, classify(err)
+		return Reply{}, ErrUnavailable.Wrap(err)
 	}
 	defer response.Body.Close()
 	return decode(response)
 }
 
-// classify tells a connection that was never made from an answer that was lost.
-func classify(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return ErrNotSent.Wrap(err)
-	}
-	return ErrUnavailable.Wrap(err)
-}
-
 func decode(response *http.Response) (Reply, error) {
 	var reply Reply
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&reply); err != nil {
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -5,15 +5,27 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
 
+var (
+	// ErrNotSent says that the request's headers were never written to a
+	// connection: whatever it asked for was certainly not done.
+	ErrNotSent = errs.Class("not sent")
+	// ErrLost says that the request may have arrived, but no answer came.
+	ErrLost = errs.Class("answer lost")
+)
+
 const (
 	dialTimeout        = 2 * time.Second
+	keepAlive          = 15 * time.Second
 	idleConnections    = 256
 	idlePerEndpoint    = 64
 	idleTimeout        = 90 * time.Second
@@ -23,12 +35,23 @@
 var once sync.Once
 
 // Do sends the request and returns the response as soon as its headers are in.
+// An error is of class ErrNotSent or ErrLost.
 //
 // httpc's package function is used and not its named services: those carry a
 // breaker of their own, which would refuse calls without a counter of ours.
 func Do(request *http.Request) (*http.Response, error) {
 	once.Do(tune)
-	return httpc.DoRequest(request)
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := httpc.DoRequest(request)
+	if err == nil {
+		return response, nil
+	}
+	if sent.Load() {
+		return nil, ErrLost.Wrap(err)
+	}
+	return nil, ErrNotSent.Wrap(err)
 }
 
 // tune replaces the default transport: it keeps two idle connections to a
@@ -37,7 +60,7 @@
 // Redirects are not followed: an endpoint may not send a request elsewhere.
 func tune() {
 	logx.Disable()
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	http.DefaultClient.Transport = &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConns:           idleConnections,
