caller: prove that go-zero's own limits are off

Cause: rest's defaults refuse, cut or end what this system must serve, and an upgrade could bring them back unseen. Change: a test for each; the process-wide switch is set once, since setting it again raced with go-zero's signal handler (found by the race detector).

--- a/peridotpath/caller/rest.go
+++ b/peridotpath/caller/rest.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -109,9 +110,11 @@
 // after 5.5 s, which cut a stream of 12 s; shutdown is the daemon's own.
 func silence() {
 	logx.Disable()
-	proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never})
+	silenceOnce.Do(func() { proc.Setup(proc.ShutdownConf{WrapUpTime: never, WaitTime: 2 * never}) })
 }
 
+var silenceOnce sync.Once
+
 // prefixRouter adds one prefix to go-zero's router, whose patterns match single
 // path segments only.
 type prefixRouter struct {
--- /dev/null
+++ b/peridotpath/caller/rest_test.go
@@ -0,0 +1,165 @@
+package caller_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/zeromicro/go-zero/rest"
+
+	"peridotpath.example/peridotpath/caller"
+)
+
+// listen serves the routes on a free port until the test ends.
+func listen(t *testing.T, routes ...rest.Route) string {
+	t.Helper()
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(probe.Addr().String())
+	probe.Close()
+	listener := &caller.Listener{Name: "test", Address: address, Routes: routes, MaxHeaderBytes: 64 << 10}
+	listener.Open()
+	ended := make(chan error, 1)
+	go func() { ended <- listener.Run() }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := listener.Close(ctx); err != nil {
+			t.Error(err)
+		}
+		caller.Finish()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	base := "http://" + address.String()
+	for range 200 {
+		if response, err := http.Get(base + "/none"); err == nil {
+			response.Body.Close()
+			return base
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the listener did not come up")
+	return ""
+}
+
+// TestRestLimitsAreOff meets go-zero's rest where its defaults would refuse or
+// cut: a body over 1 MiB with 413, an answer that takes over 3 s, a handler
+// that failed so often that its breaker opens, and a compressed body that it
+// would unpack. A caller with a long prompt would have seen each as an error
+// that none of this system's counters knows.
+func TestRestLimitsAreOff(t *testing.T) {
+	const million = 6 << 20
+	const stream = 3300 * time.Millisecond
+	base := listen(t,
+		rest.Route{Method: http.MethodPost, Path: "/size", Handler: func(writer http.ResponseWriter, request *http.Request) {
+			n, err := io.Copy(io.Discard, request.Body)
+			fmt.Fprintf(writer, "%d %v %s", n, err, request.Header.Get("Content-Encoding"))
+		}},
+		rest.Route{Method: http.MethodGet, Path: "/slow", Handler: func(writer http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintln(writer, "first")
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(stream)
+			fmt.Fprintln(writer, "last")
+		}},
+		rest.Route{Method: http.MethodGet, Path: "/fails", Handler: func(writer http.ResponseWriter, _ *http.Request) {
+			writer.WriteHeader(http.StatusBadGateway)
+		}},
+	)
+
+	t.Run("a million tokens", func(t *testing.T) {
+		is := is.New(t)
+		response, err := http.Post(base+"/size", "application/json", bytes.NewReader(make([]byte, million)))
+		is.NoErr(err)
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(text), strconv.Itoa(million)+" <nil> ")
+	})
+	t.Run("a compressed body stays as it is", func(t *testing.T) {
+		is := is.New(t)
+		request, err := http.NewRequest(http.MethodPost, base+"/size", bytes.NewReader([]byte("not gzip")))
+		is.NoErr(err)
+		request.Header.Set("Content-Encoding", "gzip")
+		response, err := http.DefaultClient.Do(request)
+		is.NoErr(err)
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(text), "8 <nil> gzip")
+	})
+	t.Run("a long stream", func(t *testing.T) {
+		is := is.New(t)
+		response, err := http.Get(base + "/slow")
+		is.NoErr(err)
+		defer response.Body.Close()
+		lines := bufio.NewReader(response.Body)
+		first, err := lines.ReadString('\n')
+		is.NoErr(err)
+		is.Equal(first, "first\n")
+		last, err := lines.ReadString('\n')
+		is.NoErr(err)
+		is.Equal(last, "last\n")
+	})
+	t.Run("failures open no breaker", func(t *testing.T) {
+		is := is.New(t)
+		for range 300 {
+			response, err := http.Get(base + "/fails")
+			is.NoErr(err)
+			response.Body.Close()
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+		}
+	})
+}
+
+// TestSignalsAreLeftToTheDaemon sends SIGTERM while a stream runs. go-zero
+// closes every listener a second later and ends the process after 5.5 s: the
+// stream's caller saw its answer cut, new callers a refused connection.
+func TestSignalsAreLeftToTheDaemon(t *testing.T) {
+	is := is.New(t)
+	base := listen(t, rest.Route{Method: http.MethodGet, Path: "/", Handler: func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusNoContent)
+	}})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-signals
+	const afterListenersWouldClose = 1500 * time.Millisecond
+	time.Sleep(afterListenersWouldClose)
+	http.DefaultClient.CloseIdleConnections()
+	response, err := http.Get(base + "/")
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusNoContent)
+}
+
+// TestListenerSaysWhyItCannotListen takes the address twice.
+func TestListenerSaysWhyItCannotListen(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer taken.Close()
+	listener := &caller.Listener{Name: "test", Address: netip.MustParseAddrPort(taken.Addr().String())}
+	listener.Open()
+	err = listener.Run()
+	is.True(err != nil)
+	is.True(caller.Error.Has(err))
+	is.True(!errors.Is(err, http.ErrServerClosed))
+}
