--- a/peridotpath/config/document.go
+++ b/peridotpath/config/document.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -69,6 +70,8 @@
 	}
 }
 
+func (name DocumentName) key() string { return KeyPrefix + string(name) }
+
 func nameOf(key string) DocumentName { return DocumentName(strings.TrimPrefix(key, KeyPrefix)) }
 
 // Document is one document as it is stored and as instances hand it on.
@@ -124,6 +127,36 @@
 	return parsed, nil
 }
 
+// find returns the position of an item, or where it would be put.
+func (content *content) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(content.Items, name, func(item Item, name string) int {
+		return strings.Compare(item.Name, name)
+	})
+}
+
+// item returns an item, or nil.
+func (content *content) item(name string) *Item {
+	at, found := content.find(name)
+	if !found {
+		return nil
+	}
+	return &content.Items[at]
+}
+
+// put writes or, with a nil value, deletes an item.
+func (content *content) put(item Item) {
+	at, found := content.find(item.Name)
+	switch {
+	case item.Value == nil && found:
+		content.Items = slices.Delete(content.Items, at, at+1)
+	case item.Value == nil:
+	case found:
+		content.Items[at] = item
+	default:
+		content.Items = slices.Insert(content.Items, at, item)
+	}
+}
+
 // values decodes the items of a document, each into an allocation of its own.
 func values[T any](content *content) ([]*T, error) {
 	decoded := make([]*T, 0, len(content.Items))
--- /dev/null
+++ b/peridotpath/config/fleet_test.go
@@ -0,0 +1,180 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+)
+
+// hop is the one-way delay between any two processes of a fleet.
+const hop = time.Millisecond
+
+// fleet is a few instances over one key-value service, on the clock of a
+// synctest bubble.
+type fleet struct {
+	memory    *memory.Memory
+	platform  *keyvalue.Store
+	down      atomic.Bool // no call reaches the platform
+	instances []*instance
+}
+
+// instance is one life of one instance after another.
+type instance struct {
+	fleet  *fleet
+	reader bool
+	cut    atomic.Bool // neither platform nor peers are reached
+	life   atomic.Pointer[config.Store]
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newFleet(size, readers int) *fleet {
+	fleet := &fleet{memory: &memory.Memory{}}
+	fleet.platform = fleet.memory.Store()
+	for i := range size {
+		instance := &instance{fleet: fleet, reader: i < readers}
+		instance.renew()
+		fleet.instances = append(fleet.instances, instance)
+	}
+	return fleet
+}
+
+// renew puts a new Store, which holds nothing, in the place of the old one.
+func (instance *instance) renew() {
+	instance.life.Store(&config.Store{
+		KeyValue: instance.keyValue(),
+		Log:      zerolog.Nop(),
+		IsReader: func() bool { return instance.reader },
+		Peers:    instance.peers,
+		Random:   func() float64 { return 0.5 },
+	})
+}
+
+func (instance *instance) store() *config.Store { return instance.life.Load() }
+
+// start loads and runs; the error is that of Load.
+func (instance *instance) start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	store, done := instance.store(), make(chan error, 1)
+	instance.cancel, instance.done = cancel, done
+	_, err := store.Load(ctx)
+	go func() { done <- store.Run(ctx) }()
+	return err
+}
+
+// stop ends a life and waits for its end.
+func (instance *instance) stop() {
+	instance.cancel()
+	<-instance.done
+}
+
+func (fleet *fleet) start(t *testing.T) {
+	t.Helper()
+	for _, instance := range fleet.instances {
+		if err := instance.start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (fleet *fleet) stop() {
+	for _, instance := range fleet.instances {
+		instance.stop()
+	}
+}
+
+// keyValue returns the platform as the instance reaches it.
+func (instance *instance) keyValue() *keyvalue.Store {
+	platform := instance.fleet.platform
+	return &keyvalue.Store{
+		Get: func(ctx context.Context, key string) (keyvalue.Entry, error) {
+			if err := instance.reach(); err != nil {
+				return keyvalue.Entry{}, err
+			}
+			return platform.Get(ctx, key)
+		},
+		List: func(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Version, error) {
+			if err := instance.reach(); err != nil {
+				return nil, 0, err
+			}
+			return platform.List(ctx, prefix)
+		},
+		Swap: func(ctx context.Context, key string, expect keyvalue.Version, value []byte, lease keyvalue.LeaseID) (keyvalue.Version, error) {
+			if err := instance.reach(); err != nil {
+				return 0, err
+			}
+			return platform.Swap(ctx, key, expect, value, lease)
+		},
+		Watch: func(ctx context.Context, prefix string, after keyvalue.Version, wait time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
+			if err := instance.reach(); err != nil {
+				return nil, 0, err
+			}
+			entries, version, err := platform.Watch(ctx, prefix, after, wait)
+			time.Sleep(hop)
+			return entries, version, err
+		},
+	}
+}
+
+func (instance *instance) reach() error {
+	time.Sleep(hop)
+	if instance.fleet.down.Load() || instance.cut.Load() {
+		return keyvalue.ErrNotSent.New("no route")
+	}
+	return nil
+}
+
+// peers asks one reader or, without a wait, everyone.
+func (instance *instance) peers(ctx context.Context, have config.Revisions, wait time.Duration) ([]config.Update, error) {
+	time.Sleep(hop)
+	var updates []config.Update
+	for _, other := range instance.fleet.instances {
+		if other == instance || instance.cut.Load() || other.cut.Load() || wait > 0 && !other.reader {
+			continue
+		}
+		update, err := other.store().Changes(ctx, have, wait)
+		if err != nil {
+			continue
+		}
+		updates = append(updates, update)
+		if wait > 0 {
+			break
+		}
+	}
+	time.Sleep(hop)
+	if len(updates) == 0 {
+		return nil, errors.New("every peer is silent")
+	}
+	return updates, nil
+}
+
+// putProfile returns a change that writes a profile.
+func putProfile(id, name string, base peridotpath.Revision, deadline peridotpath.Millis) config.Change {
+	value := fmt.Sprintf(`{"name": %q, "service": "claims-llm", "deadline_ms": %d}`, name, deadline)
+	return config.Change{ID: config.ChangeID(id), Who: "nimal", Kind: config.KindProfile, Name: name, Base: base, Value: json.RawMessage(value)}
+}
+
+// putCustomer returns a change that writes a customer.
+func putCustomer(id, name, key string) config.Change {
+	value := fmt.Sprintf(`{"id": %q, "key_sha256": %q}`, name, peridotpath.HashKey(key))
+	return config.Change{ID: config.ChangeID(id), Who: "nimal", Kind: config.KindCustomer, Name: name, Value: json.RawMessage(value)}
+}
+
+// soon bounds an operator's patience.
+func soon(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
