--- a/peridotpath/config/change_test.go
+++ b/peridotpath/config/change_test.go
@@ -1,14 +1,12 @@
 package config_test
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -38,18 +36,14 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				fleet := newFleet(1, 1)
+			inFleet(t, 1, 1, nil, func(t *testing.T, is *is.I, fleet *fleet) {
 				store := fleet.instances[0].store()
-				_, err := store.Load(t.Context())
-				is.NoErr(err)
 				for _, change := range []config.Change{putProfile("1", "counter", 0, 100), putCustomer("2", "a", "key-a")} {
-					_, err = store.Change(soon(t), change)
+					_, err := store.Change(soon(t), change)
 					is.NoErr(err)
 				}
 				is.True(config.DocumentOf(config.KindCustomer, "a") != config.DocumentOf(config.KindCustomer, "b"))
-				_, err = store.Change(soon(t), test.change)
+				_, err := store.Change(soon(t), test.change)
 				var faults peridotpath.Faults
 				is.True(errors.As(err, &faults))
 				is.Equal(faults.Error(), test.want)
@@ -63,11 +57,7 @@
 // different instances. Without a check the second would undo the first without
 // either of them noticing. The loser sees both texts and who was first.
 func TestRacingOperators(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newFleet(2, 2)
-		fleet.start(t)
-		defer fleet.stop()
+	inFleet(t, 2, 2, nil, func(t *testing.T, is *is.I, fleet *fleet) {
 		_, err := fleet.instances[0].store().Change(soon(t), putProfile("first", "counter", 0, 100))
 		is.NoErr(err)
 		changes := []config.Change{putProfile("a", "counter", 1, 200), putProfile("b", "counter", 1, 300)}
@@ -104,11 +94,7 @@
 // Two operators change different profiles of one document. Both swaps expect the
 // same version, so one of them fails; that is no conflict between the operators.
 func TestRaceForOneDocumentIsNoConflict(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newFleet(2, 2)
-		fleet.start(t)
-		defer fleet.stop()
+	inFleet(t, 2, 2, nil, func(t *testing.T, is *is.I, fleet *fleet) {
 		failures := race(t, fleet, []config.Change{putProfile("a", "counter", 0, 200), putProfile("b", "dossier", 0, 300)})
 		is.NoErr(errors.Join(failures...))
 		time.Sleep(time.Second)
@@ -136,18 +122,14 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				fleet := newFleet(2, 2)
-				var lost atomic.Bool
-				fleet.memory.Fault = func(_ context.Context, call, _ string, applied bool) error {
-					if call != "swap" || applied != test.applied || lost.Swap(true) {
-						return nil
-					}
-					return keyvalue.ErrUnavailable.New("the answer was lost")
+			var lost atomic.Bool
+			loseOne := func(_ *fleet, call, _ string, applied bool) error {
+				if call != "swap" || applied != test.applied || lost.Swap(true) {
+					return nil
 				}
-				fleet.start(t)
-				defer fleet.stop()
+				return keyvalue.ErrUnavailable.New("the answer was lost")
+			}
+			inFleet(t, 2, 2, loseOne, func(t *testing.T, is *is.I, fleet *fleet) {
 				if test.rival {
 					go func() {
 						time.Sleep(10 * hop)
@@ -179,19 +161,15 @@
 // operator must not be told "not accepted"; the same change, sent again through
 // another instance when the platform is back, takes effect once.
 func TestLostAnswerThenOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newFleet(2, 2)
-		var lost atomic.Bool
-		fleet.memory.Fault = func(_ context.Context, call, _ string, applied bool) error {
-			if call == "swap" && applied && !lost.Swap(true) {
-				fleet.down.Store(true)
-				return keyvalue.ErrUnavailable.New("the answer was lost")
-			}
-			return nil
+	var lost atomic.Bool
+	loseOneAndGoDown := func(fleet *fleet, call, _ string, applied bool) error {
+		if call == "swap" && applied && !lost.Swap(true) {
+			fleet.down.Store(true)
+			return keyvalue.ErrUnavailable.New("the answer was lost")
 		}
-		fleet.start(t)
-		defer fleet.stop()
+		return nil
+	}
+	inFleet(t, 2, 2, loseOneAndGoDown, func(t *testing.T, is *is.I, fleet *fleet) {
 		change := putProfile("mine", "counter", 0, 200)
 		_, err := fleet.instances[0].store().Change(soon(t), change)
 		is.True(config.ErrUnknown.Has(err)) // the operator was told something certain
@@ -208,11 +186,7 @@
 // same moment; one compare-and-swap can't prevent it. Every instance must give
 // the key to the same customer, in whatever order the documents came.
 func TestOneKeyInTwoDocuments(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newFleet(2, 2)
-		fleet.start(t)
-		defer fleet.stop()
+	inFleet(t, 2, 2, nil, func(t *testing.T, is *is.I, fleet *fleet) {
 		failures := race(t, fleet, []config.Change{putCustomer("1", "b", "same"), putCustomer("2", "a", "same")})
 		is.NoErr(errors.Join(failures...))
 		time.Sleep(time.Second)
@@ -229,11 +203,7 @@
 }
 
 func TestHistoryIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		fleet := newFleet(1, 1)
-		fleet.start(t)
-		defer fleet.stop()
+	inFleet(t, 1, 1, nil, func(t *testing.T, is *is.I, fleet *fleet) {
 		store := fleet.instances[0].store()
 		for i := range 100 {
 			change := putProfile(strings.Repeat("i", 60)+string(rune('0'+i/10))+string(rune('0'+i%10)), "counter", config.AnyRevision, 200)
--- a/peridotpath/config/check.go
+++ b/peridotpath/config/check.go
@@ -76,24 +76,28 @@
 
 // DecodeProfile reads a profile as operators write it, with defaults filled in.
 func DecodeProfile(text []byte) (*peridotpath.Profile, peridotpath.Faults) {
-	profile := &peridotpath.Profile{}
-	faults := decode(text, profile, KindProfile)
-	if len(faults) > 0 {
-		return profile, faults
-	}
-	profile.Defaults()
-	return profile, profile.Validate(string(KindProfile))
+	return decodeItem[peridotpath.Profile](text, KindProfile)
 }
 
 // DecodeCustomer reads a customer as operators write it, with defaults filled in.
 func DecodeCustomer(text []byte) (*peridotpath.Customer, peridotpath.Faults) {
-	customer := &peridotpath.Customer{}
-	faults := decode(text, customer, KindCustomer)
-	if len(faults) > 0 {
-		return customer, faults
+	return decodeItem[peridotpath.Customer](text, KindCustomer)
+}
+
+// checked is a domain type with defaults and bounds.
+type checked[T any] interface {
+	*T
+	Defaults()
+	Validate(prefix string) peridotpath.Faults
+}
+
+func decodeItem[T any, P checked[T]](text []byte, kind Kind) (*T, peridotpath.Faults) {
+	item := P(new(T))
+	if faults := decode(text, item, kind); len(faults) > 0 {
+		return item, faults
 	}
-	customer.Defaults()
-	return customer, customer.Validate(string(KindCustomer))
+	item.Defaults()
+	return item, item.Validate(string(kind))
 }
 
 func decodeDrain(text []byte) (*Drain, peridotpath.Faults) {
--- a/peridotpath/config/fleet_test.go
+++ b/peridotpath/config/fleet_test.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
@@ -76,9 +78,31 @@
 // stop ends a life and waits for its end.
 func (instance *instance) stop() {
 	instance.cancel()
-	<-instance.done
+	if err := <-instance.done; !errors.Is(err, context.Canceled) {
+		panic(err)
+	}
+}
+
+// inFleet calls test in a synctest bubble with a running fleet.
+func inFleet(t *testing.T, size, readers int, fault fault, test func(t *testing.T, is *is.I, fleet *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(size, readers)
+		if fault != nil {
+			fleet.memory.Fault = func(_ context.Context, call, key string, applied bool) error {
+				return fault(fleet, call, key, applied)
+			}
+		}
+		fleet.start(t)
+		defer fleet.stop()
+		test(t, is.New(t), fleet)
+	})
 }
 
+// fault decides whether a call of the platform fails, before or after it took
+// effect.
+type fault func(fleet *fleet, call, key string, applied bool) error
+
 func (fleet *fleet) start(t *testing.T) {
 	t.Helper()
 	for _, instance := range fleet.instances {
