operator: the operators' service, its messages and its server

Operators reach any instance by twirp. Outcomes of a change are typed messages, so that a refusal, a conflict with both sides and an unknown outcome can't be taken for one another; a twirp error says nothing of the outcome. The daemon supplies endpoints, instances, status and explain as function fields.

--- /dev/null
+++ b/peridotpath/operator/server.go
@@ -0,0 +1,257 @@
+// Package operator serves the operators' interface of an instance. The messages
+// and the client are in operatorpb; peridotctl is their user.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/config"
+	pb "peridotpath.example/peridotpath/operator/operatorpb"
+)
+
+// Server answers operators. Set the exported fields before Handler.
+type Server struct {
+	Config *config.Store
+	Log    zerolog.Logger
+	// Applied returns the revision of a document on each live instance, with an
+	// entry also for those that gave no answer.
+	Applied func(ctx context.Context, document config.DocumentName) ([]*pb.InstanceRevision, error)
+	// Endpoints returns the endpoints with their load. The server fills in what
+	// operators drained.
+	Endpoints func(ctx context.Context) ([]*pb.Endpoint, error)
+	// Instances returns the instances on the membership list.
+	Instances func(ctx context.Context) ([]*pb.Instance, error)
+	// Status returns what this instance is doing.
+	Status func(ctx context.Context) (*pb.StatusResponse, error)
+	// Explain returns what would become of a request now.
+	Explain func(ctx context.Context, request *pb.ExplainRequest) (*pb.ExplainResponse, error)
+}
+
+const (
+	// changeTimeout bounds one change. It leaves the platform several tries
+	// when it takes 2 s an answer.
+	changeTimeout = 15 * time.Second
+	// historyLimit bounds one answer about history.
+	historyLimit = 1_000
+)
+
+// Handler returns the service for a server's PathPrefix.
+func (server *Server) Handler() http.Handler {
+	return pb.NewOperatorServer(service{server})
+}
+
+// PathPrefix is where Handler is to be served.
+const PathPrefix = pb.OperatorPathPrefix
+
+// service keeps the rpc methods apart from the Server's fields of the same names.
+type service struct{ server *Server }
+
+// ListItems returns the items of one kind.
+func (service service) ListItems(_ context.Context, request *pb.ListItemsRequest) (*pb.ListItemsResponse, error) {
+	snapshot, err := service.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	items, err := snapshot.Items(config.Kind(request.Kind))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	response := &pb.ListItemsResponse{}
+	for _, item := range items {
+		response.Items = append(response.Items, itemOf(request.Kind, item))
+	}
+	return response, nil
+}
+
+// GetItem returns one item.
+func (service service) GetItem(_ context.Context, request *pb.GetItemRequest) (*pb.Item, error) {
+	snapshot, err := service.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	item, err := snapshot.Item(config.Kind(request.Kind), request.Name)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	if item == nil {
+		return nil, twirp.NotFoundError(request.Kind + " " + request.Name + " does not exist")
+	}
+	return itemOf(request.Kind, *item), nil
+}
+
+// Change puts or deletes one item.
+func (service service) Change(ctx context.Context, request *pb.ChangeRequest) (*pb.ChangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	accepted, err := service.server.Config.Change(ctx, changeOf(request))
+	response := responseOf(accepted, err)
+	service.server.Log.Info().Str("event", "config_change").Str("change_id", request.ChangeId).
+		Str("who", request.Who).Str("kind", request.Kind).Str("name", request.Name).
+		Str("outcome", response.Outcome.String()).Uint64("revision", response.Revision).Err(err).Send()
+	return response, nil
+}
+
+// History returns the last accepted changes.
+func (service service) History(_ context.Context, request *pb.HistoryRequest) (*pb.HistoryResponse, error) {
+	snapshot, err := service.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if request.Limit < 1 || request.Limit > historyLimit {
+		return nil, twirp.InvalidArgumentError("limit", "must be from 1 to 1000")
+	}
+	events, err := snapshot.History(int(request.Limit))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	response := &pb.HistoryResponse{}
+	for i := range events {
+		response.Events = append(response.Events, eventOf(&events[i]))
+	}
+	return response, nil
+}
+
+// Applied returns one document's revision on each live instance.
+func (service service) Applied(ctx context.Context, request *pb.AppliedRequest) (*pb.AppliedResponse, error) {
+	instances, err := service.server.Applied(ctx, config.DocumentName(request.Document))
+	return &pb.AppliedResponse{Instances: instances}, unavailable(err)
+}
+
+// ListEndpoints returns the endpoints with their load.
+func (service service) ListEndpoints(ctx context.Context, _ *pb.ListEndpointsRequest) (*pb.ListEndpointsResponse, error) {
+	snapshot, err := service.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	endpoints, err := service.server.Endpoints(ctx)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	for _, endpoint := range endpoints {
+		drain, drained := snapshot.Drains[peridotpath.EndpointID(endpoint.Id)]
+		endpoint.Drained, endpoint.Reason = drained, drain.Reason
+	}
+	return &pb.ListEndpointsResponse{Endpoints: endpoints}, nil
+}
+
+// ListInstances returns the instances on the membership list.
+func (service service) ListInstances(ctx context.Context, _ *pb.ListInstancesRequest) (*pb.ListInstancesResponse, error) {
+	instances, err := service.server.Instances(ctx)
+	return &pb.ListInstancesResponse{Instances: instances}, unavailable(err)
+}
+
+// Status returns what the instance is doing.
+func (service service) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusResponse, error) {
+	status, err := service.server.Status(ctx)
+	return status, unavailable(err)
+}
+
+// Explain returns what would become of a request now.
+func (service service) Explain(ctx context.Context, request *pb.ExplainRequest) (*pb.ExplainResponse, error) {
+	if request.PromptTokens < 1 || request.PromptTokens > int64(peridotpath.MaxPrompt) {
+		return nil, twirp.InvalidArgumentError("prompt_tokens", "must be from 1 to 1100000")
+	}
+	snapshot, err := service.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	if snapshot.Config.Profile(request.Profile) == nil {
+		return nil, twirp.NotFoundError("profile " + request.Profile + " does not exist")
+	}
+	explanation, err := service.server.Explain(ctx, request)
+	return explanation, unavailable(err)
+}
+
+func (service service) snapshot() (*config.Snapshot, error) {
+	snapshot := service.server.Config.Current()
+	if snapshot == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the instance has no configuration yet")
+	}
+	return snapshot, nil
+}
+
+// unavailable makes a failure of the daemon's seams a twirp error that tells the
+// operator to ask another instance.
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	var known twirp.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
+
+func changeOf(request *pb.ChangeRequest) config.Change {
+	change := config.Change{
+		ID: config.ChangeID(request.ChangeId), Who: request.Who,
+		Kind: config.Kind(request.Kind), Name: request.Name,
+		Base: peridotpath.Revision(request.Base),
+	}
+	if request.Force {
+		change.Base = config.AnyRevision
+	}
+	if !request.Delete {
+		change.Value = json.RawMessage(request.Value)
+	}
+	return change
+}
+
+// responseOf sorts the outcome of a change into its typed form.
+func responseOf(accepted config.Accepted, err error) *pb.ChangeResponse {
+	var faults peridotpath.Faults
+	var conflict *config.Conflict
+	switch {
+	case err == nil:
+		return &pb.ChangeResponse{
+			Outcome:  pb.Outcome_OUTCOME_ACCEPTED,
+			Document: string(accepted.Document), Revision: uint64(accepted.Revision),
+		}
+	case errors.As(err, &faults):
+		return &pb.ChangeResponse{Outcome: pb.Outcome_OUTCOME_FAULTS, Faults: faultsOf(faults)}
+	case errors.As(err, &conflict):
+		return &pb.ChangeResponse{Outcome: pb.Outcome_OUTCOME_CONFLICT, Conflict: conflictOf(conflict)}
+	case config.ErrNotAccepted.Has(err):
+		return &pb.ChangeResponse{Outcome: pb.Outcome_OUTCOME_NOT_ACCEPTED, Reason: err.Error()}
+	default:
+		return &pb.ChangeResponse{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: err.Error()}
+	}
+}
+
+func faultsOf(faults peridotpath.Faults) []*pb.Fault {
+	converted := make([]*pb.Fault, 0, len(faults))
+	for _, fault := range faults {
+		converted = append(converted, &pb.Fault{Path: fault.Path, Message: fault.Message})
+	}
+	return converted
+}
+
+func conflictOf(conflict *config.Conflict) *pb.Conflict {
+	return &pb.Conflict{
+		Base: uint64(conflict.Base), Current: uint64(conflict.Current),
+		Yours: string(conflict.Yours), Theirs: string(conflict.Theirs), Last: eventOf(conflict.Last),
+	}
+}
+
+func eventOf(event *config.Event) *pb.Event {
+	if event == nil {
+		return nil
+	}
+	return &pb.Event{
+		Revision: uint64(event.Revision), ChangeId: string(event.ID), Who: event.Who,
+		WhenMs: event.When.UnixMilli(), Kind: string(event.Kind), Name: event.Name, Deleted: event.Deleted,
+	}
+}
+
+func itemOf(kind string, item config.Item) *pb.Item {
+	return &pb.Item{Kind: kind, Name: item.Name, Revision: uint64(item.Revision), Value: string(item.Value)}
+}
