Add the claim ledger: at most one run for an idempotency key

Cause: a caller who repeats an acknowledgement at another instance, or after a kill, must not have it run twice, and "not run" must be true. Change: keys are claimed by compare-and-swap on their bucket's value before dispatch; claims and ends that wait ride in the next write. Lost answers are read back by attempt; a claim that cannot be read back is refused and released later, and the release moves the version on so that a write still on its way cannot land. A claim may be dispatched for ten seconds from before its write; a judge of a dead claimer waits that long on its own clock. Two result codes: ledger_full 2008, key_running 4005.

--- /dev/null
+++ b/peridotpath/claim/bucket.go
@@ -0,0 +1,325 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"peridotpath.example/peridotpath/claim/ledgerpb"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/keyvalue"
+)
+
+const (
+	// maxRounds bounds how often one batch is decided anew because another
+	// instance wrote meanwhile.
+	maxRounds = 8
+	// After a failed call the bucket leaves the platform alone for a while
+	// that doubles, so that an outage is not made longer by callers who repeat.
+	minPause = 200 * time.Millisecond
+	maxPause = 5 * time.Second
+	// callTimeout bounds one call, whatever the adapter does.
+	callTimeout = 4 * time.Second
+	// hashBytes is how much of a body's hash a record keeps.
+	hashBytes = 16
+)
+
+// bucket collects operations and commits them, a batch a write.
+type bucket struct {
+	ledger  *Ledger
+	name    string
+	limiter *rate.Limiter
+	wake    chan struct{}
+
+	mu    sync.Mutex
+	queue []*operation
+	// open holds the claim of each key that this process has asked for and
+	// that has not ended.
+	open    map[keyID]*operation
+	pause   time.Duration
+	retryAt time.Time
+	stopped bool
+
+	// The rest belongs to run's goroutine.
+	cached *state
+	// seen is when this process first saw other instances' running records.
+	seen map[author]clock.Instant
+}
+
+func newBucket(ledger *Ledger, number int) *bucket {
+	calls := ledger.Settings.CallsPerSecond
+	return &bucket{
+		ledger: ledger, name: KeyPrefix + strconv.Itoa(number),
+		limiter: rate.NewLimiter(rate.Limit(calls), calls),
+		wake:    make(chan struct{}, 1),
+		open:    map[keyID]*operation{},
+		seen:    map[author]clock.Instant{},
+	}
+}
+
+// run commits batches until ctx ends.
+func (bucket *bucket) run(ctx context.Context) error {
+	for bucket.wait(ctx) {
+		if batch := bucket.take(); len(batch) > 0 {
+			bucket.commit(ctx, batch)
+		}
+	}
+	bucket.refuseAll()
+	return nil
+}
+
+// wait returns when there may be something to do; false when ctx has ended.
+func (bucket *bucket) wait(ctx context.Context) bool {
+	var retry <-chan time.Time
+	bucket.mu.Lock()
+	if len(bucket.queue) > 0 {
+		timer := time.NewTimer(max(0, bucket.retryAt.Sub(bucket.ledger.Clock.Read().Monotonic)))
+		defer timer.Stop()
+		retry = timer.C
+	}
+	bucket.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-retry:
+	case <-bucket.wake:
+	}
+	return ctx.Err() == nil
+}
+
+// take returns what is to be committed now; nothing while the platform is
+// left alone.
+func (bucket *bucket) take() []*operation {
+	bucket.mu.Lock()
+	defer bucket.mu.Unlock()
+	if bucket.retryAt.After(bucket.ledger.Clock.Read().Monotonic) {
+		return nil
+	}
+	var batch []*operation
+	for _, operation := range bucket.queue {
+		if operation.kind == kindClaim && operation.waiters == 0 {
+			bucket.drop(operation, platformDown(reasonCallerGone, retryAfter))
+			continue
+		}
+		batch = append(batch, operation)
+	}
+	bucket.queue = nil
+	return batch
+}
+
+// commit brings the batch to the platform. Each round decides on the newest
+// state known and writes it; a state that was cached is proved by the swap.
+func (bucket *bucket) commit(ctx context.Context, batch []*operation) {
+	read := bucket.cached == nil
+	for range maxRounds {
+		if read {
+			if err := bucket.read(ctx); err != nil {
+				bucket.fail(batch, err)
+				return
+			}
+		}
+		decision := decide(bucket.cached, batch, bucket.rules())
+		if !decision.changed && decision.stale && !read {
+			read = true
+			continue
+		}
+		err := error(nil)
+		if decision.changed {
+			err = bucket.write(ctx, decision, batch)
+		}
+		switch {
+		case err == nil:
+			bucket.deliver(batch, decision)
+			return
+		case keyvalue.ErrNotSent.Has(err), keyvalue.ErrInvalid.Has(err):
+			bucket.fail(batch, err)
+			return
+		}
+		// Another instance wrote, or the answer was lost. Both are settled by
+		// reading: a lost write that took effect shows its attempt.
+		read = true
+	}
+	bucket.fail(batch, Error.New("contended: %d rounds", maxRounds))
+}
+
+func (bucket *bucket) rules() rules {
+	ledger := bucket.ledger
+	settings := &ledger.Settings
+	keep := settings.RetentionMS.Duration() + settings.ClockMarginMS.Duration()
+	earlier, later := ledger.wallTimes()
+	return rules{
+		self:  author{instance: ledger.Instance, incarnation: ledger.Incarnation},
+		stamp: later.Unix(), cut: earlier.Add(-keep),
+		maxRecords: settings.MaxRecords, maxSize: int(settings.MaxBytes),
+		retryAfter: retryAfter, settled: bucket.settled, gone: ledger.gone,
+	}
+}
+
+// settled returns how long the claimer may still dispatch.
+func (bucket *bucket) settled(claimer author) time.Duration {
+	seen, ok := bucket.seen[claimer]
+	window := bucket.ledger.Settings.DispatchMS.Duration() + settleMargin
+	if !ok {
+		return window
+	}
+	return window - bucket.ledger.Clock.Read().Monotonic.Sub(seen.Monotonic)
+}
+
+// read fetches the bucket.
+func (bucket *bucket) read(ctx context.Context) error {
+	if err := bucket.limiter.Wait(ctx); err != nil {
+		return Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := bucket.ledger.Store.Get(ctx, bucket.name)
+	bucket.counted("get", err)
+	if err != nil {
+		return err
+	}
+	state, err := decode(entry, bucket.ledger.Settings.Buckets)
+	if err != nil {
+		return err
+	}
+	bucket.adopt(state)
+	return nil
+}
+
+// write swaps the bucket's value for the decided one.
+func (bucket *bucket) write(ctx context.Context, decision decision, batch []*operation) error {
+	value, err := decision.next.encode(bucket.ledger.Settings.Buckets)
+	if err != nil {
+		return keyvalue.ErrInvalid.Wrap(err)
+	}
+	if err := bucket.limiter.Wait(ctx); err != nil {
+		return keyvalue.ErrNotSent.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	expect := decision.next.version
+	markSent(batch, bucket.ledger.Clock.Read())
+	version, err := bucket.ledger.Store.Swap(ctx, bucket.name, expect, value, 0)
+	bucket.counted("swap", err)
+	if err != nil {
+		markFailed(batch, expect, err)
+		return err
+	}
+	decision.next.version = version
+	bucket.adopt(decision.next)
+	return nil
+}
+
+// markSent notes the time before the first write that may stand.
+func markSent(batch []*operation, now clock.Instant) {
+	for _, operation := range batch {
+		if operation.sent.Monotonic.IsZero() {
+			operation.sent = now
+		}
+	}
+}
+
+// markFailed notes whether a failed write may still take effect.
+func markFailed(batch []*operation, expect keyvalue.Version, err error) {
+	certain := keyvalue.ErrConflict.Has(err) || keyvalue.ErrNotSent.Has(err) || keyvalue.ErrInvalid.Has(err)
+	for _, operation := range batch {
+		switch {
+		case !certain:
+			operation.lost, operation.unsettled = true, expect
+		case !operation.lost:
+			operation.sent = clock.Instant{}
+		}
+	}
+}
+
+// adopt makes the state the newest known.
+func (bucket *bucket) adopt(state *state) {
+	bucket.cached = state
+	now := bucket.ledger.Clock.Read()
+	seen := make(map[author]clock.Instant, len(bucket.seen))
+	for _, record := range state.records {
+		if record.GetState() != ledgerpb.State_STATE_RUNNING {
+			continue
+		}
+		claimer := authorOf(record)
+		first, ok := bucket.seen[claimer]
+		if !ok {
+			first = now
+		}
+		seen[claimer] = first
+	}
+	bucket.seen = seen
+}
+
+// deliver hands out verdicts that stand on the platform.
+func (bucket *bucket) deliver(batch []*operation, decision decision) {
+	bucket.mu.Lock()
+	defer bucket.mu.Unlock()
+	bucket.pause = 0
+	for i, operation := range batch {
+		switch {
+		case operation.kind != kindClaim:
+			bucket.drop(operation, nil)
+		case decision.verdicts[i].Standing != Granted:
+			operation.verdict = decision.verdicts[i]
+			bucket.drop(operation, nil)
+		default:
+			bucket.grant(operation)
+		}
+	}
+}
+
+func (bucket *bucket) grant(operation *operation) {
+	claim := &Claim{bucket: bucket, operation: operation, run: &Run{done: make(chan struct{})}}
+	operation.verdict = Verdict{Standing: Granted, Claim: claim}
+	close(operation.done)
+	bucket.releaseUntaken(operation)
+}
+
+// fail deals with a batch that could not be committed. Claims are refused as
+// not run: none of them was granted, so none is dispatched. One whose write may
+// stand is released later; it keeps its place among the open claims until then.
+func (bucket *bucket) fail(batch []*operation, err error) {
+	bucket.mu.Lock()
+	defer bucket.mu.Unlock()
+	bucket.cached = nil
+	bucket.pause = min(max(2*bucket.pause, minPause), maxPause)
+	bucket.retryAt = bucket.ledger.Clock.Read().Monotonic.Add(bucket.pause)
+	bucket.ledger.Logger.Warn().Str("event", "claim_commit_failed").Str("bucket", bucket.name).
+		Int("operations", len(batch)).Dur("pause", bucket.pause).Err(err).Send()
+	refusal := platformDown(reasonNotRecorded, max(bucket.pause, retryAfter))
+	for _, operation := range batch {
+		switch {
+		case operation.kind != kindClaim:
+			bucket.enqueue(operation)
+		case operation.lost:
+			bucket.forget(operation)
+			operation.err = refusal
+			close(operation.done)
+			bucket.enqueue(releaseOf(operation))
+		default:
+			bucket.drop(operation, refusal)
+		}
+	}
+}
+
+func (bucket *bucket) counted(call string, err error) {
+	bucket.ledger.count(`claim_platform_calls_total{call=%q,result=%q}`, call, callResult(err))
+}
+
+func callResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case keyvalue.ErrConflict.Has(err):
+		return "conflict"
+	case keyvalue.ErrNotSent.Has(err):
+		return "not_sent"
+	case errors.Is(err, context.Canceled):
+		return "canceled"
+	}
+	return "unavailable"
+}
--- /dev/null
+++ b/peridotpath/claim/claim.go
@@ -0,0 +1,99 @@
+package claim
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/claim/ledgerpb"
+)
+
+// Claim is the right to run one request. Exactly one of Finish, Release and
+// MarkUnknown ends it; later calls do nothing and return an error.
+type Claim struct {
+	bucket    *bucket
+	operation *operation
+	run       *Run
+	ended     atomic.Bool
+}
+
+// Dispatch is called right before each time the request is sent to an
+// endpoint. An error, a *peridotpath.Result that says "not run", means that
+// the claim is too old: others may by now have been told that its outcome is
+// settled. After the first error the caller must Release, or MarkUnknown if an
+// earlier sending may have run.
+//
+// A process that freezes between this check and its send can still send late.
+// docs/CLAIMS.md says what that can do.
+func (claim *Claim) Dispatch() error {
+	ledger := claim.bucket.ledger
+	window := ledger.Settings.DispatchMS.Duration()
+	if claim.ended.Load() || claim.operation.sent.Elapsed(ledger.Clock.Read()) >= window {
+		ledger.count(`claim_dispatch_late_total`)
+		return platformDown(reasonTooOld, retryAfter)
+	}
+	return nil
+}
+
+// Finish records that the request ended, with the answer that repeats get. It
+// returns once that stands on the platform; when ctx ends first, recording
+// goes on. The caller's own answer need not wait for it.
+func (claim *Claim) Finish(ctx context.Context, answer *Answer) error {
+	if claim.ended.Swap(true) {
+		return Error.New("finish: claim has ended")
+	}
+	ledger := claim.bucket.ledger
+	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
+	var message *ledgerpb.Answer
+	if kept.size() <= int(ledger.Settings.MaxAnswer) {
+		message = toMessage(kept)
+	} else {
+		ledger.answers.put(claim.operation.key, kept)
+	}
+	claim.run.end(kept, nil)
+	return claim.record(ctx, kindFinish, message)
+}
+
+func (claim *Claim) headers(header http.Header) http.Header {
+	kept := http.Header{}
+	for _, name := range claim.bucket.ledger.Settings.Headers {
+		if values := header.Values(name); len(values) > 0 {
+			kept[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	return kept
+}
+
+// Release records that the request certainly did not run, so that the key may
+// be claimed again. Callers who attached to the run get the result.
+func (claim *Claim) Release(ctx context.Context, result *peridotpath.Result) error {
+	if claim.ended.Swap(true) {
+		return Error.New("release: claim has ended")
+	}
+	claim.run.end(nil, result)
+	return claim.record(ctx, kindRelease, nil)
+}
+
+// MarkUnknown records that the request may have run and never runs again.
+func (claim *Claim) MarkUnknown(ctx context.Context) error {
+	if claim.ended.Swap(true) {
+		return Error.New("mark unknown: claim has ended")
+	}
+	claim.run.end(nil, &peridotpath.Result{Code: peridotpath.CodeOutcomeUnknown})
+	return claim.record(ctx, kindUnknown, nil)
+}
+
+func (claim *Claim) record(ctx context.Context, kind kind, answer *ledgerpb.Answer) error {
+	claim.bucket.mu.Lock()
+	operation := claim.bucket.end(claim, kind, answer)
+	claim.bucket.mu.Unlock()
+	select {
+	case <-operation.done:
+		return nil
+	case <-ctx.Done():
+		return Error.New("record: %w", ctx.Err())
+	case <-claim.bucket.ledger.ended:
+		return Error.New("record: ledger is closed")
+	}
+}
--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -36,6 +36,7 @@
 	CodeBodyMemory       Code = 2005
 	CodeQueueTimeout     Code = 2006
 	CodeCustomerOverload Code = 2007 // the customer's fair share is used up
+	CodeLedgerFull       Code = 2008 // no room for another idempotency key
 
 	CodeNoEndpoint      Code = 3001
 	CodeEndpointRefused Code = 3002
@@ -48,6 +49,7 @@
 	CodeOutcomeUnknown Code = 4002 // may have run; never run again
 	CodeAnswerGone     Code = 4003 // ran, the answer is no longer held
 	CodeCallerGone     Code = 4004
+	CodeKeyRunning     Code = 4005 // an earlier request with the key may still run
 
 	CodePlatformDown Code = 5001
 	CodeNotReady     Code = 5002
@@ -85,6 +87,7 @@
 	CodeBodyMemory:       {http.StatusServiceUnavailable, "body_memory", true, "the instance holds as many request bodies as it may"},
 	CodeQueueTimeout:     {http.StatusServiceUnavailable, "queue_timeout", true, "no place came free within the profile's queue time"},
 	CodeCustomerOverload: {http.StatusTooManyRequests, "customer_overload", true, "the customer's fair share is used up while others wait"},
+	CodeLedgerFull:       {http.StatusServiceUnavailable, "ledger_full", true, "no more idempotency keys can be remembered now"},
 
 	CodeNoEndpoint:      {http.StatusServiceUnavailable, "no_endpoint", true, "no live endpoint serves this profile"},
 	CodeEndpointRefused: {http.StatusServiceUnavailable, "endpoint_refused", true, "every endpoint tried refused the request"},
@@ -97,6 +100,7 @@
 	CodeOutcomeUnknown: {http.StatusBadGateway, "outcome_unknown", false, "the request may have run and will not be run again"},
 	CodeAnswerGone:     {http.StatusConflict, "answer_gone", false, "the request ran; its answer is no longer held"},
 	CodeCallerGone:     {499, "caller_gone", false, "the caller left before the answer was whole"},
+	CodeKeyRunning:     {http.StatusConflict, "key_running", false, "an earlier request with the idempotency key may still be running"},
 
 	CodePlatformDown: {http.StatusServiceUnavailable, "platform_down", true, "the key-value service cannot record the request"},
 	CodeNotReady:     {http.StatusServiceUnavailable, "not_ready", true, "the instance has no configuration yet"},
