caller: a key runs at most once, and its repeats get the answer

Cause: the ledger stood alone; a caller's Idempotency-Key had no effect. Change: requests of non-idempotent profiles with a key go through the ledger: claimed before they are queued, asked again right before each sending, recorded as finished, released or unknown. A claimed request goes on when its caller leaves, so that the repeat gets the answer. With the caller's own context for the run, the repeat after a broken connection did not get the answer.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -13,6 +13,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/claim"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/cursor"
 	"peridotpath.example/peridotpath/decide"
@@ -44,6 +45,7 @@
 	poller     *engine.Poller
 	scheduler  *decide.Scheduler
 	dispatcher *dispatch.Dispatcher
+	claims     *claim.Ledger
 	signer     *cursor.Signer
 	callers    *caller.Server
 	callerSide *caller.Listener
@@ -79,6 +81,10 @@
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
 		SendPlain: service.Send,
 	}
+	daemon.claims = &claim.Ledger{
+		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: daemon.engines.Incarnation,
+		Alive: daemon.alive, Logger: log,
+	}
 	daemon.signer = &cursor.Signer{}
 	daemon.joinCallers()
 	return daemon
@@ -90,7 +96,7 @@
 		Log: daemon.log, Config: daemon.currentConfig,
 		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
 		Endpoint: daemon.follower.Endpoint, EngineHolds: daemon.engineHolds,
-		Signer: daemon.signer,
+		Signer: daemon.signer, Claims: daemon.claims,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
 	daemon.callerSide = &caller.Listener{
@@ -130,6 +136,23 @@
 		Int("instances", len(list.Instances)).Msg("membership")
 }
 
+// alive reports whether that run of that instance may still be at work.
+func (daemon *daemon) alive(id peridotpath.InstanceID, incarnation peridotpath.Incarnation) bool {
+	if id == daemon.settings.InstanceID {
+		return incarnation == daemon.engines.Incarnation
+	}
+	list := daemon.follower.Current()
+	if list == nil {
+		return true
+	}
+	for _, instance := range list.Instances {
+		if instance.ID == id {
+			return instance.Incarnation == 0 || instance.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
 // engineHolds returns the KV memory of the service's largest live engine.
 func (daemon *daemon) engineHolds(service peridotpath.Service) peridotpath.Tokens {
 	var most peridotpath.Tokens
@@ -155,6 +178,7 @@
 		{"load_reports", daemon.poller.Run},
 		{"dispatch", daemon.dispatcher.Run},
 		{"cursor_secret", daemon.shareSecret},
+		{"claims", daemon.claims.Run},
 	}
 }
 
@@ -226,6 +250,7 @@
 	for daemon.callers.Active() > 0 {
 		time.Sleep(activePoll)
 	}
+	err = errs.Combine(err, daemon.claims.Close())
 	time.Sleep(daemon.settings.Drain.HandoverMS.Duration())
 	return errs.Combine(err, daemon.peerSide.Close(ctx))
 }
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,7 +34,10 @@
 		return result
 	}
 	exchange.work = request.Work
-	return server.Do(exchange.request.Context(), request, server.sink(exchange, request.Work))
+	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
+		request.MaySend = maySend
+		return server.Do(ctx, request, server.sink(exchange, request.Work))
+	})
 }
 
 // classify turns a body into a request: profile, length, deadline.
--- a/peridotpath/caller/plain.go
+++ b/peridotpath/caller/plain.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"strings"
 
@@ -44,7 +45,9 @@
 		ID: exchange.id, Method: exchange.request.Method, Target: target,
 		Header: exchange.request.Header, Body: body,
 	}
-	return server.DoPlain(exchange.request.Context(), exchange.work, call, &beginning{exchange.writer, exchange})
+	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
+		return server.DoPlain(ctx, exchange.work, call, maySend, &beginning{exchange.writer, exchange})
+	})
 }
 
 // beginning notes that the answer has begun, so that a later failure is not
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/claim"
 	"peridotpath.example/peridotpath/cursor"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
@@ -42,7 +43,9 @@
 	// Do runs a request; Continue goes on with a stream by its cursor.
 	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
 	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
-	DoPlain  func(ctx context.Context, work *decide.Work, call *service.Request, writer http.ResponseWriter) *peridotpath.Result
+	DoPlain  func(ctx context.Context, work *decide.Work, call *service.Request, maySend func() error, writer http.ResponseWriter) *peridotpath.Result
+	// Claims is the ledger of idempotency keys.
+	Claims *claim.Ledger
 	// Endpoint returns the endpoint with that id, if the fleet has it.
 	Endpoint func(id peridotpath.EndpointID) (peridotpath.Endpoint, bool)
 	// EngineHolds returns the KV memory of the service's largest engine.
--- a/peridotpath/claim/claim.go
+++ b/peridotpath/claim/claim.go
@@ -36,23 +36,32 @@
 	return nil
 }
 
-// Finish records that the request ended, with the answer that repeats get. It
+// Finish records that the request ended, with the answer that repeats get, or
+// nil where that was too large to keep. It
 // returns once that stands on the platform; when ctx ends first, recording
 // goes on. The caller's own answer need not wait for it.
 func (claim *Claim) Finish(ctx context.Context, answer *Answer) error {
 	if claim.ended.Swap(true) {
 		return Error.New("finish: claim has ended")
 	}
+	kept, message := claim.keep(answer)
+	claim.run.end(kept, nil)
+	return claim.record(ctx, kindFinish, message)
+}
+
+// keep returns what this process and the platform keep of an answer. A nil
+// answer, one too large to have been recorded, is kept nowhere.
+func (claim *Claim) keep(answer *Answer) (*Answer, *ledgerpb.Answer) {
+	if answer == nil {
+		return nil, nil
+	}
 	ledger := claim.bucket.ledger
 	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
-	var message *ledgerpb.Answer
 	if kept.size() <= int(ledger.Settings.MaxAnswer) {
-		message = toMessage(kept)
-	} else {
-		ledger.answers.put(claim.operation.key, kept)
+		return kept, toMessage(kept)
 	}
-	claim.run.end(kept, nil)
-	return claim.record(ctx, kindFinish, message)
+	ledger.answers.put(claim.operation.key, kept)
+	return kept, nil
 }
 
 func (claim *Claim) headers(header http.Header) http.Header {
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -35,13 +35,13 @@
 // Do runs a prompt and returns nil when the whole answer was delivered. ctx
 // ends when the caller leaves.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request *Request, sink *Sink) *peridotpath.Result {
-	return dispatcher.run(ctx, request.Work, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
+	return dispatcher.run(ctx, request.Work, request.MaySend, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
 		return dispatcher.try(ctx, request, endpoint, sink)
 	})
 }
 
 // run has the work placed, tries it there, and repeats it where that is safe.
-func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
+func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, maySend func() error, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
 	dispatcher.start()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
@@ -52,7 +52,10 @@
 		if decision.Verdict == decide.Refuse {
 			return decision.Result
 		}
-		attempt := try(ctx, decision.Endpoint)
+		attempt := forbidden(maySend)
+		if attempt.result == nil {
+			attempt = try(ctx, decision.Endpoint)
+		}
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
 		if attempt.result == nil || !mayRepeat(ctx, work, &attempt) {
@@ -67,6 +70,22 @@
 	}
 }
 
+// forbidden returns an attempt that was not made, if maySend forbids it.
+func forbidden(maySend func() error) attempt {
+	if maySend == nil {
+		return attempt{}
+	}
+	err := maySend()
+	if err == nil {
+		return attempt{}
+	}
+	var result *peridotpath.Result
+	if !errors.As(err, &result) {
+		result = failure(peridotpath.CodePlatformDown, err.Error())
+	}
+	return attempt{outcome: decide.Abandoned, result: result}
+}
+
 // mayRepeat guards against running work twice. Work that certainly did not run
 // may go elsewhere; work that may have run only if it is idempotent and its
 // caller has seen nothing of the answer.
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -26,6 +26,9 @@
 	Body []byte
 	// Stream says that the caller wants the answer as events.
 	Stream bool
+	// MaySend, when set, is asked right before each sending; an error, best a
+	// *peridotpath.Result, forbids it.
+	MaySend func() error
 }
 
 // Sink is where the answer goes. Its functions are called from one goroutine.
--- a/peridotpath/dispatch/plain.go
+++ b/peridotpath/dispatch/plain.go
@@ -17,9 +17,10 @@
 const relayBuffer = 32 << 10
 
 // DoPlain makes a call to a plain service and returns nil when the service's
-// whole answer, whatever its status, was delivered to writer.
-func (dispatcher *Dispatcher) DoPlain(ctx context.Context, work *decide.Work, call *service.Request, writer http.ResponseWriter) *peridotpath.Result {
-	return dispatcher.run(ctx, work, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
+// whole answer, whatever its status, was delivered to writer. maySend is as in
+// Request; it may be nil.
+func (dispatcher *Dispatcher) DoPlain(ctx context.Context, work *decide.Work, call *service.Request, maySend func() error, writer http.ResponseWriter) *peridotpath.Result {
+	return dispatcher.run(ctx, work, maySend, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
 		return dispatcher.tryPlain(ctx, work, endpoint, call, writer)
 	})
 }
