peridotctl: the operators' commands, with golden sessions

Operators change profiles, customers and drains and look at the fleet through any instance. What "profile show" prints carries its revision, so that an edit of it becomes a conflict with both sides shown when somebody else was first. A change is sent with one id until its outcome is sure; when no answer tells, the exit code (6) and the text say so. "check" works offline. A document's history is dated in order although clocks differ or step, and a change's faults come all at once also when one field can't be read.

TestSessions holds twelve whole sessions, with exit codes, to golden files. Guards taken out once: with a lost answer not remembered TestOutcomeOfSeveralTries ("1 != 6"); with a connection never made taken for unknown ("6 != 1"); with the shown revision not read TestSessions/conflict ("profile counter changed").

--- /dev/null
+++ b/peridotctl/console.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "peridotpath.example/peridotpath/operator/operatorpb"
+	"peridotpath.example/peridotpath/outbound"
+)
+
+// console is what every command works with.
+type console struct {
+	in       io.Reader
+	out, err io.Writer
+	// newID makes the id of a change.
+	newID func() string
+	// pause waits, or returns early when ctx is done.
+	pause func(ctx context.Context, span time.Duration)
+
+	servers string
+	who     string
+	json    bool
+}
+
+// setFlags adds the flags that every command takes.
+func (console *console) setFlags(flags *flag.FlagSet) {
+	flags.BoolVar(&console.json, "json", console.json, "print JSON")
+	flags.Func("servers", "peer `addresses` of instances, IP:PORT, separated by commas; else PERIDOTCTL_SERVERS", set(&console.servers))
+	flags.Func("who", "your `name` for the history of changes; else USER", set(&console.who))
+}
+
+// set returns a flag's setter. Unlike StringVar's it leaves what the environment
+// gave out of the help text.
+func set(field *string) func(value string) error {
+	return func(value string) error {
+		*field = value
+		return nil
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// callTimeout bounds one call; an instance itself gives a change 15 s.
+const callTimeout = 20 * time.Second
+
+// doer makes twirp's calls through the system's own HTTP client.
+type doer struct{}
+
+// Do sends a request.
+func (doer) Do(request *http.Request) (*http.Response, error) { return outbound.Do(request) }
+
+// clients returns a client for each server, in the order given.
+func (console *console) clients() ([]pb.Operator, error) {
+	if console.servers == "" {
+		return nil, &exitError{exitUsage, "no instance to call: give --servers or PERIDOTCTL_SERVERS"}
+	}
+	var clients []pb.Operator
+	for _, server := range strings.Split(console.servers, ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(server))
+		if err != nil {
+			return nil, &exitError{exitUsage, "--servers: " + err.Error()}
+		}
+		clients = append(clients, pb.NewOperatorProtobufClient("http://"+address.String(), doer{}))
+	}
+	return clients, nil
+}
+
+// method is one call of the service, as a method expression.
+type method[Request, Response any] func(pb.Operator, context.Context, *Request) (*Response, error)
+
+// ask calls one instance after another until one answers. It is for calls that
+// change nothing.
+func ask[Request, Response any](ctx context.Context, console *console, method method[Request, Response], request *Request) (*Response, error) {
+	clients, err := console.clients()
+	if err != nil {
+		return nil, err
+	}
+	for _, client := range clients {
+		var response *Response
+		if response, err = call(ctx, client, method, request); err == nil || isAnswer(err) {
+			return response, err
+		}
+	}
+	return nil, err
+}
+
+func call[Request, Response any](ctx context.Context, client pb.Operator, method method[Request, Response], request *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return method(client, ctx, request)
+}
+
+// isAnswer reports that another instance would say the same.
+func isAnswer(err error) bool {
+	var failure twirp.Error
+	return errors.As(err, &failure) && (failure.Code() == twirp.NotFound || failure.Code() == twirp.InvalidArgument)
+}
+
+func isNotFound(err error) bool {
+	var failure twirp.Error
+	return errors.As(err, &failure) && failure.Code() == twirp.NotFound
+}
+
+// view asks and prints the response. It takes no arguments.
+func view[Request, Response any, Message interface {
+	*Response
+	proto.Message
+}](ctx context.Context, console *console, args []string, method method[Request, Response], request *Request, table func(out io.Writer, response *Response)) error {
+	if len(args) > 0 {
+		return errUsage
+	}
+	response, err := ask(ctx, console, method, request)
+	if err != nil {
+		return err
+	}
+	return console.show(Message(response), func(out io.Writer) { table(out, response) })
+}
+
+// show prints a message as JSON, or by table.
+func (console *console) show(message proto.Message, table func(out io.Writer)) error {
+	if !console.json {
+		writer := tabwriter.NewWriter(console.out, 0, 0, 2, ' ', 0)
+		table(writer)
+		return writer.Flush()
+	}
+	options := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}
+	text, err := options.Marshal(message)
+	if err != nil {
+		return err
+	}
+	console.showJSON(json.RawMessage(text))
+	return nil
+}
+
+// showJSON prints a value as indented JSON.
+func (console *console) showJSON(value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		fmt.Fprintf(console.err, "peridotctl: %v\n", err)
+		return
+	}
+	fmt.Fprintln(console.out, string(text))
+}
+
+// read returns a file's content; "-" is the standard input.
+func (console *console) read(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(console.in)
+	}
+	return os.ReadFile(path)
+}
+
+// compact returns JSON on one line.
+func compact(text string) string {
+	var buffer bytes.Buffer
+	if err := json.Compact(&buffer, []byte(text)); err != nil {
+		return text
+	}
+	return buffer.String()
+}
--- /dev/null
+++ b/peridotctl/endpoint_return.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"peridotpath.example/peridotpath/config"
+	pb "peridotpath.example/peridotpath/operator/operatorpb"
+)
+
+const endpointReturnUsage = `return ENDPOINT [--wait]
+  Lets a drained endpoint take work again.
+
+`
+
+func endpointReturn(console *console) *command {
+	waiting := &waiting{}
+	return &command{
+		console: console, name: "return", synopsis: "lets a drained endpoint take work again", usage: endpointReturnUsage,
+		flags: waiting.setFlags,
+		run: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return errUsage
+			}
+			return console.commit(ctx, waiting, &pb.ChangeRequest{
+				Kind: string(config.KindDrain), Name: args[0], Force: true, Delete: true,
+			})
+		},
+	}
+}
--- /dev/null
+++ b/peridotctl/session_test.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/twitchtv/twirp"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+	"peridotpath.example/peridotpath/operator"
+	pb "peridotpath.example/peridotpath/operator/operatorpb"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// platform loses answers of the key-value service's swaps.
+type platform struct {
+	lostAnswers int // how many swaps take effect without an answer
+	down        bool
+}
+
+func (platform *platform) fault(_ context.Context, call, _ string, applied bool) error {
+	if platform.down && call != "list" {
+		return keyvalue.ErrNotSent.New("no route")
+	}
+	if call == "swap" && applied && platform.lostAnswers > 0 {
+		platform.lostAnswers--
+		return keyvalue.ErrUnavailable.New("the answer was lost")
+	}
+	return nil
+}
+
+// serve returns the address of an instance with a canned fleet and a real
+// configuration on platform. Of its two instances the second one lags.
+func serve(t *testing.T, platform *platform, lag peridotpath.Revision) string {
+	t.Helper()
+	store := &config.Store{
+		KeyValue: (&memory.Memory{Fault: platform.fault}).Store(),
+		Log:      zerolog.Nop(),
+		Now:      func() time.Time { return time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC) },
+	}
+	if _, err := store.Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	server := &operator.Server{
+		Config: store, Log: zerolog.Nop(),
+		Endpoints: func(context.Context) ([]*pb.Endpoint, error) { return cannedEndpoints(), nil },
+		Instances: func(context.Context) ([]*pb.Instance, error) { return cannedInstances(), nil },
+		Status:    func(context.Context) (*pb.StatusResponse, error) { return cannedStatus(), nil },
+		Explain: func(_ context.Context, request *pb.ExplainRequest) (*pb.ExplainResponse, error) {
+			return cannedExplanation(request), nil
+		},
+		Applied: func(_ context.Context, document config.DocumentName) ([]*pb.InstanceRevision, error) {
+			revision := store.Applied()[document]
+			return []*pb.InstanceRevision{
+				{Instance: "colombo-a-1", DataCentre: "colombo-a", Revision: uint64(revision)},
+				{Instance: "negombo-b-1", DataCentre: "negombo-b", Revision: uint64(revision - lag)},
+			}, nil
+		},
+	}
+	listener := httptest.NewServer(server.Handler())
+	t.Cleanup(listener.Close)
+	return strings.TrimPrefix(listener.URL, "http://")
+}
+
+func cannedEndpoints() []*pb.Endpoint {
+	return []*pb.Endpoint{
+		{Id: "engine-1", Service: "claims-llm", Kind: "engine", DataCentre: "colombo-a", Address: "10.0.0.1:9000", State: "live", Running: 12, Waiting: 1, PrefillTokens: 40_000, KvUsedTokens: 300_000, KvTokens: 600_000, ReportAgeMs: 180},
+		{Id: "engine-2", Service: "claims-llm", Kind: "engine", DataCentre: "negombo-b", Address: "10.0.1.1:9000", State: "leaving", ReportAgeMs: -1},
+		{Id: "desk-1", Service: "desk-app", Kind: "plain", DataCentre: "colombo-a", Address: "10.0.0.7:9000", State: "live", Ejected: true, ReportAgeMs: 90},
+	}
+}
+
+func cannedInstances() []*pb.Instance {
+	return []*pb.Instance{
+		{Id: "colombo-a-1", Incarnation: 3, DataCentre: "colombo-a", CallerAddress: "10.0.0.2:8080", PeerAddress: "10.0.0.2:8081", State: "live", Ready: true, ConfigReader: true},
+		{Id: "negombo-b-1", Incarnation: 1, DataCentre: "negombo-b", CallerAddress: "10.0.1.2:8080", PeerAddress: "10.0.1.2:8081", State: "live", Error: "no answer"},
+	}
+}
+
+func cannedStatus() *pb.StatusResponse {
+	return &pb.StatusResponse{
+		Instance: "colombo-a-1", DataCentre: "colombo-a", Ready: true, ConfigAgeMs: 1200,
+		EndpointsLive: 2, EndpointsLeaving: 1, Running: 12, Waiting: 3,
+		Classes:  []*pb.ClassTimes{{Class: "short", Count: 901, P50Ms: 40, P95Ms: 95, P99Ms: 140}},
+		Refusals: []*pb.Count{{Reason: "queue_full", Count: 2}},
+		Retries:  []*pb.Count{{Reason: "unreached", Count: 1}},
+	}
+}
+
+func cannedExplanation(request *pb.ExplainRequest) *pb.ExplainResponse {
+	explanation := &pb.ExplainResponse{
+		Profile: request.Profile, Service: "claims-llm", Class: "short", Verdict: "place", Endpoint: "engine-1",
+		Candidates: []*pb.Candidate{{Endpoint: "engine-1", PredictedTtftMs: 210}, {Endpoint: "engine-2", Excluded: "leaving"}},
+	}
+	if request.PromptTokens > 100_000 {
+		explanation.Class, explanation.Verdict, explanation.Endpoint = "long", "refuse", ""
+		explanation.Code, explanation.Name, explanation.Message = 2004, "cannot_finish", "no endpoint is predicted to finish in time"
+		explanation.RetryAfterMs = 4_000
+	}
+	return explanation
+}
+
+// TestSessions runs whole sessions of an operator against one instance and
+// compares all that is printed, and the exit codes, with golden files.
+func TestSessions(t *testing.T) {
+	tests := []struct {
+		name     string
+		platform platform
+		lag      peridotpath.Revision
+		lines    []string
+	}{
+		{name: "profiles", lines: []string{
+			"profile list", "profile show counter", "profile diff testdata/counter.json",
+			"profile apply testdata/counter.json --wait", "profile list", "profile show counter",
+			"profile diff testdata/counter.json", "profile diff --json testdata/stale.json",
+			"profile delete counter", "profile delete counter", "config history", "config history --limit 1 --json",
+		}},
+		{name: "customers", lines: []string{
+			"customer apply testdata/customer.json", "customer list", "customer list --json",
+			"customer show airline-1", "customer delete airline-1 --json",
+		}},
+		{name: "conflict", lines: []string{
+			"profile apply testdata/counter.json --who nimal", "profile apply testdata/counter.json --who asha", "profile apply testdata/asha.json --who asha",
+			"profile apply testdata/stale.json --who ruwan", "profile apply testdata/stale.json --who ruwan --json",
+			"profile delete counter --base 1", "profile apply testdata/stale.json --who ruwan --force", "config history",
+		}},
+		{name: "faults", lines: []string{
+			"profile apply testdata/faulty.json", "profile apply testdata/bounds.json --json",
+			"profile apply testdata/counter.json", "profile apply testdata/alias.json",
+			"check testdata/clash.json", "check testdata/clash.json --json", "check testdata/fleet.json",
+			"check testdata/fleet.json --json", "check testdata/none.json", "profile apply testdata/none.json",
+		}},
+		{name: "fleet", lines: []string{
+			"apply testdata/clash.json", "apply testdata/fleet.json --wait", "apply testdata/fleet.json --wait", "config history",
+		}},
+		{name: "wait_times_out", lag: 1, lines: []string{
+			"profile apply testdata/counter.json --wait --wait-timeout 1s", "apply testdata/fleet.json --wait --wait-timeout 1s",
+		}},
+		{name: "lost_answer", platform: platform{lostAnswers: 1}, lines: []string{
+			"profile apply testdata/counter.json", "config history",
+		}},
+		{name: "outage", platform: platform{down: true}, lines: []string{
+			"profile list", "profile apply testdata/counter.json",
+		}},
+		{name: "endpoints", lines: []string{
+			"endpoint list", "endpoint drain engine-1 --reason fan", "endpoint drain engine-1 --reason fan", "endpoint list",
+			"endpoint return engine-1", "endpoint list --json", "endpoint drain",
+		}},
+		{name: "views", lines: []string{
+			"instance list", "instance list --json", "status", "status --json", "watch --count 2", "watch --count 1 --json",
+			"watch --count -1", "explain --tokens 900 --profile counter",
+		}},
+		{name: "explain", lines: []string{
+			"profile apply testdata/counter.json", "explain --profile claims-fast --tokens 900",
+			"explain --profile counter --tokens 900000", "explain --profile counter --tokens 900 --json",
+			"explain --profile counter", "explain --profile counter --tokens 9000000",
+		}},
+		{name: "help", lines: []string{
+			"", "help", "help exit-codes", "help changes", "help outages", "help files", "help profile", "help endpoint drain",
+			"help nothing", "profile", "profile show", "profile list --nope", "status --servers here",
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address := serve(t, &test.platform, test.lag)
+			session := &session{address: address}
+			for _, line := range test.lines {
+				session.execute(t.Context(), line)
+			}
+			compare(t, filepath.Join("testdata", test.name+".golden"), session.transcript.Bytes())
+		})
+	}
+}
+
+// refuser is an instance whose changes end as its outcomes say, one after
+// another; an outcome that is not specified is an answer lost on the way back.
+type refuser struct {
+	pb.Operator
+	outcomes []pb.Outcome
+	ids      []string
+}
+
+func (refuser *refuser) Change(_ context.Context, request *pb.ChangeRequest) (*pb.ChangeResponse, error) {
+	refuser.ids = append(refuser.ids, request.ChangeId)
+	outcome := refuser.outcomes[min(len(refuser.ids), len(refuser.outcomes))-1]
+	if outcome == pb.Outcome_OUTCOME_UNSPECIFIED {
+		return nil, twirp.InternalError("the answer was lost")
+	}
+	return &pb.ChangeResponse{Outcome: outcome, Reason: "platform"}, nil
+}
+
+// An operator's change may have taken effect although no answer said so. Then
+// "nothing changed" would be a lie, also when a later try ended in a refusal,
+// and each try must bear the same id, or the change could take effect twice.
+func TestOutcomeOfSeveralTries(t *testing.T) {
+	const (
+		lost     = pb.Outcome_OUTCOME_UNSPECIFIED
+		accepted = pb.Outcome_OUTCOME_ACCEPTED
+		refused  = pb.Outcome_OUTCOME_NOT_ACCEPTED
+		unknown  = pb.Outcome_OUTCOME_UNKNOWN
+	)
+	tests := []struct {
+		name     string
+		outcomes []pb.Outcome
+		tries    int
+		code     int
+	}{
+		{"accepted at last", []pb.Outcome{lost, unknown, accepted}, 3, exitOK},
+		{"lost, then refused", []pb.Outcome{lost, refused}, 3, exitUnknown},
+		{"unknown", []pb.Outcome{unknown}, 3, exitUnknown},
+		{"refused", []pb.Outcome{refused}, 3, exitFailure},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			refuser := &refuser{outcomes: test.outcomes}
+			listener := httptest.NewServer(pb.NewOperatorServer(refuser))
+			defer listener.Close()
+			const nobody = "127.0.0.1:1"
+			session := &session{address: nobody + "," + strings.TrimPrefix(listener.URL, "http://")}
+			code := session.execute(t.Context(), "endpoint drain engine-1")
+			is.Equal(code, test.code)
+			is.Equal(len(refuser.ids), test.tries)
+			for _, id := range refuser.ids {
+				is.Equal(id, "change-1")
+			}
+		})
+	}
+}
+
+// session collects what an operator sees.
+type session struct {
+	address    string
+	changes    int
+	transcript bytes.Buffer
+}
+
+func (session *session) execute(ctx context.Context, line string) int {
+	fmt.Fprintf(&session.transcript, "$ peridotctl %s\n", line)
+	console := &console{
+		in: strings.NewReader(""), out: &session.transcript, err: &session.transcript,
+		newID: func() string { session.changes++; return fmt.Sprintf("change-%d", session.changes) },
+		pause: func(context.Context, time.Duration) {}, who: "nimal", servers: session.address,
+	}
+	code := run(ctx, console, strings.Fields(line))
+	fmt.Fprintf(&session.transcript, "exit %d\n\n", code)
+	return code
+}
+
+// compare holds a transcript to a golden file, or writes it with -update.
+func compare(t *testing.T, path string, have []byte) {
+	t.Helper()
+	if *update {
+		is.New(t).NoErr(os.WriteFile(path, have, 0o644))
+		return
+	}
+	want, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	if !bytes.Equal(want, have) {
+		at := 0
+		for at < min(len(want), len(have)) && want[at] == have[at] {
+			at++
+		}
+		t.Errorf("%s differs from byte %d on; have:\n%s", path, at, have[at:min(len(have), at+500)])
+	}
+}
--- a/peridotpath/config/change.go
+++ b/peridotpath/config/change.go
@@ -221,7 +221,7 @@
 // swap writes the changed document on the version that was read.
 func (writer *writer) swap(ctx context.Context, version keyvalue.Version, current *content) (Accepted, error) {
 	before := current.Revision
-	current.apply(writer.change, time.Now())
+	current.apply(writer.change, writer.store.now())
 	text, err := json.Marshal(current)
 	if err != nil {
 		return Accepted{}, writer.giveUp(err)
@@ -251,6 +251,11 @@
 
 // apply makes the change in a document's content.
 func (content *content) apply(change Change, now time.Time) {
+	// Accepting instances' clocks differ, and steps happen: within a document,
+	// times follow the order in which changes were accepted.
+	if last := len(content.History) - 1; last >= 0 && content.History[last].When.After(now) {
+		now = content.History[last].When
+	}
 	content.Revision++
 	content.put(Item{Name: change.Name, Revision: content.Revision, Value: change.Value})
 	content.History = append(content.History, Event{
--- a/peridotpath/config/check.go
+++ b/peridotpath/config/check.go
@@ -93,11 +93,9 @@
 
 func decodeItem[T any, P checked[T]](text []byte, kind Kind) (*T, peridotpath.Faults) {
 	item := P(new(T))
-	if faults := decode(text, item, kind); len(faults) > 0 {
-		return item, faults
-	}
+	faults := decode(text, item, kind)
 	item.Defaults()
-	return item, item.Validate(string(kind))
+	return item, faults.Merge(item.Validate(string(kind)))
 }
 
 func decodeDrain(text []byte) (*Drain, peridotpath.Faults) {
--- a/peridotpath/config/config.go
+++ b/peridotpath/config/config.go
@@ -69,6 +69,8 @@
 	// CutOffAfter is how long after the last contact with the platform or a
 	// peer the instance stops being ready; zero for DefaultCutOffAfter.
 	CutOffAfter time.Duration
+	// Now is the clock that history is dated by; nil for time.Now.
+	Now func() time.Time
 	// Random returns a number from 0 to 1 for jitter; nil for the global source.
 	Random func() float64
 
@@ -131,6 +133,13 @@
 	return time.Since(store.fresh)
 }
 
+func (store *Store) now() time.Time {
+	if store.Now == nil {
+		return time.Now()
+	}
+	return store.Now()
+}
+
 func (store *Store) random() float64 {
 	if store.Random == nil {
 		return rand.Float64()
--- a/peridotpath/config/items.go
+++ b/peridotpath/config/items.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -32,10 +33,7 @@
 	var events []Event
 	err := snapshot.each("", func(content *content) { events = append(events, content.History...) })
 	slices.SortStableFunc(events, func(a, b Event) int {
-		if order := b.When.Compare(a.When); order != 0 {
-			return order
-		}
-		return strings.Compare(string(a.ID), string(b.ID))
+		return cmp.Or(b.When.Compare(a.When), cmp.Compare(b.Revision, a.Revision), strings.Compare(string(a.ID), string(b.ID)))
 	})
 	return events[:min(limit, len(events))], err
 }
--- a/peridotpath/fault.go
+++ b/peridotpath/fault.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// Merge returns the faults with those of more whose paths have none yet: a value
+// that couldn't be read needs no second fault for being absent.
+func (faults Faults) Merge(more Faults) Faults {
+	seen := map[string]bool{}
+	for _, fault := range faults {
+		seen[fault.Path] = true
+	}
+	for _, fault := range more {
+		if !seen[fault.Path] {
+			faults = append(faults, fault)
+		}
+	}
+	return faults
+}
+
 // Error lists the faults, one a line.
 func (faults Faults) Error() string {
 	lines := make([]string, 0, len(faults))
--- a/peridotpath/settings/settings.go
+++ b/peridotpath/settings/settings.go
@@ -96,22 +96,7 @@
 	settings := &Settings{}
 	faults := strictjson.Decode(text, settings, strictjson.Complete)
 	settings.Defaults()
-	return settings, merge(faults, settings.Validate())
-}
-
-// merge adds the faults of paths that have none yet: a value that couldn't be
-// read needs no second fault for being absent.
-func merge(faults, more peridotpath.Faults) peridotpath.Faults {
-	seen := map[string]bool{}
-	for _, fault := range faults {
-		seen[fault.Path] = true
-	}
-	for _, fault := range more {
-		if !seen[fault.Path] {
-			faults = append(faults, fault)
-		}
-	}
-	return faults
+	return settings, faults.Merge(settings.Validate())
 }
 
 // Defaults fills every optional field that was left zero.
