Grow the stand-ins: engines with memory, batching and faults

Cause: the first stand-in engine slept and counted to N; no failure and no limit of an engine could be shown on it. Change: a model of an engine with limited KV memory, batching, a prefix cache, streams that detach and resume, and faults that are switched on while it runs; plain services alike.

--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -26,6 +26,15 @@
 type Client struct {
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
+	// Do makes an HTTP call; nil stands for outbound.Do.
+	Do func(request *http.Request) (*http.Response, error)
+}
+
+func (client *Client) do(request *http.Request) (*http.Response, error) {
+	if client.Do != nil {
+		return client.Do(request)
+	}
+	return outbound.Do(request)
 }
 
 // Request is one prompt on its way to an engine.
@@ -60,7 +69,7 @@
 	// No Idempotency-Key goes to an engine: with it the transport would send a
 	// POST again by itself after an answer was lost, and run work twice without
 	// this system knowing.
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 func (client *Client) name(request *http.Request) {
@@ -116,7 +125,7 @@
 		return nil, ErrGone.Wrap(err)
 	}
 	client.name(request)
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 // Cancel ends a stream and frees its memory. With onlyDetached the engine does
@@ -157,7 +166,7 @@
 		return ErrUnreached.Wrap(err)
 	}
 	client.name(request)
-	got, err := answer(outbound.Do(request))
+	got, err := answer(client.do(request))
 	if err != nil {
 		return err
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -2,70 +2,58 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
-	"fmt"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/tidwall/gjson"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/engine/enginetest"
 )
 
-const engineUsage = `engine [-address IP:PORT] [-prefill-per-s N] [-decode-per-s N] [-kv-tokens N]
-  Plays a model engine.
+const engineUsage = `engine [-address IP:PORT] [-prefill-per-s N] [-decode-per-s N] [-kv-tokens N] ...
+  Plays a model engine. docs/STANDIN.md describes its HTTP form, its settings
+  and the faults that POST /faults switches on.
 `
 
 type engineCommand struct {
-	address  string
-	prefill  int64
-	decode   int64
-	kvTokens int64
+	address string
+	engine  enginetest.Engine
 }
 
 func (*engineCommand) Name() string     { return "engine" }
 func (*engineCommand) Synopsis() string { return "plays a model engine" }
 func (*engineCommand) Usage() string    { return engineUsage }
 
+// tokensFlag defines a flag in tokens.
+func tokensFlag(flags *flag.FlagSet, tokens *peridotpath.Tokens, name string, value int64, usage string) {
+	flags.Int64Var((*int64)(tokens), name, value, usage)
+}
+
 func (command *engineCommand) SetFlags(flags *flag.FlagSet) {
+	engine := &command.engine
 	flags.StringVar(&command.address, "address", "127.0.0.1:7100", "where to listen")
-	flags.Int64Var(&command.prefill, "prefill-per-s", 100_000, "prompt tokens processed in a second")
-	flags.Int64Var(&command.decode, "decode-per-s", 50, "answer tokens in a second")
-	flags.Int64Var(&command.kvTokens, "kv-tokens", 400_000, "KV memory in tokens")
+	flags.StringVar(&engine.Name, "name", "engine", "part of the stream ids")
+	tokensFlag(flags, &engine.PrefillPerS, "prefill-per-s", 100_000, "prompt tokens processed in a second")
+	tokensFlag(flags, &engine.DecodePerS, "decode-per-s", 50, "answer tokens that one stream gets in a second")
+	tokensFlag(flags, &engine.KVTokens, "kv-tokens", 400_000, "KV memory in tokens")
+	flags.IntVar(&engine.Batch, "batch", 32, "streams that decode at full rate")
+	flags.IntVar(&engine.MaxWaiting, "max-waiting", 256, "prompts that may wait for their prefill")
+	flags.DurationVar(&engine.LoadLag, "load-lag", 200*time.Millisecond, "age of a load report, at least")
+	flags.DurationVar(&engine.CacheEventLag, "cache-event-lag", 500*time.Millisecond, "delay of cache events")
+	flags.Float64Var(&engine.CacheEventLoss, "cache-event-loss", 0.01, "part of the cache events that get lost")
+	flags.BoolVar(&engine.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	flags.DurationVar(&engine.WeightLoad, "weight-load", 2*time.Second, "time to load other weights")
+	flags.DurationVar(&engine.DetachedHold, "detached-hold", 0, "keep a stream without a reader for so long; 0: until it is cancelled")
+	flags.Uint64Var(&engine.RandomSeed, "seed", 1, "seed of what is random")
 }
 
 func (command *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+engine.PathCompletions, command.complete)
-	mux.HandleFunc("POST "+engine.PathChatCompletions, command.complete)
-	mux.HandleFunc("GET "+engine.PathLoad, command.load)
-	return serve(ctx, command.Name(), command.address, mux)
-}
-
-func (command *engineCommand) load(writer http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(writer).Encode(peridotpath.Load{
-		KVTokens:    peridotpath.Tokens(command.kvTokens),
-		PrefillPerS: peridotpath.Tokens(command.prefill),
-		DecodePerS:  peridotpath.Tokens(command.decode),
-	})
-}
-
-func (command *engineCommand) complete(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return
-	}
-	output := max(gjson.GetBytes(body, "max_tokens").Int(), 1)
-	time.Sleep(time.Duration(len(body)/4) * time.Second / time.Duration(command.prefill))
-	writer.Header().Set("Content-Type", "text/event-stream")
-	for i := range output {
-		fmt.Fprintf(writer, "id: %d\ndata: {\"choices\":[{\"index\":0,\"text\":\"t%d \",\"delta\":{\"content\":\"t%d \"}}]}\n\n", i, i, i)
-		_ = http.NewResponseController(writer).Flush()
-		time.Sleep(time.Second / time.Duration(command.decode))
-	}
-	fmt.Fprintf(writer, "id: %d\ndata: [DONE]\n\n", output)
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- command.engine.Run(ctx) }()
+	status := serve(ctx, command.Name(), command.address, command.engine.Handler())
+	cancel()
+	<-ended
+	return status
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&engineCommand{}, "")
+	subcommands.Register(&serviceCommand{}, "")
 	subcommands.Register(&keyValueCommand{}, "")
 	subcommands.Register(&membersCommand{}, "")
 	flag.Parse()
