engine: tell a refusal from an unknown outcome again

Cause: refusal() copied the errs class that it picked. errs compares classes by address, so the copy matched none of ErrRefused, ErrGone, ErrBadRequest or ErrFailed: an engine's "not run" passed for "may have run", work that is not idempotent ended as outcome_unknown, and idempotent work was never marked as refused. A bad request of the caller was retried as an engine's failure.

Change: the class is kept by its address. Client.Do is a seam for tests.

Before the change TestSendSortsFailures failed 9 of its 11 rows, among them "refused_while_draining: false != true // the class of the failure"; with it all pass.

--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -93,15 +93,17 @@
 	return nil, refusal(response, string(text))
 }
 
+// refusal sorts a status into a class. errs compares classes by their address,
+// so a copy of one would match nothing and pass for unknown.
 func refusal(response *http.Response, text string) error {
-	class := ErrFailed
+	class := &ErrFailed
 	switch {
 	case response.Header.Get(HeaderNotRun) != "":
-		class = ErrRefused
+		class = &ErrRefused
 	case response.StatusCode == http.StatusGone || response.StatusCode == http.StatusNotFound:
-		class = ErrGone
+		class = &ErrGone
 	case response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusUnprocessableEntity:
-		class = ErrBadRequest
+		class = &ErrBadRequest
 	}
 	return class.New("status %d: %s", response.StatusCode, text)
 }
--- /dev/null
+++ b/peridotpath/engine/client_test.go
@@ -0,0 +1,60 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath/engine"
+)
+
+// A saved correction meets an engine that drains. The engine refuses it before
+// it begins, but the volunteer reads "the request may have run and will not be
+// run again" and does not dare to save it anew: the refusal was not recognised.
+func TestSendSortsFailures(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	tests := []struct {
+		name   string
+		status int
+		notRun string
+		err    error
+		want   *errs.Class
+	}{
+		{"refused while draining", 503, "true", nil, &engine.ErrRefused},
+		{"refused when full", 429, "true", nil, &engine.ErrRefused},
+		{"503 that says nothing", 503, "", nil, &engine.ErrFailed},
+		{"500", 500, "", nil, &engine.ErrFailed},
+		{"bad request", 400, "", nil, &engine.ErrBadRequest},
+		{"not understood", 422, "", nil, &engine.ErrBadRequest},
+		{"gone", 410, "", nil, &engine.ErrGone},
+		{"not found", 404, "", nil, &engine.ErrGone},
+		{"redirect", 302, "", nil, &engine.ErrFailed},
+		{"no connection", 0, "", refused, &engine.ErrUnreached},
+		{"connection lost", 0, "", io.ErrUnexpectedEOF, &engine.ErrFailed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			client := &engine.Client{Do: func(*http.Request) (*http.Response, error) {
+				header := http.Header{}
+				header.Set(engine.HeaderNotRun, test.notRun)
+				return &http.Response{StatusCode: test.status, Header: header, Body: io.NopCloser(strings.NewReader("why"))}, test.err
+			}}
+			work := &engine.Request{ID: "r1", Path: engine.PathCompletions, Deadline: time.Now()}
+			_, err := client.Send(context.Background(), netip.MustParseAddrPort("127.0.0.1:1"), work)
+			classes := []*errs.Class{&engine.ErrUnreached, &engine.ErrRefused, &engine.ErrBadRequest, &engine.ErrFailed, &engine.ErrGone}
+			for _, class := range classes {
+				is.Equal(class.Has(err), class == test.want) // the class of the failure
+			}
+		})
+	}
+}
