--- a/peridotpath/engine/enginetest/cache.go
+++ b/peridotpath/engine/enginetest/cache.go
@@ -19,34 +19,48 @@
 	maxCacheEvents = 100_000
 )
 
-// cache keeps the blocks of prompts that were processed, in memory that no
-// stream needs. The least recently used blocks leave first, and of one prompt
-// the last block before the first.
+// cache keeps the blocks of prompts that were processed. Streams share and pin
+// the blocks of their prompts; the rest leaves, the least recently used first
+// and of one prompt the last block before the first, when memory is wanted.
 type cache struct {
-	blocks map[uint64]*list.Element
-	recent *list.List
+	blocks map[uint64]*block
+	// idle lists the blocks that no stream pins, most recently used first.
+	idle   *list.List
 	events []cacheEvent
 	last   uint64
 	random *rand.Rand
 	loss   float64
 }
 
+// block is one block of a prompt, named by the hash of the prompt up to its end.
+type block struct {
+	sum  uint64
+	pins int
+	// place is the block's place in idle; nil while it is pinned.
+	place *list.Element
+}
+
 type cacheEvent struct {
 	engine.CacheEvent
 	at time.Time
 }
 
 func (cache *cache) open(seed uint64, loss float64) {
-	cache.blocks = map[uint64]*list.Element{}
-	cache.recent = list.New()
+	cache.blocks = map[uint64]*block{}
+	cache.idle = list.New()
 	cache.random = rand.New(rand.NewPCG(seed, seed))
 	cache.loss = loss
 }
 
+// tokens returns the memory of all blocks, pinned that of those that can't leave.
 func (cache *cache) tokens() peridotpath.Tokens {
 	return peridotpath.Tokens(len(cache.blocks) * blockTokens)
 }
 
+func (cache *cache) pinned() peridotpath.Tokens {
+	return cache.tokens() - peridotpath.Tokens(cache.idle.Len()*blockTokens)
+}
+
 // prefixes returns the hash of the text up to the end of each whole block.
 func prefixes(text string) []uint64 {
 	hash := xxhash.New()
@@ -58,40 +72,57 @@
 	return sums
 }
 
-// match returns how many tokens of the prompt's beginning are held, and marks
-// them as used.
-func (cache *cache) match(sums []uint64) peridotpath.Tokens {
+// match returns how many blocks of the prompt's beginning are held.
+func (cache *cache) match(sums []uint64) int {
 	held := 0
 	for held < len(sums) && cache.blocks[sums[held]] != nil {
 		held++
 	}
-	for i := held - 1; i >= 0; i-- {
-		cache.recent.MoveToFront(cache.blocks[sums[i]])
+	return held
+}
+
+// pin keeps blocks, which are all held, from leaving.
+func (cache *cache) pin(sums []uint64) {
+	for _, sum := range sums {
+		block := cache.blocks[sum]
+		block.pins++
+		if block.place != nil {
+			cache.idle.Remove(block.place)
+			block.place = nil
+		}
+	}
+}
+
+// unpin gives up what pin kept.
+func (cache *cache) unpin(sums []uint64) {
+	for i := len(sums) - 1; i >= 0; i-- {
+		block := cache.blocks[sums[i]]
+		block.pins--
+		if block.pins == 0 {
+			block.place = cache.idle.PushFront(block)
+		}
 	}
-	return peridotpath.Tokens(held * blockTokens)
 }
 
-// store keeps the prompt's blocks, as many as room allows.
-func (cache *cache) store(sums []uint64, room peridotpath.Tokens, now time.Time) {
-	sums = sums[:min(len(sums), int(max(room, 0)/blockTokens))]
+// add takes the blocks in that are not held, without a pin.
+func (cache *cache) add(sums []uint64, now time.Time) {
 	for i := len(sums) - 1; i >= 0; i-- {
-		if element := cache.blocks[sums[i]]; element != nil {
-			cache.recent.MoveToFront(element)
+		if cache.blocks[sums[i]] != nil {
 			continue
 		}
-		cache.blocks[sums[i]] = cache.recent.PushFront(sums[i])
-		cache.note(engine.CacheEvent{Prefix: sums[i], Tokens: peridotpath.Tokens((i + 1) * blockTokens)}, now)
+		added := &block{sum: sums[i]}
+		added.place = cache.idle.PushFront(added)
+		cache.blocks[added.sum] = added
+		cache.note(engine.CacheEvent{Prefix: added.sum, Tokens: peridotpath.Tokens((i + 1) * blockTokens)}, now)
 	}
-	cache.shrink(room, now)
 }
 
-// shrink evicts until the cache takes no more than room.
+// shrink evicts until the cache takes no more than room, or only what is pinned.
 func (cache *cache) shrink(room peridotpath.Tokens, now time.Time) {
-	for len(cache.blocks) > 0 && cache.tokens() > room {
-		oldest := cache.recent.Back()
-		sum, _ := cache.recent.Remove(oldest).(uint64)
-		delete(cache.blocks, sum)
-		cache.note(engine.CacheEvent{Prefix: sum, Evicted: true}, now)
+	for cache.idle.Len() > 0 && cache.tokens() > room {
+		oldest, _ := cache.idle.Remove(cache.idle.Back()).(*block)
+		delete(cache.blocks, oldest.sum)
+		cache.note(engine.CacheEvent{Prefix: oldest.sum, Evicted: true}, now)
 	}
 }
 
--- a/peridotpath/engine/enginetest/engine.go
+++ b/peridotpath/engine/enginetest/engine.go
@@ -69,7 +69,8 @@
 	// order lists the streams that hold memory, oldest first.
 	order []*stream
 	// done lists the streams that were read to their end, oldest first.
-	done   []*stream
+	done []*stream
+	// used is the memory that streams have for themselves; the cache has the rest.
 	used   peridotpath.Tokens
 	cache  cache
 	orders orders
@@ -147,18 +148,20 @@
 	defer engine.mu.Unlock()
 	now := time.Now()
 	engine.forget(now)
-	need := prompt.tokens + prompt.output
-	if err := engine.mayAdmit(need, now); err != nil {
+	sums := prefixes(prompt.text)
+	shared := engine.cache.match(sums)
+	need := prompt.tokens + prompt.output - peridotpath.Tokens(shared*blockTokens)
+	if err := engine.mayAdmit(need, sums[:shared], now); err != nil {
 		engine.count(request.id, func(count *count) { count.Refused++ })
 		return nil, err
 	}
 	engine.nextID++
-	sums := prefixes(prompt.text)
 	admitted := &stream{
 		engine: engine, id: engine.Name + "-" + strconv.FormatUint(engine.nextID, 10), sender: *request,
-		prompt: prompt, seed: seed, sums: sums, held: need, attached: 1, changed: make(chan struct{}),
+		prompt: prompt, seed: seed, sums: sums, pins: shared, held: need, attached: 1, changed: make(chan struct{}),
 	}
-	admitted.prefillLeft = float64(max(prompt.tokens-engine.cache.match(sums), 1))
+	admitted.prefillLeft = float64(max(need-prompt.output, 1))
+	engine.cache.pin(sums[:shared])
 	engine.used += need
 	engine.cache.shrink(engine.KVTokens-engine.used, now)
 	if len(engine.order) == 0 {
@@ -171,12 +174,18 @@
 	return admitted, nil
 }
 
-func (engine *Engine) mayAdmit(need peridotpath.Tokens, now time.Time) error {
+func (engine *Engine) mayAdmit(need peridotpath.Tokens, shared []uint64, now time.Time) error {
 	if err := engine.orders.mayServe(now); err != nil {
 		return err
 	}
-	if need > engine.KVTokens-engine.used {
-		return errNoMemory.New("%d tokens wanted, %d of %d free", need, engine.KVTokens-engine.used, engine.KVTokens)
+	free := engine.KVTokens - engine.used - engine.cache.pinned()
+	for _, sum := range shared {
+		if engine.cache.blocks[sum].pins == 0 {
+			free -= blockTokens
+		}
+	}
+	if need > free {
+		return errNoMemory.New("%d tokens wanted, %d of %d free", need, free, engine.KVTokens)
 	}
 	if waiting, _ := engine.waiting(); waiting >= engine.MaxWaiting {
 		return errBusy.New("%d prompts wait", waiting)
@@ -239,6 +248,7 @@
 		stream.prefillLeft -= spent
 		budget -= spent
 		if stream.prefillLeft <= 0 {
+			stream.share(engine.last)
 			stream.produce(1)
 		}
 	}
@@ -304,7 +314,7 @@
 	return peridotpath.Load{
 		AsOf: now, Running: len(engine.order) - waiting, Waiting: waiting,
 		PrefillTokens: peridotpath.Tokens(math.Ceil(ahead)),
-		KVUsed:        engine.used, KVTokens: engine.KVTokens,
+		KVUsed:        engine.used + engine.cache.pinned(), KVTokens: engine.KVTokens,
 		PrefillPerS: engine.PrefillPerS, DecodePerS: engine.DecodePerS,
 		Revision: engine.reportRevision,
 	}
--- a/peridotpath/engine/enginetest/serve.go
+++ b/peridotpath/engine/enginetest/serve.go
@@ -256,12 +256,11 @@
 	engine.showOrders(writer, request)
 }
 
-// exportKV gives the part of a prefix that is cached.
+// exportKV gives the blocks of a stream's prompt.
 func (engine *Engine) exportKV(writer http.ResponseWriter, request *http.Request) {
-	stream := request.URL.Query().Get("stream")
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	found := engine.streams[stream]
+	found := engine.streams[request.URL.Query().Get("stream")]
 	if found == nil || found.prefillLeft > 0 {
 		http.Error(writer, "no such stream, or its prompt is not processed yet", http.StatusNotFound)
 		return
@@ -278,6 +277,8 @@
 	}
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	engine.cache.store(kv.Prefixes, engine.KVTokens-engine.used, time.Now())
-	reply(writer, wire.KV{Tokens: engine.cache.match(kv.Prefixes)})
+	now, room := time.Now(), engine.KVTokens-engine.used
+	engine.cache.add(kv.Prefixes[:min(len(kv.Prefixes), int(room/blockTokens))], now)
+	engine.cache.shrink(room, now)
+	reply(writer, wire.KV{Tokens: peridotpath.Tokens(engine.cache.match(kv.Prefixes) * blockTokens)})
 }
--- a/peridotpath/engine/enginetest/stream.go
+++ b/peridotpath/engine/enginetest/stream.go
@@ -34,7 +34,9 @@
 	prompt *prompt
 	seed   uint64
 	sums   []uint64
-	// held is the KV memory that it has.
+	// pins is how many of the blocks in sums it shares with others, and held the
+	// KV memory that it has for itself.
+	pins        int
 	held        peridotpath.Tokens
 	prefillLeft float64
 	produced    float64
@@ -78,36 +80,45 @@
 func (stream *stream) settle(now time.Time) {
 	hold := stream.engine.DetachedHold
 	if hold > 0 && stream.attached == 0 && now.Sub(stream.detachedAt) >= hold {
-		stream.cancel(now)
+		stream.cancel()
 	}
 	if stream.finished && !stream.readAt.IsZero() {
-		stream.free(now)
+		stream.free()
 	}
 }
 
-// free gives the memory back and keeps the prompt in the cache.
-func (stream *stream) free(now time.Time) {
+// share puts the blocks of a prompt that is now processed into the cache, where
+// other prompts find them.
+func (stream *stream) share(now time.Time) {
+	engine, private := stream.engine, stream.sums[stream.pins:]
+	moved := peridotpath.Tokens(len(private) * blockTokens)
+	stream.held -= moved
+	engine.used -= moved
+	engine.cache.add(private, now)
+	engine.cache.pin(private)
+	stream.pins = len(stream.sums)
+}
+
+// free gives the memory back; the prompt's blocks stay until others need it.
+func (stream *stream) free() {
 	engine := stream.engine
-	if stream.held == 0 {
+	at := slices.Index(engine.order, stream)
+	if at < 0 {
 		return
 	}
+	engine.order = slices.Delete(engine.order, at, at+1)
 	engine.used -= stream.held
-	stream.held = 0
-	if at := slices.Index(engine.order, stream); at >= 0 {
-		engine.order = slices.Delete(engine.order, at, at+1)
-	}
-	if stream.prefillLeft <= 0 {
-		engine.cache.store(stream.sums, engine.KVTokens-engine.used, now)
-	}
+	engine.cache.unpin(stream.sums[:stream.pins])
+	stream.held, stream.pins = 0, 0
 }
 
 // cancel ends the stream; nothing of it can be read afterwards.
-func (stream *stream) cancel(now time.Time) {
+func (stream *stream) cancel() {
 	if !stream.finished && !stream.cancelled {
 		stream.engine.count(stream.sender.id, func(count *count) { count.Cancelled++ })
 	}
 	stream.cancelled = true
-	stream.free(now)
+	stream.free()
 	delete(stream.engine.streams, stream.id)
 	stream.wake()
 }
@@ -139,7 +150,7 @@
 		stream.engine.done = append(stream.engine.done, stream)
 	}
 	stream.readAt = now
-	stream.free(now)
+	stream.free()
 }
 
 // detach notes that a reader left.
@@ -174,7 +185,7 @@
 		return false
 	}
 	if !onlyDetached || stream.attached == 0 {
-		stream.cancel(time.Now())
+		stream.cancel()
 	}
 	return true
 }
@@ -188,7 +199,7 @@
 	for _, stream := range engine.order {
 		info := wire.StreamInfo{
 			ID: stream.id, RequestID: peridotpath.RequestID(stream.sender.id), Instance: stream.sender.instance,
-			Incarnation: stream.sender.incarnation, KVTokens: stream.held,
+			Incarnation: stream.sender.incarnation, KVTokens: stream.held + peridotpath.Tokens(stream.pins*blockTokens),
 		}
 		if stream.attached == 0 {
 			info.DetachedMS = peridotpath.Millis(max(now.Sub(stream.detachedAt).Milliseconds(), 1))
