enginetest: errors of the in-process network bear outbound's classes

Cause: outbound now tells what was never sent from what was lost, and the engine's client reads those classes; the in-process network still gave plain errors, so a host that was gone passed for work that may have run. Change: the network and the client's test use outbound's classes.

--- a/peridotpath/engine/client_test.go
+++ b/peridotpath/engine/client_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -15,13 +13,14 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/outbound"
 )
 
 // A saved correction meets an engine that drains. The engine refuses it before
 // it begins, but the volunteer reads "the request may have run and will not be
 // run again" and does not dare to save it anew: the refusal was not recognised.
 func TestSendSortsFailures(t *testing.T) {
-	refused := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	refused := outbound.ErrNotSent.New("dial")
 	tests := []struct {
 		name   string
 		status int
--- a/peridotpath/engine/enginetest/engine_test.go
+++ b/peridotpath/engine/enginetest/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -32,6 +33,7 @@
 func with(t *testing.T, fake *enginetest.Engine, test func(is *is.I, bench *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		network := &enginetest.Network{}
 		network.Serve(address.String(), fake.Handler())
@@ -40,9 +42,9 @@
 		defer func() {
 			network.Close()
 			cancel()
-			_ = <-ended
+			is.True(errors.Is(<-ended, context.Canceled))
 		}()
-		test(is.New(t), &bench{fake, &engine.Client{Instance: "a", Do: network.Do}, network})
+		test(is, &bench{fake, &engine.Client{Instance: "a", Do: network.Do}, network})
 	})
 }
 
--- a/peridotpath/engine/enginetest/network.go
+++ b/peridotpath/engine/enginetest/network.go
@@ -4,9 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
+
+	"peridotpath.example/peridotpath/outbound"
 )
 
 // Network carries HTTP calls to handlers in the same process, without sockets,
@@ -31,7 +32,7 @@
 }
 
 // Serve has handler answer calls to address; nil takes the host away, and calls
-// to it then fail as a connection that is never made.
+// to it then fail as a connection that is never made. Errors are of outbound's classes.
 func (network *Network) Serve(address string, handler http.Handler) {
 	network.mu.Lock()
 	defer network.mu.Unlock()
@@ -50,7 +51,7 @@
 	network.mu.Unlock()
 	if handler == nil {
 		cancel()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+		return nil, outbound.ErrNotSent.New("connection refused")
 	}
 	reader, writer := io.Pipe()
 	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
@@ -69,11 +70,11 @@
 	case <-exchange.begun:
 	case <-ctx.Done():
 		cancel()
-		return nil, ctx.Err()
+		return nil, outbound.ErrLost.Wrap(ctx.Err())
 	}
 	if exchange.broken != nil {
 		cancel()
-		return nil, exchange.broken
+		return nil, outbound.ErrLost.Wrap(exchange.broken)
 	}
 	return exchange.response, nil
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
+	"fmt"
+	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -54,6 +57,8 @@
 	go func() { ended <- command.engine.Run(ctx) }()
 	status := serve(ctx, command.Name(), command.address, command.engine.Handler())
 	cancel()
-	<-ended
+	if err := <-ended; !errors.Is(err, context.Canceled) {
+		fmt.Fprintf(os.Stderr, "standin engine: %v\n", err)
+	}
 	return status
 }
