standin: a load tool that plays callers and audits the system

Cause: nothing sent a mixed load at several instances or compared what callers were told with what endpoints ran. Change: 'standin load' draws a seeded plan, balances over ready instances, retries refusals by Retry-After, resumes streams at another instance by Last-Event-ID, repeats keyed calls whose answer was lost, checks each answer against the one that its own prompt must give, and asks the endpoints for their counts. It prints time to first token by length class, refusals by reason, and lost, twice and cut off; anything but zero ends it with 1.

--- /dev/null
+++ b/standin/load/run.go
@@ -0,0 +1,65 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Run sends the plan and returns the report. Progress, if not nil, gets a line
+// when the arrivals begin and end.
+func Run(ctx context.Context, plan *Plan, target *Target, progress io.Writer) (*Report, error) {
+	balancer := newBalancer(target.Instances)
+	if err := balancer.awaitReady(ctx, len(target.Instances)); err != nil {
+		return nil, err
+	}
+	probing, stop := context.WithCancel(ctx)
+	probed := make(chan struct{})
+	go func() {
+		defer close(probed)
+		balancer.run(probing)
+	}()
+	endings := send(ctx, balancer, requests(plan), progress)
+	stop()
+	<-probed
+	counted, err := counts(ctx, target.Endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return newReport(endings, auditOf(endings, counted)), nil
+}
+
+// send sends each request at its time and waits for all.
+func send(ctx context.Context, balancer *balancer, all []*request, progress io.Writer) []*ending {
+	began := time.Now()
+	endings := make([]*ending, len(all))
+	var group errgroup.Group
+	note(progress, "event=sending requests=%d seconds=%.0f\n", len(all), all[len(all)-1].at.Seconds())
+	for i, request := range all {
+		if !pause(ctx, time.Until(began.Add(request.at))) {
+			break
+		}
+		group.Go(func() error {
+			endings[i] = do(ctx, balancer, request)
+			return nil
+		})
+	}
+	note(progress, "event=sent\n")
+	_ = group.Wait()
+	sent := endings[:0]
+	for _, ending := range endings {
+		if ending != nil {
+			sent = append(sent, ending)
+		}
+	}
+	return sent
+}
+
+func note(progress io.Writer, format string, args ...any) {
+	if progress != nil {
+		fmt.Fprintf(progress, format, args...)
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&serviceCommand{}, "")
 	subcommands.Register(&keyValueCommand{}, "")
 	subcommands.Register(&membersCommand{}, "")
+	subcommands.Register(&loadCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
