caller: read a body in one pass, and let go of it at the first token

Cause: a profile of 4 MiB prompts showed six passes over the body and a copy of it; and net/http keeps a request's body until its answer is read, so a prompt of a million tokens held 4 to 6 MB for minutes. Change: one pass without a copy; a body that can be dropped while its request runs, and its share of the memory for bodies given back.

--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -4,8 +4,11 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 	"unicode/utf8"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
@@ -14,6 +17,7 @@
 	"peridotpath.example/peridotpath/cursor"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
+	"peridotpath.example/peridotpath/engine"
 )
 
 // bytesPerToken is the estimate of a prompt's length from its bytes.
@@ -28,51 +32,90 @@
 	if result != nil {
 		return result
 	}
+	free = sync.OnceFunc(free)
 	defer free()
 	request, result := server.classify(exchange, body)
 	if result != nil {
 		return result
 	}
 	exchange.work = request.Work
+	request.Free = free
 	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
 		request.MaySend = maySend
 		return server.Do(ctx, request, server.sink(exchange, request.Work))
 	})
 }
 
+// fields are the parts of a body that this system reads; the rest passes by.
+type fields struct {
+	model  string
+	stream bool
+	output peridotpath.Tokens
+	// prompt is the raw text of the prompt or the messages, part of the body.
+	prompt string
+}
+
+// parse reads a body in one pass without copying it. A prompt of a million
+// tokens is 4 to 6 MB: each further pass or copy adds milliseconds to its
+// first token and to those of the requests beside it.
+func parse(body []byte) (fields, bool) {
+	var fields fields
+	if !utf8.Valid(body) || !gjson.ValidBytes(body) {
+		return fields, false
+	}
+	// The string shares the body's memory, which nothing writes to any more.
+	object := gjson.Parse(unsafe.String(unsafe.SliceData(body), len(body)))
+	if !object.IsObject() {
+		return fields, false
+	}
+	object.ForEach(func(name, value gjson.Result) bool {
+		switch name.Str {
+		case "model":
+			fields.model = strings.Clone(value.String())
+		case "stream":
+			fields.stream = value.Bool()
+		case "max_tokens", "max_completion_tokens":
+			fields.output = max(fields.output, peridotpath.Tokens(value.Int()))
+		case "prompt", "messages":
+			fields.prompt = value.Raw
+		}
+		return true
+	})
+	return fields, true
+}
+
 // classify turns a body into a request: profile, length, deadline.
 func (server *Server) classify(exchange *exchange, body []byte) (*dispatch.Request, *peridotpath.Result) {
-	if !utf8.Valid(body) || !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+	fields, ok := parse(body)
+	if !ok {
 		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "the body is not a JSON object in UTF-8"}
 	}
-	fields := gjson.GetManyBytes(body, "model", "stream", "max_tokens", "max_completion_tokens", "prompt", "messages")
-	profile, result := exchange.profile(fields[0].String())
+	profile, result := exchange.profile(fields.model)
 	if result != nil {
 		return nil, result
 	}
-	if fields[4].Raw == "" && fields[5].Raw == "" {
+	if fields.prompt == "" {
 		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "neither prompt nor messages"}
 	}
 	deadline, result := exchange.deadline(profile)
 	if result != nil {
 		return nil, result
 	}
-	text := fields[4].Raw + fields[5].Raw
-	prompt := peridotpath.Tokens(len(text)/bytesPerToken + 1)
+	prompt := peridotpath.Tokens(len(fields.prompt)/bytesPerToken + 1)
 	if prompt > profile.MaxPromptTokens {
 		return nil, &peridotpath.Result{Code: peridotpath.CodePromptTooLong, Detail: "about " + strconv.Itoa(int(prompt)) + " tokens"}
 	}
-	output := peridotpath.Tokens(max(fields[2].Int(), fields[3].Int()))
+	output := fields.output
 	if output <= 0 || output > profile.MaxOutputTokens {
 		output = profile.MaxOutputTokens
 	}
 	work := &decide.Work{
 		ID: exchange.id, Customer: exchange.customer, Profile: profile,
 		Class:  peridotpath.ClassOf(prompt+output, server.EngineHolds(profile.Service)),
-		Prompt: prompt, Output: output, Prefixes: prefixes(text),
+		Prompt: prompt, Output: output, Prefixes: prefixes(fields.prompt),
 		Arrived: exchange.arrived, Deadline: deadline,
 	}
-	return &dispatch.Request{Work: work, Path: exchange.request.URL.Path, Body: body, Stream: fields[1].Bool()}, nil
+	return &dispatch.Request{Work: work, Path: exchange.request.URL.Path, Body: engine.NewBody(body), Stream: fields.stream}, nil
 }
 
 // profile picks by header, else by the model's name.
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -70,6 +70,14 @@
 	}
 }
 
+// letGo gives the body's memory back.
+func (request *Request) letGo() {
+	request.Body.Drop()
+	if request.Free != nil {
+		request.Free()
+	}
+}
+
 // forbidden returns an attempt that was not made, if maySend forbids it.
 func forbidden(maySend func() error) attempt {
 	if maySend == nil {
@@ -126,7 +134,7 @@
 	}
 	defer answer.Body.Close()
 	if request.Stream {
-		return dispatcher.relay(ctx, work, endpoint, answer, sink)
+		return dispatcher.relay(ctx, request, endpoint, answer, sink)
 	}
 	return dispatcher.whole(ctx, work, endpoint, answer, sink)
 }
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -23,7 +23,10 @@
 	Work *decide.Work
 	// Path is the engine's path that the caller asked for.
 	Path string
-	Body []byte
+	// Body is let go of once content has come: nothing is sent again after that.
+	Body *engine.Body
+	// Free, when set, is called when Body has been let go of.
+	Free func()
 	// Stream says that the caller wants the answer as events.
 	Stream bool
 	// MaySend, when set, is asked right before each sending; an error, best a
--- a/peridotpath/dispatch/dispatch_test.go
+++ b/peridotpath/dispatch/dispatch_test.go
@@ -214,3 +214,30 @@
 		})
 	}
 }
+
+// TestBodyIsLetGoOfAtTheFirstToken: forty callers with prompts of a million
+// tokens read their answers for minutes. Held until the end, their bodies used
+// up the memory for bodies, and every other caller was refused with body_memory.
+func TestBodyIsLetGoOfAtTheFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := newFixture()
+		fixture.send = func(_ int, ctx context.Context) (*engine.Answer, error) {
+			return hanging(ctx, events(0, 0, false)), nil
+		}
+		defer fixture.run(t)()
+		request := request(true)
+		freed := 0
+		request.Free = func() { freed++ }
+		received := &received{}
+		sink := received.sink()
+		sink.Event = func(int64, []byte) error {
+			is.Equal(freed, 1)
+			is.Equal(request.Body.Len(), 0)
+			return nil
+		}
+		result := fixture.Do(t.Context(), request, sink)
+		is.Equal(result.Code, peridotpath.CodeDeadline)
+		is.Equal(freed, 1)
+	})
+}
--- a/peridotpath/dispatch/fixture_test.go
+++ b/peridotpath/dispatch/fixture_test.go
@@ -96,7 +96,7 @@
 	customer.Defaults()
 	now := time.Now()
 	return &dispatch.Request{
-		Stream: true, Path: engine.PathCompletions, Body: []byte(`{"prompt":"x"}`),
+		Stream: true, Path: engine.PathCompletions, Body: engine.NewBody([]byte(`{"prompt":"x"}`)),
 		Work: &decide.Work{
 			ID: "r1", Customer: customer, Profile: profile, Prompt: 1000, Output: 10,
 			Arrived: now, Deadline: now.Add(deadline),
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -25,6 +25,8 @@
 	endpoint   peridotpath.Endpoint
 	id         string
 	sink       *Sink
+	// begun is called when the first content has come.
+	begun func()
 
 	// next is the offset that the next event must have; a resumed stream
 	// repeats nothing and skips nothing.
@@ -39,8 +41,11 @@
 const maxHeld = 16
 
 // relay passes a stream on until its end, resuming it where it breaks off.
-func (dispatcher *Dispatcher) relay(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
-	stream := &stream{dispatcher: dispatcher, work: work, endpoint: endpoint, id: answer.StreamID, sink: sink}
+func (dispatcher *Dispatcher) relay(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
+	stream := &stream{
+		dispatcher: dispatcher, work: request.Work, endpoint: endpoint, id: answer.StreamID,
+		sink: sink, begun: request.letGo,
+	}
 	return stream.run(ctx, answer)
 }
 
@@ -129,6 +134,7 @@
 		return nil
 	}
 	stream.started = true
+	stream.begun()
 	stream.dispatcher.firstToken(stream.work)
 	stream.sink.Start(nil, stream.endpoint.ID, stream.id)
 	first := stream.next - int64(len(stream.held))
--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -37,9 +36,10 @@
 
 // Request is one prompt on its way to an engine.
 type Request struct {
-	ID       peridotpath.RequestID
-	Path     string
-	Body     []byte
+	ID   peridotpath.RequestID
+	Path string
+	// Body may be nil for none.
+	Body     *Body
 	Priority int
 	Deadline time.Time
 }
@@ -55,10 +55,13 @@
 // Send posts the prompt and returns when the engine's headers are in. The
 // error's class tells whether the work may have run.
 func (client *Client) Send(ctx context.Context, address netip.AddrPort, work *Request) (*Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+work.Path, bytes.NewReader(work.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+work.Path, nil)
 	if err != nil {
 		return nil, ErrUnreached.Wrap(err)
 	}
+	if work.Body != nil {
+		work.Body.attach(request)
+	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderRequestID, string(work.ID))
 	request.Header.Set(HeaderPriority, strconv.Itoa(work.Priority))
--- a/peridotpath/engine/enginetest/engine_test.go
+++ b/peridotpath/engine/enginetest/engine_test.go
@@ -59,7 +59,7 @@
 
 func (bench *bench) send(ctx context.Context, id string, body []byte, priority int) (*engine.Answer, error) {
 	return bench.client.Send(ctx, address, &engine.Request{
-		ID: peridotpath.RequestID(id), Path: engine.PathCompletions, Body: body, Priority: priority, Deadline: time.Now().Add(time.Hour),
+		ID: peridotpath.RequestID(id), Path: engine.PathCompletions, Body: engine.NewBody(body), Priority: priority, Deadline: time.Now().Add(time.Hour),
 	})
 }
 
--- a/peridotpath/engine/events.go
+++ b/peridotpath/engine/events.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	eventBuffer = 16 << 10
+	// eventBuffer holds several ordinary events; there is one for each stream.
+	eventBuffer = 4 << 10
 	// maxEvent bounds one event, so that an endpoint that never ends a line
 	// costs bounded memory.
 	maxEvent = 1 << 20
