make demo and make up: a small fleet under load

Cause: nothing showed the whole path as separate processes while instances die and are replaced. Not shown yet: keyed calls repeated after a lost answer (repeat_keyed is off until the claim ledger is joined), and the million-token prompt being served.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
 
-.PHONY: help build test lint format unit tools fuzz bench generate
+.PHONY: demo up help build test lint format unit tools fuzz bench generate
 
 help: ## lists the targets
 	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -33,3 +33,9 @@
 
 generate: ## writes the code of the .proto files anew (needs buf, protoc-gen-go, protoc-gen-twirp)
 	@PATH="$(GOBIN):$$PATH" buf generate
+
+demo: build ## runs a small fleet under load, kills one instance, stops another, prints the figures
+	@scripts/demo.sh
+
+up: build ## runs the demo's fleet in the foreground, for any client
+	@scripts/up.sh
--- a/standin/key_value.go
+++ b/standin/key_value.go
@@ -9,16 +9,20 @@
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
 	"github.com/zeebo/errs"
 
+	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/faults"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
-const keyValueUsage = `key-value [-address IP:PORT] [-seed FILE]
+const keyValueUsage = `key-value [-address IP:PORT] [-seed FILE] [-config FILE]
   Plays the platform's key-value service, in memory. FILE is a JSON object: each
-  key is written with its value, as JSON, before the service listens.
+  key is written with its value, as JSON, before the service listens. The config
+  file has lists of profiles and customers, which are written as an operator would.
   POST /faults switches on outage, slow, or close (a write takes effect and its
   answer is lost); DELETE /faults switches all off. GET /calls counts the calls.
 `
@@ -26,6 +30,7 @@
 type keyValueCommand struct {
 	address string
 	seed    string
+	config  string
 	faults  faults.Faults
 }
 
@@ -36,6 +41,7 @@
 func (command *keyValueCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&command.address, "address", "127.0.0.1:7001", "where to listen")
 	flags.StringVar(&command.seed, "seed", "", "file with the first entries")
+	flags.StringVar(&command.config, "config", "", "file with profiles and customers")
 }
 
 func (command *keyValueCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -48,6 +54,10 @@
 		fmt.Fprintf(os.Stderr, "standin key-value: %v\n", err)
 		return subcommands.ExitFailure
 	}
+	if err := configure(ctx, service.Store(), command.config); err != nil {
+		fmt.Fprintf(os.Stderr, "standin key-value: %v\n", err)
+		return subcommands.ExitFailure
+	}
 	mux := http.NewServeMux()
 	mux.Handle(faults.Path, &command.faults)
 	mux.HandleFunc("GET /calls", func(writer http.ResponseWriter, _ *http.Request) {
@@ -96,3 +106,49 @@
 	}
 	return nil
 }
+
+// configuration is what a -config file holds, each item as operators write it.
+type configuration struct {
+	Profiles  []json.RawMessage `json:"profiles"`
+	Customers []json.RawMessage `json:"customers"`
+}
+
+// configure writes the profiles and customers of a file.
+func configure(ctx context.Context, store *keyvalue.Store, file string) error {
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var all configuration
+	if err := json.Unmarshal(text, &all); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	writer := &config.Store{KeyValue: store, Log: zerolog.Nop()}
+	if _, err := writer.Load(ctx); err != nil {
+		return err
+	}
+	for _, item := range all.Profiles {
+		if err := put(ctx, writer, config.KindProfile, gjson.GetBytes(item, "name").String(), item); err != nil {
+			return err
+		}
+	}
+	for _, item := range all.Customers {
+		if err := put(ctx, writer, config.KindCustomer, gjson.GetBytes(item, "id").String(), item); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func put(ctx context.Context, writer *config.Store, kind config.Kind, name string, item json.RawMessage) error {
+	_, err := writer.Change(ctx, config.Change{
+		ID: config.ChangeID("standin-" + string(kind) + "-" + name), Who: "standin", Kind: kind, Name: name, Value: item,
+	})
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", kind, name, err)
+	}
+	return nil
+}
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -80,18 +80,19 @@
 // call is one request while it runs.
 type call struct {
 	*ending
-	balancer *balancer
-	body     []byte
-	want     string
-	began    time.Time
+	balancer    *balancer
+	repeatKeyed bool
+	body        []byte
+	want        string
+	began       time.Time
 	// text is the part of the answer that is there, last the id of its last event.
 	text strings.Builder
 	last string
 }
 
 // do sends the request until it ends one way or another.
-func do(ctx context.Context, balancer *balancer, request *request) *ending {
-	call := &call{ending: &ending{request: request, refusals: map[string]int{}, onlyNotRun: true}, balancer: balancer, began: time.Now()}
+func do(ctx context.Context, balancer *balancer, request *request, repeatKeyed bool) *ending {
+	call := &call{repeatKeyed: repeatKeyed, ending: &ending{request: request, refusals: map[string]int{}, onlyNotRun: true}, balancer: balancer, began: time.Now()}
 	sent, err := request.body()
 	if err != nil {
 		call.verdict, call.code = lost, err.Error()
@@ -126,8 +127,8 @@
 }
 
 // again says whether the caller tries once more. A refusal may be repeated when
-// it says when; a call without an answer only if it is idempotent, never
-// arrived, is keyed, or its stream can be resumed.
+// it says when; a call without an answer if it is idempotent, if it certainly
+// never arrived, or if its key keeps it from running twice.
 func (call *call) again(try try) bool {
 	over := time.Since(call.began)+try.wait >= call.request.work.DeadlineMS.Duration()
 	switch {
@@ -138,7 +139,7 @@
 	case !try.broke:
 		return false
 	default:
-		return true
+		return call.request.work.Idempotent || !try.sent || call.repeatKeyed
 	}
 }
 
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -20,8 +20,13 @@
 	Requests int `json:"requests"`
 	// RatePerS is the mean rate of arrivals.
 	RatePerS float64 `json:"rate_per_s"`
+	// EngineHolds is the KV memory of the fleet's largest engine, from which on a
+	// prompt is reported as oversize.
+	EngineHolds peridotpath.Tokens `json:"engine_holds_tokens"`
 	// Keys are the callers' API keys, one drawn for each request.
 	Keys []string `json:"keys"`
+	// RepeatKeyed says that a keyed call whose answer was lost is sent again.
+	RepeatKeyed bool `json:"repeat_keyed"`
 	// Work lists the kinds of request.
 	Work []Work `json:"work"`
 }
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -62,7 +62,7 @@
 	return &request{
 		id: fmt.Sprintf("load-%d-%d", plan.Seed, number), work: work, at: at, tokens: tokens,
 		key: plan.Keys[random.IntN(len(plan.Keys))], stream: random.IntN(100) < work.StreamPercent,
-		class: peridotpath.ClassOf(tokens, peridotpath.MaxPrompt), seed: random.Uint64(),
+		class: peridotpath.ClassOf(tokens+work.OutputTokens, plan.EngineHolds), seed: random.Uint64(),
 	}
 }
 
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -22,7 +22,7 @@
 		defer close(probed)
 		balancer.run(probing)
 	}()
-	endings := send(ctx, balancer, requests(plan), progress)
+	endings := send(ctx, balancer, plan, progress)
 	stop()
 	<-probed
 	counted, err := counts(ctx, target.Endpoints)
@@ -33,7 +33,8 @@
 }
 
 // send sends each request at its time and waits for all.
-func send(ctx context.Context, balancer *balancer, all []*request, progress io.Writer) []*ending {
+func send(ctx context.Context, balancer *balancer, plan *Plan, progress io.Writer) []*ending {
+	all := requests(plan)
 	began := time.Now()
 	endings := make([]*ending, len(all))
 	var group errgroup.Group
@@ -43,7 +44,7 @@
 			break
 		}
 		group.Go(func() error {
-			endings[i] = do(ctx, balancer, request)
+			endings[i] = do(ctx, balancer, request, plan.RepeatKeyed)
 			return nil
 		})
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&keyValueCommand{}, "")
 	subcommands.Register(&membersCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
+	subcommands.Register(&jsonCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
