--- a/peridotpath/claim/fixture_test.go
+++ b/peridotpath/claim/fixture_test.go
@@ -16,91 +16,11 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/claim"
-	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
-// fate is what becomes of one call to the platform.
-type fate struct {
-	// delay passes before the call arrives.
-	delay time.Duration
-	// notSent and unanswered end a call before it arrives and after.
-	notSent, unanswered bool
-	// late makes a swap return without an answer at once and arrive this much
-	// later.
-	late time.Duration
-}
-
-// link is one instance's way to the platform.
-type link struct {
-	mu   sync.Mutex
-	fate func(call string) fate
-}
-
-func (link *link) set(fate func(call string) fate) {
-	link.mu.Lock()
-	defer link.mu.Unlock()
-	link.fate = fate
-}
-
-func (link *link) next(call string) fate {
-	link.mu.Lock()
-	defer link.mu.Unlock()
-	if link.fate == nil {
-		return fate{}
-	}
-	return link.fate(call)
-}
-
-// do makes one call with the fate that was drawn for it.
-func (link *link) do(ctx context.Context, name string, call func(context.Context) error) error {
-	fate := link.next(name)
-	if fate.notSent {
-		return keyvalue.ErrNotSent.New("fault")
-	}
-	if fate.late > 0 {
-		go func() {
-			time.Sleep(fate.late)
-			_ = call(context.Background())
-		}()
-		return keyvalue.ErrUnavailable.New("fault: arrives late")
-	}
-	select {
-	case <-time.After(fate.delay):
-	case <-ctx.Done():
-		return keyvalue.ErrUnavailable.Wrap(ctx.Err())
-	}
-	err := call(ctx)
-	if fate.unanswered {
-		return keyvalue.ErrUnavailable.New("fault: answer lost")
-	}
-	return err
-}
-
-func (link *link) store(service *memory.Memory) *keyvalue.Store {
-	inner := service.Store()
-	outer := *inner
-	outer.Get = func(ctx context.Context, key string) (entry keyvalue.Entry, err error) {
-		err = link.do(ctx, "get", func(ctx context.Context) (err error) {
-			entry, err = inner.Get(ctx, key)
-			return err
-		})
-		return entry, err
-	}
-	outer.Swap = func(ctx context.Context, key string, expect keyvalue.Version, value []byte, lease keyvalue.LeaseID) (keyvalue.Version, error) {
-		versions := make(chan keyvalue.Version, 1)
-		err := link.do(ctx, "swap", func(ctx context.Context) error {
-			version, err := inner.Swap(ctx, key, expect, value, lease)
-			versions <- version
-			return err
-		})
-		if err != nil {
-			return 0, err
-		}
-		return <-versions, nil
-	}
-	return &outer
-}
+// fate is short for the tests' many faults.
+type fate = memory.Fate
 
 // fleet is several ledgers over one platform.
 type fleet struct {
@@ -113,7 +33,7 @@
 // instance is one process with a ledger.
 type instance struct {
 	*claim.Ledger
-	link   link
+	link   memory.Link
 	cancel context.CancelFunc
 	ended  chan error
 }
@@ -126,7 +46,7 @@
 func (fleet *fleet) start(id peridotpath.InstanceID, incarnation peridotpath.Incarnation, change func(*claim.Ledger)) *instance {
 	instance := &instance{ended: make(chan error, 1)}
 	instance.Ledger = &claim.Ledger{
-		Store: instance.link.store(&fleet.platform), Instance: id, Incarnation: incarnation,
+		Store: instance.link.Store(&fleet.platform), Instance: id, Incarnation: incarnation,
 		Settings: claim.Settings{Buckets: 1}, Alive: fleet.alive,
 		Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
 	}
@@ -145,10 +65,15 @@
 	return fleet.dead[id] < incarnation
 }
 
+// stop ends the instance at once and waits for it.
+func (instance *instance) stop() error {
+	instance.cancel()
+	return <-instance.ended
+}
+
 // kill ends the instance without a chance to write, and tells the list.
 func (fleet *fleet) kill(instance *instance) {
-	instance.cancel()
-	if err := <-instance.ended; err != nil {
+	if err := instance.stop(); err != nil {
 		fleet.t.Error(err)
 	}
 	fleet.bury(instance)
@@ -201,8 +126,7 @@
 // close ends instances and waits for them.
 func closeAll(is *is.I, instances ...*instance) {
 	for _, instance := range instances {
-		instance.cancel()
-		is.NoErr(<-instance.ended)
+		is.NoErr(instance.stop())
 	}
 }
 
