config: an instance whose source is gone follows the other one as long

A follower that fell back to the platform read it once and then paused, up to 10 s and longer each time; with its reader hung, changes came late. It now waits at the platform as a reader does, and a reader without the platform waits at its peers.

Tests of an instance that starts in an outage, is cut off, follows a peer out of touch; of the replacement of all instances one by one. Seen to fail with the guard out: only the first peer's answer taken ("1 != 2, the lagging peer's answer was taken"); ready without contact ("callers still come to an instance that is cut off"); age of the peer not looked at ("the follower stayed behind"); no time limit on a poll ("the change did not come into force"); no peers asked at the start ("config: load: keyvalue: not sent: no route").

--- a/peridotpath/config/fleet_test.go
+++ b/peridotpath/config/fleet_test.go
@@ -28,6 +28,7 @@
 	memory    *memory.Memory
 	platform  *keyvalue.Store
 	down      atomic.Bool // no call reaches the platform
+	hung      atomic.Bool // the first instance takes calls of peers and never answers
 	instances []*instance
 }
 
@@ -36,6 +37,7 @@
 	fleet  *fleet
 	reader bool
 	cut    atomic.Bool // neither platform nor peers are reached
+	astray atomic.Bool // the platform is not reached
 	life   atomic.Pointer[config.Store]
 	cancel context.CancelFunc
 	done   chan error
@@ -77,10 +79,14 @@
 
 // stop ends a life and waits for its end.
 func (instance *instance) stop() {
+	if instance.done == nil {
+		return
+	}
 	instance.cancel()
 	if err := <-instance.done; !errors.Is(err, context.Canceled) {
 		panic(err)
 	}
+	instance.done = nil
 }
 
 // inFleet calls test in a synctest bubble with a running fleet.
@@ -145,7 +151,9 @@
 				return nil, 0, err
 			}
 			entries, version, err := platform.Watch(ctx, prefix, after, wait)
-			time.Sleep(hop)
+			if cut := instance.reach(); cut != nil { // an answer on its way is lost too
+				return nil, 0, cut
+			}
 			return entries, version, err
 		},
 	}
@@ -153,7 +161,7 @@
 
 func (instance *instance) reach() error {
 	time.Sleep(hop)
-	if instance.fleet.down.Load() || instance.cut.Load() {
+	if instance.fleet.down.Load() || instance.cut.Load() || instance.astray.Load() {
 		return keyvalue.ErrNotSent.New("no route")
 	}
 	return nil
@@ -167,8 +175,12 @@
 		if other == instance || instance.cut.Load() || other.cut.Load() || wait > 0 && !other.reader {
 			continue
 		}
+		if instance.fleet.hung.Load() && other == instance.fleet.instances[0] && wait > 0 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		update, err := other.store().Changes(ctx, have, wait)
-		if err != nil {
+		if err != nil || instance.cut.Load() || other.cut.Load() {
 			continue
 		}
 		updates = append(updates, update)
--- a/peridotpath/config/follow.go
+++ b/peridotpath/config/follow.go
@@ -65,41 +65,44 @@
 	}
 }
 
-// follow waits for changes once, at this instance's first source, and turns to
-// the other one when the first gives nothing of use. An error says that the
-// first source failed, whatever the second one gave.
+// follow waits for changes once, at this instance's first source, and for as
+// long at the other one when the first gives nothing of use. So an instance
+// whose source is gone loses no time, and makes no more calls than a reader. An
+// error says that neither source is of use.
 func (store *Store) follow(ctx context.Context) error {
 	if store.Current() == nil {
 		_, err := store.Load(ctx)
 		return err
 	}
+	first, second := store.fromPeers, store.fromPlatform
 	if store.isReader() {
-		return store.followPlatform(ctx)
+		first, second = second, first
 	}
-	return store.followPeers(ctx)
-}
-
-func (store *Store) followPlatform(ctx context.Context) error {
-	err := store.watch(ctx, store.wait())
+	err := first(ctx)
 	if err == nil {
 		return nil
 	}
-	return errs.Combine(err, store.ask(ctx, 0))
+	metrics.GetOrCreateCounter(`peridotpath_config_fallbacks_total`).Inc()
+	store.Log.Warn().Str("event", "config_fallback").Err(err).Send()
+	if failure := second(ctx); failure != nil {
+		return errs.Combine(err, failure)
+	}
+	return nil
 }
 
-// followPeers falls back to the platform when peers are silent, and also when
-// they answer but have not heard the platform themselves for long: a follower
-// of an instance that is cut off would otherwise stay on old rules for good.
-func (store *Store) followPeers(ctx context.Context) error {
-	err := store.ask(ctx, store.wait())
-	if err == nil && store.age() < orDefault(store.StaleAfter, DefaultStaleAfter) {
-		return nil
+func (store *Store) fromPlatform(ctx context.Context) error { return store.watch(ctx, store.wait()) }
+
+// fromPeers also fails when peers answer but have not heard the platform for
+// long: a follower of an instance that is cut off would otherwise stay on old
+// rules for good.
+func (store *Store) fromPeers(ctx context.Context) error {
+	if err := store.ask(ctx, store.wait()); err != nil {
+		return err
 	}
-	metrics.GetOrCreateCounter(`peridotpath_config_fallbacks_total`).Inc()
-	if failure := store.watch(ctx, 0); failure != nil {
-		return errs.Combine(err, failure)
+	if age := store.age(); age >= orDefault(store.StaleAfter, DefaultStaleAfter) {
+		return Error.New("the peers have not heard the platform for %s", age)
 	}
-	return err
+	return nil
 }
 
 func (store *Store) wait() time.Duration { return orDefault(store.Wait, DefaultWait) }
