--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -54,6 +54,9 @@
 	StreamPercent int `json:"stream_percent,omitempty"`
 	// SharedPercent is how many in a hundred begin with the same half.
 	SharedPercent int `json:"shared_percent,omitempty"`
+	// DuplicatePercent is how many in a hundred are sent twice at the same time,
+	// with the same key, as a desk that presses a button twice does.
+	DuplicatePercent int `json:"duplicate_percent,omitempty"`
 	// DeadlineMS is the profile's; an answer or a failure later than this is lost.
 	DeadlineMS peridotpath.Millis `json:"deadline_ms"`
 	// First sends one of these at the very beginning, whatever Share says.
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -25,6 +25,8 @@
 	tokens peridotpath.Tokens
 	at     time.Duration
 	seed   uint64
+	// copies is how often the request is sent at the same time.
+	copies int
 }
 
 // requests draws all requests of a plan, in order of arrival.
@@ -59,8 +61,12 @@
 
 func draw(plan *Plan, work *Work, random *rand.Rand, number int, at time.Duration) *request {
 	tokens := work.MinTokens + peridotpath.Tokens(random.Int64N(int64(work.MaxTokens-work.MinTokens)+1))
+	copies := 1
+	if random.IntN(100) < work.DuplicatePercent {
+		copies = 2
+	}
 	return &request{
-		id: fmt.Sprintf("load-%d-%d", plan.Seed, number), work: work, at: at, tokens: tokens,
+		copies: copies, id: fmt.Sprintf("load-%d-%d", plan.Seed, number), work: work, at: at, tokens: tokens,
 		key: plan.Keys[random.IntN(len(plan.Keys))], stream: random.IntN(100) < work.StreamPercent,
 		class: peridotpath.ClassOf(tokens+work.OutputTokens, plan.EngineHolds), seed: random.Uint64(),
 	}
