--- a/standin/load/audit.go
+++ b/standin/load/audit.go
@@ -4,18 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/netip"
 
 	"peridotpath.example/peridotpath/engine"
-	"peridotpath.example/peridotpath/outbound"
 )
 
 // counts adds up what the endpoints ran, by request.
-func counts(ctx context.Context, endpoints []netip.AddrPort) (map[string]engine.Count, error) {
+func counts(ctx context.Context, target *Target) (map[string]engine.Count, error) {
 	sum := map[string]engine.Count{}
-	for _, address := range endpoints {
-		counted, err := countsOf(ctx, address)
+	for _, address := range target.Endpoints {
+		counted, err := countsOf(ctx, target, address)
 		if err != nil {
 			return nil, fmt.Errorf("counts of %s: %w", address, err)
 		}
@@ -31,12 +29,8 @@
 	return sum, nil
 }
 
-func countsOf(ctx context.Context, address netip.AddrPort) (*engine.Counts, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+engine.PathCounts, nil)
-	if err != nil {
-		return nil, err
-	}
-	response, err := outbound.Do(request)
+func countsOf(ctx context.Context, target *Target, address netip.AddrPort) (*engine.Counts, error) {
+	response, err := target.get(ctx, address, engine.PathCounts)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/load/balancer.go
+++ b/standin/load/balancer.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"peridotpath.example/peridotpath/outbound"
 )
 
 const (
@@ -19,13 +17,13 @@
 // balancer plays the platform's: round robin over the instances whose ready
 // probe answered last time.
 type balancer struct {
-	instances []netip.AddrPort
-	ready     []atomic.Bool
-	next      atomic.Uint64
+	target *Target
+	ready  []atomic.Bool
+	next   atomic.Uint64
 }
 
-func newBalancer(instances []netip.AddrPort) *balancer {
-	return &balancer{instances: instances, ready: make([]atomic.Bool, len(instances))}
+func newBalancer(target *Target) *balancer {
+	return &balancer{target: target, ready: make([]atomic.Bool, len(target.Instances))}
 }
 
 // run probes until ctx ends.
@@ -41,20 +39,16 @@
 
 func (balancer *balancer) probeAll(ctx context.Context) {
 	var probes sync.WaitGroup
-	for i, address := range balancer.instances {
-		probes.Go(func() { balancer.ready[i].Store(probe(ctx, address)) })
+	for i, address := range balancer.target.Instances {
+		probes.Go(func() { balancer.ready[i].Store(balancer.probe(ctx, address)) })
 	}
 	probes.Wait()
 }
 
-func probe(ctx context.Context, address netip.AddrPort) bool {
+func (balancer *balancer) probe(ctx context.Context, address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/health/ready", nil)
-	if err != nil {
-		return false
-	}
-	response, err := outbound.Do(request)
+	response, err := balancer.target.get(ctx, address, "/health/ready")
 	if err != nil {
 		return false
 	}
@@ -86,7 +80,7 @@
 // pick returns the next ready instance, other than the one to avoid if there is
 // another; without any ready one it returns the next of all.
 func (balancer *balancer) pick(avoid netip.AddrPort) netip.AddrPort {
-	count := uint64(len(balancer.instances))
+	count := uint64(len(balancer.target.Instances))
 	start := balancer.next.Add(1)
 	found := netip.AddrPort{}
 	for i := range count {
@@ -94,13 +88,13 @@
 		if !balancer.ready[at].Load() {
 			continue
 		}
-		found = balancer.instances[at]
+		found = balancer.target.Instances[at]
 		if found != avoid {
 			return found
 		}
 	}
 	if !found.IsValid() {
-		found = balancer.instances[start%count]
+		found = balancer.target.Instances[start%count]
 	}
 	return found
 }
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -191,7 +191,7 @@
 	if call.last != "" {
 		call.resumed++
 	}
-	response, err := outbound.Do(made)
+	response, err := call.balancer.target.do(made)
 	if err != nil {
 		return call.broke(ctx, err, !outbound.ErrNotSent.Has(err))
 	}
--- a/standin/load/plan.go
+++ b/standin/load/plan.go
@@ -5,10 +5,13 @@
 package load
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/strictjson"
 )
 
@@ -98,4 +101,22 @@
 	Instances []netip.AddrPort
 	// Endpoints are asked for their counts afterwards.
 	Endpoints []netip.AddrPort
+	// Do makes an HTTP call; nil stands for outbound.Do.
+	Do func(request *http.Request) (*http.Response, error)
+}
+
+func (target *Target) do(request *http.Request) (*http.Response, error) {
+	if target.Do != nil {
+		return target.Do(request)
+	}
+	return outbound.Do(request)
+}
+
+// get makes one GET call.
+func (target *Target) get(ctx context.Context, address netip.AddrPort, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return target.do(request)
 }
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -12,7 +12,7 @@
 // Run sends the plan and returns the report. Progress, if not nil, gets a line
 // when the arrivals begin and end.
 func Run(ctx context.Context, plan *Plan, target *Target, progress io.Writer) (*Report, error) {
-	balancer := newBalancer(target.Instances)
+	balancer := newBalancer(target)
 	if err := balancer.awaitReady(ctx, len(target.Instances)); err != nil {
 		return nil, err
 	}
@@ -25,7 +25,7 @@
 	endings := send(ctx, balancer, plan, progress)
 	stop()
 	<-probed
-	counted, err := counts(ctx, target.Endpoints)
+	counted, err := counts(ctx, target)
 	if err != nil {
 		return nil, err
 	}
