ownership: tables by rendezvous hash, read without locks

Polling, claims and the watch on the configuration grow as instances times endpoints unless one instance does each. Package ownership computes who, from the membership list; config's reader choice moves into it.

Seen to fail first: owners by position in the list: TestLossMovesOnlyWhatWasLost 'endpoint engine-1 moved from instance-2 to instance-1, lost instance-0'.

--- a/peridotpath/config/config.go
+++ b/peridotpath/config/config.go
@@ -52,7 +52,7 @@
 	KeyValue *keyvalue.Store
 	Log      zerolog.Logger
 	// IsReader says whether this instance watches the platform at present; nil
-	// stands for always. See Readers.
+	// stands for always. See package ownership.
 	IsReader func() bool
 	// Peers asks other instances for documents above have, waiting up to wait
 	// for one to come. With wait zero it asks several instances, so that the
--- /dev/null
+++ b/peridotpath/ownership/ownership.go
@@ -0,0 +1,193 @@
+// Package ownership computes which instance of a data centre looks after what:
+// endpoints, claim buckets, and the watch on the platform's configuration. The
+// owner of a key is the live instance with the highest rendezvous hash for it,
+// so every instance computes the same table from the same membership list and a
+// change of the list moves only the keys of the instances that changed.
+//
+// Ownership is a hint. The membership list lags, so two instances may both
+// take themselves for the owner of a key, or none may. Nothing that must be
+// right rests on it: that comes from compare-and-swap, from a lease with a
+// fencing number, or from the endpoint's own refusal.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotpath.example/peridotpath"
+)
+
+// Bucket numbers one of the parts that idempotency keys are spread over.
+type Bucket uint32
+
+// Kinds of key, hashed with it so that an instance that owns many endpoints by
+// chance does not own many buckets too.
+const (
+	kindEndpoint = "endpoint/"
+	kindBucket   = "bucket/"
+	kindReader   = "config-reader/"
+)
+
+// Table says who owns what. It is never changed.
+type Table struct {
+	self      peridotpath.InstanceID
+	live      []candidate // by id
+	endpoints map[peridotpath.EndpointID]int32
+	buckets   []int32
+	readers   []peridotpath.Instance
+}
+
+// candidate is a live instance with its hash, computed once.
+type candidate struct {
+	peridotpath.Instance
+	hash uint64
+}
+
+// Scope says what a Table covers.
+type Scope struct {
+	Self       peridotpath.InstanceID
+	DataCentre peridotpath.DataCentre
+	// Buckets is the number of claim buckets.
+	Buckets int
+	// Readers is how many instances of the data centre watch the platform.
+	Readers int
+}
+
+// New computes the table of a data centre for the endpoints and all buckets.
+// An instance that is leaving owns nothing: it hands over while it finishes.
+func New(scope Scope, instances []peridotpath.Instance, endpoints []peridotpath.Endpoint) *Table {
+	table := &Table{self: scope.Self, live: candidates(scope.DataCentre, instances)}
+	table.endpoints = make(map[peridotpath.EndpointID]int32, len(endpoints))
+	for i := range endpoints {
+		id := endpoints[i].ID
+		table.endpoints[id] = table.highest(hashOf(kindEndpoint, string(id)))
+	}
+	table.buckets = make([]int32, scope.Buckets)
+	seed := hashOf(kindBucket, "")
+	for bucket := range table.buckets {
+		table.buckets[bucket] = table.highest(mix(seed + uint64(bucket)))
+	}
+	table.readers = table.highestFew(hashOf(kindReader, ""), scope.Readers)
+	return table
+}
+
+func candidates(dataCentre peridotpath.DataCentre, instances []peridotpath.Instance) []candidate {
+	var live []candidate
+	for _, instance := range instances {
+		if instance.DataCentre == dataCentre && instance.State == peridotpath.StateLive {
+			live = append(live, candidate{instance, xxhash.Sum64String(string(instance.ID))})
+		}
+	}
+	slices.SortFunc(live, func(a, b candidate) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(live, func(a, b candidate) bool { return a.ID == b.ID })
+}
+
+func hashOf(kind, name string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(kind)
+	_, _ = digest.WriteString(name)
+	return digest.Sum64()
+}
+
+// mix spreads a 64-bit value over all bits (the finaliser of splitmix64). With
+// it, a pair of hashes costs a few multiplications and no hashing of strings.
+func mix(value uint64) uint64 {
+	value = (value ^ value>>30) * 0xbf58476d1ce4e5b9
+	value = (value ^ value>>27) * 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+func rank(instance, key uint64) uint64 { return mix(instance ^ mix(key)) }
+
+// highest returns the index of the instance with the highest rank for the key,
+// the lowest id among equals; -1 when there is none.
+func (table *Table) highest(key uint64) int32 {
+	best, at := uint64(0), int32(-1)
+	for i := range table.live {
+		if value := rank(table.live[i].hash, key); at < 0 || value > best {
+			best, at = value, int32(i)
+		}
+	}
+	return at
+}
+
+func (table *Table) highestFew(key uint64, count int) []peridotpath.Instance {
+	ranked := slices.Clone(table.live)
+	slices.SortStableFunc(ranked, func(a, b candidate) int { return cmp.Compare(rank(b.hash, key), rank(a.hash, key)) })
+	few := make([]peridotpath.Instance, 0, count)
+	for _, candidate := range ranked[:min(count, len(ranked))] {
+		few = append(few, candidate.Instance)
+	}
+	return few
+}
+
+func (table *Table) at(index int32) (peridotpath.Instance, bool) {
+	if index < 0 {
+		return peridotpath.Instance{}, false
+	}
+	return table.live[index].Instance, true
+}
+
+// Endpoint returns the owner of an endpoint; false when no instance is live.
+// An endpoint that the list did not have is computed on the spot.
+func (table *Table) Endpoint(id peridotpath.EndpointID) (peridotpath.Instance, bool) {
+	index, known := table.endpoints[id]
+	if !known {
+		index = table.highest(hashOf(kindEndpoint, string(id)))
+	}
+	return table.at(index)
+}
+
+// Owns reports whether this instance owns the endpoint.
+func (table *Table) Owns(id peridotpath.EndpointID) bool {
+	owner, ok := table.Endpoint(id)
+	return ok && owner.ID == table.self
+}
+
+// BucketOf returns the bucket of an idempotency key.
+func (table *Table) BucketOf(key string) Bucket {
+	return Bucket(xxhash.Sum64String(key) % uint64(max(len(table.buckets), 1)))
+}
+
+// Bucket returns the owner of a bucket; false when no instance is live.
+func (table *Table) Bucket(bucket Bucket) (peridotpath.Instance, bool) {
+	if int(bucket) >= len(table.buckets) {
+		return peridotpath.Instance{}, false
+	}
+	return table.at(table.buckets[bucket])
+}
+
+// Readers returns the instances that watch the platform, highest rank first.
+// The slice is shared: do not change it.
+func (table *Table) Readers() []peridotpath.Instance { return table.readers }
+
+// IsReader reports whether this instance watches the platform.
+func (table *Table) IsReader() bool {
+	return slices.ContainsFunc(table.readers, func(reader peridotpath.Instance) bool { return reader.ID == table.self })
+}
+
+// Live returns how many instances take part.
+func (table *Table) Live() int { return len(table.live) }
+
+// Owners holds the table in force. Read it from any goroutine.
+type Owners struct {
+	Scope Scope
+
+	table atomic.Pointer[Table]
+}
+
+// Set computes the table for a new reading of the membership list.
+func (owners *Owners) Set(instances []peridotpath.Instance, endpoints []peridotpath.Endpoint) {
+	owners.table.Store(New(owners.Scope, instances, endpoints))
+}
+
+// Current returns the table in force, one without instances before the first Set.
+func (owners *Owners) Current() *Table {
+	if table := owners.table.Load(); table != nil {
+		return table
+	}
+	return &Table{self: owners.Scope.Self}
+}
--- /dev/null
+++ b/peridotpath/ownership/ownership_test.go
@@ -0,0 +1,145 @@
+package ownership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/ownership"
+)
+
+const buckets = 512
+
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261202")
+	os.Exit(m.Run())
+}
+
+func instances(first, count int) []peridotpath.Instance {
+	list := make([]peridotpath.Instance, count)
+	for i := range list {
+		id := peridotpath.InstanceID(fmt.Sprintf("instance-%d", first+i))
+		list[i] = peridotpath.Instance{ID: id, DataCentre: "colombo-a", State: peridotpath.StateLive}
+	}
+	return list
+}
+
+func endpoints(count int) []peridotpath.Endpoint {
+	list := make([]peridotpath.Endpoint, count)
+	for i := range list {
+		list[i].ID = peridotpath.EndpointID(fmt.Sprintf("engine-%d", i))
+	}
+	return list
+}
+
+func tableOf(list []peridotpath.Instance, count int) *ownership.Table {
+	scope := ownership.Scope{Self: "instance-0", DataCentre: "colombo-a", Buckets: buckets, Readers: 2}
+	return ownership.New(scope, list, endpoints(count))
+}
+
+// One instance of many dies. If tables were cut by position, nearly every
+// endpoint and bucket would change hands at once, each with a full poll and a
+// reading of its ledger, in the moment in which the fleet is weakest.
+func TestLossMovesOnlyWhatWasLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances(rapid.IntRange(0, 1000).Draw(t, "first"), rapid.IntRange(2, 40).Draw(t, "count"))
+		lost := rapid.IntRange(0, len(list)-1).Draw(t, "lost")
+		before := tableOf(list, 200)
+		after := tableOf(append(list[:lost:lost], list[lost+1:]...), 200)
+		for _, endpoint := range endpoints(200) {
+			had, _ := before.Endpoint(endpoint.ID)
+			has, _ := after.Endpoint(endpoint.ID)
+			if had.ID != list[lost].ID && had.ID != has.ID {
+				t.Fatalf("endpoint %s moved from %s to %s, lost %s", endpoint.ID, had.ID, has.ID, list[lost].ID)
+			}
+		}
+		for bucket := range ownership.Bucket(buckets) {
+			had, _ := before.Bucket(bucket)
+			has, _ := after.Bucket(bucket)
+			if had.ID != list[lost].ID && had.ID != has.ID {
+				t.Fatalf("bucket %d moved from %s to %s", bucket, had.ID, has.ID)
+			}
+		}
+	})
+}
+
+func TestSpreadIsEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances(rapid.IntRange(0, 1000).Draw(t, "first"), rapid.IntRange(2, 16).Draw(t, "count"))
+		table := tableOf(list, 0)
+		counts := map[peridotpath.InstanceID]int{}
+		const keys = 8000
+		for i := range keys {
+			owner, _ := table.Endpoint(peridotpath.EndpointID(fmt.Sprintf("engine-%d", i)))
+			counts[owner.ID]++
+		}
+		mean := keys / len(list)
+		for id, count := range counts {
+			// Six standard deviations of a fair draw at the smallest mean.
+			if count < mean*7/10 || count > mean*13/10 {
+				t.Fatalf("%s owns %d of %d, mean %d", id, count, keys, mean)
+			}
+		}
+	})
+}
+
+func TestOrderOfTheListDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances(0, 12)
+		before := tableOf(list, 50)
+		after := tableOf(rapid.Permutation(list).Draw(t, "order"), 50)
+		for _, endpoint := range endpoints(50) {
+			had, _ := before.Endpoint(endpoint.ID)
+			has, _ := after.Endpoint(endpoint.ID)
+			if had.ID != has.ID {
+				t.Fatalf("%s: %s or %s", endpoint.ID, had.ID, has.ID)
+			}
+		}
+		if before.Readers()[0].ID != after.Readers()[0].ID || before.Readers()[1].ID != after.Readers()[1].ID {
+			t.Fatalf("readers differ")
+		}
+	})
+}
+
+func TestWhoTakesPart(t *testing.T) {
+	leaving := instances(1, 1)
+	leaving[0].State = peridotpath.StateLeaving
+	elsewhere := instances(2, 1)
+	elsewhere[0].DataCentre = "negombo-b"
+	cases := []struct {
+		name string
+		list []peridotpath.Instance
+		want peridotpath.InstanceID
+		live int
+	}{
+		{"nobody", nil, "", 0},
+		{"alone", instances(0, 1), "instance-0", 1},
+		{"leaving owns nothing", append(instances(0, 1), leaving...), "instance-0", 1},
+		{"another data centre owns nothing", append(instances(0, 1), elsewhere...), "instance-0", 1},
+		{"listed twice", append(instances(0, 1), instances(0, 1)...), "instance-0", 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			owners := ownership.Owners{Scope: ownership.Scope{Self: "instance-0", DataCentre: "colombo-a", Buckets: 4, Readers: 2}}
+			is.Equal(owners.Current().Live(), 0)
+			owners.Set(test.list, endpoints(3))
+			table := owners.Current()
+			have, ok := table.Endpoint("engine-1")
+			is.Equal(have.ID, test.want)
+			is.Equal(ok, test.live > 0)
+			is.Equal(table.Live(), test.live)
+			is.Equal(table.Owns("not-listed"), test.live > 0)
+			is.Equal(table.IsReader(), test.live > 0)
+			bucket, _ := table.Bucket(table.BucketOf("claim-7"))
+			is.Equal(bucket.ID, test.want)
+		})
+	}
+}
