--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
 
-.PHONY: help build test lint format unit tools fuzz bench
+.PHONY: help build test lint format unit tools fuzz bench generate slopes
 
 help: ## lists the targets
 	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -30,3 +30,6 @@
 	go test -race -timeout 20m $(PATTERNS)
 
 test: lint build unit ## what CI runs: formatter, linter, vet, build, race tests
+
+generate: ## makes the code of the inner protocol anew from its .proto file
+	cd peridotpath && PATH="$(GOBIN):$$PATH" $(GOBIN)/buf generate
--- a/peridotpath/endpoint.go
+++ b/peridotpath/endpoint.go
@@ -55,6 +55,8 @@
 	PrefillPerS Tokens `json:"prefill_per_s"`
 	// DecodePerS is the answer tokens one request gets in a second.
 	DecodePerS Tokens `json:"decode_per_s"`
+	// Leaving says that the Endpoint takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
 	// Revision of the report; a report with a lower one is late and is dropped.
 	Revision uint64 `json:"revision"`
 }
