--- a/peridotpath/digest/digest_test.go
+++ b/peridotpath/digest/digest_test.go
@@ -102,6 +102,31 @@
 	is.Equal(reports[0].Load.Running, 9)
 }
 
+// A receiver starts anew while a message that builds on its earlier run is under
+// way. Taken in, it would leave the receiver without every endpoint that did
+// not change since, and saying that it holds them.
+func TestDigestForAnEarlierRunIsDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	book, mirror := &digest.Book{Epoch: 1}, &digest.Mirror{}
+	book.PutEndpoint("engine-1", peridotpath.Load{Running: 1, AsOf: now})
+	exchange(now, book, mirror, now)
+	book.PutEndpoint("engine-2", peridotpath.Load{Running: 2, AsOf: now})
+	underWay := book.Digest(now, seen1(mirror), seen2(mirror))
+	mirror = &digest.Mirror{}
+	is.Equal(len(mirror.Apply(now, underWay)), 0)
+	_, reports := exchange(now, book, mirror, now)
+	is.Equal(len(reports), 2)
+
+	// The sender starts anew: one message is enough to hold its new table.
+	book = &digest.Book{Epoch: 2}
+	for i := range 5 {
+		book.PutEndpoint(peridotpath.EndpointID(fmt.Sprint("engine-", i)), peridotpath.Load{AsOf: now})
+	}
+	_, reports = exchange(now, book, mirror, now)
+	is.Equal(len(reports), 5)
+}
+
 func seen1(mirror *digest.Mirror) uint64 { epoch, _ := mirror.Seen(); return epoch }
 func seen2(mirror *digest.Mirror) uint64 { _, sequence := mirror.Seen(); return sequence }
 
