--- a/peridotpath/fleet/poller.go
+++ b/peridotpath/fleet/poller.go
@@ -22,6 +22,9 @@
 	DefaultBudget = 3000
 	// pollBytes is what reading one report costs on the wire, both ways.
 	pollBytes = 450
+	// readTimeout bounds one reading. An endpoint that takes longer is published
+	// as unread, so that its last figures do not pass for confirmed.
+	readTimeout = time.Second
 	// pollsAtOnce bounds the reports that are being read at a time.
 	pollsAtOnce = 32
 	// DefaultStaleAfter is how long another owner may be silent about an
@@ -51,6 +54,9 @@
 	Budget int
 	// StaleAfter is when an owner counts as silent; zero for DefaultStaleAfter.
 	StaleAfter time.Duration
+	// Random returns a number from 0 to 1 for jitter and choices; nil for the
+	// global source.
+	Random func() float64
 
 	mu   sync.Mutex
 	busy map[peridotpath.EndpointID]bool
@@ -65,7 +71,7 @@
 	for {
 		owned := poller.round(ctx, &group)
 		// The random part keeps instances that started together apart.
-		wait := poller.interval(owned)*9/10 + rand.N(poller.Interval/5)
+		wait := poller.interval(owned)*9/10 + time.Duration(poller.Random()*float64(poller.Interval/5))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -84,6 +90,9 @@
 	if poller.StaleAfter == 0 {
 		poller.StaleAfter = DefaultStaleAfter
 	}
+	if poller.Random == nil {
+		poller.Random = rand.Float64
+	}
 	poller.busy = map[peridotpath.EndpointID]bool{}
 }
 
@@ -105,8 +114,7 @@
 		}
 	}
 	poller.Book.KeepEndpoints(poller.Owns)
-	rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
-	silent = silent[:min(len(silent), FallbackPolls)]
+	silent = poller.few(silent)
 	metrics.GetOrCreateCounter(`peridotpath_fallback_polls_total`).Add(len(silent))
 	for _, endpoint := range append(owned, silent...) {
 		poller.begin(ctx, group, endpoint)
@@ -114,6 +122,17 @@
 	return len(owned)
 }
 
+// few chooses at most FallbackPolls endpoints, so that instances that have the
+// same ones to choose from read different ones.
+func (poller *Poller) few(endpoints []peridotpath.Endpoint) []peridotpath.Endpoint {
+	count := min(len(endpoints), FallbackPolls)
+	for i := range count {
+		j := i + int(poller.Random()*float64(len(endpoints)-i))
+		endpoints[i], endpoints[j] = endpoints[j], endpoints[i]
+	}
+	return endpoints[:count]
+}
+
 // begin starts one reading, unless the last one of the endpoint still runs: an
 // endpoint that hangs may not hold up the others.
 func (poller *Poller) begin(ctx context.Context, group *errgroup.Group, endpoint peridotpath.Endpoint) {
@@ -147,6 +166,8 @@
 }
 
 func (poller *Poller) read(ctx context.Context, endpoint peridotpath.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	sent := time.Now()
 	load, err := poller.Load(ctx, endpoint.Address)
 	if err != nil {
--- a/peridotpath/fleet/view.go
+++ b/peridotpath/fleet/view.go
@@ -37,9 +37,9 @@
 	// Load takes each report that is newer than the last one.
 	Load func(now time.Time, id peridotpath.EndpointID, load peridotpath.Load)
 
-	mu       sync.Mutex
-	members  map[peridotpath.EndpointID]*member
-	order    []peridotpath.EndpointID
+	mu      sync.Mutex
+	members map[peridotpath.EndpointID]*member
+	order   []peridotpath.EndpointID
 }
 
 type member struct {
--- a/peridotpath/peer/exchange.go
+++ b/peridotpath/peer/exchange.go
@@ -68,6 +68,8 @@
 	Interval time.Duration
 	// Budget in bytes a second; zero for DefaultBudget.
 	Budget int
+	// Random returns a number from 0 to 1 for jitter; nil for the global source.
+	Random func() float64
 
 	once    sync.Once
 	limiter *rate.Limiter
@@ -97,6 +99,9 @@
 		if exchanger.Budget == 0 {
 			exchanger.Budget = DefaultBudget
 		}
+		if exchanger.Random == nil {
+			exchanger.Random = rand.Float64
+		}
 		// Two seconds' worth may go at once, so that a start, when everything is
 		// new, is not held up.
 		exchanger.limiter = rate.NewLimiter(rate.Limit(exchanger.Budget), 2*exchanger.Budget)
@@ -267,7 +272,7 @@
 	} else {
 		remote.failures = 0
 	}
-	remote.next = now.Add(wait*9/10 + rand.N(wait/5))
+	remote.next = now.Add(wait*9/10 + time.Duration(exchanger.Random()*float64(wait/5)))
 }
 
 // Answer takes a peer's digest and returns the one for it. It also serves
--- /dev/null
+++ b/peridotpath/peer/network_test.go
@@ -0,0 +1,280 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/digest"
+	"peridotpath.example/peridotpath/fleet"
+	"peridotpath.example/peridotpath/ownership"
+	"peridotpath.example/peridotpath/peer"
+	"peridotpath.example/peridotpath/peer/wire"
+)
+
+// network joins instances in one process. All calls take latency; a cut pair
+// of instances, or instance and endpoint, gets no answer.
+type network struct {
+	nodes   []*node
+	engines []*fakeEngine
+
+	mu  sync.Mutex
+	cut map[[2]string]bool
+	// old instances speak without what later versions added; future ones send
+	// messages that nobody here can read.
+	future map[peridotpath.InstanceID]bool
+}
+
+type fakeEngine struct {
+	peridotpath.Endpoint
+	mu    sync.Mutex
+	load  peridotpath.Load
+	reads map[peridotpath.InstanceID]int
+}
+
+// node is one instance with what it knows of the fleet.
+type node struct {
+	peridotpath.Instance
+	network   *network
+	owners    ownership.Owners
+	exchanger *peer.Exchanger
+	poller    *fleet.Poller
+	view      *fleet.View
+	book      *digest.Book
+
+	mu     sync.Mutex
+	random rand.PCG
+	others []peridotpath.Instance
+	fleet  map[peridotpath.EndpointID]peridotpath.Endpoint
+	loads  map[peridotpath.EndpointID]peridotpath.Load
+	bytes  int
+}
+
+const latency = 2 * time.Millisecond
+
+var errNoAnswer = errors.New("no answer")
+
+func newNetwork(t *testing.T, instances, engines int) *network {
+	t.Helper()
+	network := &network{cut: map[[2]string]bool{}, future: map[peridotpath.InstanceID]bool{}}
+	for i := range engines {
+		id := peridotpath.EndpointID(fmt.Sprintf("engine-%03d", i))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+		network.engines = append(network.engines, &fakeEngine{
+			Endpoint: peridotpath.Endpoint{ID: id, Kind: peridotpath.KindEngine, State: peridotpath.StateLive, Address: address},
+			load:     peridotpath.Load{KVTokens: 400_000, PrefillPerS: 10_000, DecodePerS: 50},
+			reads:    map[peridotpath.InstanceID]int{},
+		})
+	}
+	for i := range instances {
+		network.add(fmt.Sprintf("instance-%d", i))
+	}
+	network.list(network.nodes)
+	return network
+}
+
+func (network *network) add(id string) *node {
+	made := &node{
+		Instance: peridotpath.Instance{ID: peridotpath.InstanceID(id), DataCentre: "colombo-a", State: peridotpath.StateLive},
+		network:  network, loads: map[peridotpath.EndpointID]peridotpath.Load{},
+	}
+	made.owners.Scope = ownership.Scope{Self: made.ID, DataCentre: "colombo-a", Buckets: 16, Readers: 2}
+	made.book = &digest.Book{Epoch: uint64(time.Now().UnixNano()) + uint64(len(network.nodes))}
+	made.view = &fleet.View{Publish: made.publish, Load: made.report}
+	made.random.Seed(uint64(len(network.nodes)), 7)
+	made.exchanger = &peer.Exchanger{
+		Self: made.ID, Book: made.book, Peers: made.peers, Call: made.call, Report: made.view.Report,
+		Random: made.float,
+	}
+	made.poller = &fleet.Poller{
+		View: made.view, Book: made.book, Load: made.read, Random: made.float,
+		Owns: func(id peridotpath.EndpointID) bool { return made.owners.Current().Owns(id) },
+	}
+	network.nodes = append(network.nodes, made)
+	return made
+}
+
+func (node *node) float() float64 {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return rand.New(&node.random).Float64()
+}
+
+// list gives all nodes the same membership list.
+func (network *network) list(nodes []*node) {
+	for _, node := range network.nodes {
+		node.setMembers(nodes, network.endpoints())
+	}
+}
+
+func (network *network) endpoints() []peridotpath.Endpoint {
+	var endpoints []peridotpath.Endpoint
+	for _, engine := range network.engines {
+		endpoints = append(endpoints, engine.Endpoint)
+	}
+	return endpoints
+}
+
+func (node *node) setMembers(nodes []*node, endpoints []peridotpath.Endpoint) {
+	var all, others []peridotpath.Instance
+	for _, other := range nodes {
+		all = append(all, other.Instance)
+		if other != node {
+			others = append(others, other.Instance)
+		}
+	}
+	node.mu.Lock()
+	node.others = others
+	node.mu.Unlock()
+	node.owners.Set(all, endpoints)
+	node.view.SetMembers(time.Now(), endpoints)
+}
+
+func (node *node) peers() []peridotpath.Instance {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.others
+}
+
+func (node *node) publish(_ time.Time, endpoints []peridotpath.Endpoint) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.fleet = map[peridotpath.EndpointID]peridotpath.Endpoint{}
+	for _, endpoint := range endpoints {
+		node.fleet[endpoint.ID] = endpoint
+	}
+}
+
+func (node *node) report(_ time.Time, id peridotpath.EndpointID, load peridotpath.Load) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.loads[id] = load
+}
+
+func (node *node) load(id peridotpath.EndpointID) peridotpath.Load {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.loads[id]
+}
+
+func (node *node) state(id peridotpath.EndpointID) peridotpath.State {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	return node.fleet[id].State
+}
+
+func (network *network) reachable(a, b string) bool {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return !network.cut[[2]string{a, b}] && !network.cut[[2]string{b, a}]
+}
+
+func (network *network) setCut(a, b string, cut bool) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.cut[[2]string{a, b}] = cut
+}
+
+// isolate cuts a node from all other instances.
+func (network *network) isolate(node *node, cut bool) {
+	for _, other := range network.nodes {
+		network.setCut(string(node.ID), string(other.ID), cut)
+	}
+}
+
+func (node *node) call(ctx context.Context, other peridotpath.Instance, sent *wire.Digest) (*wire.Digest, error) {
+	time.Sleep(latency)
+	if !node.network.reachable(string(node.ID), string(other.ID)) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	sent = proto.Clone(sent).(*wire.Digest)
+	if node.network.future[node.ID] {
+		sent.Version = &wire.Version{Protocol: 9, ReadableBy: 9}
+	}
+	for _, callee := range node.network.nodes {
+		if callee.ID != other.ID {
+			continue
+		}
+		answer, err := callee.exchanger.Answer(time.Now(), sent)
+		if err != nil {
+			return nil, err
+		}
+		answer = proto.Clone(answer).(*wire.Digest)
+		if node.network.future[callee.ID] {
+			answer.Version = &wire.Version{Protocol: 9, ReadableBy: 9}
+		}
+		node.count(sent, answer)
+		callee.count(sent, answer)
+		time.Sleep(latency)
+		return answer, nil
+	}
+	return nil, errNoAnswer
+}
+
+func (node *node) count(sent, answer *wire.Digest) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.bytes += proto.Size(sent) + proto.Size(answer) + peer.MessageOverhead
+}
+
+func (node *node) read(ctx context.Context, address netip.AddrPort) (peridotpath.Load, error) {
+	time.Sleep(latency)
+	for _, engine := range node.network.engines {
+		if engine.Address != address {
+			continue
+		}
+		if !node.network.reachable(string(node.ID), string(engine.ID)) {
+			<-ctx.Done()
+			return peridotpath.Load{}, ctx.Err()
+		}
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		engine.reads[node.ID]++
+		engine.load.Revision++
+		return engine.load, nil
+	}
+	return peridotpath.Load{}, errNoAnswer
+}
+
+func (engine *fakeEngine) set(change func(load *peridotpath.Load)) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	change(&engine.load)
+}
+
+func (engine *fakeEngine) forgetReads() {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	clear(engine.reads)
+}
+
+func (engine *fakeEngine) readBy() int {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return len(engine.reads)
+}
+
+// run runs every node until the returned function is called.
+func (network *network) run(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2*len(network.nodes))
+	for _, node := range network.nodes {
+		go func() { ended <- node.exchanger.Run(ctx) }()
+		go func() { ended <- node.poller.Run(ctx) }()
+	}
+	return func() {
+		cancel()
+		for range cap(ended) {
+			_ = <-ended
+		}
+	}
+}
--- a/peridotpath/peer/relay.go
+++ b/peridotpath/peer/relay.go
@@ -60,31 +60,33 @@
 		return nil, config.ErrNoPeers.New("")
 	}
 	if wait > 0 {
-		relay.hold(ctx, hashRevisions(have))
-		update, err := relay.follow(ctx, have, wait)
+		wait -= relay.hold(ctx, hashRevisions(have))
+		update, err := relay.follow(ctx, have, max(wait, 0))
 		relay.note(update)
 		return []config.Update{update}, err
 	}
 	return relay.askSeveral(ctx, have, others)
 }
 
-// hold waits when the last answer had documents and none was put in force.
+// hold waits when the last answer had documents and none was put in force, and
+// returns for how long.
 //
 // A newer version may write a document that this one refuses. The reader then
 // has it for us again at once, and without the wait the two would hand it back
 // and forth as fast as the network lets them.
-func (relay *Relay) hold(ctx context.Context, have uint64) {
+func (relay *Relay) hold(ctx context.Context, have uint64) time.Duration {
 	relay.mu.Lock()
 	same := relay.refused == have
 	relay.asked = have
 	relay.mu.Unlock()
 	if !same {
-		return
+		return 0
 	}
 	select {
 	case <-time.After(refusedPause):
 	case <-ctx.Done():
 	}
+	return refusedPause
 }
 
 func (relay *Relay) note(update config.Update) {
