--- a/peridotpath/peer/network_test.go
+++ b/peridotpath/peer/network_test.go
@@ -274,7 +274,9 @@
 	return func() {
 		cancel()
 		for range cap(ended) {
-			_ = <-ended
+			if err := <-ended; !errors.Is(err, context.Canceled) {
+				t.Error(err)
+			}
 		}
 	}
 }
--- a/peridotpath/peer/service.go
+++ b/peridotpath/peer/service.go
@@ -49,19 +49,32 @@
 
 // Changes is part of the protocol.
 func (endpoints *endpoints) Changes(ctx context.Context, request *wire.ChangesRequest) (*wire.ChangesReply, error) {
+	reply, err := endpoints.service.Answer(ctx, request)
+	switch {
+	case err == nil:
+		return reply, nil
+	case ErrVersion.Has(err):
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	default:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+}
+
+// Answer answers another instance's question for documents.
+func (service *Service) Answer(ctx context.Context, request *wire.ChangesRequest) (*wire.ChangesReply, error) {
 	if !digest.Readable(request.GetVersion()) {
-		return nil, twirp.NewError(twirp.FailedPrecondition, ErrVersion.New("changes").Error())
+		return nil, ErrVersion.New("changes: protocol %d", request.GetVersion().GetProtocol())
 	}
-	have, known := endpoints.service.known.resolve(request)
+	have, known := service.known.resolve(request)
 	if !known {
 		return &wire.ChangesReply{Version: digest.Version(), SendRevisions: true}, nil
 	}
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxWait)
-	update, err := endpoints.service.Changes(ctx, have, wait)
+	update, err := service.Changes(ctx, have, wait)
 	if err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		return nil, err
 	}
-	endpoints.service.known.remember(have, update)
+	service.known.remember(have, update)
 	return packUpdate(update)
 }
 
