--- a/peridotpath/peer/relay_test.go
+++ b/peridotpath/peer/relay_test.go
@@ -95,10 +95,10 @@
 	is.True(peer.ErrVersion.Has(err))
 }
 
-// asked counts the questions of a follower, and those with all revisions.
-type asked struct{ questions, long int }
+// askedCount counts the questions of a follower, and those with all revisions.
+type askedCount struct{ questions, long int }
 
-func relayTo(source *config.Store, asked *asked) *peer.Relay {
+func relayTo(source *config.Store, asked *askedCount) *peer.Relay {
 	service := &peer.Service{Changes: source.Changes}
 	others := func() []peridotpath.Instance { return []peridotpath.Instance{{ID: "instance-1"}} }
 	return &peer.Relay{
@@ -120,7 +120,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		kv := (&memory.Memory{}).Store()
 		source, version := reader(t, kv)
-		asked := &asked{}
+		asked := &askedCount{}
 		fresh := follower(relayTo(source, asked))
 		_, err := fresh.Load(ctx)
 		is.NoErr(err)
@@ -137,11 +137,11 @@
 
 		// The reader starts anew and knows no hash: it asks for the revisions
 		// once, and does not send every document of 34,000 customers again.
-		again := relayTo(source, asked)
-		updates, err := again.Peers(ctx, fresh.Applied(), time.Second)
+		anew := &askedCount{}
+		updates, err := relayTo(source, anew).Peers(ctx, fresh.Applied(), time.Second)
 		is.NoErr(err)
 		is.Equal(len(updates[0].Documents), 0)
-		is.Equal(asked.long, 1)
+		is.Equal(anew.long, 1)
 		cancel()
 		for range cap(ended) {
 			is.True(errors.Is(<-ended, context.Canceled))
@@ -159,7 +159,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		source, _ := reader(t, (&memory.Memory{}).Store())
-		asked := &asked{}
+		asked := &askedCount{}
 		relay := relayTo(source, asked)
 		real := relay.Changes
 		relay.Changes = func(ctx context.Context, peer peridotpath.Instance, request *wire.ChangesRequest) (*wire.ChangesReply, error) {
