--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -24,6 +24,15 @@
 type Client struct {
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
+	// Do makes an HTTP call; nil stands for outbound.Do.
+	Do func(request *http.Request) (*http.Response, error)
+}
+
+func (client *Client) do(request *http.Request) (*http.Response, error) {
+	if client.Do != nil {
+		return client.Do(request)
+	}
+	return outbound.Do(request)
 }
 
 // Request is one prompt on its way to an engine.
@@ -58,7 +67,7 @@
 	// No Idempotency-Key goes to an engine: with it the transport would send a
 	// POST again by itself after an answer was lost, and run work twice without
 	// this system knowing.
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 func (client *Client) name(request *http.Request) {
@@ -85,15 +94,17 @@
 	return nil, refusal(response, string(text))
 }
 
+// refusal sorts a status into a class. errs compares classes by their address,
+// so a copy of one would match nothing and pass for unknown.
 func refusal(response *http.Response, text string) error {
-	class := ErrFailed
+	class := &ErrFailed
 	switch {
 	case response.Header.Get(HeaderNotRun) != "":
-		class = ErrRefused
+		class = &ErrRefused
 	case response.StatusCode == http.StatusGone || response.StatusCode == http.StatusNotFound:
-		class = ErrGone
+		class = &ErrGone
 	case response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusUnprocessableEntity:
-		class = ErrBadRequest
+		class = &ErrBadRequest
 	}
 	return class.New("status %d: %s", response.StatusCode, text)
 }
@@ -107,7 +118,7 @@
 		return nil, ErrGone.Wrap(err)
 	}
 	client.name(request)
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 // Cancel ends a stream and frees its memory. With onlyDetached the engine does
@@ -148,7 +159,7 @@
 		return ErrUnreached.Wrap(err)
 	}
 	client.name(request)
-	got, err := answer(outbound.Do(request))
+	got, err := answer(client.do(request))
 	if err != nil {
 		return err
 	}
