share: customers' limits hold across instances

Each instance gave a customer an equal part of its limit, so a balancer that sends a customer to one of eight instances cost it seven eighths. Instances now tell one another the demand of customers near their limit, in the digests, and each takes the part of the limit that its part of the demand is.

--- a/peridotpath/digest/book.go
+++ b/peridotpath/digest/book.go
@@ -126,6 +126,11 @@
 // demandScale turns requests per second into the unit of the wire form.
 const demandScale = 1000
 
+// Rounded returns a demand as the other instances see it.
+func Rounded(perSecond float64) float64 {
+	return float64(Figure(Quantise(int64(perSecond*demandScale)))) / demandScale
+}
+
 // KeepEndpoints withdraws the endpoints for which keep says no.
 func (book *Book) KeepEndpoints(keep func(peridotpath.EndpointID) bool) {
 	book.mu.Lock()
--- a/peridotpath/digest/mirror.go
+++ b/peridotpath/digest/mirror.go
@@ -15,7 +15,7 @@
 	epoch     uint64
 	sequence  uint64
 	endpoints map[uint32]*Report
-	customers map[uint32]*Demand
+	customers map[uint32]*demand
 	heard     time.Time
 }
 
@@ -27,11 +27,11 @@
 	Unread bool
 }
 
-// Demand is what one customer asks of another instance.
-type Demand struct {
-	Customer peridotpath.CustomerID
-	// PerSecond counts requests, refused ones included.
-	PerSecond float64
+// demand is what one customer asks of another instance.
+type demand struct {
+	customer peridotpath.CustomerID
+	// perSecond counts requests, refused ones included.
+	perSecond float64
 }
 
 // Seen returns the epoch and sequence that the other instance may build on.
@@ -62,7 +62,7 @@
 		// The other instance was started anew. What it said before is void; a
 		// late Digest of the earlier run is put right by the next exchange.
 		mirror.epoch, mirror.sequence = digest.Epoch, 0
-		mirror.endpoints, mirror.customers = map[uint32]*Report{}, map[uint32]*Demand{}
+		mirror.endpoints, mirror.customers = map[uint32]*Report{}, map[uint32]*demand{}
 	}
 	if digest.Base > mirror.sequence || digest.Sequence < mirror.sequence {
 		return nil
@@ -121,24 +121,25 @@
 		delete(mirror.customers, written.Index)
 		return
 	}
-	demand := mirror.customers[written.Index]
-	if demand == nil {
-		demand = &Demand{}
-		mirror.customers[written.Index] = demand
+	found := mirror.customers[written.Index]
+	if found == nil {
+		found = &demand{}
+		mirror.customers[written.Index] = found
 	}
 	if written.Customer != "" {
-		demand.Customer = peridotpath.CustomerID(written.Customer)
+		found.customer = peridotpath.CustomerID(written.Customer)
 	}
-	demand.PerSecond = float64(Figure(written.Demand)) / demandScale
+	found.perSecond = float64(Figure(written.Demand)) / demandScale
 }
 
-// Demands returns what customers ask of the other instance.
-func (mirror *Mirror) Demands() []Demand {
+// Demand returns what each customer asks of the other instance, in requests per
+// second, refused ones included.
+func (mirror *Mirror) Demand() map[peridotpath.CustomerID]float64 {
 	mirror.mu.Lock()
 	defer mirror.mu.Unlock()
-	demands := make([]Demand, 0, len(mirror.customers))
-	for _, demand := range mirror.customers {
-		demands = append(demands, *demand)
+	byCustomer := make(map[peridotpath.CustomerID]float64, len(mirror.customers))
+	for _, found := range mirror.customers {
+		byCustomer[found.customer] = found.perSecond
 	}
-	return demands
+	return byCustomer
 }
--- a/peridotpath/peer/exchange.go
+++ b/peridotpath/peer/exchange.go
@@ -20,6 +20,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/digest"
 	"peridotpath.example/peridotpath/peer/wire"
+	"peridotpath.example/peridotpath/share"
 )
 
 // Error is the class of this package's errors.
@@ -291,24 +292,17 @@
 	return answer, nil
 }
 
-// Remote is what is known of one peer's customers.
-type Remote struct {
-	Instance peridotpath.InstanceID
-	// Heard is when the peer was last heard; zero for never.
-	Heard   time.Time
-	Demands []digest.Demand
-}
-
-// Remotes returns every peer that is listed or was heard of late.
-func (exchanger *Exchanger) Remotes() []Remote {
+// Remotes returns what customers ask of every peer that is listed or was heard
+// of late; it is share.Limiter.Peers.
+func (exchanger *Exchanger) Remotes() []share.Peer {
 	exchanger.start()
 	exchanger.mu.Lock()
 	defer exchanger.mu.Unlock()
-	remotes := make([]Remote, 0, len(exchanger.remotes))
-	for id, remote := range exchanger.remotes {
-		remotes = append(remotes, Remote{Instance: id, Heard: remote.mirror.Heard(), Demands: remote.mirror.Demands()})
+	peers := make([]share.Peer, 0, len(exchanger.remotes))
+	for _, remote := range exchanger.remotes {
+		peers = append(peers, share.Peer{Heard: remote.mirror.Heard(), Demand: remote.mirror.Demand()})
 	}
-	return remotes
+	return peers
 }
 
 var (
