--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin
-PROGRAMS := peridotd peridotctl standin
+MODULES := peridotpath peridotd peridotctl standin measure
+PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
@@ -43,3 +43,8 @@
 
 up: build ## runs the demo's fleet in the foreground, for any client
 	@scripts/up.sh
+measure: ## compares the decisions under load with simple policies, on a fake clock
+	@cd measure && go run . figures
+
+bench: ## what a decision costs, with parallel callers
+	@go test -run '^$$' -bench . -benchmem ./peridotpath/decide/...
