--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -20,83 +20,74 @@
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/keyvalue"
-	"peridotpath.example/peridotpath/membership"
+	"peridotpath.example/peridotpath/operator"
+	"peridotpath.example/peridotpath/peer"
 	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/settings"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
 const (
-	membershipInterval = time.Second
-	loadInterval       = 500 * time.Millisecond
-	resumeWindow       = 10 * time.Second
-	bodyTimeout        = 10 * time.Second
-	activePoll         = 20 * time.Millisecond
+	// resumeWindow is how long a stream without a reader is kept for its caller.
+	resumeWindow = 10 * time.Second
+	bodyTimeout  = 10 * time.Second
+	activePoll   = 20 * time.Millisecond
 )
 
 // daemon is one instance: its parts, joined.
 type daemon struct {
-	settings   *settings.Settings
-	log        zerolog.Logger
-	keyValue   *keyvalue.Store
-	config     *config.Store
-	follower   *membership.Follower
-	engines    *engine.Client
-	poller     *engine.Poller
-	scheduler  *decide.Scheduler
-	dispatcher *dispatch.Dispatcher
-	claims     *claim.Ledger
-	signer     *cursor.Signer
-	callers    *caller.Server
-	callerSide *caller.Listener
-	peerSide   *caller.Listener
+	settings    *settings.Settings
+	incarnation peridotpath.Incarnation
+	log         zerolog.Logger
+	keyValue    *keyvalue.Store
+	config      *config.Store
+	fleet       *fleetSide
+	engines     *engine.Client
+	scheduler   *decide.Scheduler
+	dispatcher  *dispatch.Dispatcher
+	claims      *claim.Ledger
+	signer      *cursor.Signer
+	callers     *caller.Server
+	callerSide  *caller.Listener
+	peerSide    *caller.Listener
 }
 
 // newDaemon joins the parts; nothing runs yet.
-func newDaemon(settings *settings.Settings) *daemon {
+func newDaemon(settings *settings.Settings) (*daemon, error) {
 	log, err := telemetry.NewLog(os.Stdout, settings.LogLevel, settings.InstanceID)
 	if err != nil {
-		log = zerolog.Nop()
+		return nil, err
 	}
-	daemon := &daemon{settings: settings, log: log}
+	// A later run has a higher number as long as the clock does not step back
+	// by more than the instance was gone; the number only tells runs apart.
+	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
+	daemon := &daemon{settings: settings, log: log, incarnation: incarnation, signer: &cursor.Signer{}}
 	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress)
 	daemon.config = &config.Store{KeyValue: daemon.keyValue, Log: log}
-	daemon.scheduler = &decide.Scheduler{}
-	daemon.follower = &membership.Follower{
-		Fetch: func(ctx context.Context) (*membership.List, error) {
-			return membership.Fetch(ctx, settings.MembershipAddress)
-		},
-		Interval: membershipInterval, Log: log, Changed: daemon.membersChanged,
-	}
-	daemon.engines = &engine.Client{
-		Instance:    settings.InstanceID,
-		Incarnation: peridotpath.Incarnation(time.Now().UnixNano()),
-	}
-	daemon.poller = &engine.Poller{
-		Load: daemon.engines.Load, Endpoints: daemon.endpoints,
-		Interval: loadInterval, Report: daemon.scheduler.Report,
-	}
+	daemon.engines = &engine.Client{Instance: settings.InstanceID, Incarnation: incarnation}
+	daemon.scheduler = &decide.Scheduler{Seed: uint64(incarnation)}
+	daemon.fleet = joinFleet(daemon)
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
-		SendPlain: service.Send,
+		SendPlain: service.Send, Draining: daemon.fleet.view.Refused,
 	}
 	daemon.claims = &claim.Ledger{
-		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: daemon.engines.Incarnation,
-		Alive: daemon.alive, Logger: log,
+		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
+		Alive: daemon.fleet.alive, Logger: log,
 	}
-	daemon.signer = &cursor.Signer{}
 	daemon.joinCallers()
-	return daemon
+	daemon.joinPeers()
+	return daemon, nil
 }
 
 func (daemon *daemon) joinCallers() {
 	limits := daemon.settings.Limits
 	daemon.callers = &caller.Server{
-		Log: daemon.log, Config: daemon.currentConfig,
+		Log: daemon.log, Config: daemon.currentConfig, Ready: daemon.ready,
 		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
-		Endpoint: daemon.follower.Endpoint, EngineHolds: daemon.engineHolds,
-		Signer: daemon.signer, Claims: daemon.claims,
+		Endpoint: daemon.fleet.follower.Endpoint, EngineHolds: daemon.fleet.engineHolds,
+		Signer: daemon.signer, Claims: daemon.claims, MaxActive: limits.MaxConnections,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
 	daemon.callerSide = &caller.Listener{
@@ -104,11 +95,21 @@
 		Routes: daemon.callers.Routes(), Prefix: caller.ServicePrefix, PrefixHandler: daemon.callers.Services(),
 		MaxHeaderBytes: int(limits.MaxHeaderBytes),
 	}
+	daemon.callerSide.Open()
+}
+
+// joinPeers makes the side that other instances and operators reach.
+func (daemon *daemon) joinPeers() {
+	operators := (&operatorSide{daemon: daemon}).server()
 	daemon.peerSide = &caller.Listener{
-		Name: "peers", Address: daemon.settings.PeerAddress, MaxHeaderBytes: int(limits.MaxHeaderBytes),
-		Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics}},
+		Name: "peers", Address: daemon.settings.PeerAddress,
+		MaxHeaderBytes: int(daemon.settings.Limits.MaxHeaderBytes),
+		Routes: []rest.Route{
+			{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics},
+			{Method: http.MethodPost, Path: operator.PathPrefix + ":method", Handler: operators.Handler().ServeHTTP},
+			{Method: http.MethodPost, Path: peer.PathPrefix + ":method", Handler: daemon.fleet.service.Handler().ServeHTTP},
+		},
 	}
-	daemon.callerSide.Open()
 	daemon.peerSide.Open()
 }
 
@@ -116,6 +117,13 @@
 	metrics.WritePrometheus(writer, true)
 }
 
+// ready reports whether the instance knows enough to serve new callers: by a
+// recent configuration and at least one reading of the membership list. Without
+// the second it refused its first callers with no_endpoint.
+func (daemon *daemon) ready() bool {
+	return daemon.config.Ready() && daemon.fleet.follower.Current() != nil
+}
+
 func (daemon *daemon) currentConfig() *peridotpath.Config {
 	if snapshot := daemon.config.Current(); snapshot != nil {
 		return snapshot.Config
@@ -123,47 +131,6 @@
 	return nil
 }
 
-func (daemon *daemon) endpoints() []peridotpath.Endpoint {
-	if list := daemon.follower.Current(); list != nil {
-		return list.Endpoints
-	}
-	return nil
-}
-
-func (daemon *daemon) membersChanged(list *membership.List) {
-	daemon.scheduler.SetEndpoints(time.Now(), list.Endpoints)
-	daemon.log.Info().Uint64("revision", list.Revision).Int("endpoints", len(list.Endpoints)).
-		Int("instances", len(list.Instances)).Msg("membership")
-}
-
-// alive reports whether that run of that instance may still be at work.
-func (daemon *daemon) alive(id peridotpath.InstanceID, incarnation peridotpath.Incarnation) bool {
-	if id == daemon.settings.InstanceID {
-		return incarnation == daemon.engines.Incarnation
-	}
-	list := daemon.follower.Current()
-	if list == nil {
-		return true
-	}
-	for _, instance := range list.Instances {
-		if instance.ID == id {
-			return instance.Incarnation == 0 || instance.Incarnation == incarnation
-		}
-	}
-	return false
-}
-
-// engineHolds returns the KV memory of the service's largest live engine.
-func (daemon *daemon) engineHolds(service peridotpath.Service) peridotpath.Tokens {
-	var most peridotpath.Tokens
-	for _, endpoint := range daemon.endpoints() {
-		if endpoint.Service == service {
-			most = max(most, endpoint.KVTokens)
-		}
-	}
-	return most
-}
-
 // task is one background task of the daemon.
 type task struct {
 	name string
@@ -172,13 +139,17 @@
 
 // tasks lists everything that runs beside the listeners.
 func (daemon *daemon) tasks() []task {
+	fleet := daemon.fleet
 	return []task{
-		{"config", daemon.followConfig},
-		{"membership", daemon.follower.Run},
-		{"load_reports", daemon.poller.Run},
+		{"config", daemon.config.Run},
+		{"membership", fleet.follower.Run},
+		{"load_reports", fleet.poller.Run},
+		{"exchange", fleet.exchanger.Run},
+		{"shares", fleet.limiter.Run},
+		{"sweep", fleet.sweeper.Run},
 		{"dispatch", daemon.dispatcher.Run},
-		{"cursor_secret", daemon.shareSecret},
 		{"claims", daemon.claims.Run},
+		{"cursor_secret", daemon.shareSecret},
 	}
 }
 
@@ -186,13 +157,6 @@
 	return daemon.signer.Run(ctx, daemon.keyValue)
 }
 
-func (daemon *daemon) followConfig(ctx context.Context) error {
-	if _, err := daemon.config.Load(ctx); err != nil {
-		return err
-	}
-	return daemon.config.Run(ctx)
-}
-
 // run serves until a signal comes on stop and everything is finished.
 func (daemon *daemon) run(stop <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/peridotd/fleet.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/digest"
+	"peridotpath.example/peridotpath/fleet"
+	"peridotpath.example/peridotpath/membership"
+	"peridotpath.example/peridotpath/ownership"
+	"peridotpath.example/peridotpath/peer"
+	"peridotpath.example/peridotpath/settings"
+	"peridotpath.example/peridotpath/share"
+	"peridotpath.example/peridotpath/sweep"
+)
+
+// membershipInterval is how often the membership list is read. Drains and
+// refusals reach an instance faster by other ways; the list names new members.
+const membershipInterval = time.Second
+
+// fleetSide is what this instance knows of endpoints and of other instances,
+// and how it learns it.
+type fleetSide struct {
+	settings    *settings.Settings
+	incarnation peridotpath.Incarnation
+	scheduler   *decide.Scheduler
+
+	follower  *membership.Follower
+	owners    *ownership.Owners
+	view      *fleet.View
+	poller    *fleet.Poller
+	book      *digest.Book
+	exchanger *peer.Exchanger
+	relay     *peer.Relay
+	service   *peer.Service
+	limiter   *share.Limiter
+	sweeper   *sweep.Sweeper
+}
+
+// joinFleet joins the parts that know the fleet to the daemon's other parts.
+func joinFleet(daemon *daemon) *fleetSide {
+	side := &fleetSide{settings: daemon.settings, incarnation: daemon.incarnation, scheduler: daemon.scheduler}
+	side.joinMembers(daemon)
+	side.joinReports(daemon)
+	side.joinInstances(daemon)
+	return side
+}
+
+func (side *fleetSide) joinMembers(daemon *daemon) {
+	side.owners = &ownership.Owners{Scope: ownership.Scope{
+		Self: daemon.settings.InstanceID, DataCentre: daemon.settings.DataCentre,
+		Readers: daemon.settings.ConfigReaders,
+	}}
+	side.follower = &membership.Follower{
+		Fetch: func(ctx context.Context) (*membership.List, error) {
+			return membership.Fetch(ctx, daemon.settings.MembershipAddress)
+		},
+		Interval: membershipInterval, Log: daemon.log, Changed: side.membersChanged,
+	}
+	side.view = &fleet.View{
+		Log: daemon.log, Publish: daemon.scheduler.SetEndpoints, Load: daemon.scheduler.Report,
+		Drained: func(id peridotpath.EndpointID) bool {
+			snapshot := daemon.config.Current()
+			if snapshot == nil {
+				return false
+			}
+			_, drained := snapshot.Drains[id]
+			return drained
+		},
+	}
+}
+
+func (side *fleetSide) joinReports(daemon *daemon) {
+	side.book = &digest.Book{Epoch: uint64(daemon.incarnation)}
+	side.poller = &fleet.Poller{View: side.view, Book: side.book, Load: daemon.engines.Load, Owns: side.owns}
+	side.sweeper = &sweep.Sweeper{
+		Log: daemon.log, Engines: side.view.Engines, Owns: side.owns,
+		Streams: daemon.engines.Streams, Cancel: daemon.engines.Cancel, ResumeWindow: resumeWindow,
+	}
+}
+
+func (side *fleetSide) joinInstances(daemon *daemon) {
+	client := &peer.Client{}
+	side.exchanger = &peer.Exchanger{
+		Self: daemon.settings.InstanceID, Book: side.book, Log: daemon.log,
+		Peers: side.peers, Call: client.Exchange, Report: side.view.Report,
+	}
+	side.relay = &peer.Relay{Readers: side.readers, Others: side.peers, Changes: client.Changes}
+	side.service = &peer.Service{Exchanger: side.exchanger, Changes: daemon.config.Changes}
+	daemon.config.Peers = side.relay.Peers
+	daemon.config.IsReader = side.isReader
+	daemon.config.Publish = func(*config.Snapshot) { side.view.Refresh(time.Now()) }
+	side.limiter = &share.Limiter{
+		Peers: side.exchanger.Remotes, Publish: side.book.PutCustomer, Keep: side.book.KeepCustomers,
+	}
+	daemon.scheduler.Allow = side.limiter.Allow
+}
+
+func (side *fleetSide) membersChanged(list *membership.List) {
+	side.owners.Set(list.Instances, list.Endpoints)
+	side.scheduler.SetInstances(side.owners.Current().Live())
+	side.view.SetMembers(time.Now(), list.Endpoints)
+}
+
+func (side *fleetSide) owns(id peridotpath.EndpointID) bool { return side.owners.Current().Owns(id) }
+
+// isReader reports whether this instance watches the platform. One that is on
+// no list, or has read none yet, watches: there is nobody to follow.
+func (side *fleetSide) isReader() bool {
+	table := side.owners.Current()
+	return table.Live() == 0 || table.IsReader()
+}
+
+// peers returns the other live instances of the data centre.
+func (side *fleetSide) peers() []peridotpath.Instance {
+	list := side.follower.Current()
+	if list == nil {
+		return nil
+	}
+	var others []peridotpath.Instance
+	for _, instance := range list.Instances {
+		if instance.ID != side.settings.InstanceID && instance.DataCentre == side.settings.DataCentre && instance.State == peridotpath.StateLive {
+			others = append(others, instance)
+		}
+	}
+	return others
+}
+
+func (side *fleetSide) readers() []peridotpath.Instance {
+	var others []peridotpath.Instance
+	for _, instance := range side.owners.Current().Readers() {
+		if instance.ID != side.settings.InstanceID {
+			others = append(others, instance)
+		}
+	}
+	return others
+}
+
+// alive reports whether that run of that instance may still be at work.
+func (side *fleetSide) alive(id peridotpath.InstanceID, incarnation peridotpath.Incarnation) bool {
+	if id == side.settings.InstanceID {
+		return incarnation == side.incarnation
+	}
+	list := side.follower.Current()
+	if list == nil {
+		return true
+	}
+	for _, instance := range list.Instances {
+		if instance.ID == id {
+			return instance.Incarnation == 0 || instance.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
+// engineHolds returns the KV memory of the service's largest engine.
+func (side *fleetSide) engineHolds(service peridotpath.Service) peridotpath.Tokens {
+	var most peridotpath.Tokens
+	for _, endpoint := range side.view.Engines() {
+		if endpoint.Service == service {
+			most = max(most, endpoint.KVTokens)
+		}
+	}
+	return most
+}
--- a/peridotd/serve.go
+++ b/peridotd/serve.go
@@ -43,7 +43,11 @@
 	// A second signal changes nothing: it must not cut what still runs.
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	if err := newDaemon(settings).run(stop); err != nil {
+	daemon, err := newDaemon(settings)
+	if err == nil {
+		err = daemon.run(stop)
+	}
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "peridotd: %v\n", err)
 		return subcommands.ExitFailure
 	}
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -40,6 +40,13 @@
 	Log zerolog.Logger
 	// Config returns the configuration in force, nil before there is one.
 	Config func() *peridotpath.Config
+	// Ready, when set, reports whether the configuration is recent enough to take
+	// new callers by.
+	Ready func() bool
+	// MaxActive bounds the requests that are served at a time; zero for no bound.
+	// The load it is made for is callers that open connections without end: each
+	// takes memory before anything is known of its request.
+	MaxActive int
 	// Do runs a request; Continue goes on with a stream by its cursor.
 	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
 	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
@@ -72,6 +79,17 @@
 // Stop makes the instance not ready; what comes in all the same is still served.
 func (server *Server) Stop() { server.stopping.Store(true) }
 
+// Stopping reports whether Stop was called.
+func (server *Server) Stopping() bool { return server.stopping.Load() }
+
+// IsReady reports whether the balancer may send new callers.
+func (server *Server) IsReady() bool {
+	if server.stopping.Load() || server.Config() == nil {
+		return false
+	}
+	return server.Ready == nil || server.Ready()
+}
+
 // Active returns how many requests are being served.
 func (server *Server) Active() int64 { return server.active.Load() }
 
@@ -82,7 +100,7 @@
 // ready answers the balancer. An Instance without configuration or about to
 // stop asks for no new callers, but still serves the ones that come.
 func (server *Server) ready(writer http.ResponseWriter, _ *http.Request) {
-	if server.stopping.Load() || server.Config() == nil {
+	if !server.IsReady() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -113,6 +131,9 @@
 		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrived: time.Now()}
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
 		result := server.authenticate(exchange)
+		if server.MaxActive > 0 && server.Active() > int64(server.MaxActive) {
+			result = &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies, Detail: "too many requests at a time"}
+		}
 		if result == nil {
 			result = serve(exchange)
 		}
--- a/peridotpath/decide/admit.go
+++ b/peridotpath/decide/admit.go
@@ -37,7 +37,7 @@
 		after := spread(concurrencyRetry, scheduler.random.Float64())
 		return &peridotpath.Result{Code: peridotpath.CodeTooManyRequests, RetryAfter: after}
 	}
-	if wait := work.customer.takeRate(at, work.Customer.MaxRequestsPerS, instances); wait > 0 {
+	if wait := scheduler.takeRate(at, work, instances); wait > 0 {
 		work.customer.active.Add(-1)
 		after := spread(wait, scheduler.random.Float64())
 		return &peridotpath.Result{Code: peridotpath.CodeRateLimited, RetryAfter: after}
@@ -45,6 +45,18 @@
 	return nil
 }
 
+// takeRate takes the work out of its customer's rate, or returns the wait.
+func (scheduler *Scheduler) takeRate(at int64, work *Work, instances int32) time.Duration {
+	if scheduler.Allow == nil {
+		return work.customer.takeRate(at, work.Customer.MaxRequestsPerS, instances)
+	}
+	ok, wait := scheduler.Allow(time.Unix(0, at), work.Customer, work.Prompt+work.Output)
+	if ok {
+		return 0
+	}
+	return max(wait, time.Millisecond)
+}
+
 // enqueue queues work that found no place, or refuses it at once if it is
 // predicted to wait in vain. A queue that takes everything turns overload into
 // a late failure for all; a refusal turns it into a retry for a few.
--- a/peridotpath/decide/scheduler.go
+++ b/peridotpath/decide/scheduler.go
@@ -27,6 +27,9 @@
 	Seed uint64
 	// Disabled mechanisms are left out, for measurements.
 	Disabled Mechanism
+	// Allow takes one request out of a customer's rate over all instances, or
+	// says when to come back. nil stands for an equal part for each instance.
+	Allow func(now time.Time, customer *peridotpath.Customer, tokens peridotpath.Tokens) (ok bool, retryAfter time.Duration)
 
 	once      sync.Once
 	random    *rand.Rand
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -130,6 +131,7 @@
 		Priority: work.Profile.Priority, Deadline: work.Deadline,
 	})
 	if err != nil {
+		dispatcher.noteLeaving(endpoint.ID, err)
 		return dispatcher.sendFailed(ctx, work, err)
 	}
 	defer answer.Body.Close()
@@ -139,6 +141,15 @@
 	return dispatcher.whole(ctx, work, endpoint, answer, sink)
 }
 
+// noteLeaving keeps new work from an endpoint that says it is leaving: the
+// membership list may go on naming it as live for half a minute.
+func (dispatcher *Dispatcher) noteLeaving(endpoint peridotpath.EndpointID, err error) {
+	leaving := engine.ErrLeaving.Has(err) || service.ErrLeaving.Has(err)
+	if leaving && dispatcher.Draining != nil {
+		dispatcher.Draining(time.Now(), endpoint)
+	}
+}
+
 // sendFailed sorts a failure before the answer's headers.
 func (dispatcher *Dispatcher) sendFailed(ctx context.Context, work *decide.Work, err error) attempt {
 	detail := err.Error()
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -55,6 +55,8 @@
 	Cancel func(ctx context.Context, address netip.AddrPort, stream string, onlyDetached bool) error
 	// SendPlain speaks to a plain service.
 	SendPlain func(ctx context.Context, address netip.AddrPort, call *service.Request) (*http.Response, error)
+	// Draining, when set, is told of an endpoint that said it is leaving.
+	Draining func(now time.Time, endpoint peridotpath.EndpointID)
 	// ResumeWindow is how long a stream whose caller left is kept for a return.
 	ResumeWindow time.Duration
 
--- a/peridotpath/dispatch/plain.go
+++ b/peridotpath/dispatch/plain.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	response, err := dispatcher.SendPlain(ctx, endpoint.Address, call)
 	if err != nil {
+		dispatcher.noteLeaving(endpoint.ID, err)
 		return dispatcher.plainFailed(ctx, work, err)
 	}
 	defer response.Body.Close()
--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -100,6 +100,9 @@
 // refusal sorts a status into a class. errs compares classes by their address,
 // so a copy of one would match nothing and pass for unknown.
 func refusal(response *http.Response, text string) error {
+	if response.Header.Get(HeaderNotRun) == NotRunLeaving {
+		return ErrRefused.Wrap(ErrLeaving.New("status %d: %s", response.StatusCode, text))
+	}
 	class := &ErrFailed
 	switch {
 	case response.Header.Get(HeaderNotRun) != "":
--- a/peridotpath/engine/enginetest/engine.go
+++ b/peridotpath/engine/enginetest/engine.go
@@ -310,12 +310,13 @@
 
 func (engine *Engine) snapshot(now time.Time) peridotpath.Load {
 	engine.reportRevision++
+	_, leaving := engine.Faults.On(faults.Drain)
 	waiting, ahead := engine.waiting()
 	return peridotpath.Load{
 		AsOf: now, Running: len(engine.order) - waiting, Waiting: waiting,
 		PrefillTokens: peridotpath.Tokens(math.Ceil(ahead)),
 		KVUsed:        engine.used + engine.cache.pinned(), KVTokens: engine.KVTokens,
 		PrefillPerS: engine.PrefillPerS, DecodePerS: engine.DecodePerS,
-		Revision: engine.reportRevision,
+		Revision: engine.reportRevision, Leaving: leaving,
 	}
 }
--- a/peridotpath/engine/enginetest/serve.go
+++ b/peridotpath/engine/enginetest/serve.go
@@ -54,7 +54,12 @@
 func (engine *Engine) complete(writer http.ResponseWriter, request *http.Request) {
 	sender := senderOf(request)
 	switch kind := engine.Faults.First(faults.Refuse, faults.Drain, faults.Fail); kind {
-	case faults.Refuse, faults.Drain:
+	case faults.Drain:
+		engine.noteRefused(sender)
+		writer.Header().Set(wire.HeaderNotRun, wire.NotRunLeaving)
+		http.Error(writer, "leaving", http.StatusServiceUnavailable)
+		return
+	case faults.Refuse:
 		engine.noteRefused(sender)
 		refuse(writer, http.StatusServiceUnavailable, string(kind))
 		return
--- a/peridotpath/engine/wire.go
+++ b/peridotpath/engine/wire.go
@@ -33,6 +33,9 @@
 	HeaderStreamID = "X-Stream-Id"
 	// HeaderNotRun on a refusal says that the engine did not begin the work.
 	HeaderNotRun = "X-Not-Run"
+	// NotRunLeaving is the value of HeaderNotRun where the engine takes no new
+	// work because it is leaving the fleet.
+	NotRunLeaving = "leaving"
 )
 
 // Done is the data of the event that ends a whole stream.
@@ -55,6 +58,8 @@
 	ErrUnreached = errs.Class("engine: unreached")
 	// ErrRefused says that the engine refused before it began: certainly not run.
 	ErrRefused = errs.Class("engine: refused")
+	// ErrLeaving says, within ErrRefused, that the engine is leaving the fleet.
+	ErrLeaving = errs.Class("engine: leaving")
 	// ErrBadRequest says that the engine found fault with the request itself.
 	ErrBadRequest = errs.Class("engine: bad request")
 	// ErrFailed says that the attempt failed and may have run.
--- a/peridotpath/fleet/view.go
+++ b/peridotpath/fleet/view.go
@@ -91,6 +91,11 @@
 	}
 	found.endpoint = endpoint
 	found.vanished = time.Time{}
+	// A plain service reports no load, so nothing but time takes back what its
+	// refusal said; the list has caught up by then.
+	if endpoint.Kind == peridotpath.KindPlain && now.Sub(found.leaving) >= vanishedHold {
+		found.leaving = time.Time{}
+	}
 }
 
 func (view *View) keepVanished(now time.Time, listed map[peridotpath.EndpointID]bool) {
--- a/peridotpath/operator/server.go
+++ b/peridotpath/operator/server.go
@@ -121,7 +121,12 @@
 
 // Applied returns one document's revision on each live instance.
 func (service service) Applied(ctx context.Context, request *pb.AppliedRequest) (*pb.AppliedResponse, error) {
-	instances, err := service.server.Applied(ctx, config.DocumentName(request.Document))
+	document := config.DocumentName(request.Document)
+	if request.Local {
+		revision := service.server.Config.Applied()[document]
+		return &pb.AppliedResponse{Instances: []*pb.InstanceRevision{{Revision: uint64(revision)}}}, nil
+	}
+	instances, err := service.server.Applied(ctx, document)
 	return &pb.AppliedResponse{Instances: instances}, unavailable(err)
 }
 
--- a/peridotpath/service/service.go
+++ b/peridotpath/service/service.go
@@ -18,14 +18,20 @@
 // HeaderRequestID carries the request id through every process.
 const HeaderRequestID = "X-Request-Id"
 
-// HeaderNotRun on a refusal says that the service did not begin the work.
-const HeaderNotRun = "X-Not-Run"
+const (
+	// HeaderNotRun on a refusal says that the service did not begin the work.
+	HeaderNotRun = "X-Not-Run"
+	// NotRunLeaving is its value where the replica is leaving the fleet.
+	NotRunLeaving = "leaving"
+)
 
 var (
 	// ErrUnreached says that the call never reached the service: not run.
 	ErrUnreached = errs.Class("service: unreached")
 	// ErrRefused says that the service refused before it began: not run.
 	ErrRefused = errs.Class("service: refused")
+	// ErrLeaving says, within ErrRefused, that the replica is leaving the fleet.
+	ErrLeaving = errs.Class("service: leaving")
 	// ErrFailed says that the call failed and may have run.
 	ErrFailed = errs.Class("service: failed")
 )
@@ -86,9 +92,13 @@
 	if err != nil {
 		return nil, ErrFailed.Wrap(err)
 	}
-	if response.Header.Get(HeaderNotRun) != "" {
-		response.Body.Close()
-		return nil, ErrRefused.New("status %d", response.StatusCode)
+	notRun := response.Header.Get(HeaderNotRun)
+	if notRun == "" {
+		return response, nil
+	}
+	response.Body.Close()
+	if notRun == NotRunLeaving {
+		return nil, ErrRefused.Wrap(ErrLeaving.New("status %d", response.StatusCode))
 	}
-	return response, nil
+	return nil, ErrRefused.New("status %d", response.StatusCode)
 }
--- a/peridotpath/service/servicetest/service.go
+++ b/peridotpath/service/servicetest/service.go
@@ -69,7 +69,12 @@
 		key = request.Header.Get(engine.HeaderRequestID)
 	}
 	switch service.Faults.First(faults.Refuse, faults.Drain, faults.Fail) {
-	case faults.Refuse, faults.Drain:
+	case faults.Drain:
+		service.note(key, func(count *engine.Count) { count.Refused++ })
+		writer.Header().Set(engine.HeaderNotRun, engine.NotRunLeaving)
+		http.Error(writer, "leaving", http.StatusServiceUnavailable)
+		return
+	case faults.Refuse:
 		service.note(key, func(count *engine.Count) { count.Refused++ })
 		writer.Header().Set(engine.HeaderNotRun, "true")
 		http.Error(writer, "refused", http.StatusServiceUnavailable)
--- /dev/null
+++ b/peridotpath/telemetry/telemetry_test.go
@@ -0,0 +1,25 @@
+package telemetry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath"
+)
+
+// TestQuantilesOfFirstTokens holds the quantiles to the buckets' error.
+func TestQuantilesOfFirstTokens(t *testing.T) {
+	is := is.New(t)
+	for i := 1; i <= 100; i++ {
+		FirstToken(peridotpath.Medium, time.Duration(i)*time.Millisecond)
+	}
+	times := FirstTokens()
+	is.Equal(len(times), 1)
+	is.Equal(times[0].Count, uint64(100))
+	for want, have := range map[time.Duration]time.Duration{50: times[0].P50, 95: times[0].P95, 99: times[0].P99} {
+		want *= time.Millisecond
+		is.True(have >= want && have <= want*8/7)
+	}
+}
