--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin
-PROGRAMS := peridotd peridotctl standin
+MODULES := peridotpath peridotd peridotctl standin measure
+PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
 
-.PHONY: help build test lint format unit tools fuzz bench generate soak
+.PHONY: $(shell grep -oE '^[a-z_-]+:' $(firstword $(MAKEFILE_LIST)) | tr -d :)
 
 help: ## lists the targets
 	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -37,3 +37,14 @@
 
 generate: ## writes the code of the .proto files anew (needs buf, protoc-gen-go, protoc-gen-twirp)
 	@PATH="$(GOBIN):$$PATH" buf generate
+
+demo: build ## runs a small fleet under load, kills one instance, stops another, prints the figures
+	@scripts/demo.sh
+
+up: build ## runs the demo's fleet in the foreground, for any client
+	@scripts/up.sh
+measure: ## compares the decisions under load with simple policies, on a fake clock
+	@cd measure && go run . figures
+
+bench: ## what a decision costs, with parallel callers
+	@go test -run '^$$' -bench . -benchmem ./peridotpath/decide/...
--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -28,6 +28,8 @@
 	// longestWait bounds what is waited on a Retry-After.
 	longestWait = 5 * time.Second
 	maxTries    = 40
+	// keyRunning says that another instance runs a request with the same key.
+	keyRunning = "key_running"
 )
 
 // verdict is how a request ended for its caller.
@@ -80,18 +82,19 @@
 // call is one request while it runs.
 type call struct {
 	*ending
-	balancer *balancer
-	body     []byte
-	want     string
-	began    time.Time
+	balancer    *balancer
+	repeatKeyed bool
+	body        []byte
+	want        string
+	began       time.Time
 	// text is the part of the answer that is there, last the id of its last event.
 	text strings.Builder
 	last string
 }
 
 // do sends the request until it ends one way or another.
-func do(ctx context.Context, balancer *balancer, request *request) *ending {
-	call := &call{ending: &ending{request: request, refusals: map[string]int{}, onlyNotRun: true}, balancer: balancer, began: time.Now()}
+func do(ctx context.Context, balancer *balancer, request *request, repeatKeyed bool) *ending {
+	call := &call{repeatKeyed: repeatKeyed, ending: &ending{request: request, refusals: map[string]int{}, onlyNotRun: true}, balancer: balancer, began: time.Now()}
 	sent, err := request.body()
 	if err != nil {
 		call.verdict, call.code = lost, err.Error()
@@ -126,19 +129,19 @@
 }
 
 // again says whether the caller tries once more. A refusal may be repeated when
-// it says when; a call without an answer only if it is idempotent, never
-// arrived, is keyed, or its stream can be resumed.
+// it says when; a call without an answer if it is idempotent, if it certainly
+// never arrived, or if its key keeps it from running twice.
 func (call *call) again(try try) bool {
 	over := time.Since(call.began)+try.wait >= call.request.work.DeadlineMS.Duration()
 	switch {
 	case over:
 		return false
-	case try.verdict == refused:
+	case try.verdict == refused || try.code == keyRunning:
 		return try.wait > 0
 	case !try.broke:
 		return false
 	default:
-		return true
+		return call.request.work.Idempotent || !try.sent || call.repeatKeyed
 	}
 }
 
@@ -188,7 +191,7 @@
 	if call.last != "" {
 		call.resumed++
 	}
-	response, err := outbound.Do(made)
+	response, err := call.balancer.target.do(made)
 	if err != nil {
 		return call.broke(ctx, err, !outbound.ErrNotSent.Has(err))
 	}
@@ -234,13 +237,14 @@
 // failureOf sorts an error object.
 func (call *call) failureOf(text []byte) try {
 	fields := gjson.GetManyBytes(text, "error.code", "error.not_run", "error.retry_after_ms")
-	code := fields[0].String()
+	code, wait := fields[0].String(), min(time.Duration(fields[2].Int())*time.Millisecond, longestWait)
 	switch {
 	case code == "":
 		return try{verdict: wrong, code: errUnframed.New("%.80q", text).Error(), sent: true}
 	case fields[1].Bool() && call.last == "":
-		wait := min(time.Duration(fields[2].Int())*time.Millisecond, longestWait)
 		return try{verdict: refused, code: code, wait: wait}
+	case code == keyRunning:
+		return try{verdict: unknown, code: code, wait: wait, sent: true}
 	case code == "outcome_unknown" || code == "answer_gone":
 		return try{verdict: unknown, code: code, sent: true}
 	case call.last != "":
