Hold the key-value adapter to its error classes, with tests

Cause: whether a request may be called "not run" hangs on the class of the adapter's errors, and nothing tested them; an answer of another server ("{}") passed for a write that took effect. In the service in memory a lapsed lease was not told to watches until the next call. Change: a swap or grant whose answer has no number is an error that leaves the outcome open; the memory service wakes watches when a lease lapses; tests over loopback and in virtual time. Guards taken out: answer without a number taken, lost answer called not sent, garbage conflict: "not true: test.want.Has(err)"; dial failure called unknown: "ErrNotSent.Has(err)"; lapse not told to watches: "1m0s != 10s". Conclusion: the classes hold for what a connection can do to a call.

--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -69,14 +69,27 @@
 func (client *client) swap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error) {
 	call := Call{Key: key, Expect: expect, Value: value, Delete: value == nil, Lease: lease}
 	reply, err := client.call(ctx, "swap", call, callTimeout)
+	if err == nil && reply.Version == 0 {
+		return 0, noNumber("swap")
+	}
 	return reply.Version, err
 }
 
 func (client *client) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	reply, err := client.call(ctx, "grant", Call{TTLMS: ttl.Milliseconds()}, callTimeout)
+	if err == nil && reply.Lease == 0 {
+		return 0, noNumber("grant")
+	}
 	return reply.Lease, err
 }
 
+// noNumber is the error of an answer that says "done" without the number that
+// goes with it, as a misdirected request to another server may get. Taken for
+// success, a claim would stand nowhere and its request would run.
+func noNumber(call string) error {
+	return ErrUnavailable.New("%s: answer has no number", call)
+}
+
 func (client *client) renew(ctx context.Context, lease LeaseID) error {
 	_, err := client.call(ctx, "renew", Call{Lease: lease}, callTimeout)
 	return err
--- /dev/null
+++ b/peridotpath/keyvalue/http_test.go
@@ -0,0 +1,149 @@
+package keyvalue_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+)
+
+var background = context.Background()
+
+// connect serves the handler on loopback and returns a Store that speaks to it.
+func connect(t *testing.T, handler http.Handler) (*keyvalue.Store, *httptest.Server) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return keyvalue.Connect(netip.MustParseAddrPort(server.Listener.Addr().String())), server
+}
+
+func TestSessionOverHTTP(t *testing.T) {
+	is := is.New(t)
+	store, _ := connect(t, &memory.Memory{})
+	entry, err := store.Get(background, "a")
+	is.NoErr(err)
+	is.Equal(entry.Version, keyvalue.Version(0)) // does not exist
+
+	binary := []byte{0, 255, '"', '<'}
+	first, err := store.Swap(background, "a", 0, binary, 0)
+	is.NoErr(err)
+	_, err = store.Swap(background, "a", 0, binary, 0)
+	is.True(keyvalue.ErrConflict.Has(err))
+	second, err := store.Swap(background, "a", first, []byte{}, 0) // empty is not deleted
+	is.NoErr(err)
+	is.True(second > first)
+	entry, err = store.Get(background, "a")
+	is.NoErr(err)
+	is.Equal(entry.Version, second)
+	_, err = store.Swap(background, "a", second, bytes.Repeat([]byte{1}, keyvalue.MaxValue+1), 0)
+	is.True(keyvalue.ErrInvalid.Has(err))
+
+	lease, err := store.Grant(background, time.Minute)
+	is.NoErr(err)
+	is.NoErr(store.Renew(background, lease))
+	bound, err := store.Swap(background, "b", 0, binary, lease)
+	is.NoErr(err)
+	entries, version, err := store.List(background, "")
+	is.NoErr(err)
+	is.Equal(len(entries), 2)
+	is.Equal(entries[1].Value, binary)
+	is.Equal(version, bound)
+	is.NoErr(store.Release(background, lease))
+	is.True(keyvalue.ErrLeaseGone.Has(store.Renew(background, lease)))
+	entries, _, err = store.Watch(background, "b", bound, time.Minute)
+	is.NoErr(err)
+	is.True(entries[0].Deleted)
+
+	gone, err := store.Swap(background, "a", second, nil, 0)
+	is.NoErr(err)
+	is.True(gone > second)
+	entry, err = store.Get(background, "a")
+	is.NoErr(err)
+	is.Equal(entry.Version, keyvalue.Version(0))
+}
+
+// A write goes wrong on its way. What the caller may conclude depends on the
+// class of the error: "not sent" and "conflict" say that nothing was written,
+// and a request may be refused as not run. Taken too lightly, a claim that
+// stands would be thought free.
+func TestErrorsTellWhetherAWriteMayStand(t *testing.T) {
+	answer := func(status int, body string) http.HandlerFunc {
+		return func(writer http.ResponseWriter, _ *http.Request) {
+			writer.WriteHeader(status)
+			_, _ = io.WriteString(writer, body)
+		}
+	}
+	cut := func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.ReadAll(request.Body)
+		connection, _, err := http.NewResponseController(writer).Hijack()
+		if err == nil {
+			connection.Close()
+		}
+	}
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		want    *errs.Class
+	}{
+		"connection cut after the body was read": {cut, &keyvalue.ErrUnavailable},
+		"error of the service":                   {answer(503, `{"error":"down"}`), &keyvalue.ErrUnavailable},
+		"garbage":                                {answer(200, `<html>`), &keyvalue.ErrUnavailable},
+		"garbage that looks like a conflict":     {answer(409, `<html>`), &keyvalue.ErrUnavailable},
+		"answer of another server":               {answer(200, `{}`), &keyvalue.ErrUnavailable},
+		"answer cut in the middle":               {answer(200, `{"version": 7`), &keyvalue.ErrUnavailable},
+		"redirected":                             {answer(307, `{}`), &keyvalue.ErrUnavailable},
+		"conflict":                               {answer(409, `{"error":"other"}`), &keyvalue.ErrConflict},
+		"lease has lapsed":                       {answer(410, `{"error":"gone"}`), &keyvalue.ErrLeaseGone},
+		"refused as malformed":                   {answer(400, `{"error":"bad"}`), &keyvalue.ErrInvalid},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store, _ := connect(t, test.handler)
+			_, err := store.Swap(background, "a", 0, []byte("x"), 0)
+			is.True(test.want.Has(err))
+			_, err = store.Grant(background, time.Minute)
+			is.True(test.want.Has(err))
+		})
+	}
+}
+
+func TestServiceThatIsNotThere(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	is.NoErr(listener.Close())
+	_, err = keyvalue.Connect(address).Swap(background, "a", 0, []byte("x"), 0)
+	is.True(keyvalue.ErrNotSent.Has(err))
+}
+
+// The service hangs after it took the write and the caller's time runs out. The
+// write may stand, so the error must not say otherwise.
+func TestCallerWhoGivesUpWaiting(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	store, _ := connect(t, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.ReadAll(request.Body)
+		close(arrived)
+		<-release
+	}))
+	ctx, cancel := context.WithCancel(background)
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := store.Swap(ctx, "a", 0, []byte("x"), 0)
+	is.True(keyvalue.ErrUnavailable.Has(err))
+}
--- a/peridotpath/keyvalue/memory/memory.go
+++ b/peridotpath/keyvalue/memory/memory.go
@@ -227,29 +227,49 @@
 }
 
 func (memory *Memory) watch(ctx context.Context, prefix string, after keyvalue.Version, wait time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for first := true; ; first = false {
-		if first {
-			if err := memory.begin(ctx, "watch", prefix); err != nil {
-				return nil, 0, err
-			}
-		} else {
-			memory.mu.Lock()
-			memory.expire()
-		}
+	if err := memory.begin(ctx, "watch", prefix); err != nil {
+		return nil, 0, err
+	}
+	ctxWait, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
 		entries := append(above(memory.entries, prefix, after), above(memory.deleted, prefix, after)...)
-		version, changed := memory.version, memory.changed
+		version, changed, lapse := memory.version, memory.changed, memory.nextLapse()
 		memory.mu.Unlock()
 		if len(entries) > 0 {
 			return entries, version, memory.fault(ctx, "watch", prefix, true)
 		}
-		select {
-		case <-changed:
-		case <-timer.C:
+		if !waitForChange(ctxWait, changed, lapse) {
+			if ctx.Err() != nil {
+				return nil, after, keyvalue.ErrUnavailable.Wrap(ctx.Err())
+			}
 			return nil, version, memory.fault(ctx, "watch", prefix, true)
-		case <-ctx.Done():
-			return nil, after, keyvalue.ErrUnavailable.Wrap(ctx.Err())
 		}
+		memory.mu.Lock()
+		memory.expire()
+	}
+}
+
+// nextLapse returns how long it is until a lease lapses unless it is renewed;
+// a day when there is none. A lapse deletes entries, which watches report.
+func (memory *Memory) nextLapse() time.Duration {
+	next := 24 * time.Hour
+	for _, held := range memory.leases {
+		next = min(next, held.expires.Sub(memory.now()))
+	}
+	return next
+}
+
+// waitForChange returns when something may have changed; false when ctx ended.
+func waitForChange(ctx context.Context, changed <-chan struct{}, lapse time.Duration) bool {
+	timer := time.NewTimer(max(lapse, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/peridotpath/keyvalue/memory/memory_test.go
@@ -0,0 +1,91 @@
+package memory_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+)
+
+var background = context.Background()
+
+func TestLeaseTakesItsEntriesAlong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := (&memory.Memory{}).Store()
+		lease, err := store.Grant(background, 10*time.Second)
+		is.NoErr(err)
+		version, err := store.Swap(background, "a", 0, []byte("x"), lease)
+		is.NoErr(err)
+		time.Sleep(9 * time.Second)
+		is.NoErr(store.Renew(background, lease))
+		begin := time.Now()
+		entries, _, err := store.Watch(background, "a", version, time.Minute)
+		is.NoErr(err)
+		is.Equal(time.Since(begin), 10*time.Second) // nobody else calls meanwhile
+		is.True(entries[0].Deleted)
+		_, err = store.Swap(background, "a", 0, []byte("x"), lease)
+		is.True(keyvalue.ErrLeaseGone.Has(err))
+	})
+}
+
+func TestWatchEndsWithItsWaitOrItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := (&memory.Memory{}).Store()
+		begin := time.Now()
+		entries, _, err := store.Watch(background, "a", 0, 5*time.Second)
+		is.NoErr(err)
+		is.Equal(len(entries), 0)
+		is.Equal(time.Since(begin), 5*time.Second)
+		ctx, cancel := context.WithTimeout(background, time.Second)
+		defer cancel()
+		_, _, err = store.Watch(ctx, "a", 0, 5*time.Second)
+		is.True(keyvalue.ErrUnavailable.Has(err))
+	})
+}
+
+// Each fate of a write, as its caller sees it and as the service has it.
+func TestFatesOfAWrite(t *testing.T) {
+	tests := map[string]struct {
+		fate     memory.Fate
+		lasts    time.Duration
+		answered bool
+		applied  bool
+		later    bool // applied after a minute
+	}{
+		"goes well":    {memory.Fate{}, 0, true, true, true},
+		"slow there":   {memory.Fate{Delay: 2 * time.Second}, 2 * time.Second, true, true, true},
+		"slow back":    {memory.Fate{AnswerDelay: 2 * time.Second}, 2 * time.Second, true, true, true},
+		"not sent":     {memory.Fate{NotSent: true}, 0, false, false, false},
+		"no answer":    {memory.Fate{Unanswered: true}, 0, false, true, true},
+		"arrives late": {memory.Fate{Late: 9 * time.Second}, 0, false, false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				platform, link := &memory.Memory{}, &memory.Link{}
+				link.Set(func(string) memory.Fate { return test.fate })
+				begin := time.Now()
+				_, err := link.Store(platform).Swap(background, "a", 0, []byte("x"), 0)
+				is.Equal(time.Since(begin), test.lasts)
+				is.Equal(err == nil, test.answered)
+				is.Equal(keyvalue.ErrNotSent.Has(err), test.fate.NotSent)
+				applied := func() bool {
+					entry, err := platform.Store().Get(background, "a")
+					is.NoErr(err)
+					return entry.Version != 0
+				}
+				is.Equal(applied(), test.applied)
+				time.Sleep(time.Minute)
+				is.Equal(applied(), test.later)
+			})
+		})
+	}
+}
