shift: engines pool their memory for prompts beyond one engine

Cause: a prompt of a million tokens needs more than twice one engine's memory; every one was refused with no_memory. Change: the holder of the lease of a site (data centre and service) plans from what is in force and what engines say: engines drain, turn over their memory, and one leads the group, each step after the last has shown. Groups are sized by the profiles' longest prompt and by the demand counted at all instances, and stay ten minutes without demand. A data centre without a live instance is kept by another's. The caller is told when to come back. The stand-in engine knows the roles. A new holder waits 45 s before its first order where engines ignore fencing numbers.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -46,6 +46,7 @@
 	scheduler   *decide.Scheduler
 	dispatcher  *dispatch.Dispatcher
 	claims      *claim.Ledger
+	shifts      *shiftSide
 	signer      *cursor.Signer
 	callers     *caller.Server
 	callerSide  *caller.Listener
@@ -76,6 +77,7 @@
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
 		Alive: daemon.fleet.alive, Logger: log,
 	}
+	daemon.shifts = joinShifts(daemon)
 	daemon.joinCallers()
 	daemon.joinPeers()
 	return daemon, nil
@@ -87,7 +89,7 @@
 		Log: daemon.log, Config: daemon.currentConfig, Ready: daemon.ready,
 		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
 		Endpoint: daemon.fleet.follower.Endpoint, EngineHolds: daemon.fleet.engineHolds,
-		Signer: daemon.signer, Claims: daemon.claims, MaxActive: limits.MaxConnections,
+		Oversize: daemon.shifts.counter.Note, Signer: daemon.signer, Claims: daemon.claims, MaxActive: limits.MaxConnections,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
 	daemon.callerSide = &caller.Listener{
@@ -149,6 +151,8 @@
 		{"sweep", fleet.sweeper.Run},
 		{"dispatch", daemon.dispatcher.Run},
 		{"claims", daemon.claims.Run},
+		{"demand", daemon.shifts.counter.Run},
+		{"shifts", daemon.shifts.run},
 		{"cursor_secret", daemon.shareSecret},
 	}
 }
@@ -197,7 +201,7 @@
 // watch runs a task and logs an end that nobody asked for.
 func (daemon *daemon) watch(ctx context.Context, task task) {
 	err := task.run(ctx)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !daemon.callers.Stopping() {
 		daemon.log.Error().Str("task", task.name).Err(err).Msg("task_ended")
 	}
 }
--- /dev/null
+++ b/peridotd/shift.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/lease"
+	"peridotpath.example/peridotpath/order"
+	"peridotpath.example/peridotpath/shift"
+)
+
+const (
+	// demandInterval bounds the platform calls that count long prompts.
+	demandInterval = 2 * time.Second
+	shiftInterval  = 2 * time.Second
+	// groupHold is how long a group of engines stays without demand.
+	groupHold = 10 * time.Minute
+	// candidacyInterval is how often an instance looks whether it should be a
+	// candidate for the leases.
+	candidacyInterval = 5 * time.Second
+	rolesAtOnce       = 16
+
+	// The lease's times bound how long the engines of a data centre go without
+	// decisions when the holder dies: its lease runs out, and where engines
+	// ignore fencing numbers the longest order is waited out as well.
+	leaseTTLMS     = 30_000
+	leaseMarginMS  = 3_000
+	longestOrderMS = 12_000
+)
+
+// shiftSide gives the orders to the data centre's engines when it is this
+// instance's turn.
+type shiftSide struct {
+	daemon  *daemon
+	counter *shift.Counter
+	running map[site]*keeping
+}
+
+// site is the engines of one service in one data centre.
+type site struct {
+	dataCentre peridotpath.DataCentre
+	service    peridotpath.Service
+}
+
+// keeping is the work for one site, while this instance is a candidate.
+type keeping struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func joinShifts(daemon *daemon) *shiftSide {
+	return &shiftSide{
+		daemon:  daemon,
+		counter: &shift.Counter{Store: daemon.keyValue, Interval: demandInterval},
+		running: map[site]*keeping{},
+	}
+}
+
+// run keeps this instance a candidate for the leases of its data centre's
+// services, and of data centres without an instance, for as long as it is one
+// of its data centre's few readers. Every candidate's watch costs the platform,
+// so not all instances are candidates; which ones are is a hint only, the lease
+// decides.
+func (side *shiftSide) run(ctx context.Context) error {
+	ticker := time.NewTicker(candidacyInterval)
+	defer ticker.Stop()
+	for {
+		side.look(ctx)
+		select {
+		case <-ctx.Done():
+			side.stop(nil)
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (side *shiftSide) look(ctx context.Context) {
+	var wanted []site
+	if side.daemon.fleet.isReader() {
+		wanted = side.sitesToKeep()
+	}
+	side.stop(wanted)
+	for _, site := range wanted {
+		if side.running[site] == nil {
+			side.running[site] = side.start(ctx, site)
+		}
+	}
+}
+
+// stop ends the work for all sites that are not wanted.
+func (side *shiftSide) stop(wanted []site) {
+	for site, keeping := range side.running {
+		if !slices.Contains(wanted, site) {
+			keeping.cancel()
+			<-keeping.ended
+			delete(side.running, site)
+		}
+	}
+}
+
+// sitesToKeep returns the sites in this data centre, and those in data centres
+// that have no live instance: their engines would stay as they are for good.
+func (side *shiftSide) sitesToKeep() []site {
+	list := side.daemon.fleet.follower.Current()
+	if list == nil {
+		return nil
+	}
+	kept := map[peridotpath.DataCentre]bool{}
+	for _, instance := range list.Instances {
+		if instance.State == peridotpath.StateLive {
+			kept[instance.DataCentre] = true
+		}
+	}
+	var sites []site
+	for _, endpoint := range list.Endpoints {
+		next := site{endpoint.DataCentre, endpoint.Service}
+		ours := endpoint.DataCentre == side.daemon.settings.DataCentre || !kept[endpoint.DataCentre]
+		if endpoint.Kind == peridotpath.KindEngine && ours && !slices.Contains(sites, next) {
+			sites = append(sites, next)
+		}
+	}
+	return sites
+}
+
+// engines returns the listed engines of a site.
+func (side *shiftSide) engines(site site) []peridotpath.Endpoint {
+	list := side.daemon.fleet.follower.Current()
+	if list == nil {
+		return nil
+	}
+	var engines []peridotpath.Endpoint
+	for _, endpoint := range list.Endpoints {
+		if endpoint.Kind == peridotpath.KindEngine && endpoint.DataCentre == site.dataCentre && endpoint.Service == site.service {
+			engines = append(engines, endpoint)
+		}
+	}
+	return engines
+}
+
+// start runs the candidacy, the orders and the shifts of one site.
+func (side *shiftSide) start(ctx context.Context, site site) *keeping {
+	daemon := side.daemon
+	dataCentre, service := site.dataCentre, site.service
+	ctx, cancel := context.WithCancel(ctx)
+	holder := &lease.Holder{
+		Store: daemon.keyValue, Key: lease.Key(dataCentre, service),
+		Instance: daemon.settings.InstanceID, Incarnation: daemon.incarnation,
+		Settings: lease.Settings{TTLMS: leaseTTLMS, MarginMS: leaseMarginMS, LongestOrderMS: longestOrderMS},
+		WaitOut:  side.someIgnoreFencing(site), Logger: daemon.log,
+	}
+	book := &order.Book{Store: daemon.keyValue, Key: order.Key(dataCentre, service)}
+	reconciler := &order.Reconciler{
+		Desired: book.Get, Held: holder.Held, Logger: daemon.log,
+		Endpoints: func() []peridotpath.Endpoint { return side.engines(site) },
+		Read:      side.readState, Send: side.sendOrder,
+		Settings: order.Settings{LongestOrderMS: longestOrderMS},
+	}
+	keeper := &shift.Keeper{
+		Log: daemon.log, Store: daemon.keyValue, DataCentre: dataCentre, Service: service,
+		Book: book, Held: holder.Held, Interval: shiftInterval, Limits: shift.Limits{Hold: groupHold},
+		Engines: func(ctx context.Context) ([]shift.Engine, error) { return side.seen(ctx, site) },
+		Sites:   func() []shift.Site { return side.sites(service) },
+		Longest: func() peridotpath.Tokens { return side.longest(service) },
+	}
+	keeping := &keeping{cancel: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(keeping.ended)
+		var group errgroup.Group
+		group.Go(func() error { return holder.Run(ctx) })
+		group.Go(func() error { return reconciler.Run(ctx) })
+		group.Go(func() error { return keeper.Run(ctx) })
+		_ = group.Wait()
+	}()
+	return keeping
+}
+
+// sites counts the live engines of a service by data centre.
+func (side *shiftSide) sites(service peridotpath.Service) []shift.Site {
+	list := side.daemon.fleet.follower.Current()
+	if list == nil {
+		return nil
+	}
+	counts := map[peridotpath.DataCentre]int{}
+	for _, endpoint := range list.Endpoints {
+		if endpoint.Kind == peridotpath.KindEngine && endpoint.Service == service && endpoint.State == peridotpath.StateLive {
+			counts[endpoint.DataCentre]++
+		}
+	}
+	var sites []shift.Site
+	for dataCentre, engines := range counts {
+		sites = append(sites, shift.Site{DataCentre: dataCentre, Engines: engines})
+	}
+	return sites
+}
+
+func (side *shiftSide) someIgnoreFencing(site site) bool {
+	for _, endpoint := range side.engines(site) {
+		if !endpoint.ChecksFencing {
+			return true
+		}
+	}
+	return false
+}
+
+// longest returns the most tokens that a prompt with its answer may take.
+func (side *shiftSide) longest(service peridotpath.Service) peridotpath.Tokens {
+	var longest peridotpath.Tokens
+	config := side.daemon.currentConfig()
+	if config == nil {
+		return 0
+	}
+	for i := range config.Profiles {
+		if profile := &config.Profiles[i]; profile.Service == service {
+			longest = max(longest, profile.MaxPromptTokens+profile.MaxOutputTokens)
+		}
+	}
+	return longest
+}
+
+// seen reads the roles and the memory of a site's engines from themselves:
+// the digests' figures are late, and a step taken too early cuts off work.
+func (side *shiftSide) seen(ctx context.Context, site site) ([]shift.Engine, error) {
+	endpoints := side.engines(site)
+	engines := make([]shift.Engine, len(endpoints))
+	var group errgroup.Group
+	group.SetLimit(rolesAtOnce)
+	for i, endpoint := range endpoints {
+		group.Go(func() error {
+			engines[i] = side.seenOne(ctx, endpoint)
+			return nil
+		})
+	}
+	return engines, group.Wait()
+}
+
+func (side *shiftSide) seenOne(ctx context.Context, endpoint peridotpath.Endpoint) shift.Engine {
+	listed := endpoint.State == peridotpath.StateLive
+	seen := shift.Engine{ID: endpoint.ID, KVTokens: endpoint.KVTokens, Alive: listed}
+	state, err := side.readState(ctx, endpoint)
+	if err != nil {
+		return seen
+	}
+	load, err := side.daemon.engines.Load(ctx, endpoint.Address)
+	if err != nil {
+		return seen
+	}
+	streams, err := side.daemon.engines.Streams(ctx, endpoint.Address)
+	if err != nil {
+		return seen
+	}
+	for _, stream := range streams {
+		seen.Held += stream.KVTokens
+	}
+	seen.Answered = true
+	seen.Actual = state
+	seen.PrefillPerS = load.PrefillPerS
+	return seen
+}
+
+func (side *shiftSide) readState(ctx context.Context, endpoint peridotpath.Endpoint) (order.State, error) {
+	state, err := side.daemon.engines.Orders(ctx, endpoint.Address)
+	if err != nil {
+		return order.State{}, err
+	}
+	return order.State{Model: state.Model, Version: state.Version, Adapters: adapters(state.Adapter), Role: order.Role(state.Role)}, nil
+}
+
+const adapterSeparator = ","
+
+func adapters(text string) []string {
+	if text == "" {
+		return nil
+	}
+	return strings.Split(text, adapterSeparator)
+}
+
+func (side *shiftSide) sendOrder(ctx context.Context, endpoint peridotpath.Endpoint, given order.Order) error {
+	return side.daemon.engines.Order(ctx, endpoint.Address, engine.Order{
+		Fencing: given.Fencing, Model: given.Want.Model, Version: given.Want.Version,
+		Adapter: strings.Join(given.Want.Adapters, adapterSeparator),
+		Role:    engine.Role(given.Want.Role), LimitMS: peridotpath.Millis(given.Limit.Milliseconds()),
+	})
+}
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -39,6 +39,9 @@
 		return result
 	}
 	exchange.work = request.Work
+	if request.Work.Class == peridotpath.Oversize && server.Oversize != nil {
+		server.Oversize(request.Work.Profile.Service, request.Work.Prompt+request.Work.Output)
+	}
 	request.Free = free
 	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
 		request.MaySend = maySend
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -57,8 +57,10 @@
 	Endpoint func(id peridotpath.EndpointID) (peridotpath.Endpoint, bool)
 	// EngineHolds returns the KV memory of the service's largest engine.
 	EngineHolds func(service peridotpath.Service) peridotpath.Tokens
-	Signer      *cursor.Signer
-	Bodies      *Bodies
+	// Oversize, when set, is told of each prompt that no single engine holds.
+	Oversize func(service peridotpath.Service, tokens peridotpath.Tokens)
+	Signer   *cursor.Signer
+	Bodies   *Bodies
 
 	stopping atomic.Bool
 	active   atomic.Int64
--- a/peridotpath/decide/group.go
+++ b/peridotpath/decide/group.go
@@ -69,7 +69,10 @@
 func (group *group) pool(class peridotpath.LengthClass) []*member {
 	pools := group.pools.Load()
 	switch {
-	case class >= peridotpath.Long && len(pools.long) > 0:
+	case class == peridotpath.Oversize:
+		// Only leaders of engine groups hold it, and those are few.
+		return pools.all
+	case class == peridotpath.Long && len(pools.long) > 0:
 		return pools.long
 	case class == peridotpath.Medium && len(pools.rest) > 0 && group.queued[peridotpath.Long].Load() > 0:
 		return pools.rest
@@ -92,8 +95,15 @@
 // refuses at no cost what it cannot hold.
 const estimateSlack = 1.1
 
-// oversize reports work that no single endpoint can ever hold. Here is the seam
-// for groups of endpoints that hold a prompt together.
+// groupRetry is when a caller may come back whose prompt no endpoint holds: by
+// then engines have usually drained and pooled their memory, where the fleet
+// has enough. Engines that run long prompts take longer; the caller is then
+// told once more.
+const groupRetry = 15 * time.Second
+
+// oversize reports work that no endpoint can hold at present. A group of engines
+// reports its pooled memory as its leader's, so such work becomes placeable
+// once one has formed.
 func (group *group) oversize(work *Work) bool {
 	largest := group.largest.Load()
 	return largest > 0 && float64(work.memoryNeed()) > estimateSlack*float64(largest)
--- a/peridotpath/decide/scheduler.go
+++ b/peridotpath/decide/scheduler.go
@@ -152,7 +152,7 @@
 	}
 	if group.oversize(work) {
 		work.customer.active.Add(-1)
-		return refuse(work, peridotpath.CodeNoMemory, 0)
+		return refuse(work, peridotpath.CodeNoMemory, spread(groupRetry, scheduler.random.Float64()))
 	}
 	work.customer.usage[work.slot()].add(at, work.cost())
 	group.demand[work.slot()].add(at, work.cost())
--- a/peridotpath/decide/view.go
+++ b/peridotpath/decide/view.go
@@ -76,7 +76,7 @@
 		return Explanation{Verdict: Refuse, Result: &peridotpath.Result{Code: peridotpath.CodeNoEndpoint, RetryAfter: ejectFor}}
 	}
 	if group.oversize(work) {
-		return Explanation{Verdict: Refuse, Result: &peridotpath.Result{Code: peridotpath.CodeNoMemory}}
+		return Explanation{Verdict: Refuse, Result: &peridotpath.Result{Code: peridotpath.CodeNoMemory, RetryAfter: groupRetry}}
 	}
 	var explanation Explanation
 	var obstacles obstacle
--- a/peridotpath/engine/control.go
+++ b/peridotpath/engine/control.go
@@ -1,6 +1,21 @@
 package engine
 
-import "peridotpath.example/peridotpath"
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath"
+)
+
+// ErrStale says that an engine refused an order with an old fencing number.
+var ErrStale = errs.Class("engine: stale order")
 
 // Paths of what an engine offers besides prompts and streams.
 const (
@@ -17,14 +32,29 @@
 // Role says what work an engine takes.
 type Role string
 
-// The roles.
+// The roles, or what stands before the slash in them.
 const (
 	// RoleServe takes any prompt that fits.
 	RoleServe Role = "serve"
-	// RoleGroup keeps the engine's memory for a group; it takes no prompt of its own.
-	RoleGroup Role = "group"
+	// RoleDrain, as "drain/LEADER", finishes what runs and takes nothing new.
+	RoleDrain Role = "drain"
+	// RoleMember, as "member/LEADER", keeps the engine's memory for a group.
+	RoleMember Role = "member"
+	// RoleLead, as "lead/MEMBER,MEMBER", serves with the memory of the members too.
+	RoleLead Role = "lead"
+	// RoleClose, as "close/MEMBER,MEMBER", is a leader that takes nothing new.
+	RoleClose Role = "close"
 )
 
+// Split returns the role's first part and the engines that it names.
+func (role Role) Split() (Role, []string) {
+	first, rest, found := strings.Cut(string(role), "/")
+	if !found {
+		return role, nil
+	}
+	return Role(first), strings.Split(rest, ",")
+}
+
 // Order tells an engine what to be. It is absolute, so repeating it is harmless.
 type Order struct {
 	Fencing peridotpath.FencingNumber `json:"fencing"`
@@ -32,6 +62,59 @@
 	Adapter string                    `json:"adapter,omitempty"`
 	Version string                    `json:"version"`
 	Role    Role                      `json:"role"`
+	// LimitMS is how long the order may take; the engine gives it up after that.
+	LimitMS peridotpath.Millis `json:"limit_ms,omitempty"`
+}
+
+// Orders reads what the engine was told to be.
+func (client *Client) Orders(ctx context.Context, address netip.AddrPort) (OrderState, error) {
+	var state OrderState
+	err := client.control(ctx, http.MethodGet, "http://"+address.String()+PathOrders, &state)
+	return state, err
+}
+
+// orderPoll is how often an engine that loads weights is asked whether it is done.
+const orderPoll = 500 * time.Millisecond
+
+// Order gives an order and returns once the engine has carried it out.
+func (client *Client) Order(ctx context.Context, address netip.AddrPort, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return ErrBadRequest.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return ErrUnreached.Wrap(err)
+	}
+	client.name(request)
+	response, err := client.do(request)
+	if err != nil {
+		return ErrFailed.Wrap(err)
+	}
+	response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return client.awaitWeights(ctx, address)
+	case http.StatusConflict:
+		return ErrStale.New("fencing number %d", order.Fencing)
+	default:
+		return ErrFailed.New("order: status %d", response.StatusCode)
+	}
+}
+
+func (client *Client) awaitWeights(ctx context.Context, address netip.AddrPort) error {
+	for {
+		state, err := client.Orders(ctx, address)
+		if err != nil || !state.Loading {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			// The order stands; that the engine still loads shows in its state.
+			return nil
+		case <-time.After(orderPoll):
+		}
+	}
 }
 
 // OrderState is the order that an engine follows.
--- a/peridotpath/engine/enginetest/engine.go
+++ b/peridotpath/engine/enginetest/engine.go
@@ -163,7 +163,7 @@
 	admitted.prefillLeft = float64(max(need-prompt.output, 1))
 	engine.cache.pin(sums[:shared])
 	engine.used += need
-	engine.cache.shrink(engine.KVTokens-engine.used, now)
+	engine.cache.shrink(engine.capacity()-engine.used, now)
 	if len(engine.order) == 0 {
 		engine.last = now
 	}
@@ -178,14 +178,14 @@
 	if err := engine.orders.mayServe(now); err != nil {
 		return err
 	}
-	free := engine.KVTokens - engine.used - engine.cache.pinned()
+	free := engine.capacity() - engine.used - engine.cache.pinned()
 	for _, sum := range shared {
 		if engine.cache.blocks[sum].pins == 0 {
 			free -= blockTokens
 		}
 	}
 	if need > free {
-		return errNoMemory.New("%d tokens wanted, %d of %d free", need, free, engine.KVTokens)
+		return errNoMemory.New("%d tokens wanted, %d of %d free", need, free, engine.capacity())
 	}
 	if waiting, _ := engine.waiting(); waiting >= engine.MaxWaiting {
 		return errBusy.New("%d prompts wait", waiting)
@@ -225,7 +225,7 @@
 		seconds /= fault.Factor
 	}
 	engine.decode(seconds)
-	engine.prefill(seconds * float64(engine.PrefillPerS))
+	engine.prefill(seconds * float64(engine.prefillRate()))
 	for _, stream := range slices.Clone(engine.order) {
 		stream.settle(now)
 	}
@@ -311,12 +311,13 @@
 func (engine *Engine) snapshot(now time.Time) peridotpath.Load {
 	engine.reportRevision++
 	_, leaving := engine.Faults.On(faults.Drain)
+	leaving = leaving || engine.orders.mayServe(now) != nil
 	waiting, ahead := engine.waiting()
 	return peridotpath.Load{
 		AsOf: now, Running: len(engine.order) - waiting, Waiting: waiting,
 		PrefillTokens: peridotpath.Tokens(math.Ceil(ahead)),
-		KVUsed:        engine.used + engine.cache.pinned(), KVTokens: engine.KVTokens,
-		PrefillPerS: engine.PrefillPerS, DecodePerS: engine.DecodePerS,
+		KVUsed:        engine.used + engine.cache.pinned(), KVTokens: engine.capacity(),
+		PrefillPerS: engine.prefillRate(), DecodePerS: engine.DecodePerS,
 		Revision: engine.reportRevision, Leaving: leaving,
 	}
 }
--- a/peridotpath/engine/enginetest/orders.go
+++ b/peridotpath/engine/enginetest/orders.go
@@ -1,9 +1,11 @@
 package enginetest
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"peridotpath.example/peridotpath"
 	wire "peridotpath.example/peridotpath/engine"
 )
 
@@ -49,8 +51,48 @@
 	if state.Loading {
 		return errClosed.New("loading %s", state.Model)
 	}
-	if state.Role != wire.RoleServe {
+	if first, _ := state.Role.Split(); first != wire.RoleServe && first != wire.RoleLead {
 		return errClosed.New("role %s", state.Role)
 	}
 	return nil
 }
+
+// pooled returns how many engines' memory this one serves with.
+func (orders *orders) pooled() int {
+	orders.mu.Lock()
+	defer orders.mu.Unlock()
+	first, members := orders.state.Role.Split()
+	if first == wire.RoleLead || first == wire.RoleClose {
+		return 1 + len(members)
+	}
+	return 1
+}
+
+// groupEfficiency is the part of its engines' prefill rates that a group keeps.
+const groupEfficiency = 0.85
+
+// capacity returns the KV memory that the engine serves with.
+func (engine *Engine) capacity() peridotpath.Tokens {
+	return engine.KVTokens * peridotpath.Tokens(engine.orders.pooled())
+}
+
+// prefillRate returns the prompt tokens that the engine processes in a second.
+func (engine *Engine) prefillRate() peridotpath.Tokens {
+	pooled := engine.orders.pooled()
+	if pooled == 1 {
+		return engine.PrefillPerS
+	}
+	return peridotpath.Tokens(groupEfficiency * float64(pooled) * float64(engine.PrefillPerS))
+}
+
+// shed drops all streams when an order took away the memory that they are in.
+func (engine *Engine) shed() {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if engine.used <= engine.capacity() {
+		return
+	}
+	for _, stream := range slices.Clone(engine.order) {
+		stream.cancel()
+	}
+}
--- a/peridotpath/engine/enginetest/serve.go
+++ b/peridotpath/engine/enginetest/serve.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -250,7 +251,7 @@
 
 func (engine *Engine) takeOrder(writer http.ResponseWriter, request *http.Request) {
 	var order wire.Order
-	if err := json.NewDecoder(request.Body).Decode(&order); err != nil || (order.Role != wire.RoleServe && order.Role != wire.RoleGroup) {
+	if err := json.NewDecoder(request.Body).Decode(&order); err != nil || !knownRole(order.Role) {
 		http.Error(writer, "not an order", http.StatusBadRequest)
 		return
 	}
@@ -258,9 +259,15 @@
 		http.Error(writer, "old fencing number", http.StatusConflict)
 		return
 	}
+	engine.shed()
 	engine.showOrders(writer, request)
 }
 
+func knownRole(role wire.Role) bool {
+	first, _ := role.Split()
+	return slices.Contains([]wire.Role{wire.RoleServe, wire.RoleDrain, wire.RoleMember, wire.RoleLead, wire.RoleClose}, first)
+}
+
 // exportKV gives the blocks of a stream's prompt.
 func (engine *Engine) exportKV(writer http.ResponseWriter, request *http.Request) {
 	engine.mu.Lock()
@@ -282,7 +289,7 @@
 	}
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	now, room := time.Now(), engine.KVTokens-engine.used
+	now, room := time.Now(), engine.capacity()-engine.used
 	engine.cache.add(kv.Prefixes[:min(len(kv.Prefixes), int(room/blockTokens))], now)
 	engine.cache.shrink(room, now)
 	reply(writer, wire.KV{Tokens: peridotpath.Tokens(engine.cache.match(kv.Prefixes) * blockTokens)})
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -43,7 +43,7 @@
   STATUS=$?
   trap - EXIT INT TERM
   stop_all
-  rm -rf "$RUN_DIR"
+  [ -n "${KEEP:-}" ] && echo "logs=$RUN_DIR" || rm -rf "$RUN_DIR"
   exit "$STATUS"
 }
 
