--- a/peridotpath/decide/group.go
+++ b/peridotpath/decide/group.go
@@ -69,9 +69,6 @@
 func (group *group) pool(class peridotpath.LengthClass) []*member {
 	pools := group.pools.Load()
 	switch {
-	case class == peridotpath.Oversize:
-		// Only leaders of engine groups hold it, and those are few.
-		return pools.all
 	case class == peridotpath.Long && len(pools.long) > 0:
 		return pools.long
 	case class == peridotpath.Medium && len(pools.rest) > 0 && group.queued[peridotpath.Long].Load() > 0:
