--- a/peridotd/shift.go
+++ b/peridotd/shift.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/lease"
 	"peridotpath.example/peridotpath/order"
 	"peridotpath.example/peridotpath/shift"
@@ -24,7 +22,6 @@
 	// candidacyInterval is how often an instance looks whether it should be a
 	// candidate for the leases.
 	candidacyInterval = 5 * time.Second
-	rolesAtOnce       = 16
 
 	// The lease's times bound how long the engines of a data centre go without
 	// decisions when the holder dies: its lease runs out, and where engines
@@ -155,17 +152,20 @@
 		Settings: lease.Settings{TTLMS: leaseTTLMS, MarginMS: leaseMarginMS, LongestOrderMS: longestOrderMS},
 		WaitOut:  side.someIgnoreFencing(site), Logger: daemon.log,
 	}
+	engines := &shift.Engines{
+		Client: daemon.engines, Endpoints: func() []peridotpath.Endpoint { return side.engines(site) },
+	}
 	book := &order.Book{Store: daemon.keyValue, Key: order.Key(dataCentre, service)}
 	reconciler := &order.Reconciler{
 		Desired: book.Get, Held: holder.Held, Logger: daemon.log,
-		Endpoints: func() []peridotpath.Endpoint { return side.engines(site) },
-		Read:      side.readState, Send: side.sendOrder,
+		Endpoints: engines.Endpoints,
+		Read:      engines.State, Send: engines.Order,
 		Settings: order.Settings{LongestOrderMS: longestOrderMS},
 	}
 	keeper := &shift.Keeper{
 		Log: daemon.log, Store: daemon.keyValue, DataCentre: dataCentre, Service: service,
 		Book: book, Held: holder.Held, Interval: shiftInterval, Limits: shift.Limits{Hold: groupHold},
-		Engines: func(ctx context.Context) ([]shift.Engine, error) { return side.seen(ctx, site) },
+		Engines: engines.Look,
 		Sites:   func() []shift.Site { return side.sites(service) },
 		Longest: func() peridotpath.Tokens { return side.longest(service) },
 	}
@@ -223,68 +223,3 @@
 	}
 	return longest
 }
-
-// seen reads the roles and the memory of a site's engines from themselves:
-// the digests' figures are late, and a step taken too early cuts off work.
-func (side *shiftSide) seen(ctx context.Context, site site) ([]shift.Engine, error) {
-	endpoints := side.engines(site)
-	engines := make([]shift.Engine, len(endpoints))
-	var group errgroup.Group
-	group.SetLimit(rolesAtOnce)
-	for i, endpoint := range endpoints {
-		group.Go(func() error {
-			engines[i] = side.seenOne(ctx, endpoint)
-			return nil
-		})
-	}
-	return engines, group.Wait()
-}
-
-func (side *shiftSide) seenOne(ctx context.Context, endpoint peridotpath.Endpoint) shift.Engine {
-	listed := endpoint.State == peridotpath.StateLive
-	seen := shift.Engine{ID: endpoint.ID, KVTokens: endpoint.KVTokens, Alive: listed}
-	state, err := side.readState(ctx, endpoint)
-	if err != nil {
-		return seen
-	}
-	load, err := side.daemon.engines.Load(ctx, endpoint.Address)
-	if err != nil {
-		return seen
-	}
-	streams, err := side.daemon.engines.Streams(ctx, endpoint.Address)
-	if err != nil {
-		return seen
-	}
-	for _, stream := range streams {
-		seen.Held += stream.KVTokens
-	}
-	seen.Answered = true
-	seen.Actual = state
-	seen.PrefillPerS = load.PrefillPerS
-	return seen
-}
-
-func (side *shiftSide) readState(ctx context.Context, endpoint peridotpath.Endpoint) (order.State, error) {
-	state, err := side.daemon.engines.Orders(ctx, endpoint.Address)
-	if err != nil {
-		return order.State{}, err
-	}
-	return order.State{Model: state.Model, Version: state.Version, Adapters: adapters(state.Adapter), Role: order.Role(state.Role)}, nil
-}
-
-const adapterSeparator = ","
-
-func adapters(text string) []string {
-	if text == "" {
-		return nil
-	}
-	return strings.Split(text, adapterSeparator)
-}
-
-func (side *shiftSide) sendOrder(ctx context.Context, endpoint peridotpath.Endpoint, given order.Order) error {
-	return side.daemon.engines.Order(ctx, endpoint.Address, engine.Order{
-		Fencing: given.Fencing, Model: given.Want.Model, Version: given.Want.Version,
-		Adapter: strings.Join(given.Want.Adapters, adapterSeparator),
-		Role:    engine.Role(given.Want.Role), LimitMS: peridotpath.Millis(given.Limit.Milliseconds()),
-	})
-}
