dispatch: bound the tries to resume a stream that gives nothing

Cause: a stream that could be resumed but gave no event was resumed again at once, without limit until the request's deadline. A caller that reconnects with the id of a whole stream's last event, as browsers do by themselves, had the instance ask the endpoint as fast as it could. Change: tries without an event use up the delays; after the last the stream is cut. An event in between gives all of them back.

--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	stream := &stream{dispatcher: dispatcher, work: work, endpoint: endpoint, id: id, sink: sink, next: after + 1}
-	answer, err := stream.resume(ctx)
+	answer, err := stream.resume(ctx, resumeDelays[:])
 	if err != nil {
 		return failure(peridotpath.CodeStreamCut, err.Error())
 	}
@@ -68,22 +68,29 @@
 }
 
 func (stream *stream) run(ctx context.Context, answer *engine.Answer) attempt {
-	events := engine.Read(answer.Body)
+	fruitless := 0
 	for {
-		whole, err := stream.pass(ctx, events)
+		before := stream.next
+		whole, err := stream.pass(ctx, engine.Read(answer.Body))
 		if whole {
 			return stream.finish()
 		}
 		if result := stream.stopped(ctx, err); result != nil {
 			return *result
 		}
-		resumed, err := stream.resume(ctx)
+		if stream.next > before {
+			fruitless = 0
+		}
+		if fruitless == len(resumeDelays) {
+			return stream.cut(ctx, err)
+		}
+		answer, err = stream.resume(ctx, resumeDelays[fruitless:])
 		if err != nil {
 			return stream.cut(ctx, err)
 		}
-		defer resumed.Body.Close()
+		defer answer.Body.Close()
+		fruitless++
 		telemetry.Retry(telemetry.RetryResumed)
-		events = engine.Read(resumed.Body)
 	}
 }
 
@@ -183,9 +190,13 @@
 }
 
 // resume attaches to the stream again after the last event that was passed on.
-func (stream *stream) resume(ctx context.Context) (*engine.Answer, error) {
+// It waits each of the delays before one try. A stream that is resumed and gives
+// nothing has used up the first of them: a caller that resumes after the last
+// event of a whole stream, as browsers do by themselves, would else have the
+// endpoint asked without pause until its deadline.
+func (stream *stream) resume(ctx context.Context, delays []time.Duration) (*engine.Answer, error) {
 	err := engine.ErrGone.New("the endpoint named no stream")
-	for _, delay := range resumeDelays {
+	for _, delay := range delays {
 		if stream.id == "" || !sleep(ctx, delay) {
 			return nil, err
 		}
