Golden files of two whole sessions, and a plain service client with a seam

Cause: nothing held whole sessions of callers to a record. Change: package session joins the parts as peridotd does, before an engine and two plain services in one process and on the clock of testing/synctest, and compares requests, answers, log lines and what the endpoints ran with testdata/claims_desk.golden and portal_evening.golden; 'go test ./session -update' writes them anew. service.Client has Do as a seam, as engine.Client has. The in-process network forgets calls that are over and breaks off those of a host that is taken away.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -79,7 +79,7 @@
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
-		SendPlain: service.Send,
+		SendPlain: (&service.Client{}).Send,
 	}
 	daemon.claims = &claim.Ledger{
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: daemon.engines.Incarnation,
--- a/peridotpath/engine/enginetest/network.go
+++ b/peridotpath/engine/enginetest/network.go
@@ -14,58 +14,90 @@
 // so that whole sessions run under testing/synctest. Its zero value has no hosts.
 type Network struct {
 	mu      sync.Mutex
-	hosts   map[string]http.Handler
-	closing []context.CancelFunc
+	hosts   map[string]*host
 	running sync.WaitGroup
 }
 
+// host is one address with the calls that it is answering.
+type host struct {
+	handler http.Handler
+	calls   map[*networkExchange]context.CancelFunc
+}
+
+func (host *host) breakOff() {
+	for _, cancel := range host.calls {
+		cancel()
+	}
+}
+
 // Close breaks all calls off and waits until their handlers have returned.
 func (network *Network) Close() {
 	network.mu.Lock()
-	closing := network.closing
-	network.closing = nil
-	network.mu.Unlock()
-	for _, cancel := range closing {
-		cancel()
+	for _, host := range network.hosts {
+		host.breakOff()
 	}
+	network.mu.Unlock()
 	network.running.Wait()
 }
 
-// Serve has handler answer calls to address; nil takes the host away, and calls
-// to it then fail as a connection that is never made. Errors are of outbound's classes.
+// Serve has handler answer calls to address; nil takes the host away: the calls
+// that it is answering break off, and later ones fail as a connection that is
+// never made. Errors are of outbound's classes.
 func (network *Network) Serve(address string, handler http.Handler) {
 	network.mu.Lock()
 	defer network.mu.Unlock()
 	if network.hosts == nil {
-		network.hosts = map[string]http.Handler{}
+		network.hosts = map[string]*host{}
+	}
+	if before := network.hosts[address]; before != nil {
+		before.breakOff()
+	}
+	network.hosts[address] = &host{handler: handler, calls: map[*networkExchange]context.CancelFunc{}}
+}
+
+// open notes a call and returns the host that answers it, nil for none.
+func (network *Network) open(address string, exchange *networkExchange, cancel context.CancelFunc) *host {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	host := network.hosts[address]
+	if host == nil || host.handler == nil {
+		return nil
 	}
-	network.hosts[address] = handler
+	host.calls[exchange] = cancel
+	return host
+}
+
+// close forgets a call that is over.
+func (network *Network) close(host *host, exchange *networkExchange) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	delete(host.calls, exchange)
 }
 
 // Do makes one call and returns when its headers are in.
 func (network *Network) Do(request *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancel(request.Context())
-	network.mu.Lock()
-	handler := network.hosts[request.URL.Host]
-	network.closing = append(network.closing, cancel)
-	network.mu.Unlock()
-	if handler == nil {
-		cancel()
-		return nil, outbound.ErrNotSent.New("connection refused")
-	}
 	reader, writer := io.Pipe()
-	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
 	exchange := &networkExchange{
 		ctx: ctx, body: writer, begun: make(chan struct{}),
 		response: &http.Response{Header: http.Header{}, Request: request, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1},
 	}
 	exchange.response.Body = &networkBody{PipeReader: reader, cancel: cancel}
+	host := network.open(request.URL.Host, exchange, cancel)
+	if host == nil {
+		cancel()
+		return nil, outbound.ErrNotSent.New("connection refused")
+	}
+	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
 	inner := request.Clone(ctx)
 	inner.RequestURI = request.URL.RequestURI()
 	if inner.Body == nil {
 		inner.Body = http.NoBody
 	}
-	network.running.Go(func() { exchange.serve(handler, inner) })
+	network.running.Go(func() {
+		defer network.close(host, exchange)
+		exchange.serve(host.handler, inner)
+	})
 	select {
 	case <-exchange.begun:
 	case <-ctx.Done():
--- a/peridotpath/service/service.go
+++ b/peridotpath/service/service.go
@@ -68,9 +68,22 @@
 // of unknown type it can read once only.
 type onceReader struct{ io.Reader }
 
+// Client makes calls to plain services.
+type Client struct {
+	// Do makes an HTTP call; nil stands for outbound.Do.
+	Do func(request *http.Request) (*http.Response, error)
+}
+
+func (client *Client) do(request *http.Request) (*http.Response, error) {
+	if client.Do != nil {
+		return client.Do(request)
+	}
+	return outbound.Do(request)
+}
+
 // Send makes the call and returns when the response's headers are in. Any
 // status is the service's own answer, but for a refusal that says not run.
-func Send(ctx context.Context, address netip.AddrPort, call *Request) (*http.Response, error) {
+func (client *Client) Send(ctx context.Context, address netip.AddrPort, call *Request) (*http.Response, error) {
 	body := onceReader{bytes.NewReader(call.Body)}
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address.String()+call.Target, body)
 	if err != nil {
@@ -79,7 +92,7 @@
 	request.Header = EndToEnd(call.Header)
 	request.Header.Set(HeaderRequestID, string(call.ID))
 	request.ContentLength = int64(len(call.Body))
-	response, err := outbound.Do(request)
+	response, err := client.do(request)
 	if outbound.ErrNotSent.Has(err) {
 		return nil, ErrUnreached.Wrap(err)
 	}
--- /dev/null
+++ b/peridotpath/session/fleet_test.go
@@ -0,0 +1,194 @@
+// Package session_test holds whole sessions of callers to golden files:
+// requests, answers, log lines and what the endpoints ran. Everything is the
+// real code but the endpoints, the platform and the sockets; the clock is that
+// of testing/synctest. "go test ./session -update" writes the files anew.
+package session_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeromicro/go-zero/rest/router"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/claim"
+	"peridotpath.example/peridotpath/cursor"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/dispatch"
+	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/engine/enginetest"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+	"peridotpath.example/peridotpath/service"
+	"peridotpath.example/peridotpath/service/servicetest"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+const (
+	engineAddress   = "10.0.1.1:7100"
+	serviceAddress1 = "10.0.2.1:7200"
+	serviceAddress2 = "10.0.2.2:7200"
+)
+
+// deployment is what differs between the users.
+type deployment struct {
+	llm, plain  peridotpath.Service
+	instances   []peridotpath.InstanceID
+	dataCentres []peridotpath.DataCentre
+	config      *peridotpath.Config
+}
+
+// fleet is two instances before one engine and two replicas of a plain service.
+type fleet struct {
+	deployment *deployment
+	network    enginetest.Network
+	platform   memory.Memory
+	engine     enginetest.Engine
+	services   [2]servicetest.Service
+	endpoints  []peridotpath.Endpoint
+	instances  map[peridotpath.InstanceID]*instance
+	transcript *transcript
+
+	cancel context.CancelFunc
+	ended  []chan error
+}
+
+// instance is one process of the system.
+type instance struct {
+	address netip.AddrPort
+	log     strings.Builder
+}
+
+func newFleet(t *testing.T, deployment *deployment) *fleet {
+	t.Helper()
+	fleet := &fleet{deployment: deployment, instances: map[peridotpath.InstanceID]*instance{}}
+	fleet.transcript = &transcript{t: t, fleet: fleet, began: time.Now()}
+	deployment.config.Defaults()
+	if err := deployment.config.Validate().OrNil(); err != nil {
+		t.Fatal(err)
+	}
+	deployment.config.Index()
+	ctx, cancel := context.WithCancel(context.Background())
+	fleet.cancel = cancel
+	fleet.startEndpoints(ctx)
+	for i, id := range deployment.instances {
+		fleet.startInstance(ctx, t, id, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 8080))
+	}
+	return fleet
+}
+
+// run keeps a task of the fleet going until close.
+func (fleet *fleet) run(ctx context.Context, task func(ctx context.Context) error) {
+	ended := make(chan error, 1)
+	fleet.ended = append(fleet.ended, ended)
+	go func() { ended <- task(ctx) }()
+}
+
+// close ends everything and waits for it.
+func (fleet *fleet) close() {
+	fleet.network.Close()
+	fleet.cancel()
+	for _, ended := range fleet.ended {
+		if err := <-ended; err != nil && err != context.Canceled {
+			fleet.transcript.t.Error(err)
+		}
+	}
+}
+
+func (fleet *fleet) startEndpoints(ctx context.Context) {
+	deployment := fleet.deployment
+	fleet.engine = enginetest.Engine{Name: string(deployment.llm), PrefillPerS: 50_000, DecodePerS: 40}
+	fleet.network.Serve(engineAddress, fleet.engine.Handler())
+	fleet.run(ctx, fleet.engine.Run)
+	fleet.endpoints = []peridotpath.Endpoint{{
+		ID: peridotpath.EndpointID(deployment.llm + "-1"), Service: deployment.llm, Kind: peridotpath.KindEngine,
+		DataCentre: deployment.dataCentres[0], Address: netip.MustParseAddrPort(engineAddress),
+		State: peridotpath.StateLive, KVTokens: 400_000,
+	}}
+	for i, address := range []string{serviceAddress1, serviceAddress2} {
+		id := string(deployment.plain) + "-" + string(rune('1'+i))
+		fleet.services[i].Name, fleet.services[i].Takes = string(deployment.plain), 20*time.Millisecond
+		fleet.network.Serve(address, fleet.services[i].Handler())
+		fleet.endpoints = append(fleet.endpoints, peridotpath.Endpoint{
+			ID: peridotpath.EndpointID(id), Service: deployment.plain, Kind: peridotpath.KindPlain,
+			DataCentre: deployment.dataCentres[i], Address: netip.MustParseAddrPort(address), State: peridotpath.StateLive,
+		})
+	}
+}
+
+// startInstance joins the parts of an instance as peridotd does.
+func (fleet *fleet) startInstance(ctx context.Context, t *testing.T, id peridotpath.InstanceID, address netip.AddrPort) {
+	t.Helper()
+	started := &instance{address: address}
+	fleet.instances[id] = started
+	log, err := telemetry.NewLog(&started.log, "info", id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scheduler := &decide.Scheduler{}
+	scheduler.SetEndpoints(time.Now(), fleet.endpoints)
+	engines := &engine.Client{Instance: id, Incarnation: 1, Do: fleet.network.Do}
+	services := &service.Client{Do: fleet.network.Do}
+	dispatcher := &dispatch.Dispatcher{
+		Scheduler: scheduler, Log: log, ResumeWindow: 10 * time.Second,
+		Send: engines.Send, Resume: engines.Resume, Cancel: engines.Cancel, SendPlain: services.Send,
+	}
+	ledger := &claim.Ledger{
+		Store: fleet.platform.Store(), Instance: id, Incarnation: 1, Logger: log, Metrics: metrics.NewSet(),
+		Alive: func(peridotpath.InstanceID, peridotpath.Incarnation) bool { return true },
+	}
+	poller := &engine.Poller{
+		Load: engines.Load, Interval: 500 * time.Millisecond, Report: scheduler.Report,
+		Endpoints: func() []peridotpath.Endpoint { return fleet.endpoints },
+	}
+	signer := &cursor.Signer{}
+	signer.SetSecret([]byte("the same at every instance"))
+	server := &caller.Server{
+		Log: log, Config: func() *peridotpath.Config { return fleet.deployment.config },
+		Do: dispatcher.Do, Continue: dispatcher.Continue, DoPlain: dispatcher.DoPlain, Endpoint: fleet.endpoint,
+		EngineHolds: func(peridotpath.Service) peridotpath.Tokens { return 400_000 },
+		Signer:      signer, Claims: ledger, Bodies: caller.NewBodies(16<<20, 64<<20, 10*time.Second),
+	}
+	fleet.run(ctx, dispatcher.Run)
+	fleet.run(ctx, ledger.Run)
+	fleet.run(ctx, poller.Run)
+	fleet.network.Serve(address.String(), handler(t, server))
+}
+
+func (fleet *fleet) endpoint(id peridotpath.EndpointID) (peridotpath.Endpoint, bool) {
+	for _, endpoint := range fleet.endpoints {
+		if endpoint.ID == id {
+			return endpoint, true
+		}
+	}
+	return peridotpath.Endpoint{}, false
+}
+
+// handler serves what caller.Listener serves, without a socket.
+func handler(t *testing.T, server *caller.Server) http.Handler {
+	t.Helper()
+	routes := router.NewRouter()
+	for _, route := range server.Routes() {
+		if err := routes.Handle(route.Method, route.Path, route.Handler); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasPrefix(request.URL.Path, caller.ServicePrefix) {
+			server.Services().ServeHTTP(writer, request)
+			return
+		}
+		routes.ServeHTTP(writer, request)
+	})
+}
+
+// kill takes an instance away as a power cut does: what it was answering breaks off.
+func (fleet *fleet) kill(id peridotpath.InstanceID) {
+	fleet.transcript.note("%s dies", id)
+	fleet.network.Serve(fleet.instances[id].address.String(), nil)
+}
