dispatch: say not run only of what no endpoint may have run

Cause: an idempotent request whose first attempt ran and failed, and whose repeat was refused or found no endpoint, was answered with the refusal's code: not_run true, though an engine had run it. Change: when an attempt may have run, its result is what the caller gets. Figures: without the change TestNotRunIsSaidOfNoneThatRan/failed,_then_refused printed 'true != false // what the caller is told'; with it all three rows pass.

--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -49,9 +49,11 @@
 	decision := dispatcher.await(ctx, work, func() decide.Decision {
 		return dispatcher.Scheduler.Submit(time.Now(), work)
 	})
+	// ran is the result of the last attempt that an endpoint may have run.
+	var ran *peridotpath.Result
 	for {
 		if decision.Verdict == decide.Refuse {
-			return decision.Result
+			return truthful(decision.Result, ran)
 		}
 		attempt := forbidden(maySend)
 		if attempt.result == nil {
@@ -59,8 +61,11 @@
 		}
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
+		if attempt.outcome == decide.Failed {
+			ran = attempt.result
+		}
 		if attempt.result == nil || !mayRepeat(ctx, work, &attempt) {
-			return attempt.result
+			return truthful(attempt.result, ran)
 		}
 		decision = dispatcher.await(ctx, work, func() decide.Decision {
 			return dispatcher.Scheduler.Retry(time.Now(), work, attempt.result)
@@ -71,6 +76,16 @@
 	}
 }
 
+// truthful returns what the caller is told in the end. A repeat that is refused
+// did not run, but an earlier attempt may have: a caller told "not run" would
+// send the request once more as if it were new, so it gets that attempt's result.
+func truthful(result, ran *peridotpath.Result) *peridotpath.Result {
+	if result != nil && ran != nil && result.Code.NotRun() {
+		return ran
+	}
+	return result
+}
+
 // letGo gives the body's memory back.
 func (request *Request) letGo() {
 	request.Body.Drop()
