session: a fixed order for what happens at the same moment

Cause: with the race detector the sessions differed from run to run: answers of concurrent calls, log lines of one instant, a call that arrived at a step of the engine, and a host taken away whose last answer could end as if it were whole. Change: answers are noted when they are waited for, log lines sorted by time and text, calls start between the engine's steps, and the in-process network breaks an answer before it tells its handler to stop. The outage and the logs are guarded.

--- a/peridotpath/engine/enginetest/network.go
+++ b/peridotpath/engine/enginetest/network.go
@@ -25,7 +25,9 @@
 }
 
 func (host *host) breakOff() {
-	for _, cancel := range host.calls {
+	for exchange, cancel := range host.calls {
+		// First the error: the handler, told to stop, would end the answer as whole.
+		_ = exchange.body.CloseWithError(io.ErrUnexpectedEOF)
 		cancel()
 	}
 }
--- a/peridotpath/session/claims_test.go
+++ b/peridotpath/session/claims_test.go
@@ -1,17 +1,14 @@
 package session_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/faults"
-	"peridotpath.example/peridotpath/keyvalue"
 )
 
 func claimsDesk() *deployment {
@@ -64,11 +61,11 @@
 		}
 
 		session.title("the honeymoon couple's claim is sent twice at once, and again later elsewhere")
-		var both sync.WaitGroup
-		both.Go(func() { session.send(acknowledgement(colombo, "couple-1", "claim-couple", `{"claim":"couple"}`)) })
+		first := session.begin(acknowledgement(colombo, "couple-1", "claim-couple", `{"claim":"couple"}`))
 		time.Sleep(5 * time.Millisecond)
-		session.send(acknowledgement(colombo, "couple-2", "claim-couple", `{"claim":"couple"}`))
-		both.Wait()
+		second := session.begin(acknowledgement(colombo, "couple-2", "claim-couple", `{"claim":"couple"}`))
+		first()
+		second()
 		time.Sleep(time.Second)
 		session.send(acknowledgement(negombo, "couple-3", "claim-couple", `{"claim":"couple"}`))
 
@@ -76,10 +73,9 @@
 		session.send(acknowledgement(negombo, "reused", "claim-couple", `{"claim":"somebody else's"}`))
 
 		session.title("the key-value service is down: nothing runs, and the caller is told so")
-		outage := errOutage
-		fleet.platform.Fault = func(context.Context, string, string, bool) error { return outage }
+		fleet.outage.Store(true)
 		session.send(acknowledgement(colombo, "outage-1", "claim-outage", `{"claim":"outage"}`))
-		outage = nil
+		fleet.outage.Store(false)
 		time.Sleep(5 * time.Second)
 		session.send(acknowledgement(colombo, "outage-2", "claim-outage", `{"claim":"outage"}`))
 
@@ -93,14 +89,12 @@
 
 		session.title("a dossier of 120,000 tokens with a counter lookup behind it")
 		dossier := strings.Repeat("receipt and photograph. ", 120_000*4/24)
-		both.Go(func() { session.send(chat(colombo, "dossier", "airline-key", "dossier", dossier, 3, false)) })
-		time.Sleep(100 * time.Millisecond)
+		heavy := session.begin(chat(colombo, "dossier", "airline-key", "dossier", dossier, 3, false))
+		time.Sleep(103 * time.Millisecond) // not at a step of the engine
 		session.send(chat(negombo, "lookup", "counter-key", "counter-lookup", strings.Repeat("tag LK 4711? ", 400), 4, true))
-		both.Wait()
+		heavy()
 
 		time.Sleep(time.Minute)
 		session.finish("claims_desk")
 	})
 }
-
-var errOutage = keyvalue.ErrUnavailable.New("outage")
--- a/peridotpath/session/fleet_test.go
+++ b/peridotpath/session/fleet_test.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +25,7 @@
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/engine/enginetest"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/service/servicetest"
@@ -48,6 +51,8 @@
 	deployment *deployment
 	network    enginetest.Network
 	platform   memory.Memory
+	// outage has every call to the platform fail.
+	outage     atomic.Bool
 	engine     enginetest.Engine
 	services   [2]servicetest.Service
 	endpoints  []peridotpath.Endpoint
@@ -61,7 +66,7 @@
 // instance is one process of the system.
 type instance struct {
 	address netip.AddrPort
-	log     strings.Builder
+	log     log
 }
 
 func newFleet(t *testing.T, deployment *deployment) *fleet {
@@ -73,6 +78,12 @@
 		t.Fatal(err)
 	}
 	deployment.config.Index()
+	fleet.platform.Fault = func(context.Context, string, string, bool) error {
+		if fleet.outage.Load() {
+			return keyvalue.ErrUnavailable.New("outage")
+		}
+		return nil
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	fleet.cancel = cancel
 	fleet.startEndpoints(ctx)
@@ -94,7 +105,7 @@
 	fleet.network.Close()
 	fleet.cancel()
 	for _, ended := range fleet.ended {
-		if err := <-ended; err != nil && err != context.Canceled {
+		if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 			fleet.transcript.t.Error(err)
 		}
 	}
@@ -124,22 +135,22 @@
 // startInstance joins the parts of an instance as peridotd does.
 func (fleet *fleet) startInstance(ctx context.Context, t *testing.T, id peridotpath.InstanceID, address netip.AddrPort) {
 	t.Helper()
-	started := &instance{address: address}
+	started := &instance{address: address, log: log{transcript: fleet.transcript}}
 	fleet.instances[id] = started
-	log, err := telemetry.NewLog(&started.log, "info", id)
+	logger, err := telemetry.NewLog(&started.log, "info", id)
 	if err != nil {
 		t.Fatal(err)
 	}
-	scheduler := &decide.Scheduler{}
+	scheduler := &decide.Scheduler{Seed: uint64(len(fleet.instances))}
 	scheduler.SetEndpoints(time.Now(), fleet.endpoints)
 	engines := &engine.Client{Instance: id, Incarnation: 1, Do: fleet.network.Do}
 	services := &service.Client{Do: fleet.network.Do}
 	dispatcher := &dispatch.Dispatcher{
-		Scheduler: scheduler, Log: log, ResumeWindow: 10 * time.Second,
+		Scheduler: scheduler, Log: logger, ResumeWindow: 10 * time.Second,
 		Send: engines.Send, Resume: engines.Resume, Cancel: engines.Cancel, SendPlain: services.Send,
 	}
 	ledger := &claim.Ledger{
-		Store: fleet.platform.Store(), Instance: id, Incarnation: 1, Logger: log, Metrics: metrics.NewSet(),
+		Store: fleet.platform.Store(), Instance: id, Incarnation: 1, Logger: logger, Metrics: metrics.NewSet(),
 		Alive: func(peridotpath.InstanceID, peridotpath.Incarnation) bool { return true },
 	}
 	poller := &engine.Poller{
@@ -149,7 +160,7 @@
 	signer := &cursor.Signer{}
 	signer.SetSecret([]byte("the same at every instance"))
 	server := &caller.Server{
-		Log: log, Config: func() *peridotpath.Config { return fleet.deployment.config },
+		Log: logger, Config: func() *peridotpath.Config { return fleet.deployment.config },
 		Do: dispatcher.Do, Continue: dispatcher.Continue, DoPlain: dispatcher.DoPlain, Endpoint: fleet.endpoint,
 		EngineHolds: func(peridotpath.Service) peridotpath.Tokens { return 400_000 },
 		Signer:      signer, Claims: ledger, Bodies: caller.NewBodies(16<<20, 64<<20, 10*time.Second),
--- a/peridotpath/session/portal_test.go
+++ b/peridotpath/session/portal_test.go
@@ -90,7 +90,7 @@
 
 		session.title("the instance dies under a reading, which goes on at the other")
 		reading := line(kolkata, "line-4")
-		time.AfterFunc(230*time.Millisecond, func() { fleet.kill(kolkata) })
+		time.AfterFunc(92*time.Millisecond, func() { fleet.kill(kolkata) })
 		last := session.send(reading)
 		reading.instance, reading.header = dhaka, map[string]string{"Last-Event-ID": last}
 		session.send(reading)
--- a/peridotpath/session/transcript_test.go
+++ b/peridotpath/session/transcript_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -34,22 +35,24 @@
 	text strings.Builder
 }
 
-// note adds a line with the time since the session's beginning.
-func (transcript *transcript) note(format string, args ...any) {
-	transcript.mu.Lock()
-	defer transcript.mu.Unlock()
-	fmt.Fprintf(&transcript.text, "%9.3f ", time.Since(transcript.began).Seconds())
-	fmt.Fprintf(&transcript.text, format, args...)
-	transcript.text.WriteByte('\n')
+// line returns a line with the time since the session's beginning.
+func (transcript *transcript) line(format string, args ...any) string {
+	return fmt.Sprintf("%9.3f ", time.Since(transcript.began).Seconds()) + fmt.Sprintf(format, args...) + "\n"
 }
 
-// title begins a scene.
-func (transcript *transcript) title(text string) {
+func (transcript *transcript) add(text string) {
 	transcript.mu.Lock()
 	defer transcript.mu.Unlock()
-	fmt.Fprintf(&transcript.text, "\n# %s\n", text)
+	transcript.text.WriteString(text)
 }
 
+func (transcript *transcript) note(format string, args ...any) {
+	transcript.add(transcript.line(format, args...))
+}
+
+// title begins a scene.
+func (transcript *transcript) title(text string) { transcript.add("\n# " + text + "\n") }
+
 // ask is one call of a caller.
 type ask struct {
 	instance peridotpath.InstanceID
@@ -68,22 +71,55 @@
 
 // send makes the call, notes it and its answer, and returns the id of the last event.
 func (transcript *transcript) send(ask ask) string {
+	return transcript.begin(ask)()
+}
+
+// begin makes the call and returns what waits for its answer. Answers are noted
+// then, so that calls that go on at the same time have a fixed order.
+func (transcript *transcript) begin(ask ask) (wait func() string) {
+	answer := &answer{transcript: transcript, name: ask.name, leaveAfter: ask.leaveAfter, ended: make(chan struct{})}
 	request := transcript.request(&ask)
+	go func() {
+		defer close(answer.ended)
+		answer.take(request)
+	}()
+	return func() string {
+		<-answer.ended
+		transcript.add(answer.text.String())
+		return answer.last
+	}
+}
+
+// answer is one answer as its caller sees it.
+type answer struct {
+	transcript *transcript
+	name       string
+	leaveAfter int
+	text       strings.Builder
+	last       string
+	ended      chan struct{}
+}
+
+func (answer *answer) note(format string, args ...any) {
+	answer.text.WriteString(answer.transcript.line("< "+answer.name+" "+format, args...))
+}
+
+func (answer *answer) take(request *http.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	response, err := transcript.fleet.network.Do(request.WithContext(ctx))
+	response, err := answer.transcript.fleet.network.Do(request.WithContext(ctx))
 	if err != nil {
-		transcript.note("< %s connection broken", ask.name)
-		return ""
+		answer.note("connection broken")
+		return
 	}
 	defer response.Body.Close()
-	transcript.note("< %s %d%s", ask.name, response.StatusCode, headers(response.Header))
+	answer.note("%d%s", response.StatusCode, headers(response.Header))
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		return transcript.events(&ask, response.Body)
+		answer.events(response.Body)
+		return
 	}
 	body, err := io.ReadAll(response.Body)
-	transcript.note("< %s %s%s", ask.name, shorten(strings.TrimSpace(string(body))), broken(err))
-	return ""
+	answer.note("%s%s", shorten(strings.TrimSpace(string(body))), broken(err))
 }
 
 func (transcript *transcript) request(ask *ask) *http.Request {
@@ -104,34 +140,34 @@
 }
 
 // events notes the events of a stream as they come.
-func (transcript *transcript) events(ask *ask, stream io.Reader) string {
-	last, count := "", 0
+func (answer *answer) events(stream io.Reader) {
+	count := 0
 	lines := bufio.NewReader(stream)
 	for {
 		line, err := lines.ReadString('\n')
 		line = strings.TrimSuffix(line, "\n")
 		if err != nil {
-			transcript.note("< %s end of stream%s", ask.name, broken(err))
-			return last
+			answer.note("end of stream%s", broken(err))
+			return
 		}
 		if id, found := strings.CutPrefix(line, "id: "); found {
-			last = id
+			answer.last = id
 			line = "id: " + shortenCursor(id)
 		}
 		if line != "" {
-			transcript.note("< %s %s", ask.name, shorten(line))
+			answer.note("%s", shorten(line))
 			continue
 		}
 		count++
-		if count == ask.leaveAfter {
-			transcript.note("  %s leaves", ask.name)
-			return last
+		if count == answer.leaveAfter {
+			answer.note("leaves")
+			return
 		}
 	}
 }
 
 func broken(err error) string {
-	if err == nil || err == io.EOF {
+	if err == nil || errors.Is(err, io.EOF) {
 		return ""
 	}
 	return " (broken off)"
@@ -165,6 +201,30 @@
 
 var logTime = regexp.MustCompile(`^time=\S+ `)
 
+// log takes an instance's log, a line a call.
+type log struct {
+	transcript *transcript
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write notes a line with the session's time in the place of its own.
+func (log *log) Write(line []byte) (int, error) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	text := logTime.ReplaceAllString(strings.TrimSpace(string(line)), "")
+	log.lines = append(log.lines, log.transcript.line("%s", text))
+	return len(line), nil
+}
+
+// sorted returns the lines by time, and those of the same moment by their text.
+func (log *log) sorted() []string {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	return slices.Sorted(slices.Values(log.lines))
+}
+
 // finish adds the log lines and what the endpoints ran, and compares the whole
 // with the golden file.
 func (transcript *transcript) finish(name string) {
@@ -172,8 +232,8 @@
 	fleet := transcript.fleet
 	for _, id := range fleet.deployment.instances {
 		transcript.title("log of " + string(id))
-		for line := range strings.Lines(fleet.instances[id].log.String()) {
-			transcript.text.WriteString(logTime.ReplaceAllString(line, ""))
+		for _, line := range fleet.instances[id].log.sorted() {
+			transcript.add(line)
 		}
 	}
 	transcript.title("what the endpoints ran")
