shift: volumes beyond one engine, end to end and under failure

Cause: nothing showed what callers see while groups form, serve and break. Change: four or five engines, the platform and two instances in one process on a fake clock: volumes at once beside lines; leader, member or lease holder lost; a standing group against one formed for each prompt. The stand-in's leader kept streams whose memory had been taken away, since a finished prompt's memory is counted in the cache; it now drops them.

--- a/peridotpath/engine/enginetest/orders.go
+++ b/peridotpath/engine/enginetest/orders.go
@@ -89,7 +89,7 @@
 func (engine *Engine) shed() {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	if engine.used <= engine.capacity() {
+	if engine.used+engine.cache.pinned() <= engine.capacity() {
 		return
 	}
 	for _, stream := range slices.Clone(engine.order) {
--- /dev/null
+++ b/peridotpath/shift/fixture_test.go
@@ -0,0 +1,222 @@
+package shift_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/digest"
+	"peridotpath.example/peridotpath/dispatch"
+	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/engine/enginetest"
+	"peridotpath.example/peridotpath/fleet"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+	"peridotpath.example/peridotpath/lease"
+	"peridotpath.example/peridotpath/order"
+	"peridotpath.example/peridotpath/shift"
+)
+
+const (
+	service    = peridotpath.Service("lipi-model")
+	dataCentre = peridotpath.DataCentre("kolkata-hall")
+	volume     = 1_000_000
+	holdGroups = 5 * time.Minute
+)
+
+// cell is a data centre: engines, the platform, and instances before them.
+type cell struct {
+	t         *testing.T
+	platform  memory.Memory
+	network   enginetest.Network
+	engines   []*enginetest.Engine
+	endpoints []peridotpath.Endpoint
+	tasks     sync.WaitGroup
+	cancel    context.CancelFunc
+	hold      time.Duration
+
+	mu        sync.Mutex
+	instances []*instance
+}
+
+// instance is one process with the parts that long prompts need.
+type instance struct {
+	dispatcher *dispatch.Dispatcher
+	counter    *shift.Counter
+	holder     *lease.Holder
+	link       memory.Link
+	cancel     context.CancelFunc
+}
+
+func newCell(t *testing.T, engines, instances int, hold time.Duration) *cell {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cell := &cell{t: t, cancel: cancel, hold: hold}
+	for i := range engines {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7100)
+		fake := &enginetest.Engine{
+			Name: fmt.Sprintf("e%d", i), KVTokens: 400_000, PrefillPerS: 200_000, DecodePerS: 100, ChecksFencing: true,
+		}
+		cell.engines = append(cell.engines, fake)
+		cell.endpoints = append(cell.endpoints, peridotpath.Endpoint{
+			ID: peridotpath.EndpointID(fake.Name), Service: service, Kind: peridotpath.KindEngine,
+			DataCentre: dataCentre, Address: address, State: peridotpath.StateLive, KVTokens: 400_000, ChecksFencing: true,
+		})
+		cell.network.Serve(address.String(), fake.Handler())
+		cell.run(ctx, fake.Run)
+	}
+	for i := range instances {
+		cell.instances = append(cell.instances, cell.start(ctx, fmt.Sprintf("i%d", i)))
+	}
+	return cell
+}
+
+// run runs a task until the cell is closed.
+func (cell *cell) run(ctx context.Context, task func(context.Context) error) {
+	cell.tasks.Go(func() { _ = task(ctx) })
+}
+
+func (cell *cell) close() {
+	cell.cancel()
+	cell.network.Close()
+	cell.tasks.Wait()
+}
+
+func (cell *cell) start(ctx context.Context, name string) *instance {
+	ctx, cancel := context.WithCancel(ctx)
+	client := &engine.Client{Instance: peridotpath.InstanceID(name), Do: cell.network.Do}
+	started := &instance{cancel: cancel}
+	store := started.link.Store(&cell.platform)
+	scheduler := &decide.Scheduler{Seed: uint64(len(cell.instances) + 1)}
+	scheduler.SetInstances(2)
+	view := &fleet.View{Log: zerolog.Nop(), Publish: scheduler.SetEndpoints, Load: scheduler.Report}
+	poller := &fleet.Poller{
+		View: view, Book: &digest.Book{Epoch: 1}, Load: client.Load,
+		Owns: func(peridotpath.EndpointID) bool { return true },
+	}
+	started.dispatcher = &dispatch.Dispatcher{
+		Scheduler: scheduler, Log: zerolog.Nop(), ResumeWindow: 10 * time.Second,
+		Send: client.Send, Resume: client.Resume, Cancel: client.Cancel, Draining: view.Refused,
+	}
+	started.counter = &shift.Counter{Store: store, Interval: 2 * time.Second}
+	started.holder = &lease.Holder{
+		Store: store, Key: lease.Key(dataCentre, service), Instance: peridotpath.InstanceID(name),
+		Settings: lease.Settings{TTLMS: 30_000, MarginMS: 3_000, LongestOrderMS: 12_000},
+		Logger:   zerolog.Nop(), Metrics: metrics.NewSet(),
+	}
+	engines := &shift.Engines{Client: client, Endpoints: func() []peridotpath.Endpoint { return cell.endpoints }}
+	book := &order.Book{Store: store, Key: order.Key(dataCentre, service)}
+	reconciler := &order.Reconciler{
+		Desired: book.Get, Held: started.holder.Held, Endpoints: engines.Endpoints,
+		Read: engines.State, Send: engines.Order, Settings: order.Settings{LongestOrderMS: 12_000},
+		Logger: zerolog.Nop(), Metrics: metrics.NewSet(),
+	}
+	keeper := &shift.Keeper{
+		Log: zerolog.Nop(), Store: store, DataCentre: dataCentre, Service: service, Book: book,
+		Held: started.holder.Held, Engines: engines.Look, Interval: 2 * time.Second,
+		Limits:  shift.Limits{Hold: cell.hold},
+		Longest: func() peridotpath.Tokens { return 1_100_000 },
+		Sites:   func() []shift.Site { return []shift.Site{{DataCentre: dataCentre, Engines: len(cell.endpoints)}} },
+	}
+	view.SetMembers(time.Now(), cell.endpoints)
+	for _, task := range []func(context.Context) error{
+		poller.Run, started.dispatcher.Run, started.counter.Run, started.holder.Run, reconciler.Run, keeper.Run,
+	} {
+		cell.run(ctx, task)
+	}
+	return started
+}
+
+// kill ends an instance as SIGKILL does: nothing is given back.
+func (instance *instance) kill() {
+	instance.link.Set(func(string) memory.Fate { return memory.Fate{NotSent: true} })
+	instance.cancel()
+}
+
+// answer is what became of one prompt.
+type answer struct {
+	result  *peridotpath.Result
+	first   time.Duration
+	took    time.Duration
+	tokens  int
+	refused int
+}
+
+// ask sends a prompt through an instance, and again when it is told to come
+// back, until its deadline.
+func (cell *cell) ask(at int, id string, tokens, output peridotpath.Tokens, deadline time.Duration) answer {
+	class := peridotpath.ClassOf(tokens, 400_000)
+	profile := &peridotpath.Profile{Name: "volume", Service: service, Idempotent: true, DeadlineMS: peridotpath.Millis(deadline.Milliseconds())}
+	if class == peridotpath.Short {
+		profile.Priority = 9
+	}
+	profile.Defaults()
+	customer := &peridotpath.Customer{ID: "scholar"}
+	customer.Defaults()
+	text := fmt.Appendf(nil, `{"stream":true,"max_tokens":%d,"prompt":"%s %s"}`, output, id, bytes.Repeat([]byte("leaf "), int(tokens)*4/5))
+	begin := time.Now()
+	var answer answer
+	for {
+		instance := cell.at(at)
+		now := time.Now()
+		work := &decide.Work{
+			ID: peridotpath.RequestID(id), Customer: customer, Profile: profile, Class: class,
+			Prompt: tokens, Output: output, Arrived: now, Deadline: begin.Add(deadline),
+		}
+		if class == peridotpath.Oversize {
+			instance.counter.Note(service, tokens)
+		}
+		sink := &dispatch.Sink{
+			Start: func(http.Header, peridotpath.EndpointID, string) { answer.first = time.Since(begin) },
+			Event: func(_ int64, data []byte) error {
+				if gjson.GetBytes(data, "choices.0.text").String() != "" {
+					answer.tokens++
+				}
+				return nil
+			},
+		}
+		request := &dispatch.Request{Work: work, Path: engine.PathCompletions, Body: engine.NewBody(text), Stream: true}
+		answer.result = instance.dispatcher.Do(context.Background(), request, sink)
+		answer.took = time.Since(begin)
+		again := answer.result != nil && answer.result.RetryAfter > 0 && answer.tokens == 0
+		if !again || answer.took+answer.result.RetryAfter >= deadline {
+			return answer
+		}
+		answer.refused++
+		time.Sleep(answer.result.RetryAfter)
+		at++
+	}
+}
+
+// at returns an instance, as a balancer that goes round does.
+func (cell *cell) at(number int) *instance {
+	cell.mu.Lock()
+	defer cell.mu.Unlock()
+	return cell.instances[number%len(cell.instances)]
+}
+
+// lose takes an engine away, with what it held.
+func (cell *cell) lose(number int) {
+	cell.network.Serve(cell.endpoints[number].Address.String(), nil)
+}
+
+// role returns the first part of an engine's role.
+func (cell *cell) role(number int) string {
+	client := &engine.Client{Do: cell.network.Do}
+	state, err := client.Orders(context.Background(), cell.endpoints[number].Address)
+	if err != nil {
+		return "gone"
+	}
+	first, _ := state.Role.Split()
+	return string(first)
+}
