--- a/peridotpath/config/change.go
+++ b/peridotpath/config/change.go
@@ -160,14 +160,13 @@
 	if err != nil {
 		return Accepted{}, writer.failed(err)
 	}
-	current := &content{}
-	if entry.Version != 0 {
-		if current, err = parse(entry.Value); err != nil {
-			return Accepted{}, writer.giveUp(err)
-		}
+	text := writer.latest(entry.Value)
+	current, err := parse(text)
+	if err != nil {
+		return Accepted{}, writer.giveUp(err)
 	}
 	if done := current.event(writer.change.ID); done != nil {
-		return writer.accept(done.Revision, entry.Value), nil
+		return writer.accept(done.Revision, text), nil
 	}
 	if err := writer.settle(entry.Version, current.Revision); err != nil {
 		return Accepted{}, err
@@ -178,6 +177,28 @@
 	return writer.swap(ctx, entry.Version, current)
 }
 
+// latest returns the text to start from: what was read from the platform or, if
+// this instance has a higher revision in force, that one.
+//
+// The platform holds the lower one after it was restored from an old copy. A
+// change made on it would be accepted under a revision that instances have seen
+// already and never come into force. Made on the higher one, it comes into force
+// and brings back what the copy lacked. A read that is merely late does no harm:
+// its version is no longer the document's, and the swap conflicts.
+func (writer *writer) latest(read []byte) []byte {
+	if read == nil {
+		read = []byte("{}")
+	}
+	held := writer.store.Current().documents[writer.document]
+	if held == nil {
+		return read
+	}
+	if current, err := parse(read); err != nil || current.Revision >= held.revision {
+		return read
+	}
+	return held.text
+}
+
 // failed sorts an error of the service. A call that never reached it is given
 // back at once, so that the operator can go to another instance.
 func (writer *writer) failed(err error) error {
--- a/peridotpath/config/change_test.go
+++ b/peridotpath/config/change_test.go
@@ -1,8 +1,10 @@
 package config_test
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -182,6 +184,55 @@
 	})
 }
 
+// A change's call is lost, and so many changes of the document follow that its
+// history no longer tells whether it took effect. Nothing certain may be said.
+func TestHistoryNoLongerReachesBack(t *testing.T) {
+	var lost atomic.Bool
+	loseOneAndGoOn := func(fleet *fleet, call, _ string, applied bool) error {
+		if call != "swap" || applied || lost.Swap(true) {
+			return nil
+		}
+		for i := range 40 {
+			change := putProfile(fmt.Sprint("rival-", i), "dossier", config.AnyRevision, 100)
+			if _, err := fleet.instances[1].store().Change(context.Background(), change); err != nil {
+				return err
+			}
+		}
+		return keyvalue.ErrUnavailable.New("the call was lost")
+	}
+	inFleet(t, 2, 2, loseOneAndGoOn, func(t *testing.T, is *is.I, fleet *fleet) {
+		_, err := fleet.instances[0].store().Change(soon(t), putProfile("mine", "counter", 0, 200))
+		is.True(config.ErrUnknown.Has(err))
+	})
+}
+
+// The platform's service is restored from a copy that lacks the last changes.
+// Instances keep them in force; the next change has to bring them back there,
+// or it would be accepted under a revision that no instance applies again.
+func TestRestoredPlatform(t *testing.T) {
+	inFleet(t, 2, 2, nil, func(t *testing.T, is *is.I, fleet *fleet) {
+		fleet.instances[0].mustChange(t, putProfile("1", "counter", 0, 100))
+		copied, err := fleet.platform.Get(t.Context(), "config/profiles")
+		is.NoErr(err)
+		fleet.instances[0].mustChange(t, putProfile("2", "dossier", 0, 200))
+		fleet.instances[0].mustChange(t, putProfile("3", "folio", 0, 300))
+		time.Sleep(time.Second)
+		entry, err := fleet.platform.Get(t.Context(), "config/profiles")
+		is.NoErr(err)
+		_, err = fleet.platform.Swap(t.Context(), "config/profiles", entry.Version, copied.Value, 0)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		restarted := fleet.instances[0]
+		restarted.restart(t)
+		is.Equal(restarted.revision(), peridotpath.Revision(3)) // the old copy came into force
+		is.Equal(fleet.instances[1].mustChange(t, putProfile("4", "page", 0, 400)), peridotpath.Revision(4))
+		time.Sleep(time.Second)
+		for _, instance := range fleet.instances {
+			is.Equal(len(instance.store().Current().Config.Profiles), 4) // an accepted change was lost
+		}
+	})
+}
+
 // Two operators give one API key to two customers of different documents at the
 // same moment; one compare-and-swap can't prevent it. Every instance must give
 // the key to the same customer, in whatever order the documents came.
--- a/peridotpath/config/fleet_test.go
+++ b/peridotpath/config/fleet_test.go
@@ -27,8 +27,9 @@
 type fleet struct {
 	memory    *memory.Memory
 	platform  *keyvalue.Store
-	down      atomic.Bool // no call reaches the platform
-	hung      atomic.Bool // the first instance takes calls of peers and never answers
+	down      atomic.Bool  // no call reaches the platform
+	slow      atomic.Int64 // how many answers to watches will come seconds late
+	hung      atomic.Bool  // the first instance takes calls of peers and never answers
 	instances []*instance
 }
 
@@ -118,6 +119,16 @@
 	}
 }
 
+// restart replaces an instance by one that holds nothing.
+func (instance *instance) restart(t *testing.T) {
+	t.Helper()
+	instance.stop()
+	instance.renew()
+	if err := instance.start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (fleet *fleet) stop() {
 	for _, instance := range fleet.instances {
 		instance.stop()
@@ -151,6 +162,7 @@
 				return nil, 0, err
 			}
 			entries, version, err := platform.Watch(ctx, prefix, after, wait)
+			instance.fleet.delay()
 			if cut := instance.reach(); cut != nil { // an answer on its way is lost too
 				return nil, 0, cut
 			}
@@ -159,6 +171,15 @@
 	}
 }
 
+// delay holds an answer to a watch back, so that it tells old news.
+func (fleet *fleet) delay() {
+	if fleet.slow.Add(-1) >= 0 {
+		time.Sleep(2 * time.Second)
+		return
+	}
+	fleet.slow.Store(0)
+}
+
 func (instance *instance) reach() error {
 	time.Sleep(hop)
 	if instance.fleet.down.Load() || instance.cut.Load() || instance.astray.Load() {
--- a/peridotpath/config/follow.go
+++ b/peridotpath/config/follow.go
@@ -22,29 +22,31 @@
 	pollGrace = time.Second
 )
 
-// Load reads the configuration once: from the platform or, when that gives no
-// answer, from the peers, each document at the highest revision that any of
-// them holds. It returns an error when neither has one; call Run in any case.
+// Load reads the configuration once, from the platform and from peers: each
+// document at the highest revision that any of them holds. Peers matter while
+// the platform is down, and when it was restored from an old copy. Load returns
+// an error when nobody has a configuration; call Run in any case.
 func (store *Store) Load(ctx context.Context) (*Snapshot, error) {
-	err := store.list(ctx)
-	if err != nil {
-		err = errs.Combine(err, store.ask(ctx, 0))
-	}
+	listed := store.list(ctx)
+	asked := store.ask(ctx, 0)
 	if snapshot := store.Current(); snapshot != nil {
 		return snapshot, nil
 	}
-	return nil, Error.New("load: %v", err)
+	return nil, Error.New("load: %v", errs.Combine(listed, asked))
 }
 
 // Run follows the changes until ctx is done and returns its error.
 func (store *Store) Run(ctx context.Context) error {
-	backoff := backoffStart
+	backoff, wait := backoffStart, store.wait()
 	for ctx.Err() == nil {
-		err := store.follow(ctx)
+		err := store.follow(ctx, wait)
 		if err == nil {
-			backoff = backoffStart
+			backoff, wait = backoffStart, store.wait()
 			continue
 		}
+		// The first answer after a silence shall come at once, not after a
+		// wait: it may turn the instance ready.
+		wait = 0
 		metrics.GetOrCreateCounter(`peridotpath_config_follow_errors_total`).Inc()
 		store.Log.Warn().Str("event", "config_follow_failed").Err(err).Send()
 		store.pause(ctx, backoff)
@@ -69,34 +71,32 @@
 // long at the other one when the first gives nothing of use. So an instance
 // whose source is gone loses no time, and makes no more calls than a reader. An
 // error says that neither source is of use.
-func (store *Store) follow(ctx context.Context) error {
+func (store *Store) follow(ctx context.Context, wait time.Duration) error {
 	if store.Current() == nil {
 		_, err := store.Load(ctx)
 		return err
 	}
-	first, second := store.fromPeers, store.fromPlatform
+	first, second := store.fromPeers, store.watch
 	if store.isReader() {
 		first, second = second, first
 	}
-	err := first(ctx)
+	err := first(ctx, wait)
 	if err == nil {
 		return nil
 	}
 	metrics.GetOrCreateCounter(`peridotpath_config_fallbacks_total`).Inc()
 	store.Log.Warn().Str("event", "config_fallback").Err(err).Send()
-	if failure := second(ctx); failure != nil {
+	if failure := second(ctx, wait); failure != nil {
 		return errs.Combine(err, failure)
 	}
 	return nil
 }
 
-func (store *Store) fromPlatform(ctx context.Context) error { return store.watch(ctx, store.wait()) }
-
 // fromPeers also fails when peers answer but have not heard the platform for
 // long: a follower of an instance that is cut off would otherwise stay on old
 // rules for good.
-func (store *Store) fromPeers(ctx context.Context) error {
-	if err := store.ask(ctx, store.wait()); err != nil {
+func (store *Store) fromPeers(ctx context.Context, wait time.Duration) error {
+	if err := store.ask(ctx, wait); err != nil {
 		return err
 	}
 	if age := store.age(); age >= orDefault(store.StaleAfter, DefaultStaleAfter) {
