--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -35,13 +36,13 @@
 // Do runs a prompt and returns nil when the whole answer was delivered. ctx
 // ends when the caller leaves.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request *Request, sink *Sink) *peridotpath.Result {
-	return dispatcher.run(ctx, request.Work, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
+	return dispatcher.run(ctx, request.Work, request.MaySend, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
 		return dispatcher.try(ctx, request, endpoint, sink)
 	})
 }
 
 // run has the work placed, tries it there, and repeats it where that is safe.
-func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
+func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, maySend func() error, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
 	dispatcher.start()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
@@ -52,7 +53,10 @@
 		if decision.Verdict == decide.Refuse {
 			return decision.Result
 		}
-		attempt := try(ctx, decision.Endpoint)
+		attempt := forbidden(maySend)
+		if attempt.result == nil {
+			attempt = try(ctx, decision.Endpoint)
+		}
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
 		if attempt.result == nil || !mayRepeat(ctx, work, &attempt) {
@@ -67,6 +71,30 @@
 	}
 }
 
+// letGo gives the body's memory back.
+func (request *Request) letGo() {
+	request.Body.Drop()
+	if request.Free != nil {
+		request.Free()
+	}
+}
+
+// forbidden returns an attempt that was not made, if maySend forbids it.
+func forbidden(maySend func() error) attempt {
+	if maySend == nil {
+		return attempt{}
+	}
+	err := maySend()
+	if err == nil {
+		return attempt{}
+	}
+	var result *peridotpath.Result
+	if !errors.As(err, &result) {
+		result = failure(peridotpath.CodePlatformDown, err.Error())
+	}
+	return attempt{outcome: decide.Abandoned, result: result}
+}
+
 // mayRepeat guards against running work twice. Work that certainly did not run
 // may go elsewhere; work that may have run only if it is idempotent and its
 // caller has seen nothing of the answer.
@@ -103,15 +131,25 @@
 		Priority: work.Profile.Priority, Deadline: work.Deadline,
 	})
 	if err != nil {
+		dispatcher.noteLeaving(endpoint.ID, err)
 		return dispatcher.sendFailed(ctx, work, err)
 	}
 	defer answer.Body.Close()
 	if request.Stream {
-		return dispatcher.relay(ctx, work, endpoint, answer, sink)
+		return dispatcher.relay(ctx, request, endpoint, answer, sink)
 	}
 	return dispatcher.whole(ctx, work, endpoint, answer, sink)
 }
 
+// noteLeaving keeps new work from an endpoint that says it is leaving: the
+// membership list may go on naming it as live for half a minute.
+func (dispatcher *Dispatcher) noteLeaving(endpoint peridotpath.EndpointID, err error) {
+	leaving := engine.ErrLeaving.Has(err) || service.ErrLeaving.Has(err)
+	if leaving && dispatcher.Draining != nil {
+		dispatcher.Draining(time.Now(), endpoint)
+	}
+}
+
 // sendFailed sorts a failure before the answer's headers.
 func (dispatcher *Dispatcher) sendFailed(ctx context.Context, work *decide.Work, err error) attempt {
 	detail := err.Error()
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -23,9 +23,15 @@
 	Work *decide.Work
 	// Path is the engine's path that the caller asked for.
 	Path string
-	Body []byte
+	// Body is let go of once content has come: nothing is sent again after that.
+	Body *engine.Body
+	// Free, when set, is called when Body has been let go of.
+	Free func()
 	// Stream says that the caller wants the answer as events.
 	Stream bool
+	// MaySend, when set, is asked right before each sending; an error, best a
+	// *peridotpath.Result, forbids it.
+	MaySend func() error
 }
 
 // Sink is where the answer goes. Its functions are called from one goroutine.
@@ -49,6 +55,8 @@
 	Cancel func(ctx context.Context, address netip.AddrPort, stream string, onlyDetached bool) error
 	// SendPlain speaks to a plain service.
 	SendPlain func(ctx context.Context, address netip.AddrPort, call *service.Request) (*http.Response, error)
+	// Draining, when set, is told of an endpoint that said it is leaving.
+	Draining func(now time.Time, endpoint peridotpath.EndpointID)
 	// ResumeWindow is how long a stream whose caller left is kept for a return.
 	ResumeWindow time.Duration
 
--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -24,13 +23,23 @@
 type Client struct {
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
+	// Do makes an HTTP call; nil stands for outbound.Do.
+	Do func(request *http.Request) (*http.Response, error)
+}
+
+func (client *Client) do(request *http.Request) (*http.Response, error) {
+	if client.Do != nil {
+		return client.Do(request)
+	}
+	return outbound.Do(request)
 }
 
 // Request is one prompt on its way to an engine.
 type Request struct {
-	ID       peridotpath.RequestID
-	Path     string
-	Body     []byte
+	ID   peridotpath.RequestID
+	Path string
+	// Body may be nil for none.
+	Body     *Body
 	Priority int
 	Deadline time.Time
 }
@@ -46,10 +55,13 @@
 // Send posts the prompt and returns when the engine's headers are in. The
 // error's class tells whether the work may have run.
 func (client *Client) Send(ctx context.Context, address netip.AddrPort, work *Request) (*Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+work.Path, bytes.NewReader(work.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+work.Path, nil)
 	if err != nil {
 		return nil, ErrUnreached.Wrap(err)
 	}
+	if work.Body != nil {
+		work.Body.attach(request)
+	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(HeaderRequestID, string(work.ID))
 	request.Header.Set(HeaderPriority, strconv.Itoa(work.Priority))
@@ -58,7 +70,7 @@
 	// No Idempotency-Key goes to an engine: with it the transport would send a
 	// POST again by itself after an answer was lost, and run work twice without
 	// this system knowing.
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 func (client *Client) name(request *http.Request) {
@@ -85,15 +97,20 @@
 	return nil, refusal(response, string(text))
 }
 
+// refusal sorts a status into a class. errs compares classes by their address,
+// so a copy of one would match nothing and pass for unknown.
 func refusal(response *http.Response, text string) error {
-	class := ErrFailed
+	if response.Header.Get(HeaderNotRun) == NotRunLeaving {
+		return ErrRefused.Wrap(ErrLeaving.New("status %d: %s", response.StatusCode, text))
+	}
+	class := &ErrFailed
 	switch {
 	case response.Header.Get(HeaderNotRun) != "":
-		class = ErrRefused
+		class = &ErrRefused
 	case response.StatusCode == http.StatusGone || response.StatusCode == http.StatusNotFound:
-		class = ErrGone
+		class = &ErrGone
 	case response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusUnprocessableEntity:
-		class = ErrBadRequest
+		class = &ErrBadRequest
 	}
 	return class.New("status %d: %s", response.StatusCode, text)
 }
@@ -107,7 +124,7 @@
 		return nil, ErrGone.Wrap(err)
 	}
 	client.name(request)
-	return answer(outbound.Do(request))
+	return answer(client.do(request))
 }
 
 // Cancel ends a stream and frees its memory. With onlyDetached the engine does
@@ -148,7 +165,7 @@
 		return ErrUnreached.Wrap(err)
 	}
 	client.name(request)
-	got, err := answer(outbound.Do(request))
+	got, err := answer(client.do(request))
 	if err != nil {
 		return err
 	}
