Let a claim end without an answer, and tell whether it was ever dispatched

A claim tells whether a dispatch was ever allowed: if not, a failure of any code may release it. Seen to fail first: "invalid memory address or nil pointer dereference"; without the note "not true: held.Dispatched()". Conclusion: every size of answer ends its claim.

--- a/peridotpath/claim/claim.go
+++ b/peridotpath/claim/claim.go
@@ -16,6 +16,8 @@
 	operation *operation
 	run       *Run
 	ended     atomic.Bool
+	// dispatched is set once a Dispatch has succeeded.
+	dispatched atomic.Bool
 }
 
 // Dispatch is called right before each time the request is sent to an
@@ -33,35 +35,40 @@
 		ledger.count(`claim_dispatch_late_total`)
 		return platformDown(reasonTooOld, retryAfter)
 	}
+	claim.dispatched.Store(true)
 	return nil
 }
 
-// Finish records that the request ended, with the answer that repeats get, or
-// nil where that was too large to keep. It
-// returns once that stands on the platform; when ctx ends first, recording
-// goes on. The caller's own answer need not wait for it.
+// Dispatched reports whether a Dispatch has succeeded. If none has, the request
+// certainly did not run, whatever its failure is called, and its claim may be
+// released.
+func (claim *Claim) Dispatched() bool { return claim.dispatched.Load() }
+
+// Finish records that the request ended, with the answer that repeats get; nil
+// when nobody kept it. It returns once that stands on the platform; when ctx
+// ends first, recording goes on. The caller's own answer need not wait for it.
 func (claim *Claim) Finish(ctx context.Context, answer *Answer) error {
 	if claim.ended.Swap(true) {
 		return Error.New("finish: claim has ended")
 	}
-	kept, message := claim.keep(answer)
+	if answer == nil {
+		claim.run.end(nil, &peridotpath.Result{Code: peridotpath.CodeAnswerGone})
+		return claim.record(ctx, kindFinish, nil)
+	}
+	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
 	claim.run.end(kept, nil)
-	return claim.record(ctx, kindFinish, message)
+	return claim.record(ctx, kindFinish, claim.keep(kept))
 }
 
-// keep returns what this process and the platform keep of an answer. A nil
-// answer, one too large to have been recorded, is kept nowhere.
-func (claim *Claim) keep(answer *Answer) (*Answer, *ledgerpb.Answer) {
-	if answer == nil {
-		return nil, nil
-	}
+// keep returns the answer as the platform is to hold it, or keeps it in this
+// process where it is too large for that.
+func (claim *Claim) keep(answer *Answer) *ledgerpb.Answer {
 	ledger := claim.bucket.ledger
-	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
-	if kept.size() <= int(ledger.Settings.MaxAnswer) {
-		return kept, toMessage(kept)
+	if answer.size() <= int(ledger.Settings.MaxAnswer) {
+		return toMessage(answer)
 	}
-	ledger.answers.put(claim.operation.key, kept)
-	return kept, nil
+	ledger.answers.put(claim.operation.key, answer)
+	return nil
 }
 
 func (claim *Claim) headers(header http.Header) http.Header {
--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -445,6 +445,29 @@
 	})
 }
 
+// An answer was too large even to be recorded by whoever ran the request. Its
+// repeats must hear that it ran, here and elsewhere, and not have it run again.
+func TestAnswerThatNobodyKept(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		first, second := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
+		defer closeAll(is, first, second)
+		held := first.granted(is, "k")
+		attached, err := first.ask("k")
+		is.NoErr(err)
+		is.True(!held.Dispatched())
+		is.NoErr(held.Dispatch())
+		is.True(held.Dispatched())
+		is.NoErr(held.Finish(background, nil))
+		_, err = attached.Run.Wait(background)
+		is.True(isCode(err, peridotpath.CodeAnswerGone))
+		for _, instance := range []*instance{first, second} {
+			verdict, err := instance.ask("k")
+			is.NoErr(err)
+			is.Equal(verdict.Result().Code, peridotpath.CodeAnswerGone)
+		}
+	})
+}
+
 // A caller files with ever new keys until a bucket is full. First the stored
 // answers go, oldest first; then new keys are refused as not run. No key that
 // is remembered is forgotten for it, and requests that run can still end.
