Spend fewer platform calls on claims where several instances write

Cause: with eight instances that all work on all buckets and 200 keyed requests a second, commits met each other's writes: 756 swaps and 462 reads a second, one claim in twelve refused, though the platform takes several hundred writes. Change: places for a read and its write are taken from the rate at once, so nothing waits between them; a bucket that others write to is read first.

--- a/peridotpath/claim/bucket.go
+++ b/peridotpath/claim/bucket.go
@@ -20,8 +20,9 @@
 	maxRounds = 8
 	// After a failed call the bucket leaves the platform alone for a while
 	// that doubles, so that an outage is not made longer by callers who repeat.
-	minPause = 200 * time.Millisecond
-	maxPause = 5 * time.Second
+	minPause            = 200 * time.Millisecond
+	maxPause            = 5 * time.Second
+	callsToReadAndWrite = 2
 	// callTimeout bounds one call, whatever the adapter does.
 	callTimeout = 4 * time.Second
 	// hashBytes is how much of a body's hash a record keeps.
@@ -46,6 +47,8 @@
 
 	// The rest belongs to run's goroutine.
 	cached *state
+	// contended says that another instance writes to the bucket, too.
+	contended bool
 	// seen is when this process first saw other instances' running records.
 	seen map[author]clock.Instant
 }
@@ -54,7 +57,7 @@
 	calls := ledger.Settings.CallsPerSecond
 	return &bucket{
 		ledger: ledger, name: KeyPrefix + strconv.Itoa(number),
-		limiter: rate.NewLimiter(rate.Limit(calls), calls),
+		limiter: rate.NewLimiter(rate.Limit(calls), max(calls, callsToReadAndWrite)),
 		wake:    make(chan struct{}, 1),
 		open:    map[keyID]*operation{},
 		seen:    map[author]clock.Instant{},
@@ -121,8 +124,13 @@
 
 // commit brings the batch to the platform. Each round decides on the newest
 // state known and writes it; a state that was cached is proved by the swap.
+//
+// An instance that works on its bucket alone never reads. Where others write to
+// it too, a swap on the cached state is nearly always refused, and the service
+// takes fewer writes than reads; so such a bucket is read first, until a
+// reading shows that nobody else wrote.
 func (bucket *bucket) commit(ctx context.Context, batch []*operation) {
-	read := bucket.cached == nil
+	read := bucket.cached == nil || bucket.contended
 	for range maxRounds {
 		if read {
 			if err := bucket.read(ctx); err != nil {
@@ -137,7 +145,7 @@
 		}
 		err := error(nil)
 		if decision.changed {
-			err = bucket.write(ctx, decision, batch)
+			err = bucket.write(ctx, decision, batch, read)
 		}
 		switch {
 		case err == nil:
@@ -147,6 +155,7 @@
 			bucket.fail(batch, err)
 			return
 		}
+		bucket.contended = keyvalue.ErrConflict.Has(err)
 		// Another instance wrote, or the answer was lost. Both are settled by
 		// reading: a lost write that took effect shows its attempt.
 		read = true
@@ -179,7 +188,9 @@
 
 // read fetches the bucket.
 func (bucket *bucket) read(ctx context.Context) error {
-	if err := bucket.limiter.Wait(ctx); err != nil {
+	// Both calls' places are taken at once. A wait between reading and writing
+	// is time for others to write, and then the swap is refused again.
+	if err := bucket.limiter.WaitN(ctx, callsToReadAndWrite); err != nil {
 		return Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -193,18 +204,24 @@
 	if err != nil {
 		return err
 	}
+	if bucket.cached != nil && bucket.cached.version == state.version {
+		bucket.contended = false
+	}
 	bucket.adopt(state)
 	return nil
 }
 
-// write swaps the bucket's value for the decided one.
-func (bucket *bucket) write(ctx context.Context, decision decision, batch []*operation) error {
+// write swaps the bucket's value for the decided one. Its place within the rate
+// may have been paid for by the read before.
+func (bucket *bucket) write(ctx context.Context, decision decision, batch []*operation, paid bool) error {
 	value, err := decision.next.encode(bucket.ledger.Settings.Buckets)
 	if err != nil {
 		return keyvalue.ErrInvalid.Wrap(err)
 	}
-	if err := bucket.limiter.Wait(ctx); err != nil {
-		return keyvalue.ErrNotSent.Wrap(err)
+	if !paid {
+		if err := bucket.limiter.Wait(ctx); err != nil {
+			return keyvalue.ErrNotSent.Wrap(err)
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
