--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -97,23 +97,30 @@
 // An instance freezes between the claim and the dispatch. The list takes it for
 // dead, the caller repeats elsewhere, is told that the outcome is unknown, looks
 // at the service by hand and files again. Then the instance thaws: if it
-// dispatched now, the claim would be filed twice.
+// dispatched now, the claim would be filed twice. Its clock may run slow, too.
 func TestThawedInstanceMustNotDispatch(t *testing.T) {
-	story(t, func(is *is.I, fleet *fleet) {
-		frozen, judge := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
-		defer closeAll(is, frozen, judge)
-		held := frozen.granted(is, "k")
-		fleet.bury(frozen)
-		var told claim.Standing
-		for told = judge.standing(is, "k"); told == claim.RunningElsewhere; told = judge.standing(is, "k") {
-			// For as long as callers hear "running" the claim may be dispatched.
-			time.Sleep(time.Second)
-		}
-		is.Equal(told, claim.Unknown)
-		is.True(isCode(held.Dispatch(), peridotpath.CodePlatformDown))
-		is.NoErr(held.Release(background, &peridotpath.Result{Code: peridotpath.CodePlatformDown}))
-		is.Equal(judge.standing(is, "k"), claim.Unknown) // it was said never to run again
-	})
+	for name, rate := range map[string]time.Duration{"clocks alike": 20, "claimer's clock a twentieth slow": 19} {
+		t.Run(name, func(t *testing.T) {
+			story(t, func(is *is.I, fleet *fleet) {
+				begin := time.Now()
+				now := func() time.Time { return begin.Add(time.Since(begin) * rate / 20) }
+				frozen := fleet.start("a", 1, func(ledger *claim.Ledger) { ledger.Clock = clock.Clock{Now: now, Wall: now} })
+				judge := fleet.start("b", 1, nil)
+				defer closeAll(is, frozen, judge)
+				held := frozen.granted(is, "k")
+				fleet.bury(frozen)
+				var told claim.Standing
+				for told = judge.standing(is, "k"); told == claim.RunningElsewhere; told = judge.standing(is, "k") {
+					// For as long as callers hear "running" the claim may be dispatched.
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(told, claim.Unknown)
+				is.True(isCode(held.Dispatch(), peridotpath.CodePlatformDown))
+				is.NoErr(held.Release(background, &peridotpath.Result{Code: peridotpath.CodePlatformDown}))
+				is.Equal(judge.standing(is, "k"), claim.Unknown) // it was said never to run again
+			})
+		})
+	}
 }
 
 // The machine under an instance is suspended, and Linux stops its monotonic
