Keep one customer from filling the claim ledger

Change: once a bucket is half full of records, a customer who has half of them gets no more; records carry 32 bits of a hash of the customer. The test of the full bucket now files for several customers and also asks that the bucket is at least nine tenths full when it refuses. Conclusion: a faulty customer harms itself only; alone it has half the room.

--- a/peridotpath/claim/decide.go
+++ b/peridotpath/claim/decide.go
@@ -21,11 +21,13 @@
 
 // operation is one change that waits for its bucket's next write.
 type operation struct {
-	kind   kind
-	key    keyID
-	body   []byte
-	author author
-	answer *ledgerpb.Answer
+	kind kind
+	key  keyID
+	body []byte
+	// customer is 32 bits of a hash of the customer.
+	customer uint32
+	author   author
+	answer   *ledgerpb.Answer
 
 	// sent is the monotonic time before the first write that may have put the
 	// claim on the platform.
@@ -159,26 +161,51 @@
 }
 
 func (decision *decision) grant(operation *operation, rules rules) Verdict {
-	record := &ledgerpb.Record{
+	next := decision.next
+	refused := Verdict{Standing: full, RetryAfter: rules.retryAfter}
+	if !next.hasShare(operation.customer, rules) {
+		decision.stale = true
+		return refused
+	}
+	next.put(operation.key, &ledgerpb.Record{
 		Key: operation.key[:], Body: operation.body, State: ledgerpb.State_STATE_RUNNING, Stamp: rules.stamp,
 		Instance: string(rules.self.instance), Incarnation: uint64(rules.self.incarnation),
-		Attempt: operation.author.attempt,
-	}
-	decision.next.put(operation.key, record)
-	decision.next.shed(rules.maxSize)
+		Attempt: operation.author.attempt, Customer: operation.customer,
+	})
+	next.shed(rules.maxSize)
 	// Without a bound a burst of new keys would fill the value up to the
 	// service's megabyte, and then no claim could even be ended. Refusing new
-	// keys keeps room for ends, which never make a record larger than the
-	// bound takes care of.
-	if len(decision.next.records) > rules.maxRecords || decision.next.size > rules.maxSize {
-		decision.next.remove(operation.key)
+	// keys keeps room for ends, which never make a record larger than shed
+	// takes care of.
+	if len(next.records) > rules.maxRecords || next.size > rules.maxSize {
+		next.remove(operation.key)
 		decision.stale = true
-		return Verdict{Standing: full, RetryAfter: rules.retryAfter}
+		return refused
 	}
 	decision.changed = true
 	return Verdict{Standing: Granted}
 }
 
+// hasShare reports whether the customer may have one more record.
+//
+// The load it is made for is one customer who brings new keys all day, by a
+// fault perhaps. Alone it would use up the room of all others for a whole
+// retention, and their requests would be refused. So once a bucket is half full
+// of records, a customer who has half of them gets no more; below that anyone
+// may have what is free.
+func (state *state) hasShare(customer uint32, rules rules) bool {
+	if len(state.records) < rules.maxRecords/2 && state.size-state.answers < rules.maxSize/2 {
+		return true
+	}
+	held := 0
+	for _, record := range state.records {
+		if record.GetCustomer() == customer {
+			held++
+		}
+	}
+	return held < len(state.records)/2
+}
+
 // running decides on a record whose claimer may still be at work.
 //
 // The claimer may be frozen and not dead, thaw, and dispatch after callers
--- a/peridotpath/claim/ledger.go
+++ b/peridotpath/claim/ledger.go
@@ -169,7 +169,7 @@
 	sum := sha256.Sum256([]byte(full))
 	id := keyID(sum[:len(keyID{})])
 	bucket := ledger.buckets[xxhash.Sum64String(full)%uint64(len(ledger.buckets))]
-	operation, err := bucket.join(id, body)
+	operation, err := bucket.join(id, uint32(xxhash.Sum64String(string(customer))), body)
 	if err != nil {
 		return Verdict{}, err
 	}
--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -470,19 +470,17 @@
 	})
 }
 
-// A caller files with ever new keys until a bucket is full. First the stored
+// Callers file with ever new keys until a bucket is full. First the stored
 // answers go, oldest first; then new keys are refused as not run. No key that
 // is remembered is forgotten for it, and requests that run can still end.
 func TestFullBucketDropsAnswersThenRefuses(t *testing.T) {
 	story(t, func(is *is.I, fleet *fleet) {
-		instance := fleet.start("a", 1, func(ledger *claim.Ledger) {
-			ledger.Settings.MaxBytes, ledger.Settings.CallsPerSecond = 10<<10, 100
-		})
+		instance := fleet.start("a", 1, small)
 		defer closeAll(is, instance)
 		held := instance.granted(is, "first")
 		granted := 0
 		for ; ; granted++ {
-			verdict, err := instance.ask(fmt.Sprint(granted))
+			verdict, err := instance.Claim(background, customerOf(granted), fmt.Sprint(granted), hash("body"))
 			if err != nil {
 				is.True(isCode(err, peridotpath.CodeLedgerFull))
 				break
@@ -491,18 +489,52 @@
 			time.Sleep(time.Second)
 		}
 		for i := range granted {
-			is.Equal(instance.standing(is, fmt.Sprint(i)), claim.Done)
+			verdict, err := instance.Claim(background, customerOf(i), fmt.Sprint(i), hash("body"))
+			is.NoErr(err)
+			is.Equal(verdict.Standing, claim.Done)
 		}
 		is.NoErr(held.Finish(background, ok("yes")))
 		entry, err := fleet.platform.Store().Get(background, claim.KeyPrefix+"0")
 		is.NoErr(err)
 		is.True(len(entry.Value) <= 10<<10)
+		is.True(len(entry.Value) >= 9<<10)
 		t.Logf("%d keys in %d bytes", granted+1, len(entry.Value))
 		time.Sleep(25 * time.Hour)
 		is.Equal(instance.standing(is, "more"), claim.Granted)
 	})
 }
 
+// small makes buckets that are soon full.
+func small(ledger *claim.Ledger) {
+	ledger.Settings.MaxBytes, ledger.Settings.CallsPerSecond = 10<<10, 100
+}
+
+func customerOf(number int) peridotpath.CustomerID {
+	return peridotpath.CustomerID(fmt.Sprint("airline ", number%5))
+}
+
+// One customer's program repeats a claim with a new key each time, all day. The
+// others must still be able to file.
+func TestOneCustomerCannotFillTheLedger(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		instance := fleet.start("a", 1, small)
+		defer closeAll(is, instance)
+		refused := 0
+		for i := range 300 {
+			if _, err := instance.Claim(background, "faulty", fmt.Sprint(i), hash("body")); err != nil {
+				is.True(isCode(err, peridotpath.CodeLedgerFull))
+				refused++
+			}
+		}
+		is.True(refused > 0)
+		for i := range 20 {
+			verdict, err := instance.Claim(background, customerOf(i), fmt.Sprint(i), hash("body"))
+			is.NoErr(err)
+			is.Equal(verdict.Standing, claim.Granted)
+		}
+	})
+}
+
 // Clocks differ by a minute between instances, and one steps by two hours, by
 // mistake. A key that callers may still repeat must not be forgotten for it:
 // the repeat would run a second time.
--- a/peridotpath/claim/queue.go
+++ b/peridotpath/claim/queue.go
@@ -9,7 +9,7 @@
 
 // join returns the operation that decides on the key: a new one, or the one
 // under way in this process, so that a repeat here never asks the platform.
-func (bucket *bucket) join(key keyID, body BodyHash) (*operation, error) {
+func (bucket *bucket) join(key keyID, customer uint32, body BodyHash) (*operation, error) {
 	bucket.mu.Lock()
 	defer bucket.mu.Unlock()
 	if operation := bucket.open[key]; operation != nil {
@@ -24,7 +24,7 @@
 	}
 	ledger := bucket.ledger
 	operation := &operation{
-		kind: kindClaim, key: key, body: body[:hashBytes], done: make(chan struct{}),
+		kind: kindClaim, key: key, customer: customer, body: body[:hashBytes], done: make(chan struct{}),
 		author:  author{ledger.Instance, ledger.Incarnation, ledger.attempts.Add(1)},
 		waiters: 1,
 	}
--- a/peridotpath/claim/state.go
+++ b/peridotpath/claim/state.go
@@ -43,7 +43,10 @@
 type state struct {
 	version keyvalue.Version
 	records map[keyID]*ledgerpb.Record
+	// size is what the records take in the value, answers included, and answers
+	// what those take.
 	size    int
+	answers int
 }
 
 // decode reads a bucket's value. It refuses one that was written with another
@@ -88,11 +91,13 @@
 	state.remove(key)
 	state.records[key] = record
 	state.size += proto.Size(record) + recordOverhead
+	state.answers += proto.Size(record.GetAnswer())
 }
 
 func (state *state) remove(key keyID) {
 	if record := state.records[key]; record != nil {
 		state.size -= proto.Size(record) + recordOverhead
+		state.answers -= proto.Size(record.GetAnswer())
 		delete(state.records, key)
 	}
 }
