--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -97,23 +97,30 @@
 // An instance freezes between the claim and the dispatch. The list takes it for
 // dead, the caller repeats elsewhere, is told that the outcome is unknown, looks
 // at the service by hand and files again. Then the instance thaws: if it
-// dispatched now, the claim would be filed twice.
+// dispatched now, the claim would be filed twice. Its clock may run slow, too.
 func TestThawedInstanceMustNotDispatch(t *testing.T) {
-	story(t, func(is *is.I, fleet *fleet) {
-		frozen, judge := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
-		defer closeAll(is, frozen, judge)
-		held := frozen.granted(is, "k")
-		fleet.bury(frozen)
-		var told claim.Standing
-		for told = judge.standing(is, "k"); told == claim.RunningElsewhere; told = judge.standing(is, "k") {
-			// For as long as callers hear "running" the claim may be dispatched.
-			time.Sleep(time.Second)
-		}
-		is.Equal(told, claim.Unknown)
-		is.True(isCode(held.Dispatch(), peridotpath.CodePlatformDown))
-		is.NoErr(held.Release(background, &peridotpath.Result{Code: peridotpath.CodePlatformDown}))
-		is.Equal(judge.standing(is, "k"), claim.Unknown) // it was said never to run again
-	})
+	for name, rate := range map[string]time.Duration{"clocks alike": 20, "claimer's clock a twentieth slow": 19} {
+		t.Run(name, func(t *testing.T) {
+			story(t, func(is *is.I, fleet *fleet) {
+				begin := time.Now()
+				now := func() time.Time { return begin.Add(time.Since(begin) * rate / 20) }
+				frozen := fleet.start("a", 1, func(ledger *claim.Ledger) { ledger.Clock = clock.Clock{Now: now, Wall: now} })
+				judge := fleet.start("b", 1, nil)
+				defer closeAll(is, frozen, judge)
+				held := frozen.granted(is, "k")
+				fleet.bury(frozen)
+				var told claim.Standing
+				for told = judge.standing(is, "k"); told == claim.RunningElsewhere; told = judge.standing(is, "k") {
+					// For as long as callers hear "running" the claim may be dispatched.
+					time.Sleep(100 * time.Millisecond)
+				}
+				is.Equal(told, claim.Unknown)
+				is.True(isCode(held.Dispatch(), peridotpath.CodePlatformDown))
+				is.NoErr(held.Release(background, &peridotpath.Result{Code: peridotpath.CodePlatformDown}))
+				is.Equal(judge.standing(is, "k"), claim.Unknown) // it was said never to run again
+			})
+		})
+	}
 }
 
 // The machine under an instance is suspended, and Linux stops its monotonic
@@ -284,39 +291,34 @@
 }
 
 // Two instances both think that they own the bucket, since the membership list
-// lags at one of them. Both work on it all the time; each key must be granted
-// at one of them only, and neither may starve.
+// lags at one of them. Both work on it all the time, and get the same keys at
+// the same moments; each key must be granted at one of them only, and neither
+// may refuse a caller because the other writes more.
 func TestTwoOwnersOfOneBucket(t *testing.T) {
 	story(t, func(is *is.I, fleet *fleet) {
 		instances := []*instance{fleet.start("a", 1, nil), fleet.start("b", 1, nil)}
 		defer closeAll(is, instances...)
-		grants := map[string]int{}
-		byInstance := [2]int{}
+		standings := map[claim.Standing]int{}
+		granted := map[string]int{}
 		var mu sync.Mutex
 		var waits sync.WaitGroup
 		for i := range 200 {
 			waits.Go(func() {
 				time.Sleep(time.Duration(i/2) * 100 * time.Millisecond)
 				key := fmt.Sprint(i / 2)
-				verdict, err := instances[i%2].ask(key)
-				if err != nil {
-					return
-				}
+				standing := instances[i%2].standing(is, key)
 				mu.Lock()
 				defer mu.Unlock()
-				if verdict.Standing == claim.Granted {
-					grants[key]++
-					byInstance[i%2]++
+				standings[standing]++
+				if standing == claim.Granted {
+					granted[key]++
 				}
 			})
 		}
 		waits.Wait()
-		is.Equal(len(grants), 100)
-		for _, count := range grants {
-			is.Equal(count, 1)
-		}
-		is.True(byInstance[0] > 0 && byInstance[1] > 0)
-		t.Logf("grants %v, platform calls %v for 200 claims", byInstance, fleet.platform.Calls())
+		is.Equal(len(granted), 100)
+		is.Equal(standings, map[claim.Standing]int{claim.Granted: 100, claim.RunningElsewhere: 100})
+		t.Logf("platform calls %v for 200 claims", fleet.platform.Calls())
 	})
 }
 
@@ -445,19 +447,40 @@
 	})
 }
 
-// A caller files with ever new keys until a bucket is full. First the stored
+// An answer was too large even to be recorded by whoever ran the request. Its
+// repeats must hear that it ran, here and elsewhere, and not have it run again.
+func TestAnswerThatNobodyKept(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		first, second := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
+		defer closeAll(is, first, second)
+		held := first.granted(is, "k")
+		attached, err := first.ask("k")
+		is.NoErr(err)
+		is.True(!held.Dispatched())
+		is.NoErr(held.Dispatch())
+		is.True(held.Dispatched())
+		is.NoErr(held.Finish(background, nil))
+		_, err = attached.Run.Wait(background)
+		is.True(isCode(err, peridotpath.CodeAnswerGone))
+		for _, instance := range []*instance{first, second} {
+			verdict, err := instance.ask("k")
+			is.NoErr(err)
+			is.Equal(verdict.Result().Code, peridotpath.CodeAnswerGone)
+		}
+	})
+}
+
+// Callers file with ever new keys until a bucket is full. First the stored
 // answers go, oldest first; then new keys are refused as not run. No key that
 // is remembered is forgotten for it, and requests that run can still end.
 func TestFullBucketDropsAnswersThenRefuses(t *testing.T) {
 	story(t, func(is *is.I, fleet *fleet) {
-		instance := fleet.start("a", 1, func(ledger *claim.Ledger) {
-			ledger.Settings.MaxBytes, ledger.Settings.CallsPerSecond = 10<<10, 100
-		})
+		instance := fleet.start("a", 1, small)
 		defer closeAll(is, instance)
 		held := instance.granted(is, "first")
 		granted := 0
 		for ; ; granted++ {
-			verdict, err := instance.ask(fmt.Sprint(granted))
+			verdict, err := instance.Claim(background, customerOf(granted), fmt.Sprint(granted), hash("body"))
 			if err != nil {
 				is.True(isCode(err, peridotpath.CodeLedgerFull))
 				break
@@ -466,18 +489,52 @@
 			time.Sleep(time.Second)
 		}
 		for i := range granted {
-			is.Equal(instance.standing(is, fmt.Sprint(i)), claim.Done)
+			verdict, err := instance.Claim(background, customerOf(i), fmt.Sprint(i), hash("body"))
+			is.NoErr(err)
+			is.Equal(verdict.Standing, claim.Done)
 		}
 		is.NoErr(held.Finish(background, ok("yes")))
 		entry, err := fleet.platform.Store().Get(background, claim.KeyPrefix+"0")
 		is.NoErr(err)
 		is.True(len(entry.Value) <= 10<<10)
+		is.True(len(entry.Value) >= 9<<10)
 		t.Logf("%d keys in %d bytes", granted+1, len(entry.Value))
 		time.Sleep(25 * time.Hour)
 		is.Equal(instance.standing(is, "more"), claim.Granted)
 	})
 }
 
+// small makes buckets that are soon full.
+func small(ledger *claim.Ledger) {
+	ledger.Settings.MaxBytes, ledger.Settings.CallsPerSecond = 10<<10, 100
+}
+
+func customerOf(number int) peridotpath.CustomerID {
+	return peridotpath.CustomerID(fmt.Sprint("airline ", number%5))
+}
+
+// One customer's program repeats a claim with a new key each time, all day. The
+// others must still be able to file.
+func TestOneCustomerCannotFillTheLedger(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		instance := fleet.start("a", 1, small)
+		defer closeAll(is, instance)
+		refused := 0
+		for i := range 300 {
+			if _, err := instance.Claim(background, "faulty", fmt.Sprint(i), hash("body")); err != nil {
+				is.True(isCode(err, peridotpath.CodeLedgerFull))
+				refused++
+			}
+		}
+		is.True(refused > 0)
+		for i := range 20 {
+			verdict, err := instance.Claim(background, customerOf(i), fmt.Sprint(i), hash("body"))
+			is.NoErr(err)
+			is.Equal(verdict.Standing, claim.Granted)
+		}
+	})
+}
+
 // Clocks differ by a minute between instances, and one steps by two hours, by
 // mistake. A key that callers may still repeat must not be forgotten for it:
 // the repeat would run a second time.
