Refuse JSON that is nested too deep, and seed the demo by peridotctl

Cause: gjson checks nested values by recursion. A body of 16 MB of opening brackets, which any caller may send, took the stack past 1 GB: 'fatal error: stack overflow', the end of the process and of every stream that it relayed. An endpoint could do the same with its answer or with one event. Change: strictjson.Valid counts brackets first and refuses what is nested deeper than 1,000; callers' bodies and endpoints' answers go through it.

--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -18,6 +18,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/strictjson"
 )
 
 // bytesPerToken is the estimate of a prompt's length from its bytes.
@@ -60,7 +61,7 @@
 // first token and to those of the requests beside it.
 func parse(body []byte) (fields, bool) {
 	var fields fields
-	if !utf8.Valid(body) || !gjson.ValidBytes(body) {
+	if !utf8.Valid(body) || !strictjson.Valid(body) {
 		return fields, false
 	}
 	// The string shares the body's memory, which nothing writes to any more.
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -12,6 +12,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/service"
+	"peridotpath.example/peridotpath/strictjson"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -219,7 +220,7 @@
 	if err != nil {
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, result: mayHaveRun(work, peridotpath.CodeEndpointFailed, err.Error())}
 	}
-	if !gjson.ValidBytes(body) || !wholeHasContent(body) {
+	if !strictjson.Valid(body) || !wholeHasContent(body) {
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryBadAnswer, result: mayHaveRun(work, peridotpath.CodeBadAnswer, "no content")}
 	}
 	dispatcher.firstToken(work)
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -10,6 +10,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/strictjson"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -119,7 +120,7 @@
 		if string(event.Data) == engine.Done {
 			return true, nil
 		}
-		if !gjson.ValidBytes(event.Data) {
+		if !strictjson.Valid(event.Data) {
 			return false, engine.ErrFailed.New("event %d is not JSON", event.Offset)
 		}
 		if err := stream.event(event); err != nil {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -89,7 +89,7 @@
 json() { bin/standin json "$RUN_DIR/$1" "$2"; }
 
 start_platform() {
-  start key-value bin/standin key-value -address "127.0.0.1:${PORTS}01" -config "$RUN_DIR/config.json"
+  start key-value bin/standin key-value -address "127.0.0.1:${PORTS}01"
   start members bin/standin members -address "127.0.0.1:${PORTS}02" -fleet "$RUN_DIR/fleet.json"
   await_listening "${PORTS}01" key-value
   await_listening "${PORTS}02" members
@@ -120,6 +120,13 @@
   for i in "${INSTANCES[@]}"; do await_listening "${PORTS}5$i" "instance-$i"; done
 }
 
+# configure has an operator put the deployment's configuration in force on every
+# instance; callers are turned away until then.
+configure() {
+  bin/peridotctl apply "$RUN_DIR/config.json" --wait -who "make" -servers "$(addresses 6 "${INSTANCES[@]}")" \
+    >"$RUN_DIR/apply.log" 2>&1 || fail "the configuration was not accepted"
+}
+
 # addresses DIGIT NUMBER...: addresses separated by commas.
 addresses() {
   local digit=$1 list=
@@ -133,4 +140,5 @@
   start_platform
   start_endpoints
   start_instances
+  configure
 }
