--- a/peridotpath/fleet/poller.go
+++ b/peridotpath/fleet/poller.go
@@ -19,7 +19,7 @@
 	// leaves must be known everywhere.
 	DefaultInterval = 500 * time.Millisecond
 	// DefaultBudget is what the reading of reports may cost, in bytes a second.
-	DefaultBudget = 3000
+	DefaultBudget = 2500
 	// pollBytes is what reading one report costs on the wire, both ways.
 	pollBytes = 450
 	// readTimeout bounds one reading. An endpoint that takes longer is published
--- a/peridotpath/ownership/ownership.go
+++ b/peridotpath/ownership/ownership.go
@@ -48,7 +48,8 @@
 
 // Scope says what a Table covers.
 type Scope struct {
-	Self       peridotpath.InstanceID
+	Self peridotpath.InstanceID
+	// DataCentre limits the Table to one data centre; empty stands for all.
 	DataCentre peridotpath.DataCentre
 	// Buckets is the number of claim buckets.
 	Buckets int
@@ -56,6 +57,30 @@
 	Readers int
 }
 
+// wholeDomain is the largest number of live instances that make up one domain
+// in spite of the data centres that they stand in.
+const wholeDomain = 40
+
+// Domain returns the data centre that a Scope covers: none, which stands for
+// all of them, while the instances are few, and else one's own.
+//
+// Two or three instances in each data centre, as the users have today, would
+// read each endpoint once for each data centre, and divide customers' limits
+// among too few. With many instances everyone's exchange with everyone costs
+// more than control may, so it ends at the data centre.
+func Domain(own peridotpath.DataCentre, instances []peridotpath.Instance) peridotpath.DataCentre {
+	live := 0
+	for i := range instances {
+		if instances[i].State == peridotpath.StateLive {
+			live++
+		}
+	}
+	if live <= wholeDomain {
+		return ""
+	}
+	return own
+}
+
 // New computes the table of a data centre for the endpoints and all buckets.
 // An instance that is leaving owns nothing: it hands over while it finishes.
 func New(scope Scope, instances []peridotpath.Instance, endpoints []peridotpath.Endpoint) *Table {
@@ -77,7 +102,8 @@
 func candidates(dataCentre peridotpath.DataCentre, instances []peridotpath.Instance) []candidate {
 	var live []candidate
 	for _, instance := range instances {
-		if instance.DataCentre == dataCentre && instance.State == peridotpath.StateLive {
+		covered := dataCentre == "" || instance.DataCentre == dataCentre
+		if covered && instance.State == peridotpath.StateLive {
 			live = append(live, candidate{instance, xxhash.Sum64String(string(instance.ID))})
 		}
 	}
@@ -172,8 +198,25 @@
 // Live returns how many instances take part.
 func (table *Table) Live() int { return len(table.live) }
 
+// Others returns the other instances that take part.
+func (table *Table) Others() []peridotpath.Instance {
+	others := make([]peridotpath.Instance, 0, len(table.live))
+	for i := range table.live {
+		if table.live[i].ID != table.self {
+			others = append(others, table.live[i].Instance)
+		}
+	}
+	return others
+}
+
+// OtherReaders returns the readers without this instance.
+func (table *Table) OtherReaders() []peridotpath.Instance {
+	return slices.DeleteFunc(slices.Clone(table.readers), func(reader peridotpath.Instance) bool { return reader.ID == table.self })
+}
+
 // Owners holds the table in force. Read it from any goroutine.
 type Owners struct {
+	// Scope's DataCentre is this instance's own; Set widens it by Domain.
 	Scope Scope
 
 	table atomic.Pointer[Table]
@@ -181,7 +224,9 @@
 
 // Set computes the table for a new reading of the membership list.
 func (owners *Owners) Set(instances []peridotpath.Instance, endpoints []peridotpath.Endpoint) {
-	owners.table.Store(New(owners.Scope, instances, endpoints))
+	scope := owners.Scope
+	scope.DataCentre = Domain(scope.DataCentre, instances)
+	owners.table.Store(New(scope, instances, endpoints))
 }
 
 // Current returns the table in force, one without instances before the first Set.
--- a/peridotpath/peer/exchange.go
+++ b/peridotpath/peer/exchange.go
@@ -33,8 +33,10 @@
 	// DefaultInterval between two exchanges with one peer, while the budget
 	// allows it.
 	DefaultInterval = 500 * time.Millisecond
-	// DefaultBudget in bytes a second, for messages of both directions.
-	DefaultBudget = 4000
+	// DefaultBudget in bytes a second, for messages of both directions. With
+	// the readings of reports and the sweeps it leaves a fifth of the 8 kB that
+	// control may cost an instance to the configuration.
+	DefaultBudget = 3500
 	// MessageOverhead is what HTTP adds to a message and its answer: headers,
 	// and the headers of the segments that carry them.
 	MessageOverhead = 500
--- a/peridotpath/sweep/sweep.go
+++ b/peridotpath/sweep/sweep.go
@@ -29,9 +29,9 @@
 	DefaultInterval = 5 * time.Second
 	// DefaultBudget is what listing streams may cost, in bytes a second. The
 	// interval is stretched to keep within it.
-	DefaultBudget = 1500
+	DefaultBudget = 500
 	// streamBytes is what one stream takes in a list.
-	streamBytes = 170
+	streamBytes = 175
 	// margin keeps a caller from losing its stream that comes back at the last
 	// moment of the window: its request may be on the way to the engine.
 	margin = 2 * time.Second
