--- a/peridotpath/clock/clock.go
+++ b/peridotpath/clock/clock.go
@@ -2,7 +2,10 @@
 // and leases.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock reads the two clocks of a machine. Nil fields stand for time.Now.
 type Clock struct {
@@ -42,3 +45,15 @@
 func (instant Instant) Elapsed(later Instant) time.Duration {
 	return max(later.Monotonic.Sub(instant.Monotonic), later.Wall.Sub(instant.Wall))
 }
+
+// Pause waits for the span; it returns false when ctx ended first.
+func Pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
