--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin measure
+MODULES := peridotpath peridotd peridotctl standin measure slopes
 PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
@@ -43,6 +43,9 @@
 
 up: build ## runs the demo's fleet in the foreground, for any client
 	@scripts/up.sh
+slopes: ## measures what endpoints, peers, changes, customers and requests cost
+	@go run ./slopes
+
 measure: ## compares the decisions under load with simple policies, on a fake clock
 	@cd measure && go run . figures
 
