make storm: the demo's fleet under kills, freezes and outages

Cause: failures were shown one at a time, on fakes; not over real processes, overlapping, under load.

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,6 @@
 
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
+
+storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
+	@scripts/storm.sh
