Give results that must not be repeated statuses that clients do not repeat

Cause: ordinary client libraries repeat a request by themselves on 408, 409, 429 and from 500 on. outcome_unknown was 502 and answer_gone 409, so a library would have sent a call that may have run a second time, unasked.

--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -10,6 +10,10 @@
 	"peridotpath.example/peridotpath"
 )
 
+// headerShouldRetry is what client libraries of language models heed before
+// they repeat a request by themselves.
+const headerShouldRetry = "X-Should-Retry"
+
 // failureBody is the error object that clients of language models expect.
 type failureBody struct {
 	Error failureDetail `json:"error"`
@@ -78,6 +82,12 @@
 	header := exchange.writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderCode, strconv.Itoa(int(result.Code)))
+	if !result.Code.NotRun() && exchange.work != nil && !exchange.work.Profile.Idempotent {
+		// Client libraries repeat requests by themselves on most statuses above
+		// 500. One that may have run would run a second time, and its caller
+		// would not even know of the first.
+		header.Set(headerShouldRetry, "false")
+	}
 	if result.RetryAfter > 0 {
 		header.Set("Retry-After", retryAfterSeconds(result.RetryAfter))
 	}
--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -97,8 +97,8 @@
 	CodeNoMemory:        {http.StatusServiceUnavailable, "no_memory", true, "no endpoint or group has memory for the prompt"},
 
 	CodeDeadline:       {http.StatusGatewayTimeout, "deadline", false, "the request's time ran out"},
-	CodeOutcomeUnknown: {http.StatusBadGateway, "outcome_unknown", false, "the request may have run and will not be run again"},
-	CodeAnswerGone:     {http.StatusConflict, "answer_gone", false, "the request ran; its answer is no longer held"},
+	CodeOutcomeUnknown: {http.StatusFailedDependency, "outcome_unknown", false, "the request may have run and will not be run again"},
+	CodeAnswerGone:     {http.StatusGone, "answer_gone", false, "the request ran; its answer is no longer held"},
 	CodeCallerGone:     {499, "caller_gone", false, "the caller left before the answer was whole"},
 	CodeKeyRunning:     {http.StatusConflict, "key_running", false, "an earlier request with the idempotency key may still be running"},
 
