Renew a claim that waited longer than its dispatch window

Cause: a claim may be dispatched for ten seconds, and a long request can wait in its queue for longer after its key was claimed; it was then refused though nothing was wrong. Change: a claim that has grown old is renewed when it is to be dispatched: its record gets a new attempt by a swap, and the window counts from before that. A judge who waits for the old attempt starts over; once unknown is written the renewal is refused. Ends know all attempts of their claim, since the answer to a renewal may be lost. The story of the window cuts the instance off before it asks, as the claim would be renewed otherwise; it is as strict as before. Figures: one write more for claims older than 10 s. Conclusion: queued requests run, and an unknown outcome is still settled.

--- a/peridotpath/claim/bucket.go
+++ b/peridotpath/claim/bucket.go
@@ -112,7 +112,7 @@
 	}
 	var batch []*operation
 	for _, operation := range bucket.queue {
-		if operation.kind == kindClaim && operation.waiters == 0 {
+		if !operation.kind.ends() && operation.waiters == 0 {
 			bucket.drop(operation, platformDown(reasonCallerGone, retryAfter))
 			continue
 		}
@@ -286,7 +286,10 @@
 	bucket.pause = 0
 	for i, operation := range batch {
 		switch {
-		case operation.kind != kindClaim:
+		case operation.kind.ends():
+			bucket.drop(operation, nil)
+		case operation.kind == kindRenew:
+			operation.verdict = decision.verdicts[i]
 			bucket.drop(operation, nil)
 		case decision.verdicts[i].Standing != Granted:
 			operation.verdict = decision.verdicts[i]
@@ -318,9 +321,9 @@
 	refusal := platformDown(reasonNotRecorded, max(bucket.pause, retryAfter))
 	for _, operation := range batch {
 		switch {
-		case operation.kind != kindClaim:
+		case operation.kind.ends():
 			bucket.enqueue(operation)
-		case operation.lost:
+		case operation.kind == kindClaim && operation.lost:
 			bucket.forget(operation)
 			operation.err = refusal
 			close(operation.done)
--- a/peridotpath/claim/claim.go
+++ b/peridotpath/claim/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/claim/ledgerpb"
@@ -21,24 +22,52 @@
 }
 
 // Dispatch is called right before each time the request is sent to an
-// endpoint. An error, a *peridotpath.Result that says "not run", means that
-// the claim is too old: others may by now have been told that its outcome is
-// settled. After the first error the caller must Release, or MarkUnknown if an
-// earlier sending may have run.
+// endpoint. A claim that has grown old, in a queue perhaps, is renewed first,
+// which takes a call of the platform and at most the claim timeout. An error, a
+// *peridotpath.Result that says "not run", means that this failed: others may
+// by now have been told that the claim's outcome is settled. After it the
+// caller must Release, or MarkUnknown if an earlier sending may have run.
 //
 // A process that freezes between this check and its send can still send late.
 // docs/CLAIMS.md says what that can do.
 func (claim *Claim) Dispatch() error {
+	if !claim.ended.Load() && !claim.old() {
+		claim.dispatched.Store(true)
+		return nil
+	}
 	ledger := claim.bucket.ledger
-	window := ledger.Settings.DispatchMS.Duration()
-	if claim.ended.Load() || claim.operation.sent.Elapsed(ledger.Clock.Read()) >= window {
+	if claim.ended.Load() || !claim.renew() || claim.old() {
 		ledger.count(`claim_dispatch_late_total`)
 		return platformDown(reasonTooOld, retryAfter)
 	}
+	ledger.count(`claim_renewals_total`)
 	claim.dispatched.Store(true)
 	return nil
 }
 
+// old reports that the claim's window is over.
+func (claim *Claim) old() bool {
+	ledger := claim.bucket.ledger
+	claim.bucket.mu.Lock()
+	sent := claim.operation.sent
+	claim.bucket.mu.Unlock()
+	return sent.Elapsed(ledger.Clock.Read()) >= ledger.Settings.DispatchMS.Duration()
+}
+
+// renew writes the claim anew and reports whether it stands.
+func (claim *Claim) renew() bool {
+	bucket := claim.bucket
+	renewal := bucket.renew(claim.operation)
+	timer := time.NewTimer(bucket.ledger.Settings.ClaimTimeoutMS.Duration())
+	defer timer.Stop()
+	select {
+	case <-renewal.done:
+	case <-timer.C:
+	case <-bucket.ledger.ended:
+	}
+	return bucket.renewed(claim.operation, renewal)
+}
+
 // Dispatched reports whether a Dispatch has succeeded. If none has, the request
 // certainly did not run, whatever its failure is called, and its claim may be
 // released.
--- a/peridotpath/claim/decide.go
+++ b/peridotpath/claim/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"peridotpath.example/peridotpath/claim/ledgerpb"
@@ -17,6 +18,7 @@
 	kindFinish
 	kindRelease
 	kindUnknown
+	kindRenew
 )
 
 // operation is one change that waits for its bucket's next write.
@@ -26,8 +28,11 @@
 	body []byte
 	// customer is 32 bits of a hash of the customer.
 	customer uint32
-	author   author
-	answer   *ledgerpb.Answer
+	// author is the newest attempt, and former are earlier ones that the record
+	// may still bear, where the answer to a renewal was lost.
+	author author
+	former []author
+	answer *ledgerpb.Answer
 
 	// sent is the monotonic time before the first write that may have put the
 	// claim on the platform.
@@ -79,24 +84,54 @@
 	decision := decision{next: before.clone(), verdicts: make([]Verdict, len(batch))}
 	decision.next.expire(rules.cut)
 	for _, operation := range batch {
-		if operation.kind != kindClaim && decision.end(operation, rules) {
+		if operation.kind.ends() && decision.end(operation, rules) {
 			decision.changed = true
 		}
 	}
 	for i, operation := range batch {
-		if operation.kind == kindClaim {
+		switch operation.kind {
+		case kindClaim:
 			decision.verdicts[i] = decision.claim(operation, rules)
+		case kindRenew:
+			decision.verdicts[i] = decision.renew(operation, rules)
 		}
 	}
 	decision.next.shed(rules.maxSize)
 	return decision
 }
 
+// ends reports that the operation ends a claim.
+func (kind kind) ends() bool { return kind != kindClaim && kind != kindRenew }
+
+// wrote reports that the record is of one of the claim's attempts.
+func (operation *operation) wrote(record *ledgerpb.Record) bool {
+	author := authorOf(record)
+	return author == operation.author || slices.Contains(operation.former, author)
+}
+
+// renew gives a claim that has grown old a new attempt, and with it a new
+// window. A judge who was about to call the old attempt dead starts over; if it
+// was first, the renewal is refused and the request must not be dispatched.
+func (decision *decision) renew(operation *operation, rules rules) Verdict {
+	record := decision.next.records[operation.key]
+	if record == nil || !operation.wrote(record) || record.GetState() != ledgerpb.State_STATE_RUNNING {
+		decision.stale = true
+		return Verdict{Standing: Unknown}
+	}
+	if authorOf(record) != operation.author {
+		decision.next.change(record, func(record *ledgerpb.Record) {
+			record.Attempt, record.Stamp = operation.author.attempt, rules.stamp
+		})
+		decision.changed = true
+	}
+	return Verdict{Standing: Granted}
+}
+
 // end applies the end of a claim of this process.
 func (decision *decision) end(operation *operation, rules rules) bool {
 	next := decision.next
 	record := next.records[operation.key]
-	if record == nil || authorOf(record) != operation.author {
+	if record == nil || !operation.wrote(record) {
 		// A lost write can still take effect as long as the version is the one
 		// it expected: the key would then be claimed for good by a request
 		// that its caller was told was not run. Writing the bucket as it is
--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -134,13 +134,17 @@
 			ledger.Settings.CallsPerSecond = 100
 		})
 		defer closeAll(is, instance)
+		cutOff := func(string) fate { return fate{NotSent: true} } // or it would be renewed
 		held := instance.granted(is, "k1")
 		is.NoErr(held.Dispatch())
 		suspended.Store(int64(time.Hour))
+		instance.link.Set(cutOff)
 		is.True(held.Dispatch() != nil)
 
 		instance.link.Set(func(call string) fate { return fate{Delay: 3900 * time.Millisecond} })
+		time.Sleep(time.Minute)
 		held = instance.granted(is, "k2")
+		instance.link.Set(cutOff)
 		time.Sleep(6 * time.Second)
 		is.NoErr(held.Dispatch())
 		time.Sleep(200 * time.Millisecond)
@@ -148,6 +152,54 @@
 	})
 }
 
+// A long request waits half a minute in a queue after its key was claimed, which
+// is longer than a claim may be dispatched. It must run all the same. The answer
+// to one renewal is lost; the claim's end must still find its record.
+func TestQueuedClaimIsRenewed(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		first, second := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
+		defer closeAll(is, first, second)
+		held := first.granted(is, "k")
+		time.Sleep(30 * time.Second)
+		is.NoErr(held.Dispatch())
+		time.Sleep(30 * time.Second)
+		sent := false
+		first.link.Set(func(call string) fate {
+			lost := fate{NotSent: sent, Unanswered: call == "swap"}
+			sent = sent || call == "swap"
+			return lost
+		})
+		is.True(held.Dispatch() != nil)
+		first.link.Set(nil)
+		is.NoErr(held.Release(background, &peridotpath.Result{Code: peridotpath.CodeEndpointRefused}))
+		is.Equal(second.standing(is, "k"), claim.Granted)
+	})
+}
+
+// An instance is wrongly taken for dead while its request waits in a queue, and
+// renews its claim just before the judge would have called it unknown. The judge
+// must start over, or it calls settled what is about to run.
+func TestJudgeStartsOverAtARenewal(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		claimer, judge := fleet.start("a", 1, nil), fleet.start("b", 1, nil)
+		defer closeAll(is, claimer, judge)
+		held := claimer.granted(is, "k")
+		fleet.bury(claimer)
+		begin := time.Now()
+		renewed := false
+		for judge.standing(is, "k") == claim.RunningElsewhere {
+			if !renewed && time.Since(begin) > 10*time.Second {
+				is.NoErr(held.Dispatch())
+				renewed = true
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(renewed)
+		is.True(held.Dispatch() != nil)
+		is.True(time.Since(begin) < 25*time.Second)
+	})
+}
+
 // The platform takes the claim's write, but its answer is lost. Writing again
 // would conflict with itself and look like another's claim; the attempt's own
 // id shows that the claim stands, and the caller sees nothing of it.
--- a/peridotpath/claim/queue.go
+++ b/peridotpath/claim/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/claim/ledgerpb"
@@ -106,11 +107,42 @@
 	}
 }
 
+// renew queues an operation that renews a claim under a new attempt. The claim
+// knows of the attempt before it is written, so that its end finds the record
+// whether or not the renewal takes effect.
+func (bucket *bucket) renew(claimed *operation) *operation {
+	bucket.mu.Lock()
+	defer bucket.mu.Unlock()
+	next := claimed.author
+	next.attempt = bucket.ledger.attempts.Add(1)
+	claimed.former = append(claimed.former, claimed.author)
+	claimed.author = next
+	renewal := &operation{
+		kind: kindRenew, key: claimed.key, author: next, former: slices.Clone(claimed.former),
+		done: make(chan struct{}), waiters: 1,
+	}
+	bucket.enqueue(renewal)
+	return renewal
+}
+
+// renewed gives the claim its new window if the renewal stands, and has the
+// renewal dropped if it is not even written.
+func (bucket *bucket) renewed(claimed, renewal *operation) bool {
+	bucket.mu.Lock()
+	defer bucket.mu.Unlock()
+	renewal.waiters = 0
+	if renewal.verdict.Standing != Granted {
+		return false
+	}
+	claimed.sent = renewal.sent
+	return true
+}
+
 // end queues an operation that ends a claim.
 func (bucket *bucket) end(claim *Claim, kind kind, answer *ledgerpb.Answer) *operation {
 	claimed := claim.operation
 	end := &operation{
-		kind: kind, key: claimed.key, author: claimed.author, answer: answer, done: make(chan struct{}),
+		kind: kind, key: claimed.key, author: claimed.author, former: claimed.former, answer: answer, done: make(chan struct{}),
 		lost: claimed.lost, unsettled: claimed.unsettled,
 	}
 	if kind == kindRelease {
@@ -130,8 +162,10 @@
 
 // drop ends an operation for good.
 func (bucket *bucket) drop(operation *operation, err error) {
-	bucket.forget(operation)
-	bucket.ledger.open.Add(-1)
+	if operation.kind != kindRenew {
+		bucket.forget(operation)
+		bucket.ledger.open.Add(-1)
+	}
 	operation.err = err
 	close(operation.done)
 }
@@ -150,7 +184,7 @@
 	defer bucket.mu.Unlock()
 	bucket.stopped = true
 	for _, operation := range bucket.queue {
-		if operation.kind == kindClaim {
+		if !operation.kind.ends() {
 			bucket.drop(operation, &peridotpath.Result{Code: peridotpath.CodeStopping})
 		}
 	}
