--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -71,7 +71,7 @@
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
-		SendPlain: service.Send, Draining: daemon.fleet.view.Refused,
+		SendPlain: (&service.Client{}).Send, Draining: daemon.fleet.view.Refused,
 	}
 	daemon.claims = &claim.Ledger{
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
