Give callers attached to a released claim a coded failure

Cause: a claim released without a result gave its attached callers a nil result in a non-nil error, which a server would take for an answer. Change: nil stands for platform_down, which says "not run". Seen to fail first: "not true: errors.As(err, &result) && result != nil && result.Code.NotRun()". Conclusion: every attached caller gets an answer or a code.

--- a/peridotpath/claim/claim.go
+++ b/peridotpath/claim/claim.go
@@ -116,6 +116,9 @@
 	if claim.ended.Swap(true) {
 		return Error.New("release: claim has ended")
 	}
+	if result == nil {
+		result = platformDown(reasonReleased, retryAfter)
+	}
 	claim.run.end(nil, result)
 	return claim.record(ctx, kindRelease, nil)
 }
--- a/peridotpath/claim/ledger.go
+++ b/peridotpath/claim/ledger.go
@@ -227,6 +227,7 @@
 	reasonTooManyOpen reason = "too_many_open_claims"
 	reasonNotRecorded reason = "claim_not_recorded"
 	reasonTooOld      reason = "claim_too_old"
+	reasonReleased    reason = "claim_released"
 )
 
 func platformDown(reason reason, after time.Duration) *peridotpath.Result {
--- a/peridotpath/claim/ledger_test.go
+++ b/peridotpath/claim/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -499,6 +500,22 @@
 	})
 }
 
+// The first caller's request is released without a reason. Those who attached
+// to it must get a failure with a code, and one that says "not run".
+func TestAttachedCallersOfAReleasedClaim(t *testing.T) {
+	story(t, func(is *is.I, fleet *fleet) {
+		instance := fleet.start("a", 1, nil)
+		defer closeAll(is, instance)
+		held := instance.granted(is, "k")
+		attached, err := instance.ask("k")
+		is.NoErr(err)
+		is.NoErr(held.Release(background, nil))
+		_, err = attached.Run.Wait(background)
+		var result *peridotpath.Result
+		is.True(errors.As(err, &result) && result != nil && result.Code.NotRun())
+	})
+}
+
 // An answer was too large even to be recorded by whoever ran the request. Its
 // repeats must hear that it ran, here and elsewhere, and not have it run again.
 func TestAnswerThatNobodyKept(t *testing.T) {
