caller: bound the whole time of a body, not only that between its pieces

Cause: a sender that gives one byte just before each read timeout held memory for a body of any announced length for as long as it liked; sixteen of them at the default settings have every other body refused as body_memory. Change: a body must on the whole come at 16 KiB/s after the read timeout. Figures: with the guard taken out 'a byte at a time' failed ('memory was held too long', a million pieces of nine seconds on the test's clock); with it the sender is cut off within 11 s, and one of 20 KiB/s is served.

--- a/peridotpath/caller/body.go
+++ b/peridotpath/caller/body.go
@@ -37,8 +37,24 @@
 const (
 	firstPiece  = 16 << 10
 	retryBodies = 500 * time.Millisecond
+	// slowestPerS is the bytes a second that a sender must reach on the whole.
+	slowestPerS = 16 << 10
 )
 
+// due is when the next piece must be there: ReadTimeout after the last one, and
+// earlier for a sender that is slow on the whole. One that sends a byte just
+// before each ReadTimeout would else hold memory for 16 MB for years, and sixteen
+// of them have every other body refused. At 16 KiB/s a prompt of a million
+// tokens takes six minutes; callers in the region send it in a second.
+func (bodies *Bodies) due(began time.Time, received int) time.Time {
+	next := time.Now().Add(bodies.ReadTimeout)
+	whole := began.Add(bodies.ReadTimeout + time.Duration(received)*time.Second/slowestPerS)
+	if whole.Before(next) {
+		return whole
+	}
+	return next
+}
+
 // Read returns the whole body and a function that gives its memory back, to be
 // called when the body is no longer needed.
 func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request) ([]byte, func(), *peridotpath.Result) {
@@ -56,6 +72,7 @@
 	}
 	reserved = size
 	controller := http.NewResponseController(writer)
+	began := time.Now()
 	buffer := make([]byte, 0, size)
 	for {
 		if len(buffer) == cap(buffer) {
@@ -69,7 +86,7 @@
 			copy(grown, buffer)
 			buffer = grown
 		}
-		_ = controller.SetReadDeadline(time.Now().Add(bodies.ReadTimeout))
+		_ = controller.SetReadDeadline(bodies.due(began, len(buffer)))
 		n, err := request.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if int64(len(buffer)) > int64(bodies.MaxBody) {
