caller: the longest text of a body counts as its prompt

Cause: of prompt and messages the last one counted. A long prompt before an empty list of messages passed every limit as a short one and was placed among short work. A resumed stream that failed before its first event had no content type. Change: the longest counts; the content type is set. Figures: before, 48 kB of prompt before 'messages': [] was classed by its two bytes of messages (the test got cannot_finish for its answer's length where prompt_too_long was due); now it is refused as too long.

--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -78,7 +78,11 @@
 		case "max_tokens", "max_completion_tokens":
 			fields.output = max(fields.output, peridotpath.Tokens(value.Int()))
 		case "prompt", "messages":
-			fields.prompt = value.Raw
+			// The longest of them counts: a long prompt before an empty list of
+			// messages would else pass every limit as a short one.
+			if len(value.Raw) > len(fields.prompt) {
+				fields.prompt = value.Raw
+			}
 		}
 		return true
 	})
--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -70,6 +70,8 @@
 	}
 	body := exchange.failureJSON(result)
 	if exchange.begun {
+		// A resumed stream may fail before its first event.
+		exchange.writer.Header().Set("Content-Type", "text/event-stream")
 		line := append([]byte("event: error\ndata: "), body...)
 		_, _ = exchange.writer.Write(append(line, '\n', '\n'))
 		_ = http.NewResponseController(exchange.writer).Flush()
