cursor: take each cursor in the one form that was given out

Cause: base64 decoding takes several texts for the same bytes, so a changed cursor could open. It opened nothing else, but checks that compare texts would be misled.

--- a/peridotpath/cursor/cursor.go
+++ b/peridotpath/cursor/cursor.go
@@ -100,7 +100,8 @@
 		return stream, 0, Error.New("bad offset")
 	}
 	sealed, err := base64.RawURLEncoding.DecodeString(token)
-	if err != nil || len(sealed) < macLength {
+	// The decoder takes several texts for the same bytes; one was given out.
+	if err != nil || len(sealed) < macLength || base64.RawURLEncoding.EncodeToString(sealed) != token {
 		return stream, 0, Error.New("bad encoding")
 	}
 	payload := sealed[macLength:]
