--- a/peridotpath/engine/enginetest/network.go
+++ b/peridotpath/engine/enginetest/network.go
@@ -15,6 +15,7 @@
 type Network struct {
 	mu      sync.Mutex
 	hosts   map[string]*host
+	closed  bool
 	running sync.WaitGroup
 }
 
@@ -32,9 +33,11 @@
 	}
 }
 
-// Close breaks all calls off and waits until their handlers have returned.
+// Close refuses new calls, breaks the others off and waits until their handlers
+// have returned.
 func (network *Network) Close() {
 	network.mu.Lock()
+	network.closed = true
 	for _, host := range network.hosts {
 		host.breakOff()
 	}
@@ -62,10 +65,11 @@
 	network.mu.Lock()
 	defer network.mu.Unlock()
 	host := network.hosts[address]
-	if host == nil || host.handler == nil {
+	if host == nil || host.handler == nil || network.closed {
 		return nil
 	}
 	host.calls[exchange] = cancel
+	network.running.Add(1)
 	return host
 }
 
@@ -74,6 +78,7 @@
 	network.mu.Lock()
 	defer network.mu.Unlock()
 	delete(host.calls, exchange)
+	network.running.Done()
 }
 
 // Do makes one call and returns when its headers are in.
@@ -96,10 +101,10 @@
 	if inner.Body == nil {
 		inner.Body = http.NoBody
 	}
-	network.running.Go(func() {
+	go func() {
 		defer network.close(host, exchange)
 		exchange.serve(host.handler, inner)
-	})
+	}()
 	select {
 	case <-exchange.begun:
 	case <-ctx.Done():
--- a/peridotpath/session/fleet_test.go
+++ b/peridotpath/session/fleet_test.go
@@ -181,7 +181,7 @@
 }
 
 // handler serves what caller.Listener serves, without a socket.
-func handler(t *testing.T, server *caller.Server) http.Handler {
+func handler(t testing.TB, server *caller.Server) http.Handler {
 	t.Helper()
 	routes := router.NewRouter()
 	for _, route := range server.Routes() {
--- /dev/null
+++ b/peridotpath/session/fuzz_test.go
@@ -0,0 +1,67 @@
+package session_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/cursor"
+	"peridotpath.example/peridotpath/dispatch"
+	"peridotpath.example/peridotpath/engine"
+)
+
+// FuzzRequestBody holds that whatever body comes, the caller gets either a run
+// whose estimate is in bounds or a numbered failure in JSON.
+func FuzzRequestBody(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"line","prompt":"x"}`, `{"model":"lipi-line","messages":[],"stream":true,"max_tokens":1e400}`,
+		`{"model":7,"prompt":[[1,2],[3]]}`, `{"prompt":"x","prompt":"y","model":"line","max_tokens":-3}`,
+		`[]`, `{}`, "{\"model\":\"line\",\"prompt\":\"\xff\"}", `{"model":"folio","prompt":{"a":1},"deadline":0}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	config := portal().config
+	config.Defaults()
+	config.Index()
+	var ran *dispatch.Request
+	server := &caller.Server{
+		Log: zerolog.Nop(), Config: func() *peridotpath.Config { return config }, Signer: &cursor.Signer{},
+		EngineHolds: func(peridotpath.Service) peridotpath.Tokens { return 400_000 },
+		Bodies:      caller.NewBodies(1<<20, 8<<20, time.Second),
+		Do: func(_ context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result {
+			ran = request
+			sink.Start(nil, "lipi-model-1", "")
+			_ = sink.Whole([]byte(`{}`))
+			return nil
+		},
+	}
+	serve := handler(f, server)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		ran = nil
+		request := httptest.NewRequest(http.MethodPost, engine.PathCompletions, bytes.NewReader(body))
+		request.Header.Set("Authorization", "Bearer volunteers-key")
+		recorder := httptest.NewRecorder()
+		serve.ServeHTTP(recorder, request)
+		if !json.Valid(recorder.Body.Bytes()) {
+			t.Fatalf("want JSON, have %q", recorder.Body)
+		}
+		if ran == nil {
+			if recorder.Header().Get(caller.HeaderCode) == "" || recorder.Code < 400 {
+				t.Fatalf("want a numbered failure, have status %d", recorder.Code)
+			}
+			return
+		}
+		work := ran.Work
+		if work.Prompt < 1 || work.Prompt > work.Profile.MaxPromptTokens || work.Output < 1 || work.Output > work.Profile.MaxOutputTokens {
+			t.Fatalf("want an estimate in bounds, have prompt %d and output %d", work.Prompt, work.Output)
+		}
+	})
+}
