peridotd: exchange with the whole domain, not only the data centre

The exchange's peers were those of the data centre while the owner table spans all of them at today's size: two thirds of the endpoints' loads would have come by fallback readings only, and customers' limits were cut by data centre.

Endpoints that vanished from the list are no longer read or swept.

--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -114,30 +114,11 @@
 	return table.Live() == 0 || table.IsReader()
 }
 
-// peers returns the other live instances of the data centre.
-func (side *fleetSide) peers() []peridotpath.Instance {
-	list := side.follower.Current()
-	if list == nil {
-		return nil
-	}
-	var others []peridotpath.Instance
-	for _, instance := range list.Instances {
-		if instance.ID != side.settings.InstanceID && instance.DataCentre == side.settings.DataCentre && instance.State == peridotpath.StateLive {
-			others = append(others, instance)
-		}
-	}
-	return others
-}
+// peers returns the other live instances of this one's domain: all data centres
+// while the instances are few, its own beyond that.
+func (side *fleetSide) peers() []peridotpath.Instance { return side.owners.Current().Others() }
 
-func (side *fleetSide) readers() []peridotpath.Instance {
-	var others []peridotpath.Instance
-	for _, instance := range side.owners.Current().Readers() {
-		if instance.ID != side.settings.InstanceID {
-			others = append(others, instance)
-		}
-	}
-	return others
-}
+func (side *fleetSide) readers() []peridotpath.Instance { return side.owners.Current().OtherReaders() }
 
 // alive reports whether that run of that instance may still be at work.
 func (side *fleetSide) alive(id peridotpath.InstanceID, incarnation peridotpath.Incarnation) bool {
--- a/peridotpath/fleet/view.go
+++ b/peridotpath/fleet/view.go
@@ -193,15 +193,16 @@
 	return 0
 }
 
-// Engines returns the model engines, those that are leaving included: they
-// still run work and may come back.
+// Engines returns the model engines that the membership list names, those that
+// are leaving included: they still run work and may come back.
 func (view *View) Engines() []peridotpath.Endpoint {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	engines := make([]peridotpath.Endpoint, 0, len(view.order))
 	for _, id := range view.order {
-		if endpoint := view.members[id].endpoint; endpoint.Kind == peridotpath.KindEngine {
-			engines = append(engines, endpoint)
+		found := view.members[id]
+		if found.endpoint.Kind == peridotpath.KindEngine && found.vanished.IsZero() {
+			engines = append(engines, found.endpoint)
 		}
 	}
 	return engines
