--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -18,6 +18,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/strictjson"
 )
 
 // bytesPerToken is the estimate of a prompt's length from its bytes.
@@ -39,6 +40,9 @@
 		return result
 	}
 	exchange.work = request.Work
+	if request.Work.Class == peridotpath.Oversize && server.Oversize != nil {
+		server.Oversize(request.Work.Profile.Service, request.Work.Prompt+request.Work.Output)
+	}
 	request.Free = free
 	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
 		request.MaySend = maySend
@@ -60,7 +64,7 @@
 // first token and to those of the requests beside it.
 func parse(body []byte) (fields, bool) {
 	var fields fields
-	if !utf8.Valid(body) || !gjson.ValidBytes(body) {
+	if !utf8.Valid(body) || !strictjson.Valid(body) {
 		return fields, false
 	}
 	// The string shares the body's memory, which nothing writes to any more.
