--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,8 @@
 measure: ## compares the decisions under load with simple policies, on a fake clock
 	@cd measure && go run . figures
 
+joint: ## compares many instances with one that knows all, on a fake clock
+	@cd measure && go run . joint
+
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
--- a/measure/bench/cluster.go
+++ b/measure/bench/cluster.go
@@ -33,6 +33,8 @@
 	capacity  float64 // of one engine, see Load.capacity
 	attempts  int
 	prefilled float64 // tokens, while arrivals were counted
+	imbalance float64 // sum over samples, see sample
+	samples   int
 }
 
 // instance is one decider with the requests it answers for.
@@ -130,6 +132,7 @@
 	for i, engine := range cluster.engines {
 		loads[i] = engine.load(revision)
 	}
+	cluster.sample(loads)
 	cluster.clock.after(cluster.load.ReportLag, func() { cluster.deliver(loads) })
 	cluster.clock.after(reportEvery, func() { cluster.reports(revision + 1) })
 }
--- a/measure/main.go
+++ b/measure/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(&figuresCommand{}, "")
+	subcommands.Register(&jointCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
