--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,6 @@
 
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
+
+storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
+	@scripts/storm.sh
