--- a/peridotpath/caller/once.go
+++ b/peridotpath/caller/once.go
@@ -83,7 +83,7 @@
 	switch {
 	case result == nil:
 		_ = granted.Finish(atOnce, recorder.answer())
-	case result.Code.NotRun():
+	case result.Code.NotRun() || !granted.Dispatched():
 		_ = granted.Release(atOnce, result)
 	default:
 		_ = granted.MarkUnknown(atOnce)
--- a/peridotpath/caller/once_test.go
+++ b/peridotpath/caller/once_test.go
@@ -145,13 +145,20 @@
 // TestFailuresDecideWhetherAKeyRunsAgain: what certainly did not run may be
 // sent again with the same key, what may have run never.
 func TestFailuresDecideWhetherAKeyRunsAgain(t *testing.T) {
-	cases := map[peridotpath.Code]struct{ runs int64 }{
-		peridotpath.CodeNoEndpoint:     {2},
-		peridotpath.CodeQueueTimeout:   {2},
-		peridotpath.CodeOutcomeUnknown: {1},
-		peridotpath.CodeStreamCut:      {1},
+	cases := []struct {
+		code peridotpath.Code
+		// unsent says that the failure came before anything was sent.
+		unsent bool
+		runs   int64
+	}{
+		{peridotpath.CodeNoEndpoint, false, 2},
+		{peridotpath.CodeQueueTimeout, false, 2},
+		{peridotpath.CodeOutcomeUnknown, false, 1},
+		{peridotpath.CodeStreamCut, false, 1},
+		{peridotpath.CodeInternal, true, 2},
 	}
-	for code, want := range cases {
+	for _, want := range cases {
+		code := want.code
 		t.Run(code.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -164,6 +171,16 @@
 					return nil
 				})
 				defer stop()
+				if want.unsent {
+					send := server.DoPlain
+					server.DoPlain = func(ctx context.Context, work *decide.Work, call *service.Request, maySend func() error, writer http.ResponseWriter) *peridotpath.Result {
+						if runs.Load() == 0 {
+							runs.Add(1)
+							return &peridotpath.Result{Code: code}
+						}
+						return send(ctx, work, call, maySend, writer)
+					}
+				}
 				is.Equal(call(t.Context(), server, "k1", "claim").Code, code.Status())
 				time.Sleep(2 * time.Second)
 				repeat := call(t.Context(), server, "k1", "claim")
