caller: learn bytes per token from the usage that engines report

Cause: a fixed ratio of four bytes a token is wrong for Bengali script, whose letters take three bytes; prompts were placed and refused by lengths that they do not have.

--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -21,9 +21,6 @@
 	"peridotpath.example/peridotpath/strictjson"
 )
 
-// bytesPerToken is the estimate of a prompt's length from its bytes.
-const bytesPerToken = 4
-
 // complete serves the completion and chat-completion paths.
 func (server *Server) complete(exchange *exchange) *peridotpath.Result {
 	if exchange.request.Header.Get(HeaderLastEventID) != "" {
@@ -109,7 +106,8 @@
 	if result != nil {
 		return nil, result
 	}
-	prompt := peridotpath.Tokens(len(fields.prompt)/bytesPerToken + 1)
+	length := len(fields.prompt)
+	prompt := server.estimator.tokens(profile.Service, length)
 	if prompt > profile.MaxPromptTokens {
 		return nil, &peridotpath.Result{Code: peridotpath.CodePromptTooLong, Detail: "about " + strconv.Itoa(int(prompt)) + " tokens"}
 	}
@@ -123,7 +121,10 @@
 		Prompt: prompt, Output: output, Prefixes: prefixes(fields.prompt),
 		Arrived: exchange.arrived, Deadline: deadline,
 	}
-	return &dispatch.Request{Work: work, Path: exchange.request.URL.Path, Body: engine.NewBody(body), Stream: fields.stream}, nil
+	return &dispatch.Request{
+		Work: work, Path: exchange.request.URL.Path, Body: engine.NewBody(body), Stream: fields.stream,
+		Usage: func(tokens peridotpath.Tokens) { server.estimator.observe(profile.Service, length, tokens) },
+	}, nil
 }
 
 // profile picks by header, else by the model's name.
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -62,8 +62,9 @@
 	Signer   *cursor.Signer
 	Bodies   *Bodies
 
-	stopping atomic.Bool
-	active   atomic.Int64
+	estimator estimator
+	stopping  atomic.Bool
+	active    atomic.Int64
 }
 
 // Routes returns the routes for go-zero's rest.
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -87,6 +87,17 @@
 	return result
 }
 
+// noteUsage tells how many tokens the engine counted in the prompt, if the
+// answer, or a stream's event, says so.
+func (request *Request) noteUsage(data []byte) {
+	if request.Usage == nil {
+		return
+	}
+	if tokens := gjson.GetBytes(data, "usage.prompt_tokens").Int(); tokens > 0 {
+		request.Usage(peridotpath.Tokens(tokens))
+	}
+}
+
 // letGo gives the body's memory back.
 func (request *Request) letGo() {
 	request.Body.Drop()
@@ -154,7 +165,7 @@
 	if request.Stream {
 		return dispatcher.relay(ctx, request, endpoint, answer, sink)
 	}
-	return dispatcher.whole(ctx, work, endpoint, answer, sink)
+	return dispatcher.whole(ctx, request, endpoint, answer, sink)
 }
 
 // noteLeaving keeps new work from an endpoint that says it is leaving: the
@@ -212,7 +223,8 @@
 
 // whole reads an answer that is not a stream and delivers it in one piece, so
 // that half an answer never reaches a caller as a success.
-func (dispatcher *Dispatcher) whole(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
+func (dispatcher *Dispatcher) whole(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
+	work := request.Work
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole))
 	if ctx.Err() != nil {
 		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, false)}
@@ -224,6 +236,7 @@
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryBadAnswer, result: mayHaveRun(work, peridotpath.CodeBadAnswer, "no content")}
 	}
 	dispatcher.firstToken(work)
+	request.noteUsage(body)
 	sink.Start(answer.Header, endpoint.ID, answer.StreamID)
 	tokens := peridotpath.Tokens(gjson.GetBytes(body, "usage.completion_tokens").Int())
 	if err := sink.Whole(body); err != nil {
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -29,6 +29,8 @@
 	Free func()
 	// Stream says that the caller wants the answer as events.
 	Stream bool
+	// Usage, when set, is told the length of the prompt as the engine counted it.
+	Usage func(prompt peridotpath.Tokens)
 	// MaySend, when set, is asked right before each sending; an error, best a
 	// *peridotpath.Result, forbids it.
 	MaySend func() error
--- a/peridotpath/dispatch/dispatch_test.go
+++ b/peridotpath/dispatch/dispatch_test.go
@@ -241,3 +241,28 @@
 		is.Equal(freed, 1)
 	})
 }
+
+// TestUsageIsPassedOn: the lengths that engines count correct the estimates
+// that prompts are placed and refused by, from whole answers and from streams.
+func TestUsageIsPassedOn(t *testing.T) {
+	const usage = `"usage":{"prompt_tokens":1234,"completion_tokens":1}`
+	for name, stream := range map[string]string{
+		"whole":  `{"choices":[{"text":"all"}],` + usage + `}`,
+		"stream": events(0, 1, false) + "id: 2\ndata: {\"choices\":[]," + usage + "}\n\nid: 3\ndata: [DONE]\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fixture := newFixture()
+				fixture.send = func(int, context.Context) (*engine.Answer, error) { return answered(stream, nil), nil }
+				defer fixture.run(t)()
+				var told []peridotpath.Tokens
+				request := request(true)
+				request.Stream = name == "stream"
+				request.Usage = func(prompt peridotpath.Tokens) { told = append(told, prompt) }
+				is.Equal(fixture.Do(t.Context(), request, (&received{}).sink()), nil)
+				is.Equal(told, []peridotpath.Tokens{1234})
+			})
+		})
+	}
+}
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -28,6 +29,8 @@
 	sink       *Sink
 	// begun is called when the first content has come.
 	begun func()
+	// usage is told of each event that names the usage; nil for nobody.
+	usage func(data []byte)
 
 	// next is the offset that the next event must have; a resumed stream
 	// repeats nothing and skips nothing.
@@ -38,6 +41,9 @@
 	tokens peridotpath.Tokens
 }
 
+// usageField is in the event that names the usage, where the caller asked for it.
+var usageField = []byte(`"usage":{`)
+
 // maxHeld bounds the events held back before the first content.
 const maxHeld = 16
 
@@ -45,7 +51,7 @@
 func (dispatcher *Dispatcher) relay(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
 	stream := &stream{
 		dispatcher: dispatcher, work: request.Work, endpoint: endpoint, id: answer.StreamID,
-		sink: sink, begun: request.letGo,
+		sink: sink, begun: request.letGo, usage: request.noteUsage,
 	}
 	return stream.run(ctx, answer)
 }
@@ -135,6 +141,9 @@
 	stream.next = event.Offset + 1
 	if stream.started {
 		stream.tokens++
+		if stream.usage != nil && bytes.Contains(event.Data, usageField) {
+			stream.usage(event.Data)
+		}
 		return stream.sink.Event(event.Offset, event.Data)
 	}
 	stream.held = append(stream.held, append([]byte{}, event.Data...))
