--- a/peridotpath/ownership/ownership.go
+++ b/peridotpath/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"peridotpath.example/peridotpath"
@@ -223,10 +224,20 @@
 }
 
 // Set computes the table for a new reading of the membership list.
+//
+// A reading without any live instance after one that had some is not believed.
+// It is what a service says that was just restarted, and with it no endpoint
+// would have an owner, and every instance would take the watch on the platform
+// for its own.
 func (owners *Owners) Set(instances []peridotpath.Instance, endpoints []peridotpath.Endpoint) {
 	scope := owners.Scope
 	scope.DataCentre = Domain(scope.DataCentre, instances)
-	owners.table.Store(New(scope, instances, endpoints))
+	table := New(scope, instances, endpoints)
+	if table.Live() == 0 && owners.Current().Live() > 0 {
+		metrics.GetOrCreateCounter(`peridotpath_members_refused_total{reason="no_instances"}`).Inc()
+		return
+	}
+	owners.table.Store(table)
 }
 
 // Current returns the table in force, one without instances before the first Set.
--- a/peridotpath/ownership/ownership_test.go
+++ b/peridotpath/ownership/ownership_test.go
@@ -152,3 +152,17 @@
 		})
 	}
 }
+
+// The membership service restarts and answers with an empty list for a while.
+// Every instance would then watch the platform, 530 calls at once that go on
+// waiting, and no endpoint would be read by an owner.
+func TestEmptyListIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	owners := ownership.Owners{Scope: ownership.Scope{Self: "instance-0", DataCentre: "colombo-a", Readers: 2}}
+	owners.Set(instances(0, 8), endpoints(3))
+	before := owners.Current()
+	owners.Set(nil, nil)
+	is.Equal(owners.Current(), before)
+	owners.Set(instances(0, 7), endpoints(3))
+	is.Equal(owners.Current().Live(), 7)
+}
