--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -10,6 +10,10 @@
 	"peridotpath.example/peridotpath"
 )
 
+// headerShouldRetry is what client libraries of language models heed before
+// they repeat a request by themselves.
+const headerShouldRetry = "X-Should-Retry"
+
 // failureBody is the error object that clients of language models expect.
 type failureBody struct {
 	Error failureDetail `json:"error"`
@@ -70,6 +74,8 @@
 	}
 	body := exchange.failureJSON(result)
 	if exchange.begun {
+		// A resumed stream may fail before its first event.
+		exchange.writer.Header().Set("Content-Type", "text/event-stream")
 		line := append([]byte("event: error\ndata: "), body...)
 		_, _ = exchange.writer.Write(append(line, '\n', '\n'))
 		_ = http.NewResponseController(exchange.writer).Flush()
@@ -78,6 +84,12 @@
 	header := exchange.writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderCode, strconv.Itoa(int(result.Code)))
+	if !result.Code.NotRun() && exchange.work != nil && !exchange.work.Profile.Idempotent {
+		// Client libraries repeat requests by themselves on most statuses above
+		// 500. One that may have run would run a second time, and its caller
+		// would not even know of the first.
+		header.Set(headerShouldRetry, "false")
+	}
 	if result.RetryAfter > 0 {
 		header.Set("Retry-After", retryAfterSeconds(result.RetryAfter))
 	}
