--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 
 lint: tools ## formatter, vet and linter, without changing a file
 	@for module in $(MODULES); do \
-		(cd $$module && $(GOBIN)/golangci-lint fmt --diff && go vet ./... && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+		(cd $$module && $(GOBIN)/golangci-lint fmt --diff && go vet ./... && $(GOBIN)/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 unit: ## race tests of every module
 	go test -race -timeout 20m $(PATTERNS)
