peridotd: a run that a later one has replaced is dead

Cause: the list does not tell runs of one instance apart, so a key whose claimer was killed and replaced under its id stayed key_running at every other instance until its retention was over. Change: the epoch of a peer's digests is its run's number; a later one that is heard or listed proves the earlier run dead.

--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -132,12 +132,24 @@
 	}
 	for _, instance := range list.Instances {
 		if instance.ID == id {
-			return instance.Incarnation == 0 || instance.Incarnation == incarnation
+			return mayRun(incarnation, instance.Incarnation, peridotpath.Incarnation(side.exchanger.Epoch(id)))
 		}
 	}
 	return false
 }
 
+// mayRun reports whether a run of a listed instance may still be at work, given
+// the run that the list names and the one that was heard last, zero where
+// unknown.
+//
+// An instance that was killed is often replaced under its old id, and the list
+// may not tell runs apart. A caller who repeats a key of the killed run would be
+// told "running" for a day. A later run that is heard proves the earlier one
+// dead; the claim ledger waits out what may still be on its way.
+func mayRun(claimed, listed, heard peridotpath.Incarnation) bool {
+	return claimed >= heard && (listed == 0 || claimed >= listed)
+}
+
 // engineHolds returns the KV memory of the service's largest engine.
 func (side *fleetSide) engineHolds(service peridotpath.Service) peridotpath.Tokens {
 	var most peridotpath.Tokens
--- a/peridotpath/peer/exchange.go
+++ b/peridotpath/peer/exchange.go
@@ -320,3 +320,17 @@
 	}
 	failedNoAnswer.Inc()
 }
+
+// Epoch returns the epoch of a peer's Book as last heard; zero when it was not
+// heard yet. It tells runs of the peer apart sooner than the membership list.
+func (exchanger *Exchanger) Epoch(id peridotpath.InstanceID) uint64 {
+	exchanger.start()
+	exchanger.mu.Lock()
+	remote := exchanger.remotes[id]
+	exchanger.mu.Unlock()
+	if remote == nil {
+		return 0
+	}
+	epoch, _ := remote.mirror.Seen()
+	return epoch
+}
