caller: numbered answers for unknown paths and too large headers

Cause: what no route takes got go-zero's bare 404 and 405, and too large headers net/http's bare 431: no code, no request id, no counter; CodeNotFound and CodeHeaderTooLarge were never given. Change: Listener.NotFound and Server.NotFound; Server.MaxHeaderBytes is checked before a request is served, and net/http's own bound, four times as large, is only the backstop.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -89,13 +89,14 @@
 		Log: daemon.log, Config: daemon.currentConfig, Ready: daemon.ready,
 		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
 		Endpoint: daemon.fleet.follower.Endpoint, EngineHolds: daemon.fleet.engineHolds,
-		Oversize: daemon.shifts.counter.Note, Signer: daemon.signer, Claims: daemon.claims, MaxActive: limits.MaxConnections,
+		Oversize: daemon.shifts.counter.Note, Signer: daemon.signer, Claims: daemon.claims,
+		MaxActive: limits.MaxConnections, MaxHeaderBytes: limits.MaxHeaderBytes,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
 	daemon.callerSide = &caller.Listener{
 		Name: "callers", Address: daemon.settings.CallerAddress,
 		Routes: daemon.callers.Routes(), Prefix: caller.ServicePrefix, PrefixHandler: daemon.callers.Services(),
-		MaxHeaderBytes: int(limits.MaxHeaderBytes),
+		NotFound: daemon.callers.NotFound(), MaxHeaderBytes: int(limits.MaxHeaderBytes),
 	}
 	daemon.callerSide.Open()
 }
--- a/peridotpath/caller/rest.go
+++ b/peridotpath/caller/rest.go
@@ -24,6 +24,8 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// headerBackstop is how many times the bound on headers net/http still reads.
+	headerBackstop = 4
 	// never is longer than any process lives.
 	never = 100 * 365 * 24 * time.Hour
 )
@@ -35,8 +37,13 @@
 	Address netip.AddrPort
 	Routes  []rest.Route
 	// Prefix, when set, serves every path under it, with any method.
-	Prefix         string
-	PrefixHandler  http.Handler
+	Prefix        string
+	PrefixHandler http.Handler
+	// NotFound, when set, answers what no route and no prefix takes.
+	NotFound http.Handler
+	// MaxHeaderBytes bounds one request's headers. Server refuses what is larger
+	// with its code; a request that is several times as large gets net/http's own
+	// bare 431, so that reading it costs bounded memory.
 	MaxHeaderBytes int
 
 	server chan *http.Server
@@ -55,7 +62,7 @@
 		// same reason: shedding, breaker and logs of go-zero's own.
 		Timeout: 0, MaxBytes: 0, MaxConns: 0,
 	}
-	inner, err := rest.NewServer(conf, rest.WithRouter(&prefixRouter{Router: router.NewRouter(), listener: listener}))
+	inner, err := rest.NewServer(conf, rest.WithRouter(listener.router()))
 	if err != nil {
 		return Error.New("listen on %s: %v", listener.Address, err)
 	}
@@ -67,7 +74,7 @@
 		server.IdleTimeout = idleTimeout
 		server.ReadTimeout = 0
 		server.WriteTimeout = 0
-		server.MaxHeaderBytes = listener.MaxHeaderBytes
+		server.MaxHeaderBytes = headerBackstop * listener.MaxHeaderBytes
 		listener.server <- server
 	})
 	if errors.Is(err, http.ErrServerClosed) {
@@ -115,6 +122,15 @@
 
 var silenceOnce sync.Once
 
+func (listener *Listener) router() *prefixRouter {
+	routes := router.NewRouter()
+	if listener.NotFound != nil {
+		routes.SetNotFoundHandler(listener.NotFound)
+		routes.SetNotAllowedHandler(listener.NotFound)
+	}
+	return &prefixRouter{Router: routes, listener: listener}
+}
+
 // prefixRouter adds one prefix to go-zero's router, whose patterns match single
 // path segments only.
 type prefixRouter struct {
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -47,6 +47,8 @@
 	// The load it is made for is callers that open connections without end: each
 	// takes memory before anything is known of its request.
 	MaxActive int
+	// MaxHeaderBytes bounds the headers of a request; zero for no bound.
+	MaxHeaderBytes peridotpath.Bytes
 	// Do runs a request; Continue goes on with a stream by its cursor.
 	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
 	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
@@ -136,6 +138,9 @@
 		if server.MaxActive > 0 && server.Active() > int64(server.MaxActive) {
 			result = &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies, Detail: "too many requests at a time"}
 		}
+		if server.MaxHeaderBytes > 0 && headerBytes(request) > server.MaxHeaderBytes {
+			result = &peridotpath.Result{Code: peridotpath.CodeHeaderTooLarge}
+		}
 		if result == nil {
 			result = serve(exchange)
 		}
@@ -143,6 +148,25 @@
 	}
 }
 
+// headerBytes returns about how many bytes the headers took.
+func headerBytes(request *http.Request) peridotpath.Bytes {
+	const separators = len(": \r\n")
+	size := len(request.RequestURI)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return peridotpath.Bytes(size)
+}
+
+// NotFound answers what nothing is served under.
+func (server *Server) NotFound() http.Handler {
+	return server.handle(func(*exchange) *peridotpath.Result {
+		return &peridotpath.Result{Code: peridotpath.CodeNotFound}
+	})
+}
+
 const maxRequestID = 128
 
 // requestID keeps the caller's own id where it has a sane one. Nothing is
