--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,9 @@
 
 storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
 	@scripts/storm.sh
+
+FUZZ_TIME := 20s
+fuzz: ## runs every fuzz target for FUZZ_TIME
+	@grep -rho --include='*_test.go' '^func Fuzz[A-Za-z]*' $(MODULES) | sed 's/func //' | sort -u | while read -r target; do \
+		package=$$(dirname $$(grep -rl --include='*_test.go' "^func $$target(" $(MODULES) | head -1)); \
+		echo "$$target in $$package"; go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) -parallel 4 ./$$package || exit 1; done
