--- a/measure/bench/cluster.go
+++ b/measure/bench/cluster.go
@@ -33,6 +33,8 @@
 	capacity  float64 // of one engine, see Load.capacity
 	attempts  int
 	prefilled float64 // tokens, while arrivals were counted
+	imbalance float64 // sum over samples, see sample
+	samples   int
 }
 
 // instance is one decider with the requests it answers for.
@@ -78,9 +80,7 @@
 	}
 	cluster.clock.after(0, func() { cluster.reports(1) })
 	cluster.planFaults()
-	for i := range arrivals {
-		cluster.clock.at(epoch.Add(arrivals[i].at), func() { cluster.arrive(&arrivals[i], nil) })
-	}
+	cluster.planArrivals(arrivals)
 	cluster.clock.runUntil(epoch.Add(warmUp))
 	before := cluster.totalPrefilled()
 	cluster.clock.runUntil(epoch.Add(arrivalsTime))
@@ -89,6 +89,17 @@
 	return cluster
 }
 
+// planArrivals plans the first of the arrivals, which plans the next.
+func (cluster *cluster) planArrivals(arrivals []arrival) {
+	if len(arrivals) == 0 {
+		return
+	}
+	cluster.clock.at(epoch.Add(arrivals[0].at), func() {
+		cluster.planArrivals(arrivals[1:])
+		cluster.arrive(&arrivals[0], nil)
+	})
+}
+
 func (cluster *cluster) addEngines() {
 	for i := range cluster.load.Deployment.Endpoints {
 		id := peridotpath.EndpointID(fmt.Sprintf("endpoint-%02d", i))
@@ -130,6 +141,7 @@
 	for i, engine := range cluster.engines {
 		loads[i] = engine.load(revision)
 	}
+	cluster.sample(loads)
 	cluster.clock.after(cluster.load.ReportLag, func() { cluster.deliver(loads) })
 	cluster.clock.after(reportEvery, func() { cluster.reports(revision + 1) })
 }
