Run bubbles of the configuration's tests on one processor

`go test -race ./config` crashed now and then: SIGSEGV in the race detector's StackDepot, two of 16 runs of TestRandomFaults with three processors.

A machine step of late watches followed by changes makes the guard on revisions fail in the random run as well: "instance 2 went from revision 4 of profiles back to 3".

The answer names the last error of the service.

--- a/peridotctl/change.go
+++ b/peridotctl/change.go
@@ -27,6 +27,9 @@
 	// pollInterval is well below the second within which a change usually
 	// spreads, and makes few calls while an operator waits.
 	pollInterval = 200 * time.Millisecond
+	// sendLimit is when the last try begins. An instance takes up to 15 s over
+	// one while the platform hangs; an operator shall not wait for all of them.
+	sendLimit = 15 * time.Second
 	// sendRounds is how often a change goes to all servers while its outcome
 	// is unknown.
 	sendRounds = 3
@@ -62,9 +65,12 @@
 	if request.ChangeId == "" {
 		request.ChangeId = console.newID()
 	}
-	unsure, reason := false, ""
+	unsure, reason, begin := false, "", time.Now()
 	for range sendRounds {
 		for _, client := range clients {
+			if time.Since(begin) > sendLimit {
+				break
+			}
 			response, err := call(ctx, client, pb.Operator.Change, request)
 			switch {
 			case neverSent(err):
--- a/peridotpath/config/change.go
+++ b/peridotpath/config/change.go
@@ -108,7 +108,7 @@
 		}
 		store.pause(ctx, backoff)
 		if ctx.Err() != nil {
-			return Accepted{}, writer.giveUp(ctx.Err())
+			return Accepted{}, writer.giveUp(errs.Combine(ctx.Err(), writer.last))
 		}
 	}
 }
@@ -142,6 +142,7 @@
 	// unsure is set while a swap on version, made at revision, may still take
 	// effect or have done so.
 	unsure   bool
+	last     error // of the service, for the operator who waited in vain
 	version  keyvalue.Version
 	revision peridotpath.Revision
 }
@@ -202,6 +203,7 @@
 // failed sorts an error of the service. A call that never reached it is given
 // back at once, so that the operator can go to another instance.
 func (writer *writer) failed(err error) error {
+	writer.last = err
 	if writer.unsure || !keyvalue.ErrNotSent.Has(err) && !keyvalue.ErrInvalid.Has(err) {
 		return errAgain
 	}
@@ -260,7 +262,7 @@
 		return Accepted{}, writer.failed(err)
 	}
 	writer.unsure, writer.version, writer.revision = true, version, before
-	return Accepted{}, errAgain
+	return Accepted{}, writer.failed(err)
 }
 
 // accept puts the change in force on this instance, which spreads it without
--- a/peridotpath/config/config_test.go
+++ b/peridotpath/config/config_test.go
@@ -12,6 +12,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
@@ -41,7 +42,7 @@
 // A document comes into force through a watch, and one with a lower revision,
 // as a service restored from an old copy gives it, does not.
 func TestFollowTakesOnlyHigherRevisions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		kv := (&memory.Memory{}).Store()
--- a/peridotpath/config/fleet_test.go
+++ b/peridotpath/config/fleet_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -15,6 +14,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
@@ -93,7 +93,7 @@
 // inFleet calls test in a synctest bubble with a running fleet.
 func inFleet(t *testing.T, size, readers int, fault fault, test func(t *testing.T, is *is.I, fleet *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		fleet := newFleet(size, readers)
 		if fault != nil {
 			fleet.memory.Fault = func(_ context.Context, call, key string, applied bool) error {
--- a/peridotpath/config/follow_test.go
+++ b/peridotpath/config/follow_test.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
+	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
@@ -169,7 +169,7 @@
 // as when only its route to the platform is gone. The follower would stay on
 // old rules for as long as that lasts.
 func TestFollowerOfAPeerOutOfTouch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		platform := (&memory.Memory{}).Store()
--- a/peridotpath/config/machine_test.go
+++ b/peridotpath/config/machine_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -17,6 +16,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/internal/soak"
+	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue"
 )
 
@@ -190,6 +190,9 @@
 		machine.submit(instance, machine.change(instance, step.edits[0]))
 	case "late watches":
 		fleet.slow.Store(int64(step.count))
+		for i, who := range step.who {
+			machine.submit(fleet.instances[who], machine.change(fleet.instances[who], step.edits[i]))
+		}
 	case "platform":
 		toggle(&fleet.down)
 	case "cut":
@@ -373,7 +376,7 @@
 	soak.Check(t, 5, func(rt *rapid.T) {
 		script := rapid.SliceOfN(rapid.Custom(drawStep), 10, 60).Draw(rt, "script")
 		var wrong []string
-		synctest.Test(t, func(t *testing.T) {
+		virtual.Test(t, func(t *testing.T) {
 			machine := newMachine()
 			machine.fleet.start(t)
 			defer machine.fleet.stop()
