--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin measure
+MODULES := peridotpath peridotd peridotctl standin measure slopes
 PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
@@ -43,8 +43,17 @@
 
 up: build ## runs the demo's fleet in the foreground, for any client
 	@scripts/up.sh
+slopes: ## measures what endpoints, peers, changes, customers and requests cost
+	@go run ./slopes
+
 measure: ## compares the decisions under load with simple policies, on a fake clock
 	@cd measure && go run . figures
 
+joint: ## compares many instances with one that knows all, on a fake clock
+	@cd measure && go run . joint
+
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
+
+storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
+	@scripts/storm.sh
--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -18,8 +18,9 @@
 )
 
 // membershipInterval is how often the membership list is read. Drains and
-// refusals reach an instance faster by other ways; the list names new members.
-const membershipInterval = time.Second
+// refusals reach an instance faster by other ways; the list names new members,
+// and reading it each second would cost more than half of what control may.
+const membershipInterval = 3 * time.Second
 
 // fleetSide is what this instance knows of endpoints and of other instances,
 // and how it learns it.
@@ -114,30 +115,11 @@
 	return table.Live() == 0 || table.IsReader()
 }
 
-// peers returns the other live instances of the data centre.
-func (side *fleetSide) peers() []peridotpath.Instance {
-	list := side.follower.Current()
-	if list == nil {
-		return nil
-	}
-	var others []peridotpath.Instance
-	for _, instance := range list.Instances {
-		if instance.ID != side.settings.InstanceID && instance.DataCentre == side.settings.DataCentre && instance.State == peridotpath.StateLive {
-			others = append(others, instance)
-		}
-	}
-	return others
-}
+// peers returns the other live instances of this one's domain: all data centres
+// while the instances are few, its own beyond that.
+func (side *fleetSide) peers() []peridotpath.Instance { return side.owners.Current().Others() }
 
-func (side *fleetSide) readers() []peridotpath.Instance {
-	var others []peridotpath.Instance
-	for _, instance := range side.owners.Current().Readers() {
-		if instance.ID != side.settings.InstanceID {
-			others = append(others, instance)
-		}
-	}
-	return others
-}
+func (side *fleetSide) readers() []peridotpath.Instance { return side.owners.Current().OtherReaders() }
 
 // alive reports whether that run of that instance may still be at work.
 func (side *fleetSide) alive(id peridotpath.InstanceID, incarnation peridotpath.Incarnation) bool {
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -18,11 +18,9 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/strictjson"
 )
 
-// bytesPerToken is the estimate of a prompt's length from its bytes.
-const bytesPerToken = 4
-
 // complete serves the completion and chat-completion paths.
 func (server *Server) complete(exchange *exchange) *peridotpath.Result {
 	if exchange.request.Header.Get(HeaderLastEventID) != "" {
@@ -39,6 +37,9 @@
 		return result
 	}
 	exchange.work = request.Work
+	if request.Work.Class == peridotpath.Oversize && server.Oversize != nil {
+		server.Oversize(request.Work.Profile.Service, request.Work.Prompt+request.Work.Output)
+	}
 	request.Free = free
 	return server.once(exchange, body, func(ctx context.Context, maySend func() error) *peridotpath.Result {
 		request.MaySend = maySend
@@ -60,7 +61,7 @@
 // first token and to those of the requests beside it.
 func parse(body []byte) (fields, bool) {
 	var fields fields
-	if !utf8.Valid(body) || !gjson.ValidBytes(body) {
+	if !utf8.Valid(body) || !strictjson.Valid(body) {
 		return fields, false
 	}
 	// The string shares the body's memory, which nothing writes to any more.
@@ -77,7 +78,11 @@
 		case "max_tokens", "max_completion_tokens":
 			fields.output = max(fields.output, peridotpath.Tokens(value.Int()))
 		case "prompt", "messages":
-			fields.prompt = value.Raw
+			// The longest of them counts: a long prompt before an empty list of
+			// messages would else pass every limit as a short one.
+			if len(value.Raw) > len(fields.prompt) {
+				fields.prompt = value.Raw
+			}
 		}
 		return true
 	})
@@ -101,7 +106,8 @@
 	if result != nil {
 		return nil, result
 	}
-	prompt := peridotpath.Tokens(len(fields.prompt)/bytesPerToken + 1)
+	length := len(fields.prompt)
+	prompt := server.estimator.tokens(profile.Service, length)
 	if prompt > profile.MaxPromptTokens {
 		return nil, &peridotpath.Result{Code: peridotpath.CodePromptTooLong, Detail: "about " + strconv.Itoa(int(prompt)) + " tokens"}
 	}
@@ -115,7 +121,10 @@
 		Prompt: prompt, Output: output, Prefixes: prefixes(fields.prompt),
 		Arrived: exchange.arrived, Deadline: deadline,
 	}
-	return &dispatch.Request{Work: work, Path: exchange.request.URL.Path, Body: engine.NewBody(body), Stream: fields.stream}, nil
+	return &dispatch.Request{
+		Work: work, Path: exchange.request.URL.Path, Body: engine.NewBody(body), Stream: fields.stream,
+		Usage: func(tokens peridotpath.Tokens) { server.estimator.observe(profile.Service, length, tokens) },
+	}, nil
 }
 
 // profile picks by header, else by the model's name.
--- a/peridotpath/claim/claim.go
+++ b/peridotpath/claim/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/claim/ledgerpb"
@@ -16,52 +17,87 @@
 	operation *operation
 	run       *Run
 	ended     atomic.Bool
+	// dispatched is set once a Dispatch has succeeded.
+	dispatched atomic.Bool
 }
 
 // Dispatch is called right before each time the request is sent to an
-// endpoint. An error, a *peridotpath.Result that says "not run", means that
-// the claim is too old: others may by now have been told that its outcome is
-// settled. After the first error the caller must Release, or MarkUnknown if an
-// earlier sending may have run.
+// endpoint. A claim that has grown old, in a queue perhaps, is renewed first,
+// which takes a call of the platform and at most the claim timeout. An error, a
+// *peridotpath.Result that says "not run", means that this failed: others may
+// by now have been told that the claim's outcome is settled. After it the
+// caller must Release, or MarkUnknown if an earlier sending may have run.
 //
 // A process that freezes between this check and its send can still send late.
 // docs/CLAIMS.md says what that can do.
 func (claim *Claim) Dispatch() error {
+	if !claim.ended.Load() && !claim.old() {
+		claim.dispatched.Store(true)
+		return nil
+	}
 	ledger := claim.bucket.ledger
-	window := ledger.Settings.DispatchMS.Duration()
-	if claim.ended.Load() || claim.operation.sent.Elapsed(ledger.Clock.Read()) >= window {
+	if claim.ended.Load() || !claim.renew() || claim.old() {
 		ledger.count(`claim_dispatch_late_total`)
 		return platformDown(reasonTooOld, retryAfter)
 	}
+	ledger.count(`claim_renewals_total`)
+	claim.dispatched.Store(true)
 	return nil
 }
 
-// Finish records that the request ended, with the answer that repeats get, or
-// nil where that was too large to keep. It
-// returns once that stands on the platform; when ctx ends first, recording
-// goes on. The caller's own answer need not wait for it.
+// old reports that the claim's window is over.
+func (claim *Claim) old() bool {
+	ledger := claim.bucket.ledger
+	claim.bucket.mu.Lock()
+	sent := claim.operation.sent
+	claim.bucket.mu.Unlock()
+	return sent.Elapsed(ledger.Clock.Read()) >= ledger.Settings.DispatchMS.Duration()
+}
+
+// renew writes the claim anew and reports whether it stands.
+func (claim *Claim) renew() bool {
+	bucket := claim.bucket
+	renewal := bucket.renew(claim.operation)
+	timer := time.NewTimer(bucket.ledger.Settings.ClaimTimeoutMS.Duration())
+	defer timer.Stop()
+	select {
+	case <-renewal.done:
+	case <-timer.C:
+	case <-bucket.ledger.ended:
+	}
+	return bucket.renewed(claim.operation, renewal)
+}
+
+// Dispatched reports whether a Dispatch has succeeded. If none has, the request
+// certainly did not run, whatever its failure is called, and its claim may be
+// released.
+func (claim *Claim) Dispatched() bool { return claim.dispatched.Load() }
+
+// Finish records that the request ended, with the answer that repeats get; nil
+// when nobody kept it. It returns once that stands on the platform; when ctx
+// ends first, recording goes on. The caller's own answer need not wait for it.
 func (claim *Claim) Finish(ctx context.Context, answer *Answer) error {
 	if claim.ended.Swap(true) {
 		return Error.New("finish: claim has ended")
 	}
-	kept, message := claim.keep(answer)
+	if answer == nil {
+		claim.run.end(nil, &peridotpath.Result{Code: peridotpath.CodeAnswerGone})
+		return claim.record(ctx, kindFinish, nil)
+	}
+	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
 	claim.run.end(kept, nil)
-	return claim.record(ctx, kindFinish, message)
+	return claim.record(ctx, kindFinish, claim.keep(kept))
 }
 
-// keep returns what this process and the platform keep of an answer. A nil
-// answer, one too large to have been recorded, is kept nowhere.
-func (claim *Claim) keep(answer *Answer) (*Answer, *ledgerpb.Answer) {
-	if answer == nil {
-		return nil, nil
-	}
+// keep returns the answer as the platform is to hold it, or keeps it in this
+// process where it is too large for that.
+func (claim *Claim) keep(answer *Answer) *ledgerpb.Answer {
 	ledger := claim.bucket.ledger
-	kept := &Answer{Status: answer.Status, Header: claim.headers(answer.Header), Body: answer.Body}
-	if kept.size() <= int(ledger.Settings.MaxAnswer) {
-		return kept, toMessage(kept)
+	if answer.size() <= int(ledger.Settings.MaxAnswer) {
+		return toMessage(answer)
 	}
-	ledger.answers.put(claim.operation.key, kept)
-	return kept, nil
+	ledger.answers.put(claim.operation.key, answer)
+	return nil
 }
 
 func (claim *Claim) headers(header http.Header) http.Header {
@@ -80,6 +116,9 @@
 	if claim.ended.Swap(true) {
 		return Error.New("release: claim has ended")
 	}
+	if result == nil {
+		result = platformDown(reasonReleased, retryAfter)
+	}
 	claim.run.end(nil, result)
 	return claim.record(ctx, kindRelease, nil)
 }
--- a/peridotpath/claim/decide.go
+++ b/peridotpath/claim/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"peridotpath.example/peridotpath/claim/ledgerpb"
@@ -17,14 +18,20 @@
 	kindFinish
 	kindRelease
 	kindUnknown
+	kindRenew
 )
 
 // operation is one change that waits for its bucket's next write.
 type operation struct {
-	kind   kind
-	key    keyID
-	body   []byte
+	kind kind
+	key  keyID
+	body []byte
+	// customer is 32 bits of a hash of the customer.
+	customer uint32
+	// author is the newest attempt, and former are earlier ones that the record
+	// may still bear, where the answer to a renewal was lost.
 	author author
+	former []author
 	answer *ledgerpb.Answer
 
 	// sent is the monotonic time before the first write that may have put the
@@ -77,24 +84,54 @@
 	decision := decision{next: before.clone(), verdicts: make([]Verdict, len(batch))}
 	decision.next.expire(rules.cut)
 	for _, operation := range batch {
-		if operation.kind != kindClaim && decision.end(operation, rules) {
+		if operation.kind.ends() && decision.end(operation, rules) {
 			decision.changed = true
 		}
 	}
 	for i, operation := range batch {
-		if operation.kind == kindClaim {
+		switch operation.kind {
+		case kindClaim:
 			decision.verdicts[i] = decision.claim(operation, rules)
+		case kindRenew:
+			decision.verdicts[i] = decision.renew(operation, rules)
 		}
 	}
 	decision.next.shed(rules.maxSize)
 	return decision
 }
 
+// ends reports that the operation ends a claim.
+func (kind kind) ends() bool { return kind != kindClaim && kind != kindRenew }
+
+// wrote reports that the record is of one of the claim's attempts.
+func (operation *operation) wrote(record *ledgerpb.Record) bool {
+	author := authorOf(record)
+	return author == operation.author || slices.Contains(operation.former, author)
+}
+
+// renew gives a claim that has grown old a new attempt, and with it a new
+// window. A judge who was about to call the old attempt dead starts over; if it
+// was first, the renewal is refused and the request must not be dispatched.
+func (decision *decision) renew(operation *operation, rules rules) Verdict {
+	record := decision.next.records[operation.key]
+	if record == nil || !operation.wrote(record) || record.GetState() != ledgerpb.State_STATE_RUNNING {
+		decision.stale = true
+		return Verdict{Standing: Unknown}
+	}
+	if authorOf(record) != operation.author {
+		decision.next.change(record, func(record *ledgerpb.Record) {
+			record.Attempt, record.Stamp = operation.author.attempt, rules.stamp
+		})
+		decision.changed = true
+	}
+	return Verdict{Standing: Granted}
+}
+
 // end applies the end of a claim of this process.
 func (decision *decision) end(operation *operation, rules rules) bool {
 	next := decision.next
 	record := next.records[operation.key]
-	if record == nil || authorOf(record) != operation.author {
+	if record == nil || !operation.wrote(record) {
 		// A lost write can still take effect as long as the version is the one
 		// it expected: the key would then be claimed for good by a request
 		// that its caller was told was not run. Writing the bucket as it is
@@ -159,26 +196,51 @@
 }
 
 func (decision *decision) grant(operation *operation, rules rules) Verdict {
-	record := &ledgerpb.Record{
+	next := decision.next
+	refused := Verdict{Standing: full, RetryAfter: rules.retryAfter}
+	if !next.hasShare(operation.customer, rules) {
+		decision.stale = true
+		return refused
+	}
+	next.put(operation.key, &ledgerpb.Record{
 		Key: operation.key[:], Body: operation.body, State: ledgerpb.State_STATE_RUNNING, Stamp: rules.stamp,
 		Instance: string(rules.self.instance), Incarnation: uint64(rules.self.incarnation),
-		Attempt: operation.author.attempt,
-	}
-	decision.next.put(operation.key, record)
-	decision.next.shed(rules.maxSize)
+		Attempt: operation.author.attempt, Customer: operation.customer,
+	})
+	next.shed(rules.maxSize)
 	// Without a bound a burst of new keys would fill the value up to the
 	// service's megabyte, and then no claim could even be ended. Refusing new
-	// keys keeps room for ends, which never make a record larger than the
-	// bound takes care of.
-	if len(decision.next.records) > rules.maxRecords || decision.next.size > rules.maxSize {
-		decision.next.remove(operation.key)
+	// keys keeps room for ends, which never make a record larger than shed
+	// takes care of.
+	if len(next.records) > rules.maxRecords || next.size > rules.maxSize {
+		next.remove(operation.key)
 		decision.stale = true
-		return Verdict{Standing: full, RetryAfter: rules.retryAfter}
+		return refused
 	}
 	decision.changed = true
 	return Verdict{Standing: Granted}
 }
 
+// hasShare reports whether the customer may have one more record.
+//
+// The load it is made for is one customer who brings new keys all day, by a
+// fault perhaps. Alone it would use up the room of all others for a whole
+// retention, and their requests would be refused. So once a bucket is half full
+// of records, a customer who has half of them gets no more; below that anyone
+// may have what is free.
+func (state *state) hasShare(customer uint32, rules rules) bool {
+	if len(state.records) < rules.maxRecords/2 && state.size-state.answers < rules.maxSize/2 {
+		return true
+	}
+	held := 0
+	for _, record := range state.records {
+		if record.GetCustomer() == customer {
+			held++
+		}
+	}
+	return held < len(state.records)/2
+}
+
 // running decides on a record whose claimer may still be at work.
 //
 // The claimer may be frozen and not dead, thaw, and dispatch after callers
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -12,6 +12,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/service"
+	"peridotpath.example/peridotpath/strictjson"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -49,9 +50,11 @@
 	decision := dispatcher.await(ctx, work, func() decide.Decision {
 		return dispatcher.Scheduler.Submit(time.Now(), work)
 	})
+	// ran is the result of the last attempt that an endpoint may have run.
+	var ran *peridotpath.Result
 	for {
 		if decision.Verdict == decide.Refuse {
-			return decision.Result
+			return truthful(decision.Result, ran)
 		}
 		attempt := forbidden(maySend)
 		if attempt.result == nil {
@@ -59,8 +62,11 @@
 		}
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
+		if attempt.outcome == decide.Failed {
+			ran = attempt.result
+		}
 		if attempt.result == nil || !mayRepeat(ctx, work, &attempt) {
-			return attempt.result
+			return truthful(attempt.result, ran)
 		}
 		decision = dispatcher.await(ctx, work, func() decide.Decision {
 			return dispatcher.Scheduler.Retry(time.Now(), work, attempt.result)
@@ -71,6 +77,27 @@
 	}
 }
 
+// truthful returns what the caller is told in the end. A repeat that is refused
+// did not run, but an earlier attempt may have: a caller told "not run" would
+// send the request once more as if it were new, so it gets that attempt's result.
+func truthful(result, ran *peridotpath.Result) *peridotpath.Result {
+	if result != nil && ran != nil && result.Code.NotRun() {
+		return ran
+	}
+	return result
+}
+
+// noteUsage tells how many tokens the engine counted in the prompt, if the
+// answer, or a stream's event, says so.
+func (request *Request) noteUsage(data []byte) {
+	if request.Usage == nil {
+		return
+	}
+	if tokens := gjson.GetBytes(data, "usage.prompt_tokens").Int(); tokens > 0 {
+		request.Usage(peridotpath.Tokens(tokens))
+	}
+}
+
 // letGo gives the body's memory back.
 func (request *Request) letGo() {
 	request.Body.Drop()
@@ -138,7 +165,7 @@
 	if request.Stream {
 		return dispatcher.relay(ctx, request, endpoint, answer, sink)
 	}
-	return dispatcher.whole(ctx, work, endpoint, answer, sink)
+	return dispatcher.whole(ctx, request, endpoint, answer, sink)
 }
 
 // noteLeaving keeps new work from an endpoint that says it is leaving: the
@@ -196,7 +223,8 @@
 
 // whole reads an answer that is not a stream and delivers it in one piece, so
 // that half an answer never reaches a caller as a success.
-func (dispatcher *Dispatcher) whole(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
+func (dispatcher *Dispatcher) whole(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
+	work := request.Work
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole))
 	if ctx.Err() != nil {
 		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, false)}
@@ -204,10 +232,11 @@
 	if err != nil {
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, result: mayHaveRun(work, peridotpath.CodeEndpointFailed, err.Error())}
 	}
-	if !gjson.ValidBytes(body) || !wholeHasContent(body) {
+	if !strictjson.Valid(body) || !wholeHasContent(body) {
 		return attempt{outcome: decide.Failed, reason: telemetry.RetryBadAnswer, result: mayHaveRun(work, peridotpath.CodeBadAnswer, "no content")}
 	}
 	dispatcher.firstToken(work)
+	request.noteUsage(body)
 	sink.Start(answer.Header, endpoint.ID, answer.StreamID)
 	tokens := peridotpath.Tokens(gjson.GetBytes(body, "usage.completion_tokens").Int())
 	if err := sink.Whole(body); err != nil {
