--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -176,6 +176,11 @@
 func (server *Server) resume(exchange *exchange) *peridotpath.Result {
 	text := exchange.request.Header.Get(HeaderLastEventID)
 	stream, after, err := server.Signer.Open(exchange.customer.ID, text)
+	if cursor.ErrNoSecret.Has(err) {
+		// An instance that starts during an outage cannot tell. Called bad, a good
+		// cursor would be thrown away, and with it the rest of the answer.
+		return &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: time.Second, Detail: err.Error()}
+	}
 	if err != nil {
 		return &peridotpath.Result{Code: peridotpath.CodeBadCursor, Detail: err.Error()}
 	}
--- a/peridotpath/cursor/cursor.go
+++ b/peridotpath/cursor/cursor.go
@@ -22,6 +22,10 @@
 // system gave to this Customer.
 var Error = errs.Class("cursor")
 
+// ErrNoSecret is the class of Open's error while there is no secret: the cursor
+// may be good, and opens at another Instance or a little later.
+var ErrNoSecret = errs.Class("no secret yet")
+
 const (
 	macLength = 16
 	maxLength = 1024
@@ -86,7 +90,7 @@
 	var stream Stream
 	secret := signer.secret.Load()
 	if secret == nil {
-		return stream, 0, Error.New("this instance has no secret yet")
+		return stream, 0, Error.Wrap(ErrNoSecret.New("this instance has not read it"))
 	}
 	if len(text) > maxLength {
 		return stream, 0, Error.New("longer than %d bytes", maxLength)
--- a/peridotpath/cursor/secret.go
+++ b/peridotpath/cursor/secret.go
@@ -17,9 +17,16 @@
 // Run fetches the secret that all instances share from the key-value service,
 // making it if there is none, and ends when it has it or ctx ends. During an
 // outage it goes on asking; streams have no cursors meanwhile.
+//
+// One that lost the race to make it reads the winner's at once: after a pause
+// the streams that begin meanwhile would have no cursors, and their callers
+// could not resume them.
 func (signer *Signer) Run(ctx context.Context, store *keyvalue.Store) error {
 	for {
 		secret, err := fetchSecret(ctx, store)
+		if keyvalue.ErrConflict.Has(err) {
+			secret, err = fetchSecret(ctx, store)
+		}
 		if err == nil {
 			signer.SetSecret(secret)
 			<-ctx.Done()
