--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Targets for people who build and try peridotpath. `make help` lists them.
 SHELL := /bin/bash
-MODULES := peridotpath peridotd peridotctl standin measure
+MODULES := peridotpath peridotd peridotctl standin measure slopes
 PROGRAMS := peridotd peridotctl standin measure
 LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 PATTERNS := $(MODULES:%=./%/...)
 
-.PHONY: help build test lint format unit tools fuzz bench measure plots
+.PHONY: $(shell grep -oE '^[a-z_-]+:' $(firstword $(MAKEFILE_LIST)) | tr -d :)
 
 help: ## lists the targets
 	@grep -hE '^[a-z_-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/' | expand -t 16
@@ -24,18 +24,46 @@
 
 lint: tools ## formatter, vet and linter, without changing a file
 	@for module in $(MODULES); do \
-		(cd $$module && $(GOBIN)/golangci-lint fmt --diff && go vet ./... && $(GOBIN)/golangci-lint run ./...) || exit 1; done
+		(cd $$module && $(GOBIN)/golangci-lint fmt --diff && go vet ./... && $(GOBIN)/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 unit: ## race tests of every module
 	go test -race -timeout 20m $(PATTERNS)
 
 test: lint build unit ## what CI runs: formatter, linter, vet, build, race tests
 
+SOAK ?= 10m
+soak: ## long random runs of claims, configuration and leases, SOAK=10m for each; prints the seeds
+	PERIDOTPATH_SOAK=$(SOAK) go test -v -timeout 24h -run 'Random' ./peridotpath/claim/... ./peridotpath/config/... ./peridotpath/lease/...
+
+generate: ## writes the code of the .proto files anew (needs buf, protoc-gen-go, protoc-gen-twirp)
+	@PATH="$(GOBIN):$$PATH" buf generate
+
+demo: build ## runs a small fleet under load, kills one instance, stops another, prints the figures
+	@scripts/demo.sh
+
+up: build ## runs the demo's fleet in the foreground, for any client
+	@scripts/up.sh
+
+slopes: ## measures what endpoints, peers, changes, customers and requests cost
+	@go run ./slopes
+
 measure: ## compares the decisions under load with simple policies, on a fake clock
 	@go run ./measure figures
 
 plots: ## draws what measure compares, into docs/plots
 	@go run ./measure plots -folder docs/plots
 
+joint: ## compares many instances with one that knows all, on a fake clock
+	@cd measure && go run . joint
+
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
+
+storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
+	@scripts/storm.sh
+
+FUZZ_TIME := 20s
+fuzz: ## runs every fuzz target for FUZZ_TIME
+	@grep -rho --include='*_test.go' '^func Fuzz[A-Za-z]*' $(MODULES) | sed 's/func //' | sort -u | while read -r target; do \
+		package=$$(dirname $$(grep -rl --include='*_test.go' "^func $$target(" $(MODULES) | head -1)); \
+		echo "$$target in $$package"; go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) -parallel 4 ./$$package || exit 1; done
--- a/measure/main.go
+++ b/measure/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(&figuresCommand{}, "")
 	subcommands.Register(&plotsCommand{}, "")
+	subcommands.Register(&jointCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -71,14 +69,27 @@
 func (client *client) swap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error) {
 	call := Call{Key: key, Expect: expect, Value: value, Delete: value == nil, Lease: lease}
 	reply, err := client.call(ctx, "swap", call, callTimeout)
+	if err == nil && reply.Version == 0 {
+		return 0, noNumber("swap")
+	}
 	return reply.Version, err
 }
 
 func (client *client) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	reply, err := client.call(ctx, "grant", Call{TTLMS: ttl.Milliseconds()}, callTimeout)
+	if err == nil && reply.Lease == 0 {
+		return 0, noNumber("grant")
+	}
 	return reply.Lease, err
 }
 
+// noNumber is the error of an answer that says "done" without the number that
+// goes with it, as a misdirected request to another server may get. Taken for
+// success, a claim would stand nowhere and its request would run.
+func noNumber(call string) error {
+	return ErrUnavailable.New("%s: answer has no number", call)
+}
+
 func (client *client) renew(ctx context.Context, lease LeaseID) error {
 	_, err := client.call(ctx, "renew", Call{Lease: lease}, callTimeout)
 	return err
@@ -108,22 +119,16 @@
 		return Reply{}, ErrInvalid.Wrap(err)
 	}
 	response, err := outbound.Do(request)
+	if outbound.ErrNotSent.Has(err) {
+		return Reply{}, ErrNotSent.Wrap(err)
+	}
 	if err != nil {
-		return Reply{}, classify(err)
+		return Reply{}, ErrUnavailable.Wrap(err)
 	}
 	defer response.Body.Close()
 	return decode(response)
 }
 
-// classify tells a connection that was never made from an answer that was lost.
-func classify(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return ErrNotSent.Wrap(err)
-	}
-	return ErrUnavailable.Wrap(err)
-}
-
 func decode(response *http.Response) (Reply, error) {
 	var reply Reply
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&reply); err != nil {
