lease: a holder that ends in good order leaves no time without orders

Change: a holder that has finished its orders leaves word when it gives the lease back, and the next begins at once. Now it leaves word only after it has waited itself. The daemon ends orders before it gives the lease back.

--- a/peridotd/shift.go
+++ b/peridotd/shift.go
@@ -172,11 +172,14 @@
 	keeping := &keeping{cancel: cancel, ended: make(chan struct{})}
 	go func() {
 		defer close(keeping.ended)
-		var group errgroup.Group
-		group.Go(func() error { return holder.Run(ctx) })
-		group.Go(func() error { return reconciler.Run(ctx) })
-		group.Go(func() error { return keeper.Run(ctx) })
-		_ = group.Wait()
+		var holding, ordering errgroup.Group
+		holding.Go(func() error { return holder.Run(context.WithoutCancel(ctx)) })
+		ordering.Go(func() error { return reconciler.Run(ctx) })
+		ordering.Go(func() error { return keeper.Run(ctx) })
+		// The lease goes back only once no order is under way.
+		_ = ordering.Wait()
+		_ = holder.Close()
+		_ = holding.Wait()
 	}()
 	return keeping
 }
--- a/peridotpath/lease/lease.go
+++ b/peridotpath/lease/lease.go
@@ -115,12 +115,18 @@
 	won clock.Instant
 	// renewed is before the last renewal that succeeded was sent.
 	renewed clock.Instant
+	// handedOver says that the holder before gave the lease back in good order:
+	// nothing that it sent is still on its way.
+	handedOver bool
 }
 
-// claimant is the value of the lease's key, for operators to read.
+// claimant is the value of the lease's key.
 type claimant struct {
 	Instance    peridotpath.InstanceID  `json:"instance"`
 	Incarnation peridotpath.Incarnation `json:"incarnation"`
+	// Released says that the holder has given the lease back. The entry then
+	// belongs to no lease and stays until somebody takes the key.
+	Released bool `json:"released,omitempty"`
 }
 
 // Key returns the key of the lease for a data centre and service.
@@ -140,7 +146,7 @@
 	// The platform counts from when it got the renewal, which is later than
 	// when it was sent, so by its count the lease outlives this.
 	left := (settings.TTLMS - settings.MarginMS).Duration() - tenure.renewed.Elapsed(now)
-	if left <= 0 || now.Monotonic.Sub(tenure.won.Monotonic) < holder.quiet() {
+	if left <= 0 || !holder.waitedOut(tenure) {
 		return Term{}, false
 	}
 	return Term{Fencing: tenure.fencing, Left: left}, true
@@ -148,16 +154,19 @@
 
 // quiet is how long a new holder gives no orders. An engine that ignores
 // fencing numbers would still take an order of the holder before: one sent at
-// the last moment of its lease, which then took as long as an order may.
-func (holder *Holder) quiet() time.Duration {
-	if !holder.WaitOut {
+// the last moment of its lease, which then took as long as an order may. One
+// that gave the lease back has sent nothing that is still on its way, so that
+// replacing instances one after another leaves no time without orders.
+func (holder *Holder) quiet(tenure *tenure) time.Duration {
+	if !holder.WaitOut || tenure.handedOver {
 		return 0
 	}
 	return (holder.Settings.TTLMS + holder.Settings.LongestOrderMS).Duration()
 }
 
 // Run gets the lease whenever it is free and keeps it, until ctx ends or Close
-// is called; then it gives the lease back.
+// is called; then it gives the lease back. End it only once no order of this
+// process is under way: the next holder may give its first at once.
 func (holder *Holder) Run(ctx context.Context) error {
 	holder.setUp()
 	if holder.started.Swap(true) {
@@ -217,7 +226,8 @@
 	if err != nil {
 		return nil, Error.New("read: %w", err)
 	}
-	if entry.Version != 0 {
+	released := isReleased(entry)
+	if entry.Version != 0 && !released {
 		_, _, err := holder.Store.Watch(ctx, holder.Key, entry.Version, holder.Settings.WaitMS.Duration())
 		return nil, Error.Wrap(err)
 	}
@@ -226,7 +236,7 @@
 	if err != nil {
 		return nil, Error.New("grant: %w", err)
 	}
-	version, err := holder.take(ctx, lease)
+	version, err := holder.take(ctx, entry.Version, lease)
 	if err != nil || version == 0 {
 		holder.giveBack(lease)
 		return nil, err
@@ -236,17 +246,24 @@
 	// win late, after a higher one has come and gone.
 	return &tenure{
 		lease: lease, fencing: peridotpath.FencingNumber(version),
-		renewed: sent, won: holder.Clock.Read(),
+		renewed: sent, won: holder.Clock.Read(), handedOver: released,
 	}, nil
 }
 
+// isReleased reports whether the entry is what a holder left that gave its
+// lease back.
+func isReleased(entry keyvalue.Entry) bool {
+	var left claimant
+	return entry.Version != 0 && json.Unmarshal(entry.Value, &left) == nil && left.Released
+}
+
 // take writes the key under the lease. It returns zero when another was faster.
-func (holder *Holder) take(ctx context.Context, lease keyvalue.LeaseID) (keyvalue.Version, error) {
-	value, err := json.Marshal(claimant{holder.Instance, holder.Incarnation})
+func (holder *Holder) take(ctx context.Context, expect keyvalue.Version, lease keyvalue.LeaseID) (keyvalue.Version, error) {
+	value, err := json.Marshal(claimant{Instance: holder.Instance, Incarnation: holder.Incarnation})
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
-	version, err := holder.Store.Swap(ctx, holder.Key, 0, value, lease)
+	version, err := holder.Store.Swap(ctx, holder.Key, expect, value, lease)
 	switch {
 	case err == nil:
 		return version, nil
@@ -288,9 +305,33 @@
 		}
 	}
 	holder.tenure.Store(nil)
+	if holder.waitedOut(tenure) {
+		holder.handOver(tenure)
+	}
 	holder.giveBack(tenure.lease)
 }
 
+// waitedOut reports whether the orders of the holder before are over. A holder
+// that is stopped sooner must not vouch for them: the next would give its first
+// order while one of a frozen holder is still on its way.
+func (holder *Holder) waitedOut(tenure *tenure) bool {
+	return holder.Clock.Read().Monotonic.Sub(tenure.won.Monotonic) >= holder.quiet(tenure)
+}
+
+// handOver leaves word that this holder has ended in good order. When it fails
+// the next one waits, as after a holder that died.
+func (holder *Holder) handOver(tenure *tenure) {
+	ctx, cancel := context.WithTimeout(context.Background(), holder.Settings.TTLMS.Duration()/2)
+	defer cancel()
+	value, err := json.Marshal(claimant{Instance: holder.Instance, Incarnation: holder.Incarnation, Released: true})
+	if err != nil {
+		return
+	}
+	if _, err := holder.Store.Swap(ctx, holder.Key, keyvalue.Version(tenure.fencing), value, 0); err != nil {
+		holder.count("lease_handovers_failed_total")
+	}
+}
+
 func (holder *Holder) renew(ctx context.Context, before *tenure) (*tenure, error) {
 	ctx, cancel := context.WithTimeout(ctx, holder.Settings.TTLMS.Duration()/2)
 	defer cancel()
--- a/peridotpath/lease/lease_test.go
+++ b/peridotpath/lease/lease_test.go
@@ -242,6 +242,42 @@
 	})
 }
 
+// All instances are replaced one after another. Each holder ends in good order,
+// so the next need not wait out orders that nobody sent: engines would go
+// without orders for most of the time that the roll takes.
+func TestHandedOverLeaseNeedsNoWait(t *testing.T) {
+	change := func(holder *lease.Holder) { holder.WaitOut = true }
+	story(t, change, func(is *is.I, platform *memory.Memory, first, second *process) {
+		is.NoErr(first.Close())
+		took, before := waitHeld(is, second)
+		is.True(took <= time.Second)
+		second.kill()
+		third := start(platform, "c", change)
+		took, after := waitHeld(is, third)
+		is.True(took >= 40*time.Second) // the one before died
+		is.True(after > before)
+		is.NoErr(third.Close())
+	})
+}
+
+// A holder dies, the next one wins the lease and is stopped in good order while
+// it still waits out the dead one's orders. It must not vouch for those: the
+// third would give orders beside one that is on its way.
+func TestStoppedWhileItWaitedItVouchesForNobody(t *testing.T) {
+	change := func(holder *lease.Holder) { holder.WaitOut = true }
+	story(t, change, func(is *is.I, platform *memory.Memory, first, second *process) {
+		first.kill()
+		time.Sleep(20 * time.Second) // the second has the lease and waits
+		_, held := second.Held()
+		is.True(!held)
+		is.NoErr(second.Close())
+		third := start(platform, "c", change)
+		took, _ := waitHeld(is, third)
+		is.True(took >= 40*time.Second)
+		is.NoErr(third.Close())
+	})
+}
+
 // The holder is stopped for an upgrade and gives the lease back: the next one
 // need not wait for it to lapse. Or it is killed and comes back while its old
 // lease runs: it must not take the old lease for its own.
@@ -370,6 +406,11 @@
 				processes[name] = start(platform, name, change)
 			}
 			for _, step := range script {
+				// One that was closed in good order has nothing on its way; all
+				// others' orders must be waited out.
+				if step.name == "stop" && !processes[step.who].frozen() {
+					delete(watchdog.last, step.who)
+				}
 				take(platform, processes, step, change)
 				for end := time.Now().Add(step.span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 					watchdog.look(processes)
