Deadlines: bound callers who stop reading and bodies that are not read

Three faults, each found by its test on a server over pipes: - A caller of a plain service that stopped reading held the service's connection, and a planned stop, for ever: only streams had a write deadline. Every request has one now, a second after its own. - A refusal before the body was read (unknown key, unknown profile, no memory for bodies) was held back until the rest of the body had come: net/http reads it first, without a bound in time. The answer now goes out at once, the connection is closed after it, and a planned stop waits a second at most. - A body that came slowly, but faster than the rule on slow senders, was read on beyond the request's deadline.

Before: "1 != 0 // still being served" 2 s after the deadline; "no answer within a minute" for both refusals; "not true: time.Since(began) <= test.limit+margin".

--- a/peridotpath/caller/body.go
+++ b/peridotpath/caller/body.go
@@ -55,9 +55,19 @@
 	return next
 }
 
+// earlier returns the earlier of two times, the first if the second is zero.
+func earlier(one, other time.Time) time.Time {
+	if other.IsZero() || one.Before(other) {
+		return one
+	}
+	return other
+}
+
 // Read returns the whole body and a function that gives its memory back, to be
-// called when the body is no longer needed.
-func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request) ([]byte, func(), *peridotpath.Result) {
+// called when the body is no longer needed. The body must be there by the given
+// time, unless that is zero: what came later could only be refused, and its
+// caller would have waited for the refusal beyond its own deadline.
+func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request, by time.Time) ([]byte, func(), *peridotpath.Result) {
 	if request.ContentLength > int64(bodies.MaxBody) {
 		return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyTooLarge}
 	}
@@ -86,7 +96,7 @@
 			copy(grown, buffer)
 			buffer = grown
 		}
-		_ = controller.SetReadDeadline(bodies.due(began, len(buffer)))
+		_ = controller.SetReadDeadline(earlier(bodies.due(began, len(buffer)), by))
 		n, err := request.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if int64(len(buffer)) > int64(bodies.MaxBody) {
--- a/peridotpath/caller/body_test.go
+++ b/peridotpath/caller/body_test.go
@@ -59,7 +59,7 @@
 				results := make(chan *peridotpath.Result, 1)
 				listener := &pipes{incoming: make(chan net.Conn), closed: make(chan struct{})}
 				server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-					_, free, result := bodies.Read(writer, request)
+					_, free, result := bodies.Read(writer, request, time.Time{})
 					if free != nil {
 						free()
 					}
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -29,7 +29,11 @@
 	if exchange.request.Header.Get(HeaderLastEventID) != "" {
 		return server.resume(exchange)
 	}
-	body, free, result := server.Bodies.Read(exchange.writer, exchange.request)
+	by, result := exchange.askedDeadline()
+	if result != nil {
+		return result
+	}
+	body, free, result := server.read(exchange, by)
 	if result != nil {
 		return result
 	}
@@ -39,7 +43,7 @@
 	if result != nil {
 		return result
 	}
-	exchange.work = request.Work
+	exchange.serve(request.Work)
 	if request.Work.Class == peridotpath.Oversize && server.Oversize != nil {
 		server.Oversize(request.Work.Profile.Service, request.Work.Prompt+request.Work.Output)
 	}
@@ -141,15 +145,30 @@
 
 // deadline is the profile's, or an earlier one that the caller asks for.
 func (exchange *exchange) deadline(profile *peridotpath.Profile) (time.Time, *peridotpath.Result) {
-	span := profile.DeadlineMS
-	if text := exchange.request.Header.Get(HeaderDeadlineMS); text != "" {
-		asked, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || asked <= 0 {
-			return time.Time{}, &peridotpath.Result{Code: peridotpath.CodeBadDeadline, Detail: strconv.Quote(text)}
-		}
-		span = min(span, peridotpath.Millis(asked))
+	asked, result := exchange.askedDeadline()
+	return earlier(exchange.arrived.Add(profile.DeadlineMS.Duration()), asked), result
+}
+
+// askedDeadline is the one that the caller asks for, zero for none.
+func (exchange *exchange) askedDeadline() (time.Time, *peridotpath.Result) {
+	text := exchange.request.Header.Get(HeaderDeadlineMS)
+	if text == "" {
+		return time.Time{}, nil
 	}
-	return exchange.arrived.Add(span.Duration()), nil
+	asked, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || asked <= 0 {
+		return time.Time{}, &peridotpath.Result{Code: peridotpath.CodeBadDeadline, Detail: strconv.Quote(text)}
+	}
+	// A longer one than any profile's would overflow a duration.
+	asked = min(asked, peridotpath.MaxDeadlineMS)
+	return exchange.arrived.Add(peridotpath.Millis(asked).Duration()), nil
+}
+
+// read reads the body, which must be there by the given time unless that is zero.
+func (server *Server) read(exchange *exchange, by time.Time) ([]byte, func(), *peridotpath.Result) {
+	body, free, result := server.Bodies.Read(exchange.writer, exchange.request, by)
+	exchange.bodyRead = result == nil
+	return body, free, result
 }
 
 // Prefixes are hashed at these lengths in bytes, each four times the one before:
@@ -192,11 +211,18 @@
 	if !time.Now().Before(stream.Deadline()) {
 		return &peridotpath.Result{Code: peridotpath.CodeDeadline, Detail: "the request's time has run out"}
 	}
+	// A client that repeats its call sends the body again; left unread it would
+	// hold the answer back.
+	_, free, result := server.read(exchange, stream.Deadline())
+	if result != nil {
+		return result
+	}
+	free()
 	work := &decide.Work{
 		ID: exchange.id, Customer: exchange.customer, Profile: profile,
 		Arrived: exchange.arrived, Deadline: stream.Deadline(), Attempts: 1,
 	}
-	exchange.work = work
+	exchange.serve(work)
 	return server.Continue(exchange.request.Context(), work, endpoint, stream.ID, after, server.sink(exchange, work))
 }
 
@@ -205,9 +231,6 @@
 	var token string
 	var buffer []byte
 	controller := http.NewResponseController(exchange.writer)
-	// A caller that stops reading would hold its stream's memory until the
-	// engine gives up; its write fails at the deadline instead.
-	_ = controller.SetWriteDeadline(work.Deadline.Add(time.Second))
 	start := func(_ http.Header, endpoint peridotpath.EndpointID, stream string) {
 		exchange.begun = true
 		exchange.writer.Header().Set(HeaderEndpoint, string(endpoint))
--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -73,6 +73,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	body := exchange.failureJSON(result)
+	if !exchange.bodyRead {
+		exchange.leaveBody()
+	}
 	if exchange.begun {
 		// A resumed stream may fail before its first event.
 		exchange.writer.Header().Set("Content-Type", "text/event-stream")
@@ -97,6 +100,24 @@
 	_, _ = exchange.writer.Write(body)
 }
 
+const (
+	// bodyGrace is how long a refused caller may go on sending its body.
+	bodyGrace = time.Second
+	// refusalTime bounds the sending of a refusal.
+	refusalTime = 10 * time.Second
+)
+
+// leaveBody has the answer sent at once though the body was not read. net/http
+// would read the rest of it first, without a bound in time: a caller whose key
+// is refused and who sends slowly, or not at all, would wait for its answer as
+// long as it takes, and so would a planned stop. With the connection closed
+// after the answer nothing of the body can be taken for another request.
+func (exchange *exchange) leaveBody() {
+	exchange.writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(exchange.writer).SetReadDeadline(time.Now().Add(bodyGrace))
+	exchange.writeUntil(time.Now().Add(refusalTime))
+}
+
 // retryAfterSeconds rounds up: the header has whole seconds, and a caller that
 // comes back early would be refused again. The body has milliseconds.
 func retryAfterSeconds(span time.Duration) string {
--- a/peridotpath/caller/plain.go
+++ b/peridotpath/caller/plain.go
@@ -28,7 +28,7 @@
 	if result != nil {
 		return result
 	}
-	body, free, result := server.Bodies.Read(exchange.writer, exchange.request)
+	body, free, result := server.read(exchange, deadline)
 	if result != nil {
 		return result
 	}
@@ -37,10 +37,10 @@
 	if query := exchange.request.URL.RawQuery; query != "" {
 		target += "?" + query
 	}
-	exchange.work = &decide.Work{
+	exchange.serve(&decide.Work{
 		ID: exchange.id, Customer: exchange.customer, Profile: profile,
 		Arrived: exchange.arrived, Deadline: deadline,
-	}
+	})
 	call := &service.Request{
 		ID: exchange.id, Method: exchange.request.Method, Target: target,
 		Header: exchange.request.Header, Body: body,
--- a/peridotpath/caller/resume_test.go
+++ b/peridotpath/caller/resume_test.go
@@ -192,13 +192,13 @@
 		_, second := stack.instance(t, "i2")
 		stack.network.Serve(there, second)
 		header := map[string]string{caller.HeaderLastEventID: begun.cursors[2]}
-		response = stack.ask(t.Context(), t, there, apiKey, body, header)
-		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
-		is.True(response.Header.Get("Retry-After") != "")
+		refused := stack.readAll(t.Context(), t, "http://"+there+engine.PathCompletions, apiKey, body, header)
+		is.Equal(refused.status, http.StatusServiceUnavailable)
+		is.True(refused.header.Get("Retry-After") != "")
 		down.Store(false)
 		time.Sleep(3 * time.Second)
-		response = stack.ask(t.Context(), t, there, apiKey, body, header)
-		rest := readStream(response.Body, 0)
+		answer := stack.readAll(t.Context(), t, "http://"+there+engine.PathCompletions, apiKey, body, header)
+		rest := readStream(strings.NewReader(answer.text), 0)
 		is.Equal(begun.text+rest.text, enginetest.Answer(enginetest.Seed([]byte(body)), 400))
 	})
 }
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -122,6 +122,25 @@
 	// form in which no failure can be told.
 	begun  bool
 	opaque bool
+	// bodyRead says that nothing of the body is left on the connection.
+	bodyRead bool
+}
+
+// writeMargin is how long after its deadline a request's answer may still be
+// written: the failure that says so has to go out.
+const writeMargin = time.Second
+
+// serve notes the work that the exchange is about. Its caller may stop reading
+// without closing the connection. The writes then block, and would hold an
+// engine's stream or a service's connection, and a planned stop with them, for
+// as long as the caller likes; they fail at the deadline instead.
+func (exchange *exchange) serve(work *decide.Work) {
+	exchange.work = work
+	exchange.writeUntil(work.Deadline.Add(writeMargin))
+}
+
+func (exchange *exchange) writeUntil(limit time.Time) {
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(limit)
 }
 
 // handle wraps a handler with what all share: an id, the customer, the final
@@ -131,6 +150,7 @@
 		server.active.Add(1)
 		defer server.active.Add(-1)
 		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrived: time.Now()}
+		exchange.bodyRead = request.ContentLength == 0
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
 		result := server.authenticate(exchange)
 		if server.MaxActive > 0 && server.Active() > int64(server.MaxActive) {
