decide: an endpoint that gets only run-once work is probed by it, last

Only idempotent work probed an ejected endpoint. A plain service whose calls all run once lost a replica for good after three failures in a row, at that instance until its restart. After 30 s without another probe one such call goes there.

--- a/peridotpath/decide/health.go
+++ b/peridotpath/decide/health.go
@@ -24,6 +24,11 @@
 	maxEjected = 0.5
 	// probeAnyAfter is when an endpoint that no short work probed gets any.
 	probeAnyAfter = 10 * time.Second
+	// probeOnceAfter is when an endpoint that no idempotent work probed gets one
+	// call that must run once. Such a call may end as outcome_unknown, so it comes
+	// last; but a service whose calls all run once would else lose each endpoint
+	// that failed for a moment for good, down to the half that may not be ejected.
+	probeOnceAfter = 30 * time.Second
 	// slownessStep weighs one observation: ten of them show a slow endpoint.
 	slownessStep = 0.1
 	// slownessMost bounds the correction, so that an endpoint still gets the
@@ -131,13 +136,15 @@
 // usable reports whether work may go to the endpoint. After the time out, one
 // request at a time probes it: an endpoint that is still dead must not be met
 // by everything that waits. A probe is work that may run twice, and short work
-// if there is any: it loses least.
+// if there is any: it loses least. Work that must run once probes last.
 func (health *health) usable(at int64, work *Work) (usable, probe bool) {
 	until := health.ejectedUntil.Load()
 	switch {
 	case until == 0:
 		return true, false
-	case at < until || !work.Profile.Idempotent:
+	case at < until:
+		return false, false
+	case !work.Profile.Idempotent && at < until+int64(probeOnceAfter):
 		return false, false
 	case work.slot() != peridotpath.Short && at < until+int64(probeAnyAfter):
 		return false, false
