make roll: all instances stopped and replaced under load, one after another

Real processes: the first stop on its own, the second during an outage of the key-value service, the third with a second SIGTERM while it stops; judged by the load's audit, by broken connections and by refusals of a stopping or starting instance.

--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,6 @@
 
 storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
 	@scripts/storm.sh
+
+roll: build ## the demo's fleet under load while all instances are stopped and replaced, one after another
+	@scripts/roll.sh
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -74,6 +74,10 @@
     fail "the membership list does not take $1 $2"
 }
 
+# fault PORT JSON, clear PORT: switch faults of a stand-in.
+fault() { curl -sf -X POST "http://127.0.0.1:$PORTS$1/faults" -d "$2" >/dev/null || fail "no fault on $1"; }
+clear_faults() { curl -sf -X DELETE "http://127.0.0.1:$PORTS$1/faults" >/dev/null || fail "faults stay on $1"; }
+
 # prepare copies the example files, with the ports that were asked for.
 prepare() {
   local file
--- a/scripts/storm.sh
+++ b/scripts/storm.sh
@@ -12,10 +12,6 @@
 FROZEN=2
 KILLED=1
 
-# fault PORT JSON, clear PORT: switch faults of a stand-in.
-fault() { curl -sf -X POST "http://127.0.0.1:$PORTS$1/faults" -d "$2" >/dev/null || fail "no fault on $1"; }
-clear_faults() { curl -sf -X DELETE "http://127.0.0.1:$PORTS$1/faults" >/dev/null || fail "faults stay on $1"; }
-
 # streams NUMBER: what an engine still holds.
 streams() { curl -sf "http://127.0.0.1:${PORTS}1$1/v1/streams"; }
 
