peridotd: the order of a planned stop, on its own and tested

plannedStop takes its steps as functions, so that the order is tested on a virtual clock without sockets. Behaviour is as before.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -31,7 +31,6 @@
 	// resumeWindow is how long a stream without a reader is kept for its caller.
 	resumeWindow = 10 * time.Second
 	bodyTimeout  = 10 * time.Second
-	activePoll   = 20 * time.Millisecond
 )
 
 // daemon is one instance: its parts, joined.
@@ -206,19 +205,13 @@
 	}
 }
 
-// stop is the planned stop. The order matters: first the balancer must notice
-// that this instance is not ready, while callers that still come are served;
-// then nothing new is accepted and what runs is finished, each request by its
-// own deadline; only then do the tasks end that those requests need.
+// stop is the planned stop.
 func (daemon *daemon) stop(ctx context.Context) error {
 	daemon.log.Info().Int64("active", daemon.callers.Active()).Msg("stopping")
-	daemon.callers.Stop()
-	time.Sleep(daemon.settings.Drain.BalancerNoticeMS.Duration())
-	err := daemon.callerSide.Close(ctx)
-	for daemon.callers.Active() > 0 {
-		time.Sleep(activePoll)
+	stop := &plannedStop{
+		Notice: daemon.settings.Drain.BalancerNoticeMS.Duration(), Handover: daemon.settings.Drain.HandoverMS.Duration(),
+		TurnNotReady: daemon.callers.Stop, Active: daemon.callers.Active, CloseCallers: daemon.callerSide.Close,
+		CloseClaims: daemon.claims.Close, ClosePeers: daemon.peerSide.Close,
 	}
-	err = errs.Combine(err, daemon.claims.Close())
-	time.Sleep(daemon.settings.Drain.HandoverMS.Duration())
-	return errs.Combine(err, daemon.peerSide.Close(ctx))
+	return stop.run(ctx)
 }
