--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 
 up: build ## runs the demo's fleet in the foreground, for any client
 	@scripts/up.sh
+
 slopes: ## measures what endpoints, peers, changes, customers and requests cost
 	@go run ./slopes
 
@@ -58,6 +59,7 @@
 
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
+	@go test -run '^$$' -bench . -benchtime 2s ./peridotpath/caller
 
 storm: build ## the demo's fleet under kills, freezes, outages and failing endpoints
 	@scripts/storm.sh
@@ -67,3 +69,6 @@
 	@grep -rho --include='*_test.go' '^func Fuzz[A-Za-z]*' $(MODULES) | sed 's/func //' | sort -u | while read -r target; do \
 		package=$$(dirname $$(grep -rl --include='*_test.go' "^func $$target(" $(MODULES) | head -1)); \
 		echo "$$target in $$package"; go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME) -parallel 4 ./$$package || exit 1; done
+
+roll: build ## the demo's fleet under load while all instances are stopped and replaced, one after another
+	@scripts/roll.sh
