--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,10 @@
 	@go run ./slopes
 
 measure: ## compares the decisions under load with simple policies, on a fake clock
-	@cd measure && go run . figures
+	@go run ./measure figures
+
+plots: ## draws what measure compares, into docs/plots
+	@go run ./measure plots -folder docs/plots
 
 joint: ## compares many instances with one that knows all, on a fake clock
 	@cd measure && go run . joint
--- a/peridotpath/decide/member.go
+++ b/peridotpath/decide/member.go
@@ -107,6 +107,15 @@
 	return max(max(ahead, 0)+min(since, own), own)
 }
 
+// reportAge is how old the newest report is; zero when there is none.
+func (member *member) reportAge(at int64) time.Duration {
+	load := member.load.Load()
+	if load == nil {
+		return 0
+	}
+	return max(time.Duration(at-load.asOf), 0)
+}
+
 // memoryUsed predicts the KV memory, in tokens, that is taken for work of a
 // class. Long work waits inside the engine until its memory is free, and
 // shorter work of higher priority goes first; so only other long work counts
