decide: no refusal by assumed rates before an engine's first report

An instance that had just started took engines for 20 tokens a second until their first report, up to half a second, and refused lines of some hundred tokens as cannot_finish, which every other instance took. It places them now.

Seen to fail first: probe_test.go: refuse != place.

--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -176,7 +176,9 @@
 	next.cost = next.ttft
 	finish := next.ttft + float64(work.Output)/member.decodeRate()
 	left := time.Duration(work.Deadline.UnixNano() - at).Seconds()
-	if scheduler.on(MechanismPrediction) && finish > left {
+	// Before the first report the rates are assumed, and low. An instance that has
+	// just started would refuse by them what another one takes.
+	if scheduler.on(MechanismPrediction) && finish > left && member.load.Load() != nil {
 		return obstacleLate
 	}
 	used := member.memoryUsed(work.slot(), scheduler.on(MechanismSent))
--- a/peridotpath/decide/probe_test.go
+++ b/peridotpath/decide/probe_test.go
@@ -42,3 +42,24 @@
 	is.Equal(out, ejectAfter)
 	is.True(back > 0) // it never came back
 }
+
+// Instances are replaced one after another. One that has just started has no
+// report of any engine yet; by the rates that it assumed it refused lines of
+// some hundred tokens as "cannot finish", which every other instance took.
+func TestNewInstanceRefusesNothingByAssumedRates(t *testing.T) {
+	is := is.New(t)
+	scheduler := &Scheduler{Seed: 1}
+	scheduler.SetEndpoints(epoch, endpointsOf(3))
+	work := workOf(1_000)
+	work.Output, work.Deadline = 400, after(15*time.Second)
+	is.Equal(scheduler.Submit(epoch, work).Verdict, Place)
+
+	slow := idle(epoch)
+	slow.DecodePerS = 20
+	for _, endpoint := range endpointsOf(3) {
+		scheduler.Report(epoch, endpoint.ID, slow)
+	}
+	known := workOf(1_000)
+	known.Output, known.Deadline = 400, after(15*time.Second)
+	is.Equal(codeOf(scheduler.Submit(epoch, known)), peridotpath.CodeCannotFinish) // a report says so
+}
