--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -52,7 +52,7 @@
 // of a class. Engines run higher priorities first, so that a short prompt
 // hardly waits for the long one beside it.
 var backlogSeen = [classes]float64{
-	peridotpath.Short:  0.97,
+	peridotpath.Short:  0.4,
 	peridotpath.Medium: 0.9,
 	peridotpath.Long:   1.2,
 }
@@ -172,13 +172,13 @@
 	rate := member.rate()
 	ahead := member.prefillAhead(at, scheduler.on(MechanismSent))
 	own := float64(member.pendingUpTo(work.placement.band))
-	next.ttft = (float64(next.uncached) + scheduler.aheadOf(work, own, ahead)) / rate
+	next.ttft = (float64(next.uncached) + scheduler.aheadOf(work, own, ahead, member.reportAge(at))) / rate
 	next.cost = next.ttft
 	finish := next.ttft + float64(work.Output)/member.decodeRate()
 	left := time.Duration(work.Deadline.UnixNano() - at).Seconds()
-	// Before the first report the rates are assumed, and low. An instance that has
-	// just started would refuse by them what another one takes.
-	if scheduler.on(MechanismPrediction) && finish > left && member.load.Load() != nil {
+	// Before an endpoint's first report its rates are guesses on the low side. An
+	// instance that has just started would refuse by them what the fleet can do.
+	if scheduler.on(MechanismPrediction) && member.load.Load() != nil && finish > left {
 		return obstacleLate
 	}
 	used := member.memoryUsed(work.slot(), scheduler.on(MechanismSent))
@@ -216,13 +216,26 @@
 	return 0.2*max(fill-0.5, 0) + 10*max(fill-0.9, 0)
 }
 
+const (
+	// reportStale is the age from which a report says little of what a short
+	// prompt meets at an endpoint, and everybody who still believes it goes to
+	// the same endpoints.
+	reportStale = 2 * time.Second
+	// staleSeen is how much of such a report's work still counts.
+	staleSeen = 0.25
+)
+
 // aheadOf is the prompt work that goes before the work: this Instance's own at
 // the same or a higher band, and the part of the rest that delays its class.
-func (scheduler *Scheduler) aheadOf(work *Work, own, ahead float64) float64 {
+func (scheduler *Scheduler) aheadOf(work *Work, own, ahead float64, age time.Duration) float64 {
 	if !scheduler.on(MechanismPriority) {
 		return ahead
 	}
-	return own + backlogSeen[work.slot()]*max(ahead-own, 0)
+	seen := backlogSeen[work.slot()]
+	if work.slot() == peridotpath.Short && age > reportStale {
+		seen *= staleSeen
+	}
+	return own + seen*max(ahead-own, 0)
 }
 
 // busy reports whether the endpoint has enough to do for now. Short work is
