caller: split the reading of a body; every wait by clock.Pause

Cause: Bodies.Read was 45 lines that grew the buffer, took memory, set deadlines and sorted failures, with the same refusal and the same release written three times. Four more packages waited by hand where clock.Pause does it.

Change: a reading has the buffer and what it reserved; Read gives it back in one place. Constants have their units.

--- a/peridotpath/caller/body.go
+++ b/peridotpath/caller/body.go
@@ -35,7 +35,10 @@
 }
 
 const (
-	firstPiece  = 16 << 10
+	// firstPiece is the buffer, in bytes, for a body of undeclared length; it
+	// doubles as the body grows.
+	firstPiece = 16 << 10
+	// retryBodies is the Retry-After of a body that found no memory.
 	retryBodies = 500 * time.Millisecond
 	// slowestPerS is the bytes a second that a sender must reach on the whole.
 	slowestPerS = 16 << 10
@@ -56,50 +59,87 @@
 }
 
 // Read returns the whole body and a function that gives its memory back, to be
-// called when the body is no longer needed.
+// called once, when the body is no longer needed. A failure has given it back
+// already.
 func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request) ([]byte, func(), *peridotpath.Result) {
 	if request.ContentLength > int64(bodies.MaxBody) {
 		return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyTooLarge}
 	}
 	size := int64(firstPiece)
 	if request.ContentLength >= 0 {
+		// One byte more than declared, so that the end is read without growing.
 		size = request.ContentLength + 1
 	}
-	var reserved int64
-	free := func() { bodies.held.Release(reserved) }
-	if !bodies.held.TryAcquire(size) {
-		return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies}
+	reading := &reading{bodies: bodies, began: time.Now()}
+	if !reading.reserve(size) {
+		return nil, nil, noMemory()
 	}
-	reserved = size
-	controller := http.NewResponseController(writer)
-	began := time.Now()
-	buffer := make([]byte, 0, size)
+	result := reading.all(http.NewResponseController(writer), request.Body)
+	if result != nil {
+		reading.free()
+		return nil, nil, result
+	}
+	// free lives for as long as the request: were it to refer to the body, a
+	// body that is let go of at the first token would stay in memory.
+	body := reading.buffer
+	reading.buffer = nil
+	return body, reading.free, nil
+}
+
+// noMemory is the refusal of a body that the bound has no room for.
+func noMemory() *peridotpath.Result {
+	return &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies}
+}
+
+// reading is one body while it comes in.
+type reading struct {
+	bodies *Bodies
+	began  time.Time
+	// reserved is the part of the bound, in bytes, that the body has taken.
+	reserved int64
+	buffer   []byte
+}
+
+// reserve takes more bytes of the bound and makes the buffer as large as what
+// is reserved; false when there is no room.
+func (reading *reading) reserve(more int64) bool {
+	if !reading.bodies.held.TryAcquire(more) {
+		return false
+	}
+	reading.reserved += more
+	grown := make([]byte, len(reading.buffer), reading.reserved)
+	copy(grown, reading.buffer)
+	reading.buffer = grown
+	return true
+}
+
+// free gives the reserved bytes back.
+func (reading *reading) free() { reading.bodies.held.Release(reading.reserved) }
+
+// all reads until the body's end.
+func (reading *reading) all(controller *http.ResponseController, body io.Reader) *peridotpath.Result {
 	for {
-		if len(buffer) == cap(buffer) {
-			grow := int64(cap(buffer))
-			if !bodies.held.TryAcquire(grow) {
-				free()
-				return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies}
-			}
-			reserved += grow
-			grown := make([]byte, len(buffer), reserved)
-			copy(grown, buffer)
-			buffer = grown
-		}
-		_ = controller.SetReadDeadline(bodies.due(began, len(buffer)))
-		n, err := request.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if int64(len(buffer)) > int64(bodies.MaxBody) {
-			free()
-			return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyTooLarge}
+		if len(reading.buffer) == cap(reading.buffer) && !reading.reserve(int64(cap(reading.buffer))) {
+			return noMemory()
 		}
-		if errors.Is(err, io.EOF) {
+		_ = controller.SetReadDeadline(reading.bodies.due(reading.began, len(reading.buffer)))
+		err := reading.piece(body)
+		switch {
+		case len(reading.buffer) > int(reading.bodies.MaxBody):
+			return &peridotpath.Result{Code: peridotpath.CodeBodyTooLarge}
+		case errors.Is(err, io.EOF):
 			_ = controller.SetReadDeadline(time.Time{})
-			return buffer, free, nil
-		}
-		if err != nil {
-			free()
-			return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyIncomplete, Detail: err.Error()}
+			return nil
+		case err != nil:
+			return &peridotpath.Result{Code: peridotpath.CodeBodyIncomplete, Detail: err.Error()}
 		}
 	}
 }
+
+// piece reads what is there into the room that the buffer has left.
+func (reading *reading) piece(body io.Reader) error {
+	length := len(reading.buffer)
+	n, err := body.Read(reading.buffer[length:cap(reading.buffer)])
+	reading.buffer = reading.buffer[:length+n]
+	return err
+}
--- a/peridotpath/cursor/secret.go
+++ b/peridotpath/cursor/secret.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/keyvalue"
 )
 
@@ -25,10 +26,8 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Pause(ctx, secretRetry) {
 			return ctx.Err()
-		case <-time.After(secretRetry):
 		}
 	}
 }
--- a/peridotpath/fleet/poller.go
+++ b/peridotpath/fleet/poller.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/digest"
 )
 
@@ -72,10 +73,8 @@
 		owned := poller.round(ctx, &group)
 		// The random part keeps instances that started together apart.
 		wait := poller.interval(owned)*9/10 + time.Duration(poller.Random()*float64(poller.Interval/5))
-		select {
-		case <-ctx.Done():
+		if !clock.Pause(ctx, wait) {
 			return ctx.Err()
-		case <-time.After(wait):
 		}
 	}
 }
--- a/peridotpath/keyvalue/memory/link.go
+++ b/peridotpath/keyvalue/memory/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/keyvalue"
 )
 
@@ -96,29 +97,16 @@
 		}
 		return nothing, keyvalue.ErrUnavailable.New("fault: no answer")
 	}
-	if !wait(ctx, fate.Delay) {
+	if !clock.Pause(ctx, fate.Delay) {
 		return nothing, keyvalue.ErrUnavailable.Wrap(ctx.Err())
 	}
 	result, err := call(ctx)
-	if !wait(ctx, fate.AnswerDelay) || fate.Unanswered {
+	if !clock.Pause(ctx, fate.AnswerDelay) || fate.Unanswered {
 		return nothing, keyvalue.ErrUnavailable.New("fault: answer lost")
 	}
 	return result, err
 }
 
-// wait returns false when ctx ended first.
-func wait(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-time.After(span):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func arriveLate[T any](after time.Duration, call func(context.Context) (T, error)) {
 	time.Sleep(after)
 	_, _ = call(context.Background())
--- a/peridotpath/sweep/sweep.go
+++ b/peridotpath/sweep/sweep.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/engine"
 )
 
@@ -77,10 +78,8 @@
 		interval := sweeper.interval(sweeper.sweep(ctx))
 		// The random part keeps two that take themselves for the owner apart.
 		wait := interval*9/10 + time.Duration(random()*float64(interval/5))
-		select {
-		case <-ctx.Done():
+		if !clock.Pause(ctx, wait) {
 			return ctx.Err()
-		case <-time.After(wait):
 		}
 	}
 }
