dispatch: one sorter of failed sendings; close an answer before resuming it

A stream that was resumed kept every answer before open until its request ended: where the events could not be used but the connection was whole, the engine went on sending into it.

A stream's run closes each body it has read. TestResumingClosesTheAnswerBefore; with the close put off to the end as before it printed: 4 != 1 // answers that were open at a time.

--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 // Sink is where the answer goes. Its functions are called from one goroutine.
 type Sink struct {
 	// Start is called once, when the first content is there. A failure before
-	// it is returned by Run and can still become an ordinary error answer.
+	// it is returned by Do and can still become an ordinary error answer.
 	Start func(header http.Header, endpoint peridotpath.EndpointID, stream string)
 	// Event writes one event of a stream. An error means the caller is gone.
 	Event func(offset int64, data []byte) error
@@ -63,7 +63,7 @@
 	ResumeWindow time.Duration
 
 	waiters   waiters
-	kick      chan struct{}
+	notify    chan struct{}
 	cancels   chan cancellation
 	startOnce sync.Once
 }
@@ -71,7 +71,7 @@
 // start makes the channels, whichever of Run and Do comes first.
 func (dispatcher *Dispatcher) start() {
 	dispatcher.startOnce.Do(func() {
-		dispatcher.kick = make(chan struct{}, 1)
+		dispatcher.notify = make(chan struct{}, 1)
 		dispatcher.cancels = make(chan cancellation, cancelQueue)
 	})
 }
@@ -94,7 +94,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-dispatcher.kick:
+		case <-dispatcher.notify:
 		case <-timer.C:
 		}
 		dispatcher.advance()
@@ -121,7 +121,7 @@
 // wake has Run look at the queue: a place may have come free.
 func (dispatcher *Dispatcher) wake() {
 	select {
-	case dispatcher.kick <- struct{}{}:
+	case dispatcher.notify <- struct{}{}:
 	default:
 	}
 }
@@ -131,65 +131,3 @@
 	dispatcher.Scheduler.Done(time.Now(), work, outcome, tokens)
 	dispatcher.wake()
 }
-
-// await turns a decision that says Wait into one that places or refuses.
-func (dispatcher *Dispatcher) await(ctx context.Context, work *decide.Work, ask func() decide.Decision) decide.Decision {
-	granted := dispatcher.waiters.add(work)
-	decision := ask()
-	if decision.Verdict != decide.Wait {
-		dispatcher.waiters.remove(work)
-		return decision
-	}
-	select {
-	case decision = <-granted:
-		return decision
-	case <-ctx.Done():
-	}
-	dispatcher.Scheduler.Cancel(time.Now(), work)
-	if !dispatcher.waiters.remove(work) {
-		// The decision came at the same moment; it is in the channel.
-		decision = <-granted
-		if decision.Verdict == decide.Place {
-			dispatcher.done(work, decide.Abandoned, 0)
-		}
-	}
-	return decide.Decision{Work: work, Verdict: decide.Refuse, Result: dispatcher.ended(ctx, work, true)}
-}
-
-// waiters holds the queued requests that wait for a decision.
-type waiters struct {
-	mu   sync.Mutex
-	byID map[*decide.Work]chan decide.Decision
-}
-
-func (waiters *waiters) add(work *decide.Work) <-chan decide.Decision {
-	granted := make(chan decide.Decision, 1)
-	waiters.mu.Lock()
-	defer waiters.mu.Unlock()
-	if waiters.byID == nil {
-		waiters.byID = map[*decide.Work]chan decide.Decision{}
-	}
-	waiters.byID[work] = granted
-	return granted
-}
-
-// remove reports whether the work was still waiting.
-func (waiters *waiters) remove(work *decide.Work) bool {
-	waiters.mu.Lock()
-	defer waiters.mu.Unlock()
-	_, waiting := waiters.byID[work]
-	delete(waiters.byID, work)
-	return waiting
-}
-
-// deliver hands the decision to its waiter and reports whether there was one.
-func (waiters *waiters) deliver(decision decide.Decision) bool {
-	waiters.mu.Lock()
-	defer waiters.mu.Unlock()
-	granted, waiting := waiters.byID[decision.Work]
-	if waiting {
-		delete(waiters.byID, decision.Work)
-		granted <- decision
-	}
-	return waiting
-}
--- a/peridotpath/dispatch/plain.go
+++ b/peridotpath/dispatch/plain.go
@@ -9,10 +9,9 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/service"
-	"peridotpath.example/peridotpath/telemetry"
 )
 
-// relayBuffer is the size of the pieces in which a plain service's answer is
+// relayBuffer is the size, in bytes, of the pieces in which a plain service's answer is
 // passed on.
 const relayBuffer = 32 << 10
 
@@ -30,8 +29,7 @@
 	defer cancel()
 	response, err := dispatcher.SendPlain(ctx, endpoint.Address, call)
 	if err != nil {
-		dispatcher.noteLeaving(endpoint.ID, err)
-		return dispatcher.plainFailed(ctx, work, err)
+		return dispatcher.sendFailed(ctx, work, endpoint.ID, err)
 	}
 	defer response.Body.Close()
 	dispatcher.firstToken(work)
@@ -43,20 +41,6 @@
 	return dispatcher.copyPlain(ctx, work, response, writer)
 }
 
-func (dispatcher *Dispatcher) plainFailed(ctx context.Context, work *decide.Work, err error) attempt {
-	detail := err.Error()
-	switch {
-	case service.ErrUnreached.Has(err) && ctx.Err() == nil:
-		return attempt{outcome: decide.Unreached, reason: telemetry.RetryUnreached, result: failure(peridotpath.CodeNoEndpoint, detail)}
-	case service.ErrRefused.Has(err):
-		return attempt{outcome: decide.Rejected, reason: telemetry.RetryRefused, result: failure(peridotpath.CodeEndpointRefused, detail)}
-	case ctx.Err() != nil:
-		return attempt{outcome: decide.Abandoned, result: dispatcher.ended(ctx, work, service.ErrUnreached.Has(err))}
-	default:
-		return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, result: mayHaveRun(work, peridotpath.CodeEndpointFailed, detail)}
-	}
-}
-
 // copyPlain passes the body on as it comes. When it breaks off, the caller's
 // connection is broken too (see caller), so that half is not taken for whole.
 func (dispatcher *Dispatcher) copyPlain(ctx context.Context, work *decide.Work, response *http.Response, writer http.ResponseWriter) attempt {
@@ -66,15 +50,15 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			if _, err := writer.Write(buffer[:n]); err != nil {
-				return attempt{outcome: decide.Abandoned, started: true, result: &peridotpath.Result{Code: peridotpath.CodeCallerGone}}
+				return delivered(0, err)
 			}
 			_ = controller.Flush()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return attempt{outcome: decide.Finished, started: true}
+			return delivered(0, nil)
 		case ctx.Err() != nil:
-			return attempt{outcome: decide.Abandoned, started: true, result: dispatcher.ended(ctx, work, false)}
+			return attempt{outcome: decide.Abandoned, started: true, result: ended(ctx, work, false)}
 		case err != nil:
 			return attempt{outcome: decide.Failed, started: true, result: mayHaveRun(work, peridotpath.CodeStreamCut, err.Error())}
 		}
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -52,7 +52,7 @@
 func (dispatcher *Dispatcher) relay(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
 	stream := &stream{
 		dispatcher: dispatcher, work: request.Work, endpoint: endpoint, id: answer.StreamID,
-		sink: sink, begun: request.letGo, usage: request.noteUsage,
+		sink: sink, begun: request.dropBody, usage: request.noteUsage,
 	}
 	return stream.run(ctx, answer)
 }
@@ -68,18 +68,21 @@
 	if err != nil {
 		return failure(peridotpath.CodeStreamCut, err.Error())
 	}
-	defer answer.Body.Close()
 	sink.Start(answer.Header, endpoint.ID, id)
 	stream.started = true
 	attempt := stream.run(ctx, answer)
 	return attempt.result
 }
 
+// run relays the answer and those that resume it. It closes each body before
+// the next is asked for: an engine whose events could not be used goes on
+// sending them, and would take the stream for one that is being read.
 func (stream *stream) run(ctx context.Context, answer *engine.Answer) attempt {
 	fruitless := 0
 	for {
 		before := stream.next
 		whole, err := stream.pass(ctx, engine.Read(answer.Body))
+		answer.Body.Close()
 		if whole {
 			return stream.finish()
 		}
@@ -96,7 +99,6 @@
 		if err != nil {
 			return stream.cut(ctx, err)
 		}
-		defer answer.Body.Close()
 		fruitless++
 		telemetry.Retry(telemetry.RetryResumed)
 	}
@@ -177,13 +179,9 @@
 // failure, not an answer.
 func (stream *stream) finish() attempt {
 	if !stream.started {
-		result := mayHaveRun(stream.work, peridotpath.CodeBadAnswer, "stream without content")
-		return attempt{outcome: decide.Failed, reason: telemetry.RetryBadAnswer, result: result}
+		return failed(stream.work, telemetry.RetryBadAnswer, peridotpath.CodeBadAnswer, "stream without content")
 	}
-	if err := stream.sink.Event(stream.next, []byte(engine.Done)); err != nil {
-		return attempt{outcome: decide.Abandoned, started: true, tokens: stream.tokens, result: &peridotpath.Result{Code: peridotpath.CodeCallerGone}}
-	}
-	return attempt{outcome: decide.Finished, started: true, tokens: stream.tokens}
+	return delivered(stream.tokens, stream.sink.Event(stream.next, []byte(engine.Done)))
 }
 
 // stopped returns how the attempt ends if the caller left or the time ran out,
@@ -192,9 +190,9 @@
 	if ctx.Err() == nil && !errSink.Has(err) {
 		return nil
 	}
-	result := &peridotpath.Result{Code: peridotpath.CodeCallerGone}
+	result := callerGone()
 	if ctx.Err() != nil {
-		result = stream.dispatcher.ended(ctx, stream.work, false)
+		result = ended(ctx, stream.work, false)
 	}
 	stream.dispatcher.abandon(stream.endpoint.Address, stream.id, result.Code == peridotpath.CodeCallerGone)
 	return &attempt{outcome: decide.Abandoned, started: stream.started, tokens: stream.tokens, result: result}
@@ -226,6 +224,7 @@
 		return *ended
 	}
 	stream.dispatcher.abandon(stream.endpoint.Address, stream.id, false)
-	result := mayHaveRun(stream.work, peridotpath.CodeStreamCut, err.Error())
-	return attempt{outcome: decide.Failed, reason: telemetry.RetryFailed, started: stream.started, tokens: stream.tokens, result: result}
+	attempt := failed(stream.work, telemetry.RetryFailed, peridotpath.CodeStreamCut, err.Error())
+	attempt.started, attempt.tokens = stream.started, stream.tokens
+	return attempt
 }
--- a/peridotpath/dispatch/resume_test.go
+++ b/peridotpath/dispatch/resume_test.go
@@ -44,3 +44,40 @@
 		is.True(time.Since(began) >= 500*time.Millisecond) // the tries came without a pause
 	})
 }
+
+// An engine sends events that cannot be used, with a gap among them, each time
+// that a stream is resumed. The connection is whole, so the engine went on
+// sending into it and took the stream for read, for as long as the request
+// lived: one connection more for every try.
+func TestResumingClosesTheAnswerBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := newFixture()
+		open, most := 0, 0
+		fixture.resume = func(int, int64) (*engine.Answer, error) {
+			open++
+			most = max(most, open)
+			body := strings.NewReader("id: 9\ndata: {}\n\n")
+			return &engine.Answer{Status: 200, Body: &countedBody{Reader: body, open: &open}}, nil
+		}
+		work := &decide.Work{Profile: &peridotpath.Profile{Idempotent: true}, Deadline: time.Now().Add(deadline)}
+		endpoint := peridotpath.Endpoint{ID: "engine-1", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+		sink := &dispatch.Sink{Start: func(http.Header, peridotpath.EndpointID, string) {}, Event: func(int64, []byte) error { return nil }}
+		result := fixture.Continue(context.Background(), work, endpoint, "s1", 0, sink)
+		is.Equal(result.Code, peridotpath.CodeStreamCut)
+		is.True(len(fixture.resumes) > 1)
+		is.Equal(most, 1) // answers that were open at a time
+		is.Equal(open, 0) // answers that were left open
+	})
+}
+
+// countedBody counts itself as open until it is closed.
+type countedBody struct {
+	io.Reader
+	open *int
+}
+
+func (body *countedBody) Close() error {
+	*body.open--
+	return nil
+}
