--- /dev/null
+++ b/peridotpath/cursor/example_test.go
@@ -0,0 +1,30 @@
+package cursor_test
+
+import (
+	"fmt"
+
+	"peridotpath.example/peridotpath/cursor"
+)
+
+// One instance makes the cursors of a stream, another opens the last one that
+// the caller got.
+func Example() {
+	secret := []byte("what all instances read from the key-value service")
+	first, second := &cursor.Signer{}, &cursor.Signer{}
+	first.SetSecret(secret)
+	second.SetSecret(secret)
+
+	token := first.Token("airline", cursor.Stream{Endpoint: "engine-7", ID: "stream-1", Profile: "counter-lookup"})
+	var last []byte
+	for offset := range int64(3) {
+		last = cursor.At(last[:0], token, offset)
+	}
+
+	stream, offset, err := second.Open("airline", string(last))
+	fmt.Println(stream.Endpoint, stream.ID, offset, err)
+	_, _, err = second.Open("hotel", string(last))
+	fmt.Println(err)
+	// Output:
+	// engine-7 stream-1 2 <nil>
+	// cursor: not given to this customer
+}
--- /dev/null
+++ b/peridotpath/ownership/example_test.go
@@ -0,0 +1,30 @@
+package ownership_test
+
+import (
+	"fmt"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/ownership"
+)
+
+// Three instances, one of them leaving, read the same membership list. Without
+// a word between them exactly one takes itself for the owner of an endpoint.
+func Example() {
+	list := []peridotpath.Instance{
+		{ID: "entry-1", DataCentre: "colombo-a", State: peridotpath.StateLive},
+		{ID: "entry-2", DataCentre: "colombo-a", State: peridotpath.StateLive},
+		{ID: "entry-3", DataCentre: "colombo-a", State: peridotpath.StateLeaving},
+	}
+	endpoints := []peridotpath.Endpoint{{ID: "engine-1"}, {ID: "engine-2"}}
+	owns := 0
+	for _, self := range list {
+		owners := &ownership.Owners{Scope: ownership.Scope{Self: self.ID, DataCentre: self.DataCentre, Readers: 1}}
+		owners.Set(list, endpoints)
+		if owners.Current().Owns("engine-1") {
+			owns++
+		}
+	}
+	fmt.Println("instances that own engine-1:", owns)
+	// Output:
+	// instances that own engine-1: 1
+}
