--- a/peridotpath/lease/lease.go
+++ b/peridotpath/lease/lease.go
@@ -43,14 +43,10 @@
 
 // Defaults fills what was left out.
 func (settings *Settings) Defaults() {
-	for field, value := range map[*peridotpath.Millis]peridotpath.Millis{
-		&settings.TTLMS: 60_000, &settings.MarginMS: 5_000,
-		&settings.LongestOrderMS: 30_000, &settings.WaitMS: 10_000,
-	} {
-		if *field == 0 {
-			*field = value
-		}
-	}
+	peridotpath.SetDefault(&settings.TTLMS, 60_000)
+	peridotpath.SetDefault(&settings.MarginMS, 5_000)
+	peridotpath.SetDefault(&settings.LongestOrderMS, 30_000)
+	peridotpath.SetDefault(&settings.WaitMS, 10_000)
 }
 
 // Validate returns every fault by field.
--- a/peridotpath/order/reconciler.go
+++ b/peridotpath/order/reconciler.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/lease"
@@ -105,25 +106,24 @@
 func (reconciler *Reconciler) readAll(ctx context.Context, endpoints map[peridotpath.EndpointID]peridotpath.Endpoint) map[peridotpath.EndpointID]State {
 	ctx, cancel := context.WithTimeout(ctx, reconciler.Settings.ReadTimeoutMS.Duration())
 	defer cancel()
-	seen := map[peridotpath.EndpointID]State{}
-	slots := make(chan struct{}, readers)
 	var mu sync.Mutex
-	var waits sync.WaitGroup
+	seen := map[peridotpath.EndpointID]State{}
+	var group errgroup.Group
+	group.SetLimit(readers)
 	for id, endpoint := range endpoints {
-		waits.Go(func() {
-			slots <- struct{}{}
-			defer func() { <-slots }()
+		group.Go(func() error {
 			state, err := reconciler.Read(ctx, endpoint)
 			if err != nil {
 				reconciler.count("order_states_unread_total")
-				return
+				return nil //nolint:nilerr // it is left out
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			seen[id] = state
+			return nil
 		})
 	}
-	waits.Wait()
+	_ = group.Wait()
 	return seen
 }
 
--- a/peridotpath/order/settings.go
+++ b/peridotpath/order/settings.go
@@ -23,19 +23,11 @@
 
 // Defaults fills what was left out.
 func (settings *Settings) Defaults() {
-	for field, value := range map[*peridotpath.Millis]peridotpath.Millis{
-		&settings.IntervalMS: 2_000, &settings.ReadTimeoutMS: 1_000, &settings.LongestOrderMS: 30_000,
-	} {
-		if *field == 0 {
-			*field = value
-		}
-	}
-	if settings.LoadsPerMinute == 0 {
-		settings.LoadsPerMinute = 12
-	}
-	if settings.MaxLoads == 0 {
-		settings.MaxLoads = 2
-	}
+	peridotpath.SetDefault(&settings.IntervalMS, 2_000)
+	peridotpath.SetDefault(&settings.ReadTimeoutMS, 1_000)
+	peridotpath.SetDefault(&settings.LongestOrderMS, 30_000)
+	peridotpath.SetDefault(&settings.LoadsPerMinute, 12)
+	peridotpath.SetDefault(&settings.MaxLoads, 2)
 }
 
 // Validate returns every fault by field.
--- a/peridotpath/peer/relay.go
+++ b/peridotpath/peer/relay.go
@@ -1,27 +1,18 @@
 package peer
 
 import (
-	"bytes"
-	"cmp"
-	"compress/flate"
 	"context"
-	"encoding/binary"
-	"encoding/json"
-	"io"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/digest"
-	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/peer/wire"
 )
 
@@ -30,9 +21,6 @@
 	// The highest revision among several is newer than that of one chosen by
 	// chance, and more would cost the readers 850 restarts a day times each.
 	startPeers = 3
-	// rememberedRevisions is how many states of the configuration an instance
-	// knows by hash: those of some minutes at 39,000 changes a day.
-	rememberedRevisions = 128
 	// refusedPause spaces the questions after a document that was refused here.
 	refusedPause = time.Second
 )
@@ -157,158 +145,3 @@
 	}
 	return unpackUpdate(reply)
 }
-
-// hashRevisions hashes the set of revisions, whatever the order.
-func hashRevisions(revisions config.Revisions) uint64 {
-	var sum uint64
-	for name, revision := range revisions {
-		sum += xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(name), uint64(revision)))
-	}
-	// Zero is what a message without the field has.
-	return cmp.Or(sum, 1)
-}
-
-func packRevisions(revisions config.Revisions) map[string]uint64 {
-	packed := make(map[string]uint64, len(revisions))
-	for name, revision := range revisions {
-		packed[string(name)] = uint64(revision)
-	}
-	return packed
-}
-
-// knownRevisions remembers by hash what followers have, so that they need not
-// send 258 revisions with each question.
-type knownRevisions struct {
-	mu     sync.Mutex
-	byHash map[uint64]config.Revisions
-	order  []uint64
-}
-
-// resolve returns the revisions that the asker has; false when they must be sent.
-func (known *knownRevisions) resolve(request *wire.ChangesRequest) (config.Revisions, bool) {
-	known.mu.Lock()
-	defer known.mu.Unlock()
-	if found, ok := known.byHash[request.Have]; ok {
-		return found, true
-	}
-	have := make(config.Revisions, len(request.Revisions))
-	for name, revision := range request.Revisions {
-		have[config.DocumentName(name)] = peridotpath.Revision(revision)
-	}
-	// An asker that has nothing sends no revisions, and the hash says so.
-	if hashRevisions(have) != request.Have {
-		return nil, false
-	}
-	known.add(request.Have, have)
-	return have, true
-}
-
-// remember notes what the asker has once it took in the update.
-func (known *knownRevisions) remember(have config.Revisions, update config.Update) {
-	if len(update.Documents) == 0 {
-		return
-	}
-	next := maps.Clone(have)
-	for _, document := range update.Documents {
-		if revision, err := revisionOf(document); err == nil {
-			next[document.Name] = revision
-		}
-	}
-	known.mu.Lock()
-	defer known.mu.Unlock()
-	known.add(hashRevisions(next), next)
-}
-
-func revisionOf(document config.Document) (peridotpath.Revision, error) {
-	var head struct {
-		Revision peridotpath.Revision `json:"revision"`
-	}
-	err := json.Unmarshal(document.Text, &head)
-	return head.Revision, err
-}
-
-func (known *knownRevisions) add(hash uint64, have config.Revisions) {
-	if known.byHash == nil {
-		known.byHash = map[uint64]config.Revisions{}
-	}
-	if _, ok := known.byHash[hash]; ok {
-		return
-	}
-	known.byHash[hash] = have
-	known.order = append(known.order, hash)
-	if len(known.order) > rememberedRevisions {
-		delete(known.byHash, known.order[0])
-		known.order = known.order[1:]
-	}
-}
-
-// packer deflates documents: a shard of customers shrinks to a quarter. It
-// keeps the latest form of each, because a change goes to every follower of a
-// reader and deflating costs it more than all else about a change.
-type packer struct {
-	mu     sync.Mutex
-	byName map[config.DocumentName]packed
-}
-
-type packed struct {
-	hash     uint64
-	deflated []byte
-}
-
-func (packer *packer) pack(update config.Update) (*wire.ChangesReply, error) {
-	reply := &wire.ChangesReply{Version: digest.Version(), AgeMs: uint64(max(update.AgeMS, 0))}
-	for _, document := range update.Documents {
-		deflated, err := packer.document(document)
-		if err != nil {
-			return nil, err
-		}
-		reply.Documents = append(reply.Documents, &wire.Document{Name: string(document.Name), Deflated: deflated})
-	}
-	return reply, nil
-}
-
-func (packer *packer) document(document config.Document) ([]byte, error) {
-	hash := xxhash.Sum64(document.Text)
-	packer.mu.Lock()
-	defer packer.mu.Unlock()
-	if found, ok := packer.byName[document.Name]; ok && found.hash == hash {
-		return found.deflated, nil
-	}
-	deflated, err := deflate(document.Text)
-	if err != nil {
-		return nil, err
-	}
-	if packer.byName == nil {
-		packer.byName = map[config.DocumentName]packed{}
-	}
-	packer.byName[document.Name] = packed{hash, deflated}
-	return deflated, nil
-}
-
-func deflate(text []byte) ([]byte, error) {
-	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if _, err := writer.Write(text); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if err := writer.Close(); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return buffer.Bytes(), nil
-}
-
-func unpackUpdate(reply *wire.ChangesReply) (config.Update, error) {
-	update := config.Update{AgeMS: peridotpath.Millis(reply.AgeMs)}
-	for _, document := range reply.Documents {
-		reader := flate.NewReader(bytes.NewReader(document.Deflated))
-		text, err := io.ReadAll(io.LimitReader(reader, keyvalue.MaxValue+1))
-		if err != nil || len(text) > keyvalue.MaxValue {
-			return config.Update{}, Error.New("document %q: %d bytes: %v", document.Name, len(text), err)
-		}
-		update.Documents = append(update.Documents, config.Document{Name: config.DocumentName(document.Name), Text: text})
-	}
-	return update, nil
-}
