--- a/peridotpath/caller/body.go
+++ b/peridotpath/caller/body.go
@@ -58,10 +58,20 @@
 	return next
 }
 
+// earlier returns the earlier of two times, the first if the second is zero.
+func earlier(one, other time.Time) time.Time {
+	if other.IsZero() || one.Before(other) {
+		return one
+	}
+	return other
+}
+
 // Read returns the whole body and a function that gives its memory back, to be
-// called once, when the body is no longer needed. A failure has given it back
-// already.
-func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request) ([]byte, func(), *peridotpath.Result) {
+// called once, when the body is no longer needed; a failure has given it back
+// already. The body must be there by the given time, unless that is zero: what
+// came later could only be refused, and its caller would have waited for the
+// refusal beyond its own deadline.
+func (bodies *Bodies) Read(writer http.ResponseWriter, request *http.Request, by time.Time) ([]byte, func(), *peridotpath.Result) {
 	if request.ContentLength > int64(bodies.MaxBody) {
 		return nil, nil, &peridotpath.Result{Code: peridotpath.CodeBodyTooLarge}
 	}
@@ -70,7 +80,7 @@
 		// One byte more than declared, so that the end is read without growing.
 		size = request.ContentLength + 1
 	}
-	reading := &reading{bodies: bodies, began: time.Now()}
+	reading := &reading{bodies: bodies, began: time.Now(), by: by}
 	if !reading.reserve(size) {
 		return nil, nil, noMemory()
 	}
@@ -95,6 +105,8 @@
 type reading struct {
 	bodies *Bodies
 	began  time.Time
+	// by is when the whole body must be there; zero for no such time.
+	by time.Time
 	// reserved is the part of the bound, in bytes, that the body has taken.
 	reserved int64
 	buffer   []byte
@@ -122,7 +134,7 @@
 		if len(reading.buffer) == cap(reading.buffer) && !reading.reserve(int64(cap(reading.buffer))) {
 			return noMemory()
 		}
-		_ = controller.SetReadDeadline(reading.bodies.due(reading.began, len(reading.buffer)))
+		_ = controller.SetReadDeadline(earlier(reading.bodies.due(reading.began, len(reading.buffer)), reading.by))
 		err := reading.piece(body)
 		switch {
 		case len(reading.buffer) > int(reading.bodies.MaxBody):
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -47,6 +47,8 @@
 	// The load it is made for is callers that open connections without end: each
 	// takes memory before anything is known of its request.
 	MaxActive int
+	// MaxHeaderBytes bounds the headers of a request; zero for no bound.
+	MaxHeaderBytes peridotpath.Bytes
 	// Do runs a request; Continue goes on with a stream by its cursor.
 	Do       func(ctx context.Context, request *dispatch.Request, sink *dispatch.Sink) *peridotpath.Result
 	Continue func(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *dispatch.Sink) *peridotpath.Result
@@ -123,6 +125,25 @@
 	// form in which no failure can be told.
 	begun  bool
 	opaque bool
+	// bodyRead says that nothing of the body is left on the connection.
+	bodyRead bool
+}
+
+// writeMargin is how long after its deadline a request's answer may still be
+// written: the failure that says so has to go out.
+const writeMargin = time.Second
+
+// serve notes the work that the exchange is about. Its caller may stop reading
+// without closing the connection. The writes then block, and would hold an
+// engine's stream or a service's connection, and a planned stop with them, for
+// as long as the caller likes; they fail at the deadline instead.
+func (exchange *exchange) serve(work *decide.Work) {
+	exchange.work = work
+	exchange.writeUntil(work.Deadline.Add(writeMargin))
+}
+
+func (exchange *exchange) writeUntil(limit time.Time) {
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(limit)
 }
 
 // handle wraps a handler with what all share: an id, the customer, the final
@@ -132,11 +153,21 @@
 		server.active.Add(1)
 		defer server.active.Add(-1)
 		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrived: time.Now()}
+		exchange.bodyRead = request.ContentLength == 0
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
+		if server.Stopping() {
+			// Connections in use would be closed under their callers when the notice
+			// is over, with a request on the way to them perhaps lost; one that closes
+			// with its answer has its caller connect anew, to another instance.
+			writer.Header().Set("Connection", "close")
+		}
 		result := server.authenticate(exchange)
 		if server.MaxActive > 0 && server.Active() > int64(server.MaxActive) {
 			result = &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies, Detail: "too many requests at a time"}
 		}
+		if server.MaxHeaderBytes > 0 && headerBytes(request) > server.MaxHeaderBytes {
+			result = &peridotpath.Result{Code: peridotpath.CodeHeaderTooLarge}
+		}
 		if result == nil {
 			result = serve(exchange)
 		}
@@ -144,6 +175,25 @@
 	}
 }
 
+// headerBytes returns about how many bytes the headers took.
+func headerBytes(request *http.Request) peridotpath.Bytes {
+	const separators = len(": \r\n")
+	size := len(request.RequestURI)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return peridotpath.Bytes(size)
+}
+
+// NotFound answers what nothing is served under.
+func (server *Server) NotFound() http.Handler {
+	return server.handle(func(*exchange) *peridotpath.Result {
+		return &peridotpath.Result{Code: peridotpath.CodeNotFound}
+	})
+}
+
 const maxRequestID = 128
 
 // requestID keeps the caller's own id where it has a sane one. Nothing is
