--- a/peridotd/operate.go
+++ b/peridotd/operate.go
@@ -50,24 +50,37 @@
 	instances := slices.DeleteFunc(slices.Clone(side.listed()), func(instance peridotpath.Instance) bool {
 		return instance.State != peridotpath.StateLive
 	})
-	answers := make([]*pb.InstanceRevision, len(instances))
+	return askAll(instances, func(instance peridotpath.Instance) *pb.InstanceRevision {
+		return askApplied(ctx, instance, document)
+	}), nil
+}
+
+// askAll asks the instances, some at a time, and returns their answers in the
+// order of the instances.
+func askAll[T any](instances []peridotpath.Instance, ask func(peridotpath.Instance) T) []T {
+	answers := make([]T, len(instances))
 	var group errgroup.Group
 	group.SetLimit(asksAtOnce)
 	for i, instance := range instances {
 		group.Go(func() error {
-			answers[i] = askApplied(ctx, instance, document)
+			answers[i] = ask(instance)
 			return nil
 		})
 	}
-	return answers, group.Wait()
+	_ = group.Wait()
+	return answers
+}
+
+// operatorClient speaks to another instance as an operator does.
+func operatorClient(instance peridotpath.Instance) pb.Operator {
+	return pb.NewOperatorProtobufClient("http://"+instance.Peer.String(), outbound.Doer{})
 }
 
 func askApplied(ctx context.Context, instance peridotpath.Instance, document config.DocumentName) *pb.InstanceRevision {
 	answer := &pb.InstanceRevision{Instance: string(instance.ID), DataCentre: string(instance.DataCentre)}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	client := pb.NewOperatorProtobufClient("http://"+instance.Peer.String(), outbound.Doer{})
-	response, err := client.Applied(ctx, &pb.AppliedRequest{Document: string(document), Local: true})
+	response, err := operatorClient(instance).Applied(ctx, &pb.AppliedRequest{Document: string(document), Local: true})
 	switch {
 	case err != nil:
 		answer.Error = err.Error()
@@ -100,17 +113,9 @@
 }
 
 func (side *operatorSide) instances(ctx context.Context) ([]*pb.Instance, error) {
-	instances := side.listed()
-	answers := make([]*pb.Instance, len(instances))
-	var group errgroup.Group
-	group.SetLimit(asksAtOnce)
-	for i, instance := range instances {
-		group.Go(func() error {
-			answers[i] = side.askInstance(ctx, instance)
-			return nil
-		})
-	}
-	return answers, group.Wait()
+	return askAll(side.listed(), func(instance peridotpath.Instance) *pb.Instance {
+		return side.askInstance(ctx, instance)
+	}), nil
 }
 
 func (side *operatorSide) askInstance(ctx context.Context, instance peridotpath.Instance) *pb.Instance {
@@ -123,8 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	client := pb.NewOperatorProtobufClient("http://"+instance.Peer.String(), outbound.Doer{})
-	status, err := client.Status(ctx, &pb.StatusRequest{})
+	status, err := operatorClient(instance).Status(ctx, &pb.StatusRequest{})
 	if err != nil {
 		answer.Error = err.Error()
 		return answer
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -226,45 +225,3 @@
 	exchange.serve(work)
 	return server.Continue(exchange.request.Context(), work, endpoint, stream.ID, after, server.sink(exchange, work))
 }
-
-// sink writes the answer to the caller.
-func (server *Server) sink(exchange *exchange, work *decide.Work) *dispatch.Sink {
-	var token string
-	var buffer []byte
-	controller := http.NewResponseController(exchange.writer)
-	start := func(_ http.Header, endpoint peridotpath.EndpointID, stream string) {
-		exchange.begun = true
-		exchange.writer.Header().Set(HeaderEndpoint, string(endpoint))
-		if stream != "" {
-			token = server.Signer.Token(work.Customer.ID, cursor.Stream{
-				Endpoint: endpoint, ID: stream, Profile: work.Profile.Name, DeadlineMS: work.Deadline.UnixMilli(),
-			})
-		}
-	}
-	event := func(offset int64, data []byte) error {
-		if len(buffer) == 0 {
-			header := exchange.writer.Header()
-			header.Set("Content-Type", "text/event-stream")
-			header.Set("Cache-Control", "no-cache")
-		}
-		buffer = buffer[:0]
-		if token != "" {
-			buffer = append(buffer, "id: "...)
-			buffer = cursor.At(buffer, token, offset)
-			buffer = append(buffer, '\n')
-		}
-		buffer = append(buffer, "data: "...)
-		buffer = append(buffer, data...)
-		buffer = append(buffer, "\n\n"...)
-		if _, err := exchange.writer.Write(buffer); err != nil {
-			return err
-		}
-		return controller.Flush()
-	}
-	whole := func(body []byte) error {
-		exchange.writer.Header().Set("Content-Type", "application/json")
-		_, err := exchange.writer.Write(body)
-		return err
-	}
-	return &dispatch.Sink{Start: start, Event: event, Whole: whole}
-}
--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -13,9 +13,11 @@
 )
 
 type (
-	// Call is the body of every call of the service's HTTP form. The stand-in
-	// speaks the same form; where the users' service speaks another, this file
-	// is what changes.
+	// Call is the body of every call of the service's HTTP form, with the fields
+	// that the call needs. Key is the prefix for a listing and a watch; Delete
+	// tells a swap that deletes from one that writes an empty value. The
+	// stand-in speaks the same form; where the users' service speaks another,
+	// this file is what changes.
 	Call struct {
 		Key    string  `json:"key,omitempty"`
 		Expect Version `json:"expect,omitempty"`
@@ -26,7 +28,8 @@
 		WaitMS int64   `json:"wait_ms,omitempty"`
 		TTLMS  int64   `json:"ttl_ms,omitempty"`
 	}
-	// Reply is the body of every answer.
+	// Reply is the body of every answer: the fields that the call gives, or the
+	// Error that goes with a status other than 200.
 	Reply struct {
 		Entry   Entry   `json:"entry"`
 		Entries []Entry `json:"entries,omitempty"`
@@ -39,9 +42,22 @@
 // PathPrefix comes before a call's name in the service's HTTP form.
 const PathPrefix = "/kv/"
 
+// The calls, by the name that comes after PathPrefix.
 const (
+	CallGet     = "get"
+	CallList    = "list"
+	CallSwap    = "swap"
+	CallGrant   = "grant"
+	CallRenew   = "renew"
+	CallRelease = "release"
+	CallWatch   = "watch"
+)
+
+const (
+	// callTimeout bounds one call; a watch has it on top of its own wait.
 	callTimeout = 3 * time.Second
-	maxReply    = 64 << 20
+	// maxReply bounds one answer, in bytes: a listing of some sixty full values.
+	maxReply = 64 << 20
 )
 
 // Connect returns a Store that speaks to the service at address.
@@ -57,28 +73,28 @@
 type client struct{ base string }
 
 func (client *client) get(ctx context.Context, key string) (Entry, error) {
-	reply, err := client.call(ctx, "get", Call{Key: key}, callTimeout)
+	reply, err := client.call(ctx, CallGet, Call{Key: key}, callTimeout)
 	return reply.Entry, err
 }
 
 func (client *client) list(ctx context.Context, prefix string) ([]Entry, Version, error) {
-	reply, err := client.call(ctx, "list", Call{Key: prefix}, callTimeout)
+	reply, err := client.call(ctx, CallList, Call{Key: prefix}, callTimeout)
 	return reply.Entries, reply.Version, err
 }
 
 func (client *client) swap(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error) {
 	call := Call{Key: key, Expect: expect, Value: value, Delete: value == nil, Lease: lease}
-	reply, err := client.call(ctx, "swap", call, callTimeout)
+	reply, err := client.call(ctx, CallSwap, call, callTimeout)
 	if err == nil && reply.Version == 0 {
-		return 0, noNumber("swap")
+		return 0, noNumber(CallSwap)
 	}
 	return reply.Version, err
 }
 
 func (client *client) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	reply, err := client.call(ctx, "grant", Call{TTLMS: ttl.Milliseconds()}, callTimeout)
+	reply, err := client.call(ctx, CallGrant, Call{TTLMS: ttl.Milliseconds()}, callTimeout)
 	if err == nil && reply.Lease == 0 {
-		return 0, noNumber("grant")
+		return 0, noNumber(CallGrant)
 	}
 	return reply.Lease, err
 }
@@ -91,18 +107,18 @@
 }
 
 func (client *client) renew(ctx context.Context, lease LeaseID) error {
-	_, err := client.call(ctx, "renew", Call{Lease: lease}, callTimeout)
+	_, err := client.call(ctx, CallRenew, Call{Lease: lease}, callTimeout)
 	return err
 }
 
 func (client *client) release(ctx context.Context, lease LeaseID) error {
-	_, err := client.call(ctx, "release", Call{Lease: lease}, callTimeout)
+	_, err := client.call(ctx, CallRelease, Call{Lease: lease}, callTimeout)
 	return err
 }
 
 func (client *client) watch(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Entry, Version, error) {
 	call := Call{Key: prefix, After: after, WaitMS: wait.Milliseconds()}
-	reply, err := client.call(ctx, "watch", call, wait+callTimeout)
+	reply, err := client.call(ctx, CallWatch, call, wait+callTimeout)
 	return reply.Entries, reply.Version, err
 }
 
--- a/peridotpath/keyvalue/memory/link.go
+++ b/peridotpath/keyvalue/memory/link.go
@@ -51,33 +51,33 @@
 func (link *Link) Store(memory *Memory) *keyvalue.Store {
 	return &keyvalue.Store{
 		Get: func(ctx context.Context, key string) (keyvalue.Entry, error) {
-			return through(ctx, link, "get", func(ctx context.Context) (keyvalue.Entry, error) {
+			return through(ctx, link, keyvalue.CallGet, func(ctx context.Context) (keyvalue.Entry, error) {
 				return memory.get(ctx, key)
 			})
 		},
 		List: func(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Version, error) {
-			return listing(ctx, link, "list", func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Version, error) {
+			return listing(ctx, link, keyvalue.CallList, func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Version, error) {
 				return memory.list(ctx, prefix)
 			})
 		},
 		Swap: func(ctx context.Context, key string, expect keyvalue.Version, value []byte, lease keyvalue.LeaseID) (keyvalue.Version, error) {
-			return through(ctx, link, "swap", func(ctx context.Context) (keyvalue.Version, error) {
+			return through(ctx, link, keyvalue.CallSwap, func(ctx context.Context) (keyvalue.Version, error) {
 				return memory.swap(ctx, key, expect, value, lease)
 			})
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
-			return through(ctx, link, "grant", func(ctx context.Context) (keyvalue.LeaseID, error) {
+			return through(ctx, link, keyvalue.CallGrant, func(ctx context.Context) (keyvalue.LeaseID, error) {
 				return memory.grant(ctx, ttl)
 			})
 		},
 		Renew: func(ctx context.Context, lease keyvalue.LeaseID) error {
-			return plain(ctx, link, "renew", func(ctx context.Context) error { return memory.renew(ctx, lease) })
+			return plain(ctx, link, keyvalue.CallRenew, func(ctx context.Context) error { return memory.renew(ctx, lease) })
 		},
 		Release: func(ctx context.Context, lease keyvalue.LeaseID) error {
-			return plain(ctx, link, "release", func(ctx context.Context) error { return memory.release(ctx, lease) })
+			return plain(ctx, link, keyvalue.CallRelease, func(ctx context.Context) error { return memory.release(ctx, lease) })
 		},
 		Watch: func(ctx context.Context, prefix string, after keyvalue.Version, wait time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
-			return listing(ctx, link, "watch", func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Version, error) {
+			return listing(ctx, link, keyvalue.CallWatch, func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Version, error) {
 				return memory.watch(ctx, prefix, after, wait)
 			})
 		},
@@ -112,7 +112,9 @@
 	_, _ = call(context.Background())
 }
 
-func isWrite(call string) bool { return call != "get" && call != "list" && call != "watch" }
+func isWrite(call string) bool {
+	return call != keyvalue.CallGet && call != keyvalue.CallList && call != keyvalue.CallWatch
+}
 
 func plain(ctx context.Context, link *Link, name string, call func(context.Context) error) error {
 	_, err := through(ctx, link, name, func(ctx context.Context) (struct{}, error) { return struct{}{}, call(ctx) })
--- a/peridotpath/keyvalue/memory/memory.go
+++ b/peridotpath/keyvalue/memory/memory.go
@@ -3,8 +3,10 @@
 package memory
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,11 +52,7 @@
 func (memory *Memory) Calls() map[string]int {
 	memory.mu.Lock()
 	defer memory.mu.Unlock()
-	counts := make(map[string]int, len(memory.calls))
-	for name, count := range memory.calls {
-		counts[name] = count
-	}
-	return counts
+	return maps.Clone(memory.calls)
 }
 
 // begin locks, counts the call and drops lapsed leases.
@@ -120,25 +118,25 @@
 }
 
 func (memory *Memory) get(ctx context.Context, key string) (keyvalue.Entry, error) {
-	if err := memory.begin(ctx, "get", key); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallGet, key); err != nil {
 		return keyvalue.Entry{}, err
 	}
 	entry := memory.entries[key]
 	memory.mu.Unlock()
-	if err := memory.fault(ctx, "get", key, true); err != nil {
+	if err := memory.fault(ctx, keyvalue.CallGet, key, true); err != nil {
 		return keyvalue.Entry{}, err
 	}
 	return entry, nil
 }
 
 func (memory *Memory) list(ctx context.Context, prefix string) ([]keyvalue.Entry, keyvalue.Version, error) {
-	if err := memory.begin(ctx, "list", prefix); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallList, prefix); err != nil {
 		return nil, 0, err
 	}
 	entries := above(memory.entries, prefix, 0)
 	version := memory.version
 	memory.mu.Unlock()
-	if err := memory.fault(ctx, "list", prefix, true); err != nil {
+	if err := memory.fault(ctx, keyvalue.CallList, prefix, true); err != nil {
 		return nil, 0, err
 	}
 	return entries, version, nil
@@ -151,12 +149,12 @@
 			entries = append(entries, entry)
 		}
 	}
-	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	slices.SortFunc(entries, func(a, b keyvalue.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	return entries
 }
 
 func (memory *Memory) swap(ctx context.Context, key string, expect keyvalue.Version, value []byte, id keyvalue.LeaseID) (keyvalue.Version, error) {
-	if err := memory.begin(ctx, "swap", key); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallSwap, key); err != nil {
 		return 0, err
 	}
 	version, err := memory.swapLocked(key, expect, value, id)
@@ -164,7 +162,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := memory.fault(ctx, "swap", key, true); err != nil {
+	if err := memory.fault(ctx, keyvalue.CallSwap, key, true); err != nil {
 		return 0, err
 	}
 	return version, nil
@@ -192,18 +190,18 @@
 }
 
 func (memory *Memory) grant(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
-	if err := memory.begin(ctx, "grant", ""); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallGrant, ""); err != nil {
 		return 0, err
 	}
 	memory.nextID++
 	id := memory.nextID
 	memory.leases[id] = &lease{ttl: ttl, expires: memory.now().Add(ttl)}
 	memory.mu.Unlock()
-	return id, memory.fault(ctx, "grant", "", true)
+	return id, memory.fault(ctx, keyvalue.CallGrant, "", true)
 }
 
 func (memory *Memory) renew(ctx context.Context, id keyvalue.LeaseID) error {
-	if err := memory.begin(ctx, "renew", ""); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallRenew, ""); err != nil {
 		return err
 	}
 	held := memory.leases[id]
@@ -214,20 +212,20 @@
 	if held == nil {
 		return keyvalue.ErrLeaseGone.New("lease %d", id)
 	}
-	return memory.fault(ctx, "renew", "", true)
+	return memory.fault(ctx, keyvalue.CallRenew, "", true)
 }
 
 func (memory *Memory) release(ctx context.Context, id keyvalue.LeaseID) error {
-	if err := memory.begin(ctx, "release", ""); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallRelease, ""); err != nil {
 		return err
 	}
 	memory.dropLease(id)
 	memory.mu.Unlock()
-	return memory.fault(ctx, "release", "", true)
+	return memory.fault(ctx, keyvalue.CallRelease, "", true)
 }
 
 func (memory *Memory) watch(ctx context.Context, prefix string, after keyvalue.Version, wait time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
-	if err := memory.begin(ctx, "watch", prefix); err != nil {
+	if err := memory.begin(ctx, keyvalue.CallWatch, prefix); err != nil {
 		return nil, 0, err
 	}
 	ctxWait, cancel := context.WithTimeout(ctx, wait)
@@ -237,23 +235,26 @@
 		version, changed, lapse := memory.version, memory.changed, memory.nextLapse()
 		memory.mu.Unlock()
 		if len(entries) > 0 {
-			return entries, version, memory.fault(ctx, "watch", prefix, true)
+			return entries, version, memory.fault(ctx, keyvalue.CallWatch, prefix, true)
 		}
 		if !waitForChange(ctxWait, changed, lapse) {
 			if ctx.Err() != nil {
 				return nil, after, keyvalue.ErrUnavailable.Wrap(ctx.Err())
 			}
-			return nil, version, memory.fault(ctx, "watch", prefix, true)
+			return nil, version, memory.fault(ctx, keyvalue.CallWatch, prefix, true)
 		}
 		memory.mu.Lock()
 		memory.expire()
 	}
 }
 
+// noLapse is how long a watch waits at a time while there is no lease.
+const noLapse = 24 * time.Hour
+
 // nextLapse returns how long it is until a lease lapses unless it is renewed;
-// a day when there is none. A lapse deletes entries, which watches report.
+// noLapse when there is none. A lapse deletes entries, which watches report.
 func (memory *Memory) nextLapse() time.Duration {
-	next := 24 * time.Hour
+	next := noLapse
 	for _, held := range memory.leases {
 		next = min(next, held.expires.Sub(memory.now()))
 	}
--- a/peridotpath/keyvalue/memory/serve.go
+++ b/peridotpath/keyvalue/memory/serve.go
@@ -23,11 +23,11 @@
 func (memory *Memory) serve(request *http.Request, name string, call keyvalue.Call) (answer keyvalue.Reply, err error) {
 	ctx := request.Context()
 	switch name {
-	case "get":
+	case keyvalue.CallGet:
 		answer.Entry, err = memory.get(ctx, call.Key)
-	case "list":
+	case keyvalue.CallList:
 		answer.Entries, answer.Version, err = memory.list(ctx, call.Key)
-	case "swap":
+	case keyvalue.CallSwap:
 		value := call.Value
 		if call.Delete {
 			value = nil
@@ -35,13 +35,13 @@
 			value = []byte{}
 		}
 		answer.Version, err = memory.swap(ctx, call.Key, call.Expect, value, call.Lease)
-	case "grant":
+	case keyvalue.CallGrant:
 		answer.Lease, err = memory.grant(ctx, time.Duration(call.TTLMS)*time.Millisecond)
-	case "renew":
+	case keyvalue.CallRenew:
 		err = memory.renew(ctx, call.Lease)
-	case "release":
+	case keyvalue.CallRelease:
 		err = memory.release(ctx, call.Lease)
-	case "watch":
+	case keyvalue.CallWatch:
 		wait := time.Duration(call.WaitMS) * time.Millisecond
 		answer.Entries, answer.Version, err = memory.watch(ctx, call.Key, call.After, wait)
 	default:
--- a/peridotpath/keyvalue/store.go
+++ b/peridotpath/keyvalue/store.go
@@ -14,8 +14,9 @@
 // with each write to any key. Zero stands for "no such key".
 type Version uint64
 
-// LeaseID names a lease; zero stands for none. Lease ids are handed out in
-// growing order, so they serve as fencing numbers.
+// LeaseID names a lease; zero stands for none. It is no fencing number: a lease
+// that was granted early may take its key after a later one has come and gone.
+// The Version of the write that took the key is one.
 type LeaseID uint64
 
 // Entry is one key with its value.
--- a/peridotpath/order/plan.go
+++ b/peridotpath/order/plan.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -83,13 +84,7 @@
 }
 
 func (planner *planner) longestFirst(a, b peridotpath.EndpointID) int {
-	if order := planner.wrong[a].Compare(planner.wrong[b]); order != 0 {
-		return order
-	}
-	if a < b {
-		return -1
-	}
-	return 1
+	return cmp.Or(planner.wrong[a].Compare(planner.wrong[b]), cmp.Compare(a, b))
 }
 
 // turn takes a turn at the weight store if there is one.
--- a/peridotpath/order/state.go
+++ b/peridotpath/order/state.go
@@ -23,8 +23,8 @@
 // store is at its rate limit.
 var ErrBusy = errs.Class("order: weight store busy")
 
-// Role is the part that an engine plays, such as "whole", or the name and place
-// of the group that it belongs to.
+// Role is the part that an engine plays, in the form of engine.Role; this
+// package only compares roles.
 type Role string
 
 // State is what an engine is, or is to be.
--- a/peridotpath/shift/role.go
+++ b/peridotpath/shift/role.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/order"
 )
 
@@ -17,17 +18,17 @@
 
 const (
 	// serve: the engine takes any prompt that fits. The empty role means it too.
-	serve duty = "serve"
+	serve = duty(engine.RoleServe)
 	// drain: the engine finishes what it runs and takes nothing new, on its way
 	// into the group of the leader named.
-	drain duty = "drain"
+	drain = duty(engine.RoleDrain)
 	// member: the engine keeps its memory for the group of the leader named.
-	member duty = "member"
+	member = duty(engine.RoleMember)
 	// lead: the engine serves prompts with the memory of the members named.
-	lead duty = "lead"
+	lead = duty(engine.RoleLead)
 	// closing: the leader finishes what its group runs and takes nothing new,
 	// before the group is dissolved.
-	closing duty = "close"
+	closing = duty(engine.RoleClose)
 )
 
 // role is a role taken apart. Its text form, which engines are ordered by, is
@@ -40,12 +41,12 @@
 }
 
 func parseRole(text order.Role) role {
-	name, rest, _ := strings.Cut(string(text), "/")
-	if name == "" {
+	first, ids := engine.Role(text).Split()
+	if first == "" {
 		return role{duty: serve}
 	}
-	parsed := role{duty: duty(name)}
-	for _, id := range strings.Split(rest, ",") {
+	parsed := role{duty: duty(first)}
+	for _, id := range ids {
 		if id != "" {
 			parsed.of = append(parsed.of, peridotpath.EndpointID(id))
 		}
