clock.Jitter for three random parts; share, outbound and peridotd read easier

Divide summed up the peers and set the shares in one function. peridotd looked up a drain in two places.

Change: clock.Jitter, with a test; fleet's intervals are now the stretched one on the mean. share's sumOf.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -30,7 +30,8 @@
 const (
 	// resumeWindow is how long a stream without a reader is kept for its caller.
 	resumeWindow = 10 * time.Second
-	bodyTimeout  = 10 * time.Second
+	// bodyTimeout bounds the time between two pieces of a caller's body.
+	bodyTimeout = 10 * time.Second
 )
 
 // daemon is one instance: its parts, joined.
@@ -133,6 +134,16 @@
 	return nil
 }
 
+// drained reports whether operators took the endpoint out of placement.
+func (daemon *daemon) drained(id peridotpath.EndpointID) bool {
+	snapshot := daemon.config.Current()
+	if snapshot == nil {
+		return false
+	}
+	_, drained := snapshot.Drains[id]
+	return drained
+}
+
 // task is one background task of the daemon.
 type task struct {
 	name string
--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -63,14 +63,7 @@
 	}
 	side.view = &fleet.View{
 		Log: daemon.log, Publish: daemon.scheduler.SetEndpoints, Load: daemon.scheduler.Report,
-		Drained: func(id peridotpath.EndpointID) bool {
-			snapshot := daemon.config.Current()
-			if snapshot == nil {
-				return false
-			}
-			_, drained := snapshot.Drains[id]
-			return drained
-		},
+		Drained: daemon.drained,
 	}
 }
 
--- a/peridotd/operate.go
+++ b/peridotd/operate.go
@@ -145,14 +145,9 @@
 		ConfigAgeMs: time.Since(daemon.config.Contact()).Milliseconds(),
 		Running:     int32(daemon.callers.Active()), Waiting: int32(daemon.scheduler.Waiting()),
 	}
-	snapshot := daemon.config.Current()
 	for _, state := range daemon.scheduler.Endpoints() {
-		drained := false
-		if snapshot != nil {
-			_, drained = snapshot.Drains[state.Endpoint.ID]
-		}
 		switch {
-		case drained:
+		case daemon.drained(state.Endpoint.ID):
 			response.EndpointsDrained++
 		case state.Endpoint.State == peridotpath.StateLive:
 			response.EndpointsLive++
--- a/peridotpath/clock/clock.go
+++ b/peridotpath/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock measures spans for what may only be done for a while: claims
-// and leases.
+// Package clock measures spans for what may only be done for a while, such as
+// claims and leases, and waits.
 package clock
 
 import (
@@ -46,6 +46,13 @@
 	return max(later.Monotonic.Sub(instant.Monotonic), later.Wall.Sub(instant.Wall))
 }
 
+// Jitter returns the span with up to a tenth taken off or added, by a random
+// number from 0 to 1. It keeps apart what instances that started at the same
+// moment do at each interval.
+func Jitter(span time.Duration, random float64) time.Duration {
+	return span*9/10 + time.Duration(random*float64(span/5))
+}
+
 // Pause waits for the span; it returns false when ctx ended first. A span that
 // is over already needs no timer; the race detector of Go 1.26 crashes on one
 // in virtual time.
--- a/peridotpath/clock/clock_test.go
+++ b/peridotpath/clock/clock_test.go
@@ -9,6 +9,13 @@
 	"peridotpath.example/peridotpath/clock"
 )
 
+func TestJitterStaysWithinATenth(t *testing.T) {
+	is := is.New(t)
+	is.Equal(clock.Jitter(time.Second, 0), 900*time.Millisecond)
+	is.Equal(clock.Jitter(time.Second, 0.5), time.Second)
+	is.Equal(clock.Jitter(time.Second, 1), 1100*time.Millisecond)
+}
+
 func TestElapsedTakesTheClockThatWentFurther(t *testing.T) {
 	base := time.Unix(1_000_000, 0)
 	tests := map[string]struct {
--- a/peridotpath/fleet/poller.go
+++ b/peridotpath/fleet/poller.go
@@ -72,8 +72,7 @@
 	for {
 		owned := poller.round(ctx, &group)
 		// The random part keeps instances that started together apart.
-		wait := poller.interval(owned)*9/10 + time.Duration(poller.Random()*float64(poller.Interval/5))
-		if !clock.Pause(ctx, wait) {
+		if !clock.Pause(ctx, clock.Jitter(poller.interval(owned), poller.Random())) {
 			return ctx.Err()
 		}
 	}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -24,11 +24,18 @@
 )
 
 const (
-	dialTimeout        = 2 * time.Second
-	keepAlive          = 15 * time.Second
-	idleConnections    = 256
-	idlePerEndpoint    = 64
-	idleTimeout        = 90 * time.Second
+	// dialTimeout bounds the making of a connection; a request that found none
+	// did not run and goes elsewhere.
+	dialTimeout = 2 * time.Second
+	// keepAlive is the interval of TCP's probes, by which a connection to a
+	// machine that is gone ends though nothing is sent on it.
+	keepAlive = 15 * time.Second
+	// idleConnections and idlePerEndpoint bound the connections kept for reuse,
+	// and idleTimeout how long each is kept.
+	idleConnections = 256
+	idlePerEndpoint = 64
+	idleTimeout     = 90 * time.Second
+	// maxResponseHeaders bounds an answer's headers, in bytes.
 	maxResponseHeaders = 64 << 10
 )
 
--- a/peridotpath/peer/exchange.go
+++ b/peridotpath/peer/exchange.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/digest"
 	"peridotpath.example/peridotpath/peer/wire"
 	"peridotpath.example/peridotpath/share"
@@ -47,6 +48,9 @@
 	callTimeout = time.Second
 	// backoffLimit bounds the time between two tries of a silent peer.
 	backoffLimit = 10 * time.Second
+	// maxDoublings keeps the backoff's shift from overflowing; backoffLimit is
+	// reached long before.
+	maxDoublings = 8
 	// silentRounds is after how many intervals without a word the side that
 	// normally waits for a pair's exchange begins one itself.
 	silentRounds = 3
@@ -267,7 +271,7 @@
 	wait := exchanger.Interval
 	if err != nil {
 		remote.failures++
-		wait = min(wait<<min(remote.failures, 8), backoffLimit)
+		wait = min(wait<<min(remote.failures, maxDoublings), backoffLimit)
 		countFailure(err)
 		if remote.failures == 1 {
 			exchanger.Log.Warn().Str("event", "exchange_failed").Str("instance", string(peer.ID)).Err(err).Send()
@@ -275,7 +279,7 @@
 	} else {
 		remote.failures = 0
 	}
-	remote.next = now.Add(wait*9/10 + time.Duration(exchanger.Random()*float64(wait/5)))
+	remote.next = now.Add(clock.Jitter(wait, exchanger.Random()))
 }
 
 // Answer takes a peer's digest and returns the one for it. It also serves
--- a/peridotpath/share/share.go
+++ b/peridotpath/share/share.go
@@ -85,12 +85,12 @@
 type customer struct {
 	limit   atomic.Int64 // requests per second over all instances
 	gap     atomic.Int64 // nanoseconds between two requests of this instance
-	next    atomic.Int64 // when the next request is due at an even pace
-	offered atomic.Int64 // since the last computation
-	last    atomic.Int64 // the last request
+	next    atomic.Int64 // when the next request is due at an even pace, Unix nanoseconds
+	offered atomic.Int64 // requests since the last computation
+	last    atomic.Int64 // when the last request came, Unix nanoseconds
 
 	// Run only.
-	demand    float64
+	demand    float64                // requests per second
 	history   [historyLength]float64 // demand by computation, a ring
 	published bool
 }
@@ -162,24 +162,10 @@
 
 // Divide computes the shares, elapsed after it did so last.
 func (limiter *Limiter) Divide(now time.Time, elapsed time.Duration) {
-	heard, silent, oldest := 0, 0, now
-	demand := map[peridotpath.CustomerID]float64{}
-	for _, peer := range limiter.Peers() {
-		if now.Sub(peer.Heard) > SilentAfter {
-			silent++
-			continue
-		}
-		heard++
-		if peer.Heard.Before(oldest) {
-			oldest = peer.Heard
-		}
-		for id, perSecond := range peer.Demand {
-			demand[id] += perSecond
-		}
-	}
-	limiter.instances.Store(int64(heard + silent + 1))
+	others := sumOf(limiter.Peers(), now)
+	limiter.instances.Store(int64(others.heard + others.silent + 1))
 	limiter.round++
-	back := min(int((now.Sub(oldest)+Interval-1)/Interval), historyLength-1)
+	back := min(int((now.Sub(others.oldest)+Interval-1)/Interval), historyLength-1)
 	published := map[peridotpath.CustomerID]bool{}
 	limiter.customers.Range(func(key, value any) bool {
 		id, customer := key.(peridotpath.CustomerID), value.(*customer)
@@ -192,12 +178,40 @@
 		known := customer.history[(limiter.round+historyLength-back)%historyLength]
 		equal := limiter.equal(customer.limit.Load())
 		published[id] = limiter.publish(id, customer, equal)
-		customer.setShare(now, shareOf(known, demand[id], equal, heard))
+		customer.setShare(now, shareOf(known, others.demand[id], equal, others.heard))
 		return true
 	})
 	limiter.Keep(func(id peridotpath.CustomerID) bool { return published[id] })
 }
 
+// others is what the other instances say together.
+type others struct {
+	// heard and silent count the instances.
+	heard, silent int
+	// oldest is when the one was heard that was heard longest ago.
+	oldest time.Time
+	// demand is in requests per second, over all that were heard.
+	demand map[peridotpath.CustomerID]float64
+}
+
+func sumOf(peers []Peer, now time.Time) others {
+	others := others{oldest: now, demand: map[peridotpath.CustomerID]float64{}}
+	for _, peer := range peers {
+		if now.Sub(peer.Heard) > SilentAfter {
+			others.silent++
+			continue
+		}
+		others.heard++
+		if peer.Heard.Before(others.oldest) {
+			others.oldest = peer.Heard
+		}
+		for id, perSecond := range peer.Demand {
+			others.demand[id] += perSecond
+		}
+	}
+	return others
+}
+
 // measure updates the demand, refused requests included: a share that followed
 // only what was admitted could never grow.
 func (customer *customer) measure(elapsed time.Duration) {
--- a/peridotpath/sweep/sweep.go
+++ b/peridotpath/sweep/sweep.go
@@ -39,7 +39,8 @@
 	// listLife bounds the time from a list to the last cancellation that is
 	// based on it. A stream could otherwise be resumed and detached again in
 	// between, and be cancelled though its caller has a whole window left.
-	listLife     = 500 * time.Millisecond
+	listLife = 500 * time.Millisecond
+	// sweepsAtOnce bounds the endpoints that are swept at a time.
 	sweepsAtOnce = 8
 )
 
@@ -77,8 +78,7 @@
 	for {
 		interval := sweeper.interval(sweeper.sweep(ctx))
 		// The random part keeps two that take themselves for the owner apart.
-		wait := interval*9/10 + time.Duration(random()*float64(interval/5))
-		if !clock.Pause(ctx, wait) {
+		if !clock.Pause(ctx, clock.Jitter(interval, random())) {
 			return ctx.Err()
 		}
 	}
