--- a/peridotpath/cursor/secret.go
+++ b/peridotpath/cursor/secret.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/keyvalue"
 )
 
@@ -32,10 +33,8 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		select {
-		case <-ctx.Done():
+		if !clock.Pause(ctx, secretRetry) {
 			return ctx.Err()
-		case <-time.After(secretRetry):
 		}
 	}
 }
--- a/peridotpath/sweep/sweep.go
+++ b/peridotpath/sweep/sweep.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/engine"
 )
 
@@ -38,7 +39,8 @@
 	// listLife bounds the time from a list to the last cancellation that is
 	// based on it. A stream could otherwise be resumed and detached again in
 	// between, and be cancelled though its caller has a whole window left.
-	listLife     = 500 * time.Millisecond
+	listLife = 500 * time.Millisecond
+	// sweepsAtOnce bounds the endpoints that are swept at a time.
 	sweepsAtOnce = 8
 )
 
@@ -76,11 +78,8 @@
 	for {
 		interval := sweeper.interval(sweeper.sweep(ctx))
 		// The random part keeps two that take themselves for the owner apart.
-		wait := interval*9/10 + time.Duration(random()*float64(interval/5))
-		select {
-		case <-ctx.Done():
+		if !clock.Pause(ctx, clock.Jitter(interval, random())) {
 			return ctx.Err()
-		case <-time.After(wait):
 		}
 	}
 }
