decide: an endpoint that hangs is ejected; engines get the placement's priority

Cause: attempts that were given up on said nothing of the endpoint, so one that takes connections and never answers kept its place. And the priority that a placement decides (customers within their share, work that has waited) never reached the engines, which got the profile's; prefixes were hashed at other lengths than the scheduler reckons with. Change: an attempt without a first token after ten times the predicted time, five seconds at least, counts as a failure; work that was never sent says nothing (outcome Unsent). The decision's priority goes out; prefixes from 4 KiB, doubling.

--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -171,11 +171,12 @@
 	return body, free, result
 }
 
-// Prefixes are hashed at these lengths in bytes, each four times the one before:
-// enough to see a shared dossier or volume, few enough to keep everywhere.
+// Prefixes are hashed at these lengths in bytes, each twice the one before, as
+// decide.Work.Prefixes has them in tokens. The bytes are those of the first
+// estimate: lengths that follow it would hash one text at changing places.
 const (
-	firstPrefix = 4 << 10
-	prefixStep  = 4
+	firstPrefix = int(startBytesPerToken) * int(decide.PrefixBlock)
+	prefixStep  = 2
 )
 
 func prefixes(text string) []uint64 {
--- a/peridotpath/decide/retry.go
+++ b/peridotpath/decide/retry.go
@@ -6,7 +6,8 @@
 	"peridotpath.example/peridotpath"
 )
 
-// judge takes the outcome of an attempt into the endpoint's health.
+// judge takes the outcome of an attempt, as the endpoint is to answer for it,
+// into the endpoint's health.
 func (scheduler *Scheduler) judge(at int64, service peridotpath.Service, placed *placement, outcome Outcome) {
 	health := &placed.member.health
 	if placed.probe {
@@ -16,7 +17,7 @@
 	case Finished:
 		health.succeeded()
 		return
-	case Abandoned:
+	case Abandoned, Unsent:
 		return
 	case Rejected, Unreached, Failed:
 	}
@@ -28,6 +29,24 @@
 	}
 }
 
+const (
+	// hungFactor times the predicted time without a first token counts as a
+	// failure. Slow endpoints and full ones are a few times late; ten times is
+	// what an endpoint shows that takes connections and does nothing.
+	hungFactor = 10
+	// hungLeast keeps out callers that left early, whatever was predicted.
+	hungLeast = 5 * time.Second
+)
+
+// hung reports an attempt that was given up on without a first token long after
+// one was due. An endpoint that hangs refuses nothing and fails nothing: it
+// would keep its place, and each of its callers would wait out a whole deadline.
+func hung(at int64, placed *placement) bool {
+	took := time.Duration(at - placed.at)
+	predicted := max(time.Duration(placed.predicted), leastPredicted)
+	return !placed.started && took >= max(hungFactor*predicted, hungLeast)
+}
+
 // mayEject reports whether one more endpoint of the service may be taken out.
 func (scheduler *Scheduler) mayEject(service peridotpath.Service) bool {
 	group := (*scheduler.groups.Load())[service]
@@ -62,7 +81,7 @@
 	switch {
 	case work.customer == nil || work.Attempts >= work.Profile.MaxAttempts:
 		return false
-	case work.outcome == Finished || work.outcome == Abandoned:
+	case work.outcome == Finished || work.outcome == Abandoned || work.outcome == Unsent:
 		return false
 	case work.outcome == Failed && !work.Profile.Idempotent:
 		return false
--- a/peridotpath/decide/retry_test.go
+++ b/peridotpath/decide/retry_test.go
@@ -149,3 +149,47 @@
 	is.True(late < 60) // an even share would be a hundred
 	is.True(late > 3)  // it is still tried now and then
 }
+
+// One endpoint takes connections and never answers. Its callers wait out their
+// deadlines; without a look at how long they waited it keeps its place, and a
+// part of all volunteers goes on waiting in vain. Callers that leave early, or
+// whose work never went out, say nothing against it.
+func TestHangingEndpointIsEjected(t *testing.T) {
+	cases := []struct {
+		name    string
+		waited  time.Duration
+		outcome Outcome
+		ejected bool
+	}{
+		{"callers wait out their deadlines", 15 * time.Second, Abandoned, true},
+		{"callers leave early", 2 * time.Second, Abandoned, false},
+		{"never sent", 15 * time.Second, Unsent, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			scheduler := schedulerOf(4)
+			now := epoch
+			for range 3 {
+				for _, endpoint := range []peridotpath.EndpointID{"endpoint-000", "endpoint-001", "endpoint-002", "endpoint-003"} {
+					scheduler.Report(now, endpoint, idle(now))
+				}
+				var held []*Work
+				for range 40 {
+					work := workOf(1_000)
+					work.Deadline = now.Add(time.Minute)
+					if scheduler.Submit(now, work).Endpoint.ID == "endpoint-000" {
+						held = append(held, work)
+						continue
+					}
+					scheduler.Done(now, work, Finished, 0)
+				}
+				now = now.Add(test.waited)
+				for _, work := range held {
+					scheduler.Done(now, work, test.outcome, 0)
+				}
+			}
+			is.Equal((*scheduler.members.Load())["endpoint-000"].health.out(), test.ejected)
+		})
+	}
+}
--- a/peridotpath/decide/scheduler.go
+++ b/peridotpath/decide/scheduler.go
@@ -337,11 +337,15 @@
 		// endpoints that answer too late for anybody.
 		scheduler.observe(at, placed)
 	}
+	charged := outcome
+	if outcome == Abandoned && hung(at, placed) {
+		charged = Failed
+	}
 	placed.member.end(at, placed)
-	scheduler.judge(at, work.Profile.Service, placed, outcome)
+	scheduler.judge(at, work.Profile.Service, placed, charged)
 	work.customer.active.Add(-1)
 	work.outcome = outcome
-	if outcome != Finished && outcome != Abandoned {
+	if outcome != Finished && outcome != Abandoned && outcome != Unsent {
 		work.avoid = append(work.avoid, work.Endpoint)
 	}
 	work.Endpoint = ""
--- a/peridotpath/decide/work.go
+++ b/peridotpath/decide/work.go
@@ -98,8 +98,11 @@
 	Unreached
 	// Failed: the attempt failed after the endpoint may have begun.
 	Failed
-	// Abandoned: the caller left or the time ran out; says nothing of the endpoint.
+	// Abandoned: the caller left or the time ran out. It says something of the
+	// endpoint only where the time was far beyond the prediction.
 	Abandoned
+	// Unsent: the work was not sent after all; says nothing of the endpoint.
+	Unsent
 )
 
 func (work *Work) avoids(id peridotpath.EndpointID) bool {
--- a/peridotpath/dispatch/plain.go
+++ b/peridotpath/dispatch/plain.go
@@ -19,8 +19,8 @@
 // whole answer, whatever its status, was delivered to writer. maySend is as in
 // Request; it may be nil.
 func (dispatcher *Dispatcher) DoPlain(ctx context.Context, work *decide.Work, call *service.Request, maySend func() error, writer http.ResponseWriter) *peridotpath.Result {
-	return dispatcher.run(ctx, work, maySend, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
-		return dispatcher.tryPlain(ctx, work, endpoint, call, writer)
+	return dispatcher.run(ctx, work, maySend, func(ctx context.Context, decision decide.Decision) attempt {
+		return dispatcher.tryPlain(ctx, work, decision.Endpoint, call, writer)
 	})
 }
 
--- a/peridotpath/dispatch/prompt.go
+++ b/peridotpath/dispatch/prompt.go
@@ -20,19 +20,19 @@
 // Do runs a prompt and returns nil when the whole answer was delivered. ctx
 // ends when the caller leaves.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request *Request, sink *Sink) *peridotpath.Result {
-	return dispatcher.run(ctx, request.Work, request.MaySend, func(ctx context.Context, endpoint peridotpath.Endpoint) attempt {
-		return dispatcher.try(ctx, request, endpoint, sink)
+	return dispatcher.run(ctx, request.Work, request.MaySend, func(ctx context.Context, decision decide.Decision) attempt {
+		return dispatcher.try(ctx, request, decision, sink)
 	})
 }
 
 // try sends the work to one endpoint and relays the answer.
-func (dispatcher *Dispatcher) try(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, sink *Sink) attempt {
-	work := request.Work
+func (dispatcher *Dispatcher) try(ctx context.Context, request *Request, decision decide.Decision, sink *Sink) attempt {
+	work, endpoint := request.Work, decision.Endpoint
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answer, err := dispatcher.Send(ctx, endpoint.Address, &engine.Request{
 		ID: work.ID, Path: request.Path, Body: request.Body,
-		Priority: work.Profile.Priority, Deadline: work.Deadline,
+		Priority: decision.Priority, Deadline: work.Deadline,
 	})
 	if err != nil {
 		return dispatcher.sendFailed(ctx, work, endpoint.ID, err)
--- a/peridotpath/dispatch/run.go
+++ b/peridotpath/dispatch/run.go
@@ -11,7 +11,7 @@
 )
 
 // run has the work placed, tries it there, and repeats it where that is safe.
-func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, maySend func() error, try func(context.Context, peridotpath.Endpoint) attempt) *peridotpath.Result {
+func (dispatcher *Dispatcher) run(ctx context.Context, work *decide.Work, maySend func() error, try func(context.Context, decide.Decision) attempt) *peridotpath.Result {
 	dispatcher.start()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
@@ -26,7 +26,7 @@
 		}
 		attempt := forbidden(maySend)
 		if attempt.result == nil {
-			attempt = try(ctx, decision.Endpoint)
+			attempt = try(ctx, decision)
 		}
 		dispatcher.done(work, attempt.outcome, attempt.tokens)
 		dispatcher.logAttempt(work, decision.Endpoint.ID, &attempt)
@@ -68,7 +68,7 @@
 	if !errors.As(err, &result) {
 		result = failure(peridotpath.CodePlatformDown, err.Error())
 	}
-	return attempt{outcome: decide.Abandoned, result: result}
+	return attempt{outcome: decide.Unsent, result: result}
 }
 
 // mayRepeat guards against running work twice. Work that certainly did not run
