soak: a seed that is given is the one that is tried; peridotd/shift in steps

Cause: Check's comment sends the reader of a failure to -rapid.seed, and Check then set a seed of its own over it: the failure could not be repeated. In peridotd, three functions went through the membership list for engines, and the start of a site also ran it.

Change: with -rapid.seed given, Check tries that seed alone. listed and runSite in peridotd/shift.go.

--- a/peridotd/shift.go
+++ b/peridotd/shift.go
@@ -128,13 +128,20 @@
 
 // engines returns the listed engines of a site.
 func (side *shiftSide) engines(site site) []peridotpath.Endpoint {
+	return side.listed(func(endpoint peridotpath.Endpoint) bool {
+		return endpoint.DataCentre == site.dataCentre && endpoint.Service == site.service
+	})
+}
+
+// listed returns the engines on the membership list for which keep says yes.
+func (side *shiftSide) listed(keep func(peridotpath.Endpoint) bool) []peridotpath.Endpoint {
 	list := side.daemon.fleet.follower.Current()
 	if list == nil {
 		return nil
 	}
 	var engines []peridotpath.Endpoint
 	for _, endpoint := range list.Endpoints {
-		if endpoint.Kind == peridotpath.KindEngine && endpoint.DataCentre == site.dataCentre && endpoint.Service == site.service {
+		if endpoint.Kind == peridotpath.KindEngine && keep(endpoint) {
 			engines = append(engines, endpoint)
 		}
 	}
@@ -172,29 +179,31 @@
 	keeping := &keeping{cancel: cancel, ended: make(chan struct{})}
 	go func() {
 		defer close(keeping.ended)
-		var holding, ordering errgroup.Group
-		holding.Go(func() error { return holder.Run(context.WithoutCancel(ctx)) })
-		ordering.Go(func() error { return reconciler.Run(ctx) })
-		ordering.Go(func() error { return keeper.Run(ctx) })
-		// The lease goes back only once no order is under way.
-		_ = ordering.Wait()
-		_ = holder.Close()
-		_ = holding.Wait()
+		runSite(ctx, holder, reconciler, keeper)
 	}()
 	return keeping
 }
 
+// runSite runs the parts of one site until ctx ends. The lease goes back only
+// once no order is under way.
+func runSite(ctx context.Context, holder *lease.Holder, reconciler *order.Reconciler, keeper *shift.Keeper) {
+	var holding, ordering errgroup.Group
+	holding.Go(func() error { return holder.Run(context.WithoutCancel(ctx)) })
+	ordering.Go(func() error { return reconciler.Run(ctx) })
+	ordering.Go(func() error { return keeper.Run(ctx) })
+	_ = ordering.Wait()
+	_ = holder.Close()
+	_ = holding.Wait()
+}
+
 // sites counts the live engines of a service by data centre.
 func (side *shiftSide) sites(service peridotpath.Service) []shift.Site {
-	list := side.daemon.fleet.follower.Current()
-	if list == nil {
-		return nil
-	}
+	live := side.listed(func(endpoint peridotpath.Endpoint) bool {
+		return endpoint.Service == service && endpoint.State == peridotpath.StateLive
+	})
 	counts := map[peridotpath.DataCentre]int{}
-	for _, endpoint := range list.Endpoints {
-		if endpoint.Kind == peridotpath.KindEngine && endpoint.Service == service && endpoint.State == peridotpath.StateLive {
-			counts[endpoint.DataCentre]++
-		}
+	for _, endpoint := range live {
+		counts[endpoint.DataCentre]++
 	}
 	var sites []shift.Site
 	for dataCentre, engines := range counts {
@@ -204,12 +213,7 @@
 }
 
 func (side *shiftSide) someIgnoreFencing(site site) bool {
-	for _, endpoint := range side.engines(site) {
-		if !endpoint.ChecksFencing {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(side.engines(site), func(engine peridotpath.Endpoint) bool { return !engine.ChecksFencing })
 }
 
 // longest returns the most tokens that a prompt with its answer may take.
--- a/peridotpath/internal/soak/soak.go
+++ b/peridotpath/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"flag"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,11 +20,21 @@
 // checksPerSeed is how many random cases a seed stands for.
 const checksPerSeed = 100
 
+// givenSeed is the -rapid.seed of the command line, read before the first Check
+// sets another; unset is rapid's value for none.
+var givenSeed = sync.OnceValue(func() string { return flag.Lookup("rapid.seed").Value.String() })
+
+const unset = "0"
+
 // Check tries the property with the seeds from 1 to seeds. In a long run it
 // starts from the present time and prints each seed, so that a failure can be
-// repeated with -rapid.seed.
+// repeated with -rapid.seed: given that, Check tries this seed alone.
 func Check(t *testing.T, seeds int, property func(*rapid.T)) {
 	t.Helper()
+	if givenSeed() != unset {
+		rapid.Check(t, property)
+		return
+	}
 	set(t, "rapid.checks", strconv.Itoa(checksPerSeed))
 	set(t, "rapid.nofailfile", "true")
 	span := os.Getenv(Env)
