engine: one poller of load reports

Cause: the poller in engine was used by one test only, since fleet's took over; the golden sessions ran beside another poller than the daemon does. Change: the sessions' instances read reports as the daemon does; the other is gone.

--- a/peridotpath/session/fleet_test.go
+++ b/peridotpath/session/fleet_test.go
@@ -22,9 +22,11 @@
 	"peridotpath.example/peridotpath/claim"
 	"peridotpath.example/peridotpath/cursor"
 	"peridotpath.example/peridotpath/decide"
+	"peridotpath.example/peridotpath/digest"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/engine/enginetest"
+	endpoints "peridotpath.example/peridotpath/fleet"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 	"peridotpath.example/peridotpath/service"
@@ -145,21 +147,22 @@
 		t.Fatal(err)
 	}
 	scheduler := &decide.Scheduler{Seed: uint64(len(fleet.instances))}
-	scheduler.SetEndpoints(time.Now(), fleet.endpoints)
 	engines := &engine.Client{Instance: id, Incarnation: 1, Do: fleet.network.Do}
 	services := &service.Client{Do: fleet.network.Do}
+	view := &endpoints.View{Log: logger, Publish: scheduler.SetEndpoints, Load: scheduler.Report}
+	view.SetMembers(time.Now(), fleet.endpoints)
+	poller := &endpoints.Poller{
+		View: view, Book: &digest.Book{Epoch: 1}, Load: engines.Load, Random: func() float64 { return 0.5 },
+		Owns: func(peridotpath.EndpointID) bool { return true },
+	}
 	dispatcher := &dispatch.Dispatcher{
 		Scheduler: scheduler, Log: logger, ResumeWindow: 10 * time.Second,
-		Send: engines.Send, Resume: engines.Resume, Cancel: engines.Cancel, SendPlain: services.Send,
+		Send: engines.Send, Resume: engines.Resume, Cancel: engines.Cancel, SendPlain: services.Send, Draining: view.Refused,
 	}
 	ledger := &claim.Ledger{
 		Store: fleet.platform.Store(), Instance: id, Incarnation: 1, Logger: logger, Metrics: metrics.NewSet(),
 		Alive: func(peridotpath.InstanceID, peridotpath.Incarnation) bool { return true },
 	}
-	poller := &engine.Poller{
-		Load: engines.Load, Interval: 500 * time.Millisecond, Report: scheduler.Report,
-		Endpoints: func() []peridotpath.Endpoint { return fleet.endpoints },
-	}
 	signer := &cursor.Signer{}
 	signer.SetSecret([]byte("the same at every instance"))
 	server := &caller.Server{
