peridotd: every site has instances that try for its lease

Cause: the candidates for the engines' leases were the configuration's readers. Since those are chosen over all data centres together, both can stand in one, and the engines of another had nobody: seen in the demo's fleet, where negombo-b's only instance is no reader. Change: two candidates a site by rendezvous hash, from its own data centre, or from all where it has no live instance.

--- a/peridotd/shift.go
+++ b/peridotd/shift.go
@@ -9,7 +9,9 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/lease"
+	"peridotpath.example/peridotpath/membership"
 	"peridotpath.example/peridotpath/order"
+	"peridotpath.example/peridotpath/ownership"
 	"peridotpath.example/peridotpath/shift"
 )
 
@@ -22,6 +24,9 @@
 	// candidacyInterval is how often an instance looks whether it should be a
 	// candidate for the leases.
 	candidacyInterval = 5 * time.Second
+	// candidatesAtOnce is how many instances try for one lease: the holder and
+	// one that takes over.
+	candidatesAtOnce = 2
 
 	// The lease's times bound how long the engines of a data centre go without
 	// decisions when the holder dies: its lease runs out, and where engines
@@ -59,11 +64,9 @@
 	}
 }
 
-// run keeps this instance a candidate for the leases of its data centre's
-// services, and of data centres without an instance, for as long as it is one
-// of its data centre's few readers. Every candidate's watch costs the platform,
-// so not all instances are candidates; which ones are is a hint only, the lease
-// decides.
+// run keeps this instance a candidate for the leases of the sites that it is to
+// try for. Every candidate's watch costs the platform, so a site has a few only;
+// which ones is a hint, the lease decides.
 func (side *shiftSide) run(ctx context.Context) error {
 	ticker := time.NewTicker(candidacyInterval)
 	defer ticker.Stop()
@@ -80,8 +83,8 @@
 
 func (side *shiftSide) look(ctx context.Context) {
 	var wanted []site
-	if side.daemon.fleet.isReader() {
-		wanted = side.sitesToKeep()
+	if list := side.daemon.fleet.follower.Current(); list != nil {
+		wanted = sitesToKeep(list, side.daemon.settings.InstanceID)
 	}
 	side.stop(wanted)
 	for _, site := range wanted {
@@ -102,28 +105,21 @@
 	}
 }
 
-// sitesToKeep returns the sites in this data centre, and those in data centres
-// that have no live instance: their engines would stay as they are for good.
-func (side *shiftSide) sitesToKeep() []site {
-	list := side.daemon.fleet.follower.Current()
-	if list == nil {
-		return nil
-	}
-	kept := map[peridotpath.DataCentre]bool{}
-	for _, instance := range list.Instances {
-		if instance.State == peridotpath.StateLive {
-			kept[instance.DataCentre] = true
-		}
-	}
-	var sites []site
+// sitesToKeep returns the sites whose leases the instance is to try for.
+func sitesToKeep(list *membership.List, self peridotpath.InstanceID) []site {
+	var seen, kept []site
 	for _, endpoint := range list.Endpoints {
 		next := site{endpoint.DataCentre, endpoint.Service}
-		ours := endpoint.DataCentre == side.daemon.settings.DataCentre || !kept[endpoint.DataCentre]
-		if endpoint.Kind == peridotpath.KindEngine && ours && !slices.Contains(sites, next) {
-			sites = append(sites, next)
+		if endpoint.Kind != peridotpath.KindEngine || slices.Contains(seen, next) {
+			continue
+		}
+		seen = append(seen, next)
+		candidates := ownership.Candidates(list.Instances, next.dataCentre, string(next.service), candidatesAtOnce)
+		if slices.ContainsFunc(candidates, func(instance peridotpath.Instance) bool { return instance.ID == self }) {
+			kept = append(kept, next)
 		}
 	}
-	return sites
+	return kept
 }
 
 // engines returns the listed engines of a site.
--- a/peridotpath/ownership/ownership.go
+++ b/peridotpath/ownership/ownership.go
@@ -100,6 +100,21 @@
 	return table
 }
 
+// kindLease is the kind of key of the engines' leases.
+const kindLease = "lease/"
+
+// Candidates returns the live instances, count at the most, that try for the
+// lease of that name in a data centre: its own, or where it has none any, since
+// its engines would stay as they are for good.
+func Candidates(instances []peridotpath.Instance, dataCentre peridotpath.DataCentre, name string, count int) []peridotpath.Instance {
+	live := candidates(dataCentre, instances)
+	if len(live) == 0 {
+		live = candidates("", instances)
+	}
+	table := &Table{live: live}
+	return table.highestFew(hashOf(kindLease, string(dataCentre)+"/"+name), count)
+}
+
 func candidates(dataCentre peridotpath.DataCentre, instances []peridotpath.Instance) []candidate {
 	var live []candidate
 	for _, instance := range instances {
