inbound: one listener for both sides, beside outbound

Cause: the listener that other instances and operators are served by was part of the package that speaks to callers; and each prompt copied the list of engines under a lock to learn the largest one's memory. Change: package inbound, moved with its tests; the largest engines are computed with each reading of the list and read by one atomic load. Conclusion: reads easier; the path takes one lock less.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -19,6 +19,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/dispatch"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/operator"
 	"peridotpath.example/peridotpath/peer"
@@ -49,8 +50,8 @@
 	shifts      *shiftSide
 	signer      *cursor.Signer
 	callers     *caller.Server
-	callerSide  *caller.Listener
-	peerSide    *caller.Listener
+	callerSide  *inbound.Listener
+	peerSide    *inbound.Listener
 }
 
 // newDaemon joins the parts; nothing runs yet.
@@ -93,7 +94,7 @@
 		MaxActive: limits.MaxConnections, MaxHeaderBytes: limits.MaxHeaderBytes,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
 	}
-	daemon.callerSide = &caller.Listener{
+	daemon.callerSide = &inbound.Listener{
 		Name: "callers", Address: daemon.settings.CallerAddress,
 		Routes: daemon.callers.Routes(), Prefix: caller.ServicePrefix, PrefixHandler: daemon.callers.Services(),
 		NotFound: daemon.callers.NotFound(), MaxHeaderBytes: int(limits.MaxHeaderBytes),
@@ -104,7 +105,7 @@
 // joinPeers makes the side that other instances and operators reach.
 func (daemon *daemon) joinPeers() {
 	operators := (&operatorSide{daemon: daemon}).server()
-	daemon.peerSide = &caller.Listener{
+	daemon.peerSide = &inbound.Listener{
 		Name: "peers", Address: daemon.settings.PeerAddress,
 		MaxHeaderBytes: int(daemon.settings.Limits.MaxHeaderBytes),
 		Routes: []rest.Route{
@@ -184,7 +185,7 @@
 			ended <- task.name
 		}()
 	}
-	listeners := []*caller.Listener{daemon.callerSide, daemon.peerSide}
+	listeners := []*inbound.Listener{daemon.callerSide, daemon.peerSide}
 	failed := make(chan error, len(listeners))
 	for _, listener := range listeners {
 		go func() { failed <- listener.Run() }()
@@ -201,7 +202,7 @@
 	for range tasks {
 		daemon.log.Debug().Str("task", <-ended).Msg("task_ended")
 	}
-	caller.Finish()
+	inbound.Finish()
 	for range listeners {
 		err = errs.Combine(err, <-failed)
 	}
--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"peridotpath.example/peridotpath"
@@ -39,6 +40,7 @@
 	service   *peer.Service
 	limiter   *share.Limiter
 	sweeper   *sweep.Sweeper
+	largest   atomic.Pointer[map[peridotpath.Service]peridotpath.Tokens]
 }
 
 // joinFleet joins the parts that know the fleet to the daemon's other parts.
@@ -96,6 +98,8 @@
 func (side *fleetSide) membersChanged(list *membership.List) {
 	side.owners.Set(list.Instances, list.Endpoints)
 	side.scheduler.SetInstances(side.owners.Current().Live())
+	largest := largestEngines(list.Endpoints)
+	side.largest.Store(&largest)
 	side.view.SetMembers(time.Now(), list.Endpoints)
 }
 
@@ -143,13 +147,21 @@
 	return claimed >= heard && (listed == 0 || claimed >= listed)
 }
 
-// engineHolds returns the KV memory of the service's largest engine.
+// engineHolds returns the KV memory of the service's largest engine. It is on
+// the path of each prompt and takes no lock.
 func (side *fleetSide) engineHolds(service peridotpath.Service) peridotpath.Tokens {
-	var most peridotpath.Tokens
-	for _, endpoint := range side.view.Engines() {
-		if endpoint.Service == service {
-			most = max(most, endpoint.KVTokens)
-		}
+	largest := side.largest.Load()
+	if largest == nil {
+		return 0
+	}
+	return (*largest)[service]
+}
+
+// largestEngines returns the KV memory of each service's largest engine.
+func largestEngines(endpoints []peridotpath.Endpoint) map[peridotpath.Service]peridotpath.Tokens {
+	largest := map[peridotpath.Service]peridotpath.Tokens{}
+	for _, endpoint := range endpoints {
+		largest[endpoint.Service] = max(largest[endpoint.Service], endpoint.KVTokens)
 	}
-	return most
+	return largest
 }
--- a/peridotpath/caller/stack_test.go
+++ b/peridotpath/caller/stack_test.go
@@ -132,7 +132,7 @@
 	return peridotpath.Endpoint{}, false
 }
 
-// routesOf serves what caller.Listener serves.
+// routesOf serves what inbound.Listener serves.
 func routesOf(t *testing.T, server *caller.Server) http.Handler {
 	t.Helper()
 	routes := router.NewRouter()
--- a/peridotpath/caller/rest.go
+++ b/peridotpath/inbound/inbound.go
@@ -1,4 +1,7 @@
-package caller
+// Package inbound listens: it serves routes through go-zero's rest, whose own
+// limits, logs and shutdown are off. Both sides of an instance stand on it, that
+// of the callers and that of other instances and operators.
+package inbound
 
 import (
 	"context"
@@ -19,7 +22,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("caller")
+var Error = errs.Class("inbound")
 
 const (
 	readHeaderTimeout = 10 * time.Second
--- a/peridotpath/caller/rest_test.go
+++ b/peridotpath/inbound/inbound_test.go
@@ -1,4 +1,4 @@
-package caller_test
+package inbound_test
 
 import (
 	"bufio"
@@ -20,7 +20,7 @@
 	"github.com/matryer/is"
 	"github.com/zeromicro/go-zero/rest"
 
-	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/inbound"
 )
 
 // listen serves the routes on a free port until the test ends.
@@ -32,7 +32,7 @@
 	}
 	address := netip.MustParseAddrPort(probe.Addr().String())
 	probe.Close()
-	listener := &caller.Listener{Name: "test", Address: address, Routes: routes, MaxHeaderBytes: 64 << 10}
+	listener := &inbound.Listener{Name: "test", Address: address, Routes: routes, MaxHeaderBytes: 64 << 10}
 	listener.Open()
 	ended := make(chan error, 1)
 	go func() { ended <- listener.Run() }()
@@ -42,7 +42,7 @@
 		if err := listener.Close(ctx); err != nil {
 			t.Error(err)
 		}
-		caller.Finish()
+		inbound.Finish()
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
@@ -156,10 +156,10 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer taken.Close()
-	listener := &caller.Listener{Name: "test", Address: netip.MustParseAddrPort(taken.Addr().String())}
+	listener := &inbound.Listener{Name: "test", Address: netip.MustParseAddrPort(taken.Addr().String())}
 	listener.Open()
 	err = listener.Run()
 	is.True(err != nil)
-	is.True(caller.Error.Has(err))
+	is.True(inbound.Error.Has(err))
 	is.True(!errors.Is(err, http.ErrServerClosed))
 }
--- a/peridotpath/session/fleet_test.go
+++ b/peridotpath/session/fleet_test.go
@@ -186,7 +186,7 @@
 	return peridotpath.Endpoint{}, false
 }
 
-// handler serves what caller.Listener serves, without a socket.
+// handler serves what inbound.Listener serves, without a socket.
 func handler(t testing.TB, server *caller.Server) http.Handler {
 	t.Helper()
 	routes := router.NewRouter()
