lease: the first holder ever has nothing to wait out

Cause: on a fresh platform the first holder kept still for 42 s where engines ignore fencing numbers, though nobody had ever given an order; the first prompt beyond one engine waited for that. Change: orders stand in the book before they are sent, so an empty book shows that none can be on its way. Candidates look at the list each second, not every five.

--- a/peridotd/shift.go
+++ b/peridotd/shift.go
@@ -23,7 +23,7 @@
 	groupHold = 10 * time.Minute
 	// candidacyInterval is how often an instance looks whether it should be a
 	// candidate for the leases.
-	candidacyInterval = 5 * time.Second
+	candidacyInterval = time.Second
 	// candidatesAtOnce is how many instances try for one lease: the holder and
 	// one that takes over.
 	candidatesAtOnce = 2
@@ -149,16 +149,21 @@
 	daemon := side.daemon
 	dataCentre, service := site.dataCentre, site.service
 	ctx, cancel := context.WithCancel(ctx)
+	book := &order.Book{Store: daemon.keyValue, Key: order.Key(dataCentre, service)}
 	holder := &lease.Holder{
 		Store: daemon.keyValue, Key: lease.Key(dataCentre, service),
 		Instance: daemon.settings.InstanceID, Incarnation: daemon.incarnation,
 		Settings: lease.Settings{TTLMS: leaseTTLMS, MarginMS: leaseMarginMS, LongestOrderMS: longestOrderMS},
 		WaitOut:  side.someIgnoreFencing(site), Logger: daemon.log,
+		Unused: func(ctx context.Context) (bool, error) {
+			// Every order stands in the book before it is sent.
+			desired, err := book.Get(ctx)
+			return desired.Revision == 0, err
+		},
 	}
 	engines := &shift.Engines{
 		Client: daemon.engines, Endpoints: func() []peridotpath.Endpoint { return side.engines(site) },
 	}
-	book := &order.Book{Store: daemon.keyValue, Key: order.Key(dataCentre, service)}
 	reconciler := &order.Reconciler{
 		Desired: book.Get, Held: holder.Held, Logger: daemon.log,
 		Endpoints: engines.Endpoints,
--- a/peridotpath/lease/lease.go
+++ b/peridotpath/lease/lease.go
@@ -47,8 +47,11 @@
 	Settings    Settings
 	// WaitOut is set where any engine ignores fencing numbers.
 	WaitOut bool
-	Clock   clock.Clock
-	Logger  zerolog.Logger
+	// Unused reports that no order was ever given under the lease, so that there
+	// is none to wait out; asked once the lease is won. nil stands for unknown.
+	Unused func(ctx context.Context) (bool, error)
+	Clock  clock.Clock
+	Logger zerolog.Logger
 	// Metrics takes the counters; nil stands for the default set.
 	Metrics *metrics.Set
 
@@ -79,8 +82,8 @@
 	won clock.Instant
 	// renewed is before the last renewal that succeeded was sent.
 	renewed clock.Instant
-	// handedOver says that the holder before gave the lease back in good order:
-	// nothing that it sent is still on its way.
+	// handedOver says that the holder before gave the lease back in good order,
+	// or that there was none: nothing that was sent is still on its way.
 	handedOver bool
 }
 
@@ -210,10 +213,19 @@
 	// win late, after a higher one has come and gone.
 	return &tenure{
 		lease: lease, fencing: peridotpath.FencingNumber(version),
-		renewed: sent, won: holder.Clock.Read(), handedOver: released,
+		renewed: sent, won: holder.Clock.Read(), handedOver: released || holder.unused(ctx),
 	}, nil
 }
 
+// unused reports that no order can be on its way since none was ever given.
+func (holder *Holder) unused(ctx context.Context) bool {
+	if !holder.WaitOut || holder.Unused == nil {
+		return false
+	}
+	unused, err := holder.Unused(ctx)
+	return err == nil && unused
+}
+
 // isReleased reports whether the entry is what a holder left that gave its
 // lease back.
 func isReleased(entry keyvalue.Entry) bool {
--- a/peridotpath/lease/lease_test.go
+++ b/peridotpath/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -260,6 +261,37 @@
 	})
 }
 
+// The fleet starts for the first time. Nobody has ever given an order, so the
+// first holder has none to wait out; a scholar's first volume waited for it. When
+// it cannot tell, it waits.
+func TestFirstHolderEverNeedsNoWait(t *testing.T) {
+	cases := map[string]struct {
+		unused bool
+		err    error
+		waits  bool
+	}{
+		"none was ever given": {true, nil, false},
+		"some were":           {false, nil, true},
+		"cannot tell":         {true, errors.New("platform down"), true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			change := func(holder *lease.Holder) {
+				holder.WaitOut = true
+				holder.Unused = func(context.Context) (bool, error) { return test.unused, test.err }
+			}
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				platform := &memory.Memory{}
+				first := start(platform, "a", change)
+				took, _ := waitHeld(is, first)
+				is.Equal(took > time.Second, test.waits)
+				is.NoErr(first.Close())
+			})
+		})
+	}
+}
+
 // A holder dies, the next one wins the lease and is stopped in good order while
 // it still waits out the dead one's orders. It must not vouch for those: the
 // third would give orders beside one that is on its way.
