measure: titles and labels of the plots can be read whole

Cause: the title of the mechanisms' plots ran off the picture, and labels lay under the axis where the viewer's font is wider. Change: what is measured goes to the axis; the bars keep a space from the labels; drawn anew. Blanks behind the labels would have broken the test that looks for them, longer ticks changed nothing; both were dropped.

--- a/measure/chart/chart.go
+++ b/measure/chart/chart.go
@@ -64,6 +64,10 @@
 	return names, lines
 }
 
+// labelSpace keeps labels clear of the axis where the viewer's font is wider
+// than the one that their space was reckoned with.
+var labelSpace = vg.Points(12)
+
 // Effect is what one figure becomes without a mechanism.
 type Effect struct {
 	Name  string
@@ -93,7 +97,8 @@
 // out, at one offered load.
 func Mechanisms(folder string, effect Effect, offered int, all []bench.Figures) error {
 	chart := plot.New()
-	chart.Title.Text = fmt.Sprintf("%s, at %d %% load, each mechanism left out in turn", effect.Title, offered)
+	chart.Title.Text = fmt.Sprintf("Each mechanism left out in turn, at %d %% load", offered)
+	chart.X.Label.Text = effect.Title
 	var names []string
 	var values plotter.Values
 	for i := range all {
@@ -110,6 +115,7 @@
 	bars.Color = plotutil.Color(2)
 	chart.Add(bars)
 	chart.NominalY(names...)
+	chart.Y.Padding = labelSpace
 	return save(chart, folder, effect.Name)
 }
 
