shift: engines are not read where nothing can move

Cause: read once more as a whole, the keeper of each site asked every engine for its role, load and streams every two seconds, also with no group and no demand: some 1,100 calls a second for one holder before 750 engines. Besides, the scheduler's view for operators read a clock in a package that is told the time, the membership stand-in had one loop twice, and a comment called several passes over a body one. Change: without a group and without demand the keeper plans nothing and reads no engine; the plan would have been empty. The view is told the time; one loop; the comment says what the code does.

--- a/peridotd/operate.go
+++ b/peridotd/operate.go
@@ -95,7 +95,7 @@
 func (side *operatorSide) endpoints(context.Context) ([]*pb.Endpoint, error) {
 	now := time.Now()
 	var endpoints []*pb.Endpoint
-	for _, state := range side.daemon.scheduler.Endpoints() {
+	for _, state := range side.daemon.scheduler.Endpoints(now) {
 		age := int64(-1)
 		if !state.Load.AsOf.IsZero() {
 			age = now.Sub(state.Load.AsOf).Milliseconds()
@@ -145,7 +145,7 @@
 		ConfigAgeMs: time.Since(daemon.config.Contact()).Milliseconds(),
 		Running:     int32(daemon.callers.Active()), Waiting: int32(daemon.scheduler.Waiting()),
 	}
-	for _, state := range daemon.scheduler.Endpoints() {
+	for _, state := range daemon.scheduler.Endpoints(time.Now()) {
 		switch {
 		case daemon.drained(state.Endpoint.ID):
 			response.EndpointsDrained++
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -59,9 +59,9 @@
 	prompt string
 }
 
-// parse reads a body in one pass without copying it. A prompt of a million
-// tokens is 4 to 6 MB: each further pass or copy adds milliseconds to its
-// first token and to those of the requests beside it.
+// parse checks a body and takes all fields out of it at once, without copying it.
+// A prompt of a million tokens is 4 to 6 MB: each further pass or copy adds
+// milliseconds to its first token and to those of the requests beside it.
 func parse(body []byte) (fields, bool) {
 	var fields fields
 	if !utf8.Valid(body) || !strictjson.Valid(body) {
--- a/peridotpath/decide/view.go
+++ b/peridotpath/decide/view.go
@@ -18,12 +18,12 @@
 }
 
 // Endpoints returns what is known of each endpoint, by id.
-func (scheduler *Scheduler) Endpoints() []EndpointState {
+func (scheduler *Scheduler) Endpoints(now time.Time) []EndpointState {
 	scheduler.once.Do(scheduler.start)
-	now := time.Now().UnixNano()
+	at := now.UnixNano()
 	var states []EndpointState
 	for _, member := range *scheduler.members.Load() {
-		state := EndpointState{Endpoint: member.Endpoint, Ejected: member.health.ejectedUntil.Load() > now}
+		state := EndpointState{Endpoint: member.Endpoint, Ejected: member.health.ejectedUntil.Load() > at}
 		if load := member.load.Load(); load != nil {
 			state.Load = load.Load
 		}
--- a/peridotpath/shift/fixture_test.go
+++ b/peridotpath/shift/fixture_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 	tasks     sync.WaitGroup
 	cancel    context.CancelFunc
 	hold      time.Duration
+	looks     atomic.Int64
 
 	mu        sync.Mutex
 	instances []*instance
@@ -123,7 +125,7 @@
 	}
 	keeper := &shift.Keeper{
 		Log: zerolog.Nop(), Store: store, DataCentre: dataCentre, Service: service, Book: book,
-		Held: started.holder.Held, Engines: engines.Look, Interval: 2 * time.Second,
+		Held: started.holder.Held, Engines: cell.counted(engines.Look), Interval: 2 * time.Second,
 		Limits:  shift.Limits{Hold: cell.hold},
 		Longest: func() peridotpath.Tokens { return 1_100_000 },
 		Sites:   func() []shift.Site { return []shift.Site{{DataCentre: dataCentre, Engines: len(cell.endpoints)}} },
@@ -220,3 +222,11 @@
 	first, _ := state.Role.Split()
 	return string(first)
 }
+
+// counted counts how often the engines are looked at.
+func (cell *cell) counted(look func(context.Context) ([]shift.Engine, error)) func(context.Context) ([]shift.Engine, error) {
+	return func(ctx context.Context) ([]shift.Engine, error) {
+		cell.looks.Add(1)
+		return look(ctx)
+	}
+}
--- a/peridotpath/shift/group_test.go
+++ b/peridotpath/shift/group_test.go
@@ -217,3 +217,24 @@
 	is := is.New(t)
 	is.True(mean["standing"] < mean["for each prompt"]/2)
 }
+
+// TestEnginesAreLeftAloneAtRest: a fleet without prompts beyond one engine would
+// still have each of its engines read every two seconds, 750 of them in a data
+// centre of the size that is designed for.
+func TestEnginesAreLeftAloneAtRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cell := newCell(t, 4, 2, holdGroups)
+		defer cell.close()
+		time.Sleep(time.Minute)
+		before := cell.looks.Load()
+		time.Sleep(time.Minute)
+		is.Equal(cell.looks.Load(), before)
+		is.Equal(cell.ask(0, "v", volume, 20, 5*time.Minute).result, nil)
+		is.True(cell.looks.Load() > before)
+		time.Sleep(2 * holdGroups)
+		after := cell.looks.Load()
+		time.Sleep(time.Minute)
+		is.Equal(cell.looks.Load(), after)
+	})
+}
--- a/peridotpath/shift/keeper.go
+++ b/peridotpath/shift/keeper.go
@@ -120,6 +120,13 @@
 	if err != nil {
 		return err
 	}
+	need := Need{
+		Longest: keeper.Longest(), PerS: keeper.demand.perS, Idle: now.Sub(keeper.demand.changed),
+		Sites: keeper.Sites(), Here: keeper.DataCentre,
+	}
+	if !need.asks(keeper.Limits) && !anyGroup(desired) {
+		return nil
+	}
 	engines, err := keeper.Engines(ctx)
 	if err != nil {
 		return err
@@ -128,13 +135,21 @@
 		engines[i].Wanted = desired.Endpoints[engines[i].ID].Role
 		engines[i].Alive = engines[i].Alive && keeper.answers(engines[i])
 	}
-	need := Need{
-		Longest: keeper.Longest(), PerS: keeper.demand.perS, Idle: now.Sub(keeper.demand.changed),
-		Sites: keeper.Sites(), Here: keeper.DataCentre,
-	}
 	return keeper.apply(ctx, desired, engines, Plan(engines, need, keeper.Limits))
 }
 
+// anyGroup reports whether a group is wanted. Without one, and without demand, no
+// plan moves anything, and engines need not be read: that costs three calls to
+// each of a site's engines in every interval.
+func anyGroup(desired order.Desired) bool {
+	for _, state := range desired.Endpoints {
+		if parseRole(state.Role).duty != serve {
+			return true
+		}
+	}
+	return false
+}
+
 // answers reports whether the engine answered in one of the last readings.
 func (keeper *Keeper) answers(engine Engine) bool {
 	if keeper.missed == nil {
--- a/peridotpath/shift/plan.go
+++ b/peridotpath/shift/plan.go
@@ -42,6 +42,9 @@
 	Here  peridotpath.DataCentre
 }
 
+// asks reports whether there is demand that a group could be formed for.
+func (need *Need) asks(limits Limits) bool { return need.Idle < limits.Hold && need.PerS > 0 }
+
 // Site is a data centre with its live engines of a service.
 type Site struct {
 	DataCentre peridotpath.DataCentre
--- a/standin/members.go
+++ b/standin/members.go
@@ -105,27 +105,29 @@
 // change makes a new list; readings that are still to be shown share nothing with it.
 func (members *members) change(change stateChange) {
 	members.list.Revision++
-	var endpoints []peridotpath.Endpoint
-	for _, endpoint := range members.list.Endpoints {
-		if string(endpoint.ID) == change.ID {
-			endpoint.State = change.State
-		}
-		if endpoint.State != stateGone {
-			endpoints = append(endpoints, endpoint)
-		}
-	}
-	members.list.Endpoints = endpoints
-	var instances []peridotpath.Instance
-	for _, instance := range members.list.Instances {
-		if string(instance.ID) == change.ID {
-			instance.State = change.State
+	members.list.Endpoints = changed(members.list.Endpoints, func(endpoint *peridotpath.Endpoint) (string, *peridotpath.State) {
+		return string(endpoint.ID), &endpoint.State
+	}, change)
+	members.list.Instances = changed(members.list.Instances, func(instance *peridotpath.Instance) (string, *peridotpath.State) {
+		return string(instance.ID), &instance.State
+	}, change)
+	members.seen = append(members.seen, reading{list: members.list, at: time.Now()})
+}
+
+// changed returns a copy of the list with the change made and what is gone left
+// out. part names a member and says where its state is.
+func changed[M any](list []M, part func(*M) (id string, state *peridotpath.State), change stateChange) []M {
+	var kept []M
+	for _, member := range list {
+		id, state := part(&member)
+		if id == change.ID {
+			*state = change.State
 		}
-		if instance.State != stateGone {
-			instances = append(instances, instance)
+		if *state != stateGone {
+			kept = append(kept, member)
 		}
 	}
-	members.list.Instances = instances
-	members.seen = append(members.seen, reading{list: members.list, at: time.Now()})
+	return kept
 }
 
 // flapping asks for a member whose state changes all the time.
