--- a/peridotd/main.go
+++ b/peridotd/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&relayCommand{}, "")
 	subcommands.Register(&checkSettingsCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/peridotd/relay.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/instance"
+	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/telemetry"
+	"peridotpath.example/platform"
+)
+
+const relayUsage = `relay [-settings FILE] [-check]
+  Serves callers on the users' platform until SIGTERM or SIGINT, then stops
+  gracefully. Without -settings the file is the one that the environment
+  variable ` + platform.SettingsVariable + ` names. With -check it only reads the settings and
+  prints every fault by field.
+`
+
+type relayCommand struct {
+	settings string
+	check    bool
+}
+
+func (*relayCommand) Name() string     { return "relay" }
+func (*relayCommand) Synopsis() string { return "serves callers on the users' platform" }
+func (*relayCommand) Usage() string    { return relayUsage }
+
+func (command *relayCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&command.settings, "settings", os.Getenv(platform.SettingsVariable), "settings file")
+	flags.BoolVar(&command.check, "check", false, "only check the settings")
+}
+
+func (command *relayCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if command.settings == "" || flags.NArg() > 0 {
+		fmt.Fprint(os.Stderr, relayUsage)
+		return subcommands.ExitUsageError
+	}
+	settings, err := platform.ReadSettings(command.settings)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "peridotd: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	if command.check {
+		fmt.Printf("%s: no faults\n", command.settings)
+		return subcommands.ExitSuccess
+	}
+	if err := runRelay(settings); err != nil {
+		fmt.Fprintf(os.Stderr, "peridotd: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func runRelay(settings *instance.Settings) error {
+	// A second signal changes nothing: it must not cut what still runs.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	// SIGHUP announces new settings; all that are used here last a process's life.
+	signal.Ignore(syscall.SIGHUP)
+	log, err := telemetry.NewLog(os.Stdout, settings.LogLevel, settings.InstanceID)
+	if err != nil {
+		return err
+	}
+	adapter := instance.Adapter{
+		Store:      platform.ConnectStore(settings.StoreAddress),
+		RoutingKey: platform.KeyRouting, DecodeRouting: platform.DecodeRouting,
+		EndpointPrefix: platform.PrefixEndpoints, DecodeEndpoints: platform.DecodeEndpoints,
+		Send: platform.Send, ReadyPath: platform.ReadyPath,
+		Ingress: func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler {
+			return &platform.Ingress{Relay: relay, Bodies: bodies, Stopping: stopping}
+		},
+	}
+	return instance.New(settings, adapter, log).Run(stop)
+}
--- /dev/null
+++ b/peridotpath/directory/directory.go
@@ -0,0 +1,131 @@
+// Package directory holds the endpoints that may be used: those that stand in
+// the platform's store, less those that leave or have left.
+package directory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+)
+
+const (
+	// returnGrace is how long after an outage of the store an entry may still be
+	// missing though its endpoint lives: entries lapse meanwhile and are back
+	// about two seconds after the store's return.
+	returnGrace = 2200 * time.Millisecond
+	// outageGap is the time between two readings from which the store counts as
+	// having been away: several readings must have failed or been left out.
+	outageGap = 2500 * time.Millisecond
+)
+
+// Snapshot is the endpoints in use at one moment. It is not changed.
+type Snapshot struct {
+	byService map[peridotpath.Service][]*peridotpath.Endpoint
+	byID      map[peridotpath.EndpointID]*peridotpath.Endpoint
+}
+
+// Of returns the endpoints of a service that take new requests.
+func (snapshot *Snapshot) Of(service peridotpath.Service) []*peridotpath.Endpoint {
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.byService[service]
+}
+
+// Usable reports whether the same incarnation still takes new requests.
+func (snapshot *Snapshot) Usable(endpoint *peridotpath.Endpoint) bool {
+	if snapshot == nil {
+		return false
+	}
+	known := snapshot.byID[endpoint.ID]
+	return known != nil && known.Incarnation == endpoint.Incarnation && known.Address == endpoint.Address
+}
+
+// Directory follows the endpoints. Set the exported fields before use.
+type Directory struct {
+	Log zerolog.Logger
+
+	current atomic.Pointer[Snapshot]
+
+	mutex      sync.Mutex
+	lastRead   time.Time
+	returnedAt time.Time
+}
+
+// Current returns the endpoints in use; nil before the first reading.
+func (directory *Directory) Current() *Snapshot { return directory.current.Load() }
+
+// Apply takes a whole reading of the store in, with the time at which it ended.
+func (directory *Directory) Apply(endpoints []peridotpath.Endpoint, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if !directory.lastRead.IsZero() && now.Sub(directory.lastRead) > outageGap {
+		directory.returnedAt = now
+		directory.Log.Info().Dur("gap", now.Sub(directory.lastRead)).Msg("store_readable_again")
+	}
+	directory.lastRead = now
+	before := directory.current.Load()
+	snapshot := newSnapshot(endpoints)
+	if before != nil {
+		directory.keepLapsed(before, snapshot, endpoints, now)
+		directory.logChanges(before, snapshot)
+	}
+	directory.current.Store(snapshot)
+}
+
+func newSnapshot(endpoints []peridotpath.Endpoint) *Snapshot {
+	snapshot := &Snapshot{
+		byService: map[peridotpath.Service][]*peridotpath.Endpoint{},
+		byID:      map[peridotpath.EndpointID]*peridotpath.Endpoint{},
+	}
+	for i := range endpoints {
+		if endpoints[i].State == peridotpath.StateLive {
+			snapshot.add(&endpoints[i])
+		}
+	}
+	return snapshot
+}
+
+func (snapshot *Snapshot) add(endpoint *peridotpath.Endpoint) {
+	snapshot.byID[endpoint.ID] = endpoint
+	snapshot.byService[endpoint.Service] = append(snapshot.byService[endpoint.Service], endpoint)
+}
+
+// keepLapsed keeps endpoints whose entries are missing just after an outage.
+// Entries lapse when their endpoints cannot renew them; dropped at once, the
+// whole fleet would be gone for the first seconds after an outage.
+func (directory *Directory) keepLapsed(before, snapshot *Snapshot, endpoints []peridotpath.Endpoint, now time.Time) {
+	if directory.returnedAt.IsZero() || now.Sub(directory.returnedAt) > returnGrace {
+		return
+	}
+	named := map[peridotpath.EndpointID]bool{}
+	addresses := map[string]bool{}
+	for i := range endpoints {
+		named[endpoints[i].ID] = true
+		addresses[endpoints[i].Address.String()] = true
+	}
+	for id, endpoint := range before.byID {
+		// An address that another endpoint uses now is no longer this one's.
+		if !named[id] && !addresses[endpoint.Address.String()] {
+			snapshot.add(endpoint)
+		}
+	}
+}
+
+func (directory *Directory) logChanges(before, after *Snapshot) {
+	for id, endpoint := range after.byID {
+		if known := before.byID[id]; known == nil || known.Incarnation != endpoint.Incarnation {
+			directory.Log.Info().Str("endpoint", string(id)).Str("service", string(endpoint.Service)).
+				Stringer("address", endpoint.Address).Msg("endpoint_joined")
+		}
+	}
+	for id := range before.byID {
+		if after.byID[id] == nil {
+			directory.Log.Info().Str("endpoint", string(id)).Msg("endpoint_left")
+		}
+	}
+}
--- a/peridotpath/endpoint.go
+++ b/peridotpath/endpoint.go
@@ -1,8 +1,11 @@
 package peridotpath
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind tells model engines from plain services.
@@ -33,10 +36,25 @@
 	State      State          `json:"state"`
 	// KVTokens is the engine's KV memory. Zero for a plain service.
 	KVTokens Tokens `json:"kv_tokens,omitempty"`
+	// Incarnation tells two starts under the same id apart; zero where unknown.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+	// Slots is how many requests it runs at once; zero where unknown.
+	Slots int `json:"slots,omitempty"`
 	// ChecksFencing says that the engine refuses orders with an old fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 }
 
+// EndpointKey names one incarnation of an Endpoint in few bytes.
+type EndpointKey uint64
+
+// Key returns the key of this incarnation. What is known of an earlier one
+// under the same id, its load above all, says nothing of this one.
+func (endpoint *Endpoint) Key() EndpointKey {
+	digest := xxhash.New()
+	fmt.Fprintf(digest, "%s/%d", endpoint.ID, endpoint.Incarnation)
+	return EndpointKey(digest.Sum64())
+}
+
 // Load is an Endpoint's report about itself. It arrives with a lag.
 type Load struct {
 	// AsOf is when the Endpoint took the figures, on the reader's clock.
--- /dev/null
+++ b/peridotpath/instance/instance.go
@@ -0,0 +1,225 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	"github.com/zeromicro/go-zero/rest"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/inbound"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/routing"
+)
+
+// Adapter is what an instance needs of the platform it runs on.
+type Adapter struct {
+	Store *keyvalue.Store
+	// RoutingKey is where the operators' routing lies, DecodeRouting reads it.
+	RoutingKey    string
+	DecodeRouting func(value []byte) (*peridotpath.Routing, error)
+	// EndpointPrefix is where the endpoints' entries lie, DecodeEndpoints reads them.
+	EndpointPrefix  string
+	DecodeEndpoints func(entries []keyvalue.Entry) []peridotpath.Endpoint
+	// Send sends a call to an endpoint.
+	Send relay.Sender
+	// Ingress returns the handler of callers' requests.
+	Ingress func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler
+	// ReadyPath is where the balancer asks.
+	ReadyPath string
+}
+
+const (
+	// routingInterval is the time between two looks at the routing. A change is
+	// in force everywhere within it and one call's time, which leaves more than
+	// a second of the two that the users allow for a call that fails.
+	routingInterval = 800 * time.Millisecond
+	// endpointInterval is the same for the endpoints: one that leaves gets no
+	// new work after two seconds.
+	endpointInterval = 700 * time.Millisecond
+	// keyMargin is how long before its end a key's lifetime is over here, for the
+	// time between the last look at the clock and the endpoint.
+	keyMargin = 500 * time.Millisecond
+	// readyMargin is how long before keys stop working the instance turns not
+	// ready, so that the balancer, which asks each second, has moved callers on.
+	readyMargin = 1500 * time.Millisecond
+	// memoryShare is the part of the process's memory at which the collector
+	// works harder; the rest is for stacks, buffers and what the kernel holds.
+	memoryShare = 0.7
+	// bodyShare is the part of the memory that requests' bodies may take.
+	bodyShare = 0.2
+	// maxBody bounds one body until the routing says how large it may be.
+	maxBody = 8 * mebibyte
+	// bodyPause bounds the time between two pieces of a body.
+	bodyPause = 5 * time.Second
+	// maxHeader bounds a request's head, in bytes, unless the routing allows more.
+	maxHeader = 64 << 10
+)
+
+// Instance is one instance with its parts joined.
+type Instance struct {
+	Settings *Settings
+	Adapter  Adapter
+	Log      zerolog.Logger
+
+	routing   *routing.State
+	directory *directory.Directory
+	book      *placement.Book
+	relay     *relay.Relay
+	active    atomic.Int64
+	stopping  atomic.Bool
+	callers   *inbound.Listener
+	balancer  *inbound.Listener
+	metrics   *inbound.Listener
+}
+
+// New joins the parts; nothing runs yet.
+func New(settings *Settings, adapter Adapter, log zerolog.Logger) *Instance {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	instance := &Instance{Settings: settings, Adapter: adapter, Log: log}
+	instance.routing = &routing.State{Now: clock.SinceBoot, KeyLifetime: settings.KeyLifetime - keyMargin, Log: log}
+	instance.directory = &directory.Directory{Log: log}
+	instance.book = &placement.Book{}
+	instance.relay = &relay.Relay{
+		DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
+		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
+		Budget: &relay.Budget{
+			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
+			Instances: func() int { return 1 + instance.book.Peers(time.Now()) },
+		},
+	}
+	instance.listen()
+	return instance
+}
+
+func (instance *Instance) listen() {
+	settings := instance.Settings
+	bodies := caller.NewBodies(maxBody, peridotpath.Bytes(bodyShare*float64(settings.Memory)), bodyPause)
+	handler := instance.Adapter.Ingress(instance.relay, bodies, instance.stopping.Load)
+	instance.callers = &inbound.Listener{
+		Name: "callers", Address: settings.CallerAddress, MaxHeaderBytes: maxHeader,
+		Prefix: "/", PrefixHandler: instance.count(handler),
+	}
+	instance.balancer = &inbound.Listener{
+		Name: "balancer", Address: settings.ReadyAddress, MaxHeaderBytes: maxHeader,
+		Routes: []rest.Route{{Method: http.MethodGet, Path: instance.Adapter.ReadyPath, Handler: instance.answerReady}},
+	}
+	instance.metrics = &inbound.Listener{
+		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeader,
+		Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics}},
+	}
+	for _, listener := range instance.listeners() {
+		listener.Open()
+	}
+}
+
+func (instance *Instance) listeners() []*inbound.Listener {
+	return []*inbound.Listener{instance.callers, instance.balancer, instance.metrics}
+}
+
+func writeMetrics(writer http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(writer, true)
+}
+
+// count counts the requests that run.
+func (instance *Instance) count(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		instance.active.Add(1)
+		defer instance.active.Add(-1)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+func (instance *Instance) answerReady(writer http.ResponseWriter, _ *http.Request) {
+	if instance.ready() {
+		writer.WriteHeader(http.StatusOK)
+		return
+	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// ready reports whether new callers are served here: by a routing that is known
+// to be the newest, and endpoints.
+func (instance *Instance) ready() bool {
+	return !instance.stopping.Load() && instance.routing.Current() != nil &&
+		instance.routing.Age() < instance.Settings.KeyLifetime-readyMargin && instance.directory.Current() != nil
+}
+
+// task is one background task.
+type task struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// tasks lists everything that runs beside the listeners.
+func (instance *Instance) tasks() []task {
+	routing := &routing.Follower{
+		State: instance.routing, Key: instance.Adapter.RoutingKey, Decode: instance.Adapter.DecodeRouting,
+		Check: instance.Adapter.Store.Check, Interval: routingInterval, Log: instance.Log,
+	}
+	endpoints := &directory.Follower{
+		Directory: instance.directory, List: instance.listEndpoints, Interval: endpointInterval, Log: instance.Log,
+	}
+	return []task{
+		{"routing", routing.Run},
+		{"endpoints", endpoints.Run},
+	}
+}
+
+func (instance *Instance) listEndpoints(ctx context.Context) ([]peridotpath.Endpoint, error) {
+	entries, _, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
+	if err != nil {
+		return nil, err
+	}
+	return instance.Adapter.DecodeEndpoints(entries), nil
+}
+
+// Run serves until a signal comes on stop and everything is finished.
+func (instance *Instance) Run(stop <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tasks := instance.tasks()
+	ended := make(chan string, len(tasks))
+	for _, task := range tasks {
+		go func() {
+			if err := task.run(ctx); ctx.Err() == nil {
+				instance.Log.Error().Str("task", task.name).Err(err).Msg("task_ended")
+			}
+			ended <- task.name
+		}()
+	}
+	listeners := instance.listeners()
+	failed := make(chan error, len(listeners))
+	for _, listener := range listeners {
+		go func() { failed <- listener.Run() }()
+	}
+	instance.Log.Info().Stringer("callers", instance.Settings.CallerAddress).Msg("started")
+	select {
+	case err := <-failed:
+		return err
+	case <-stop:
+	}
+	err := instance.stop(ctx)
+	cancel()
+	for range tasks {
+		<-ended
+	}
+	inbound.Finish()
+	for range listeners {
+		err = errs.Combine(err, <-failed)
+	}
+	instance.Log.Info().Msg("stopped")
+	return err
+}
--- a/peridotpath/keyvalue/store.go
+++ b/peridotpath/keyvalue/store.go
@@ -45,6 +45,8 @@
 	ErrUnavailable = errs.Class("keyvalue: unavailable")
 	// ErrLeaseGone says that the lease has lapsed.
 	ErrLeaseGone = errs.Class("keyvalue: lease gone")
+	// ErrCompacted says that a watch asked for history that is gone: read all anew.
+	ErrCompacted = errs.Class("keyvalue: compacted")
 	// ErrInvalid says that the service refused the call as malformed.
 	ErrInvalid = errs.Class("keyvalue: invalid")
 )
@@ -57,6 +59,12 @@
 	// List returns the entries under prefix, sorted by key, and the version up
 	// to which the listing is complete.
 	List func(ctx context.Context, prefix string) ([]Entry, Version, error)
+	// ListStale is List at a tenth of its price; what it returns may be seconds
+	// old. Nil where the service has no such call.
+	ListStale func(ctx context.Context, prefix string) ([]Entry, Version, error)
+	// Check returns the key's entry where its version is another than expect, and
+	// whether it is. Nil where the service has no such call.
+	Check func(ctx context.Context, key string, expect Version) (Entry, bool, error)
 	// Swap writes value if the key's version is expect (0: the key must not
 	// exist) and returns the new version. A nil value deletes the key.
 	Swap func(ctx context.Context, key string, expect Version, value []byte, lease LeaseID) (Version, error)
--- /dev/null
+++ b/peridotpath/placement/book.go
@@ -0,0 +1,174 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"peridotpath.example/peridotpath"
+)
+
+type (
+	// FlightNumber names one request of an instance, while it runs.
+	FlightNumber uint64
+
+	// Part is a share of a prompt that one endpoint reads.
+	Part struct {
+		Endpoint peridotpath.EndpointKey
+		// Reading is how long the endpoint takes for it.
+		Reading time.Duration
+	}
+
+	// Flight is one request that was sent and has not ended. Its first part lies
+	// where the answer is written.
+	Flight struct {
+		Number FlightNumber
+		Parts  []Part
+		Prompt peridotpath.Tokens
+		// Memory is what it holds at the endpoint that writes.
+		Memory peridotpath.Tokens
+		// PauseAim is the longest pause between events that leaves it in time.
+		PauseAim time.Duration
+		// Sent is when it was sent, on this instance's monotonic clock.
+		Sent time.Time
+		// Writing says that its first event has come.
+		Writing bool
+	}
+)
+
+// peerExpiry is how long what a peer has said of its requests counts. A peer
+// says it again every quarter of a second; one that died takes its requests
+// with it, since endpoints drop them with their connections.
+const peerExpiry = 2 * time.Second
+
+// Book holds the requests under way of this instance and of its peers.
+type Book struct {
+	// Changed, when set, is called after each change of this instance's requests.
+	Changed func()
+
+	mutex sync.Mutex
+	last  FlightNumber
+	own   map[FlightNumber]*Flight
+	peers map[peridotpath.InstanceID]*peerFlights
+	// slow is how much longer than predicted an endpoint's readings take.
+	slow map[peridotpath.EndpointKey]float64
+}
+
+type peerFlights struct {
+	incarnation peridotpath.Incarnation
+	sequence    uint64
+	heard       time.Time
+	flights     []Flight
+}
+
+// Begin notes a request that is about to be sent and numbers it.
+func (book *Book) Begin(flight Flight) FlightNumber {
+	book.mutex.Lock()
+	if book.own == nil {
+		book.own = map[FlightNumber]*Flight{}
+	}
+	book.last++
+	flight.Number = book.last
+	book.own[flight.Number] = &flight
+	book.mutex.Unlock()
+	book.changed()
+	return flight.Number
+}
+
+// Writing notes a request's first event.
+func (book *Book) Writing(number FlightNumber) {
+	book.mutex.Lock()
+	if flight := book.own[number]; flight != nil {
+		flight.Writing = true
+	}
+	book.mutex.Unlock()
+	book.changed()
+}
+
+// End notes that a request has ended or was given up.
+func (book *Book) End(number FlightNumber) {
+	book.mutex.Lock()
+	delete(book.own, number)
+	book.mutex.Unlock()
+	book.changed()
+}
+
+func (book *Book) changed() {
+	if book.Changed != nil {
+		book.Changed()
+	}
+}
+
+// Own returns this instance's requests, oldest first.
+func (book *Book) Own() []Flight {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	flights := make([]Flight, 0, len(book.own))
+	for _, flight := range book.own {
+		flights = append(flights, *flight)
+	}
+	slices.SortFunc(flights, func(a, b Flight) int { return cmp.Compare(a.Number, b.Number) })
+	return flights
+}
+
+// HearPeer takes a peer's requests in place of those it named before. Sequence
+// orders what one incarnation says; what arrives late is dropped.
+func (book *Book) HearPeer(peer peridotpath.InstanceID, incarnation peridotpath.Incarnation, sequence uint64, flights []Flight, now time.Time) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if book.peers == nil {
+		book.peers = map[peridotpath.InstanceID]*peerFlights{}
+	}
+	known := book.peers[peer]
+	if known != nil && (incarnation < known.incarnation || incarnation == known.incarnation && sequence <= known.sequence) {
+		return
+	}
+	book.peers[peer] = &peerFlights{incarnation: incarnation, sequence: sequence, heard: now, flights: flights}
+}
+
+// Peers returns how many peers have been heard lately.
+func (book *Book) Peers(now time.Time) int {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	return len(book.livePeers(now))
+}
+
+func (book *Book) livePeers(now time.Time) map[peridotpath.InstanceID]*peerFlights {
+	for id, peer := range book.peers {
+		if now.Sub(peer.heard) > peerExpiry {
+			delete(book.peers, id)
+		}
+	}
+	return book.peers
+}
+
+// The bounds of an endpoint's slowness, and how fast it follows what is seen.
+const (
+	slownessGain = 0.3
+	slownessMax  = 20.0
+	// slownessNoise is how much longer than predicted a first event may be
+	// before that counts as the endpoint's own slowness.
+	slownessNoise = 1.5
+)
+
+// Observe notes how long a first event took against what was predicted.
+func (book *Book) Observe(endpoint peridotpath.EndpointKey, predicted, seen time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	ratio := min(max(float64(seen)/float64(predicted), 1/slownessMax), slownessMax)
+	if ratio < slownessNoise {
+		ratio = min(ratio, 1)
+	}
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if book.slow == nil {
+		book.slow = map[peridotpath.EndpointKey]float64{}
+	}
+	before := book.slow[endpoint]
+	if before == 0 {
+		before = 1
+	}
+	book.slow[endpoint] = max(1, before+slownessGain*(ratio-before))
+}
--- /dev/null
+++ b/peridotpath/placement/plan.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"peridotpath.example/peridotpath"
+)
+
+// Work is a request as the planner sees it.
+type Work struct {
+	Prompt, Answer peridotpath.Tokens
+	// AnswerAim and PauseAim are when the first event and each next one are due.
+	AnswerAim, PauseAim time.Duration
+	// Left is the time until the caller stops waiting.
+	Left time.Duration
+	// DataCentre is the instance's own.
+	DataCentre peridotpath.DataCentre
+}
+
+// Candidate is an endpoint that may take a request.
+type Candidate struct {
+	Endpoint *peridotpath.Endpoint
+	Key      peridotpath.EndpointKey
+	// Suspect says that it failed just now; it is taken when there is no other.
+	Suspect bool
+}
+
+// Plan is where a request goes.
+type Plan struct {
+	// Writer answers the request and reads the first part of the prompt, Helpers
+	// read the others.
+	Writer  *peridotpath.Endpoint
+	Helpers []*peridotpath.Endpoint
+	// Reading is how long each part takes, FirstEvent when the first event is due.
+	Reading    time.Duration
+	FirstEvent time.Duration
+	// Loss is what the planner expects to lose, of what the request is worth and
+	// of what others are.
+	Loss float64
+}
+
+// Flight returns the plan as a request under way.
+func (plan *Plan) Flight(work Work, now time.Time) Flight {
+	parts := make([]Part, 0, 1+len(plan.Helpers))
+	parts = append(parts, Part{Endpoint: plan.Writer.Key(), Reading: plan.Reading})
+	for _, helper := range plan.Helpers {
+		parts = append(parts, Part{Endpoint: helper.Key(), Reading: plan.Reading})
+	}
+	return Flight{
+		Parts: parts, Prompt: work.Prompt, Memory: work.Prompt + work.Answer,
+		PauseAim: work.PauseAim, Sent: now,
+	}
+}
+
+const (
+	// maxHelpers is how many engines may help one to read a prompt.
+	maxHelpers = 16
+	// lateLoss is the part of an answer's worth that is lost when it is late:
+	// the users hold a late answer at a quarter to a third of a timely one.
+	lateLoss = 0.75
+	// soonEnough and tooLate bound, as parts of the aim, the predicted time in
+	// which an answer goes from surely timely to surely late. The first leaves
+	// room for what the prediction misses.
+	soonEnough = 0.6
+	tooLate    = 1.1
+	// slopeLoss prefers the sooner of two that are both in time or both late.
+	slopeLoss = 0.02
+	// farLoss is what another data centre costs: bytes between them are priced.
+	farLoss = 0.008
+	// suspectLoss keeps requests from an endpoint that failed a moment ago.
+	suspectLoss = 0.5
+	// freshLoss is what it costs to put the first writer on an engine. One that
+	// writes nothing can read long prompts at any time; writers are packed, so
+	// that such engines remain.
+	freshLoss = 0.03
+	// orderLoss makes all instances try the engines in the same order.
+	orderLoss = 0.002
+	// slotWait is about how long a request waits where all slots are taken, for
+	// each that waits before it: the time in which one of a full batch ends.
+	slotWait = 100 * time.Millisecond
+	// queueTolerance is the share of the aim for pauses that a pass may take.
+	queueTolerance = 0.9
+	// memoryTolerance is how much of an engine's memory may be promised. Answers
+	// longer than predicted would take the rest and push out whole requests.
+	memoryTolerance = 0.97
+)
+
+// option is a candidate with what is known of it.
+type option struct {
+	Candidate
+	load *Load
+	pass time.Duration
+	// ready is when it could begin to read.
+	ready time.Duration
+	rank  float64
+}
+
+// PlanPrompt chooses the engines for a prompt: those where the loss is least
+// that it and those already there will have by being late. It returns false
+// where no engine can take it before the caller stops waiting.
+//
+// The load that it is made for is one where short and long prompts come at
+// once. A long prompt read at one engine keeps everything there waiting for
+// seconds, first events and events alike; spread over the engines that write
+// little it takes a fraction of a second, and short prompts keep to the others.
+func PlanPrompt(model Model, work Work, candidates []Candidate, view View) (Plan, bool) {
+	options := makeOptions(model, candidates, view)
+	whole := model.ReadTime(work.Prompt)
+	best, found := Plan{}, false
+	for i := range options {
+		writer := &options[i]
+		if !fits(model, work, writer) {
+			continue
+		}
+		plan := bestSpread(model, work, whole, writer, options)
+		if plan.FirstEvent+model.WriteTime(work.Answer, max(writer.pass, model.Pass(1, work.Prompt))) > work.Left {
+			continue
+		}
+		if !found || plan.Loss < best.Loss {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+func makeOptions(model Model, candidates []Candidate, view View) []option {
+	options := make([]option, 0, len(candidates))
+	for _, candidate := range candidates {
+		load := view.At(candidate.Key)
+		pass := model.Pass(load.Writers, load.Context)
+		ready := time.Duration(float64(load.Backlog)*load.Slow) + pass/2
+		options = append(options, option{Candidate: candidate, load: load, pass: pass, ready: ready})
+	}
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.Key, b.Key) })
+	for i := range options {
+		options[i].rank = float64(i) / float64(len(options))
+	}
+	return options
+}
+
+// fits reports whether the engine has memory for the whole request.
+func fits(model Model, work Work, writer *option) bool {
+	limit := peridotpath.Tokens(memoryTolerance * float64(model.Rates.KVTokens))
+	return writer.load.Memory+work.Prompt+work.Answer <= limit
+}
+
+// bestSpread returns the best plan with that writer: alone, or with as many
+// helpers as lose least.
+func bestSpread(model Model, work Work, whole time.Duration, writer *option, options []option) Plan {
+	best := spread(model, work, whole, writer, nil)
+	// Spreading what is read within a pass gains nothing.
+	if whole < model.Pass(1, 0) || work.PauseAim == 0 {
+		return best
+	}
+	helpers := make([]*option, 0, len(options))
+	for i := range options {
+		if options[i].Key != writer.Key && !options[i].Suspect {
+			helpers = append(helpers, &options[i])
+		}
+	}
+	// Those first at which a part as long as a third of the whole does least harm.
+	cost := func(helper *option) float64 {
+		return helper.ready.Seconds() + harm(helper, whole/3)
+	}
+	slices.SortFunc(helpers, func(a, b *option) int { return cmp.Compare(cost(a), cost(b)) })
+	for count := 1; count <= min(len(helpers), maxHelpers); count++ {
+		if plan := spread(model, work, whole, writer, helpers[:count]); plan.Loss < best.Loss {
+			best = plan
+		}
+	}
+	return best
+}
+
+func spread(model Model, work Work, whole time.Duration, writer *option, helpers []*option) Plan {
+	share := whole / time.Duration(1+len(helpers))
+	ready, slow := writer.ready, writer.load.Slow
+	harmed := harm(writer, share)
+	for _, helper := range helpers {
+		ready = max(ready, helper.ready)
+		slow = max(slow, helper.load.Slow)
+		harmed += harm(helper, share)
+	}
+	reading := time.Duration(float64(share) * slow)
+	if writer.load.Writers > 0 {
+		// Each step that reads a chunk writes as well.
+		steps := math.Ceil(float64(work.Prompt) / float64(1+len(helpers)) / float64(model.Rates.Chunk))
+		reading += time.Duration(steps * float64(writer.pass) / float64(model.Rates.StepsPerPass))
+	}
+	first := ready + reading + model.Pass(writer.load.Writers+1, writer.load.Context+work.Prompt)
+	if over := writer.load.Taken() + 1 - model.Rates.BatchSize; over > 0 {
+		first += time.Duration(over) * slotWait
+	}
+	plan := Plan{Writer: writer.Endpoint, Reading: reading, FirstEvent: first}
+	worth := value(work.Prompt)
+	plan.Loss = harmed + worth*(lateness(first, work.AnswerAim)+pauseRisk(work, writer))
+	plan.Loss += placeLoss(work, writer) * worth
+	for _, helper := range helpers {
+		plan.Helpers = append(plan.Helpers, helper.Endpoint)
+	}
+	return plan
+}
+
+// lateness is the part of its worth that an answer is expected to lose.
+func lateness(first, aim time.Duration) float64 {
+	if aim <= 0 {
+		return 0
+	}
+	share := float64(first) / float64(aim)
+	late := min(max((share-soonEnough)/(tooLate-soonEnough), 0), 1)
+	return lateLoss*late + slopeLoss*share
+}
+
+// pauseRisk is what the answer itself loses where reads that wait at the writer
+// will make a pause too long.
+func pauseRisk(work Work, writer *option) float64 {
+	if work.PauseAim == 0 {
+		return 0
+	}
+	if writer.load.LongestRead+writer.pass > time.Duration(queueTolerance*float64(work.PauseAim)) {
+		return lateLoss / 2
+	}
+	return 0
+}
+
+// harm is what those lose who write at the engine when a reading of that span
+// comes on top of those that wait there: all of them fall into one pause.
+func harm(at *option, span time.Duration) float64 {
+	before := at.pass + at.load.Backlog
+	after := before + span
+	lost := 0.0
+	for _, pause := range at.load.pauses {
+		limit := time.Duration(queueTolerance * float64(pause.aim))
+		if pause.aim > 0 && before <= limit && after > limit {
+			lost += lateLoss * pause.value
+		}
+	}
+	return lost
+}
+
+// placeLoss is what speaks against an engine for itself.
+func placeLoss(work Work, writer *option) float64 {
+	loss := orderLoss * writer.rank
+	if writer.Endpoint.DataCentre != work.DataCentre {
+		loss += farLoss
+	}
+	if writer.Suspect {
+		loss += suspectLoss
+	}
+	if writer.load.Taken() == 0 {
+		loss += freshLoss
+	}
+	return loss
+}
+
+// SoonestFree returns when the first of the endpoints will have read what waits
+// there: before that, a request that came back would be refused again.
+func SoonestFree(candidates []Candidate, view View) time.Duration {
+	soonest := time.Duration(math.MaxInt64)
+	for _, candidate := range candidates {
+		soonest = min(soonest, view.At(candidate.Key).Backlog)
+	}
+	if soonest == math.MaxInt64 {
+		return 0
+	}
+	return soonest
+}
--- /dev/null
+++ b/peridotpath/placement/view.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"peridotpath.example/peridotpath"
+)
+
+// Load is what one endpoint has ahead of it, as far as this instance knows.
+type Load struct {
+	// Backlog is the time until the prompts sent there have been read.
+	Backlog time.Duration
+	// LongestRead is the longest single part still to be read.
+	LongestRead time.Duration
+	// Writers counts answers being written, Context their tokens.
+	Writers int
+	Context peridotpath.Tokens
+	// Waiting counts requests sent there whose answer has not begun.
+	Waiting int
+	// Memory is what requests hold or will hold there.
+	Memory peridotpath.Tokens
+	// Slow is by how much its readings are longer than predicted; 1 or more.
+	Slow float64
+
+	pauses []pause
+	reads  []read
+}
+
+// pause is what one writer allows between two of its events.
+type pause struct {
+	aim   time.Duration
+	value float64
+}
+
+type read struct {
+	sent time.Time
+	span time.Duration
+}
+
+// Taken counts the requests that are at the endpoint.
+func (load *Load) Taken() int { return load.Writers + load.Waiting }
+
+// overdueShare is what is left of a reading that should be over though its
+// first event has not come: the prediction was too short, by how much is unknown.
+const overdueShare = 0.125
+
+// View is the load of every endpoint at one moment.
+type View map[peridotpath.EndpointKey]*Load
+
+// View returns the load of every endpoint that has any.
+func (book *Book) View(now time.Time) View {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	view := View{}
+	for _, flight := range book.own {
+		view.add(flight, now)
+	}
+	for _, peer := range book.livePeers(now) {
+		for i := range peer.flights {
+			view.add(&peer.flights[i], now)
+		}
+	}
+	for key, slow := range book.slow {
+		view.load(key).Slow = slow
+	}
+	for _, load := range view {
+		load.queue(now)
+	}
+	return view
+}
+
+// At returns the load of an endpoint, also of one that has none.
+func (view View) At(key peridotpath.EndpointKey) *Load {
+	if load := view[key]; load != nil {
+		return load
+	}
+	return &Load{Slow: 1}
+}
+
+func (view View) load(key peridotpath.EndpointKey) *Load {
+	load := view[key]
+	if load == nil {
+		load = &Load{Slow: 1}
+		view[key] = load
+	}
+	return load
+}
+
+func (view View) add(flight *Flight, now time.Time) {
+	for i, part := range flight.Parts {
+		load := view.load(part.Endpoint)
+		if i == 0 {
+			load.Memory += flight.Memory
+			load.pauses = append(load.pauses, pause{aim: flight.PauseAim, value: value(flight.Prompt)})
+			if flight.Writing {
+				load.Writers++
+				load.Context += flight.Prompt
+			} else {
+				load.Waiting++
+			}
+		}
+		// The parts of a prompt end together, more or less: its first event says
+		// that all of them have been read.
+		if !flight.Writing {
+			load.reads = append(load.reads, read{sent: flight.Sent, span: part.Reading})
+		}
+	}
+}
+
+// queue works the readings off in the order in which they were sent.
+func (load *Load) queue(now time.Time) {
+	slices.SortFunc(load.reads, func(a, b read) int { return cmp.Compare(a.sent.UnixNano(), b.sent.UnixNano()) })
+	var free time.Time
+	for _, read := range load.reads {
+		begin := read.sent
+		if free.After(begin) {
+			begin = free
+		}
+		free = begin.Add(read.span)
+		if least := now.Add(time.Duration(overdueShare * float64(read.span))); free.Before(least) {
+			free = least
+		}
+		load.LongestRead = max(load.LongestRead, read.span)
+	}
+	load.Backlog = max(0, free.Sub(now))
+}
--- /dev/null
+++ b/peridotpath/relay/attempt.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/outbound"
+)
+
+const (
+	// maxAnswer bounds an answer that is no stream, in bytes; it is held whole.
+	maxAnswer = 8 << 20
+	// firstStall and firstStallFactor bound the wait for a first event: so much
+	// longer than predicted, and this on top. Engines cut off what waits for a
+	// dead helper by themselves after 1.5 s.
+	firstStall       = 1500 * time.Millisecond
+	firstStallFactor = 3
+	// eventStall and eventStallFactor bound the wait for a next event, the latter
+	// in aims for pauses. Callers give a stream up after two seconds.
+	eventStall       = 1400 * time.Millisecond
+	eventStallFactor = 3
+)
+
+var (
+	errStalled   = errors.New("no event for too long")
+	errForeign   = errors.New("not the endpoint's answer to this request")
+	errTooLarge  = errors.New("answer larger than can be held")
+	errKeyUnsure = errors.New("keys may not be used: the routing has not been confirmed for too long")
+)
+
+// attempt sends the request to the planned endpoints and hands the answer on.
+func (exchange *exchange) attempt(ctx context.Context) (outcome, error) {
+	relay := exchange.relay
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	now := time.Now()
+	flight := exchange.plan.Flight(exchange.work(now), now)
+	number := relay.Book.Begin(flight)
+	defer relay.Book.End(number)
+	// The instance may have been frozen since the request was checked.
+	if exchange.customer != "" && !relay.Routing.KeysUsable() {
+		return outcomeUnsent, errKeyUnsure
+	}
+	watch := exchange.watchStall(cancel)
+	defer watch.Stop()
+	answer, err := relay.Send(ctx, exchange.call(now))
+	if err != nil {
+		if outbound.ErrNotSent.Has(err) {
+			return outcomeUnsent, err
+		}
+		return outcomeFailed, errors.Join(err, context.Cause(ctx))
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.Elsewhere:
+		return outcomeElsewhere, nil
+	case answer.NotRun:
+		exchange.retryAfter = answer.RetryAfter
+		return outcomeRefused, nil
+	case !answer.Genuine:
+		return outcomeFailed, errForeign
+	}
+	if exchange.route.Streaming && answer.Status == http.StatusOK {
+		return exchange.stream(ctx, answer, watch, func() { relay.Book.Writing(number) })
+	}
+	return exchange.whole(answer)
+}
+
+func (exchange *exchange) call(now time.Time) *Call {
+	call := &Call{
+		Request: exchange.request, Endpoint: exchange.plan.Writer, Customer: exchange.customer,
+		Left: exchange.deadline.Sub(now), Priority: enginePriority(exchange.route), AfterEvent: exchange.afterEvent,
+	}
+	for _, helper := range exchange.plan.Helpers {
+		call.Helpers = append(call.Helpers, Helper{Endpoint: helper})
+	}
+	return call
+}
+
+// The engines' priorities by how soon a first event is due. Engines admit the
+// more urgent first: without, a lookup waits behind whatever came before it.
+const (
+	urgentAim, urgentPriority = 500 * time.Millisecond, 1
+	ordinaryAim, ordinaryRank = 2 * time.Second, 4
+	patientPriority           = 6
+)
+
+func enginePriority(route *peridotpath.Route) int {
+	switch {
+	case route.AnswerAim <= urgentAim:
+		return urgentPriority
+	case route.AnswerAim <= ordinaryAim:
+		return ordinaryRank
+	default:
+		return patientPriority
+	}
+}
+
+// stallWatch cancels an attempt whose events stop coming.
+type stallWatch struct {
+	timer *time.Timer
+	span  time.Duration
+}
+
+// watchStall watches a stream that may go on elsewhere. What may not be repeated
+// is never given up: its answer may still come.
+func (exchange *exchange) watchStall(cancel context.CancelCauseFunc) *stallWatch {
+	route := exchange.route
+	if !route.Streaming || !route.Repeatable() || exchange.sent+1 >= route.MaxAttempts {
+		return &stallWatch{}
+	}
+	first := firstStallFactor*exchange.plan.FirstEvent + firstStall
+	span := max(eventStall, eventStallFactor*route.PauseAim)
+	return &stallWatch{timer: time.AfterFunc(first, func() { cancel(errStalled) }), span: span}
+}
+
+func (watch *stallWatch) event() {
+	if watch.timer != nil && watch.timer.Stop() {
+		watch.timer.Reset(watch.span)
+	}
+}
+
+// Stop ends the watch.
+func (watch *stallWatch) Stop() {
+	if watch.timer != nil {
+		watch.timer.Stop()
+	}
+}
+
+// stream hands on whole events as they come. A break within an event drops what
+// came of it, so that the stream can go on at another endpoint.
+func (exchange *exchange) stream(ctx context.Context, answer *Answer, watch *stallWatch, writing func()) (outcome, error) {
+	events := newRawEvents(answer.Body)
+	seen := 0
+	for {
+		raw, id, err := events.next()
+		if errors.Is(err, io.EOF) && seen > 0 {
+			exchange.begin(answer)
+			exchange.caller.End()
+			exchange.relay.suspects.answered(exchange.plan.Writer.Key())
+			return outcomeDone, nil
+		}
+		if err != nil {
+			return outcomeFailed, errors.Join(err, context.Cause(ctx))
+		}
+		watch.event()
+		if seen == 0 {
+			exchange.noteFirst()
+			writing()
+		}
+		seen++
+		exchange.begin(answer)
+		if err := exchange.caller.Event(raw); err != nil {
+			return outcomeFailed, err
+		}
+		exchange.events++
+		if id != "" {
+			exchange.afterEvent = id
+		}
+	}
+}
+
+func (exchange *exchange) begin(answer *Answer) {
+	if !exchange.begun {
+		exchange.begun = true
+		exchange.caller.Begin(answer.Status, answer.Header)
+	}
+}
+
+// noteFirst records how long the first event took against the prediction.
+func (exchange *exchange) noteFirst() {
+	if exchange.events > 0 {
+		return
+	}
+	exchange.firstEvent = time.Since(exchange.request.Arrived)
+	if exchange.tries == 1 {
+		exchange.relay.Book.Observe(exchange.plan.Writer.Key(), exchange.plan.FirstEvent, exchange.firstEvent)
+	}
+}
+
+// whole reads an answer that is no stream to its end before a byte goes out, so
+// that a broken one never looks complete.
+func (exchange *exchange) whole(answer *Answer) (outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
+	if err != nil {
+		return outcomeFailed, err
+	}
+	if len(body) > maxAnswer {
+		return outcomeFailed, errTooLarge
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		exchange.last = &failedAnswer{answer: answer, body: body}
+		return outcomeErrored, nil
+	}
+	exchange.relay.suspects.answered(exchange.plan.Writer.Key())
+	exchange.caller.Answer(answer.Status, answer.Header, body)
+	return outcomeDone, nil
+}
--- /dev/null
+++ b/peridotpath/relay/exchange.go
@@ -0,0 +1,258 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// exchange is one request on its way through the attempts.
+type exchange struct {
+	relay    *Relay
+	request  *Request
+	caller   *Caller
+	route    *peridotpath.Route
+	service  peridotpath.Service
+	spec     peridotpath.ServiceSpec
+	customer peridotpath.CustomerID
+	deadline time.Time
+
+	// tries counts attempts, sent those that reached an endpoint.
+	tries, sent int
+	// mayHaveRun says that an attempt was sent and not promised not to have run.
+	mayHaveRun bool
+	avoid      map[peridotpath.EndpointKey]bool
+	// begun says that the answer's stream has begun, afterEvent which event the
+	// caller has, events how many.
+	begun      bool
+	afterEvent string
+	events     int
+
+	plan       placement.Plan
+	firstEvent time.Duration
+	retryAfter time.Duration
+	last       *failedAnswer
+}
+
+// failedAnswer is an endpoint's own failure, kept to be handed on if no other
+// endpoint does better.
+type failedAnswer struct {
+	answer *Answer
+	body   []byte
+}
+
+// outcome is how one attempt ended.
+type outcome int
+
+const (
+	outcomeDone outcome = iota
+	// outcomeUnsent: no byte reached the endpoint.
+	outcomeUnsent
+	// outcomeRefused: the endpoint promises not to have run the request.
+	outcomeRefused
+	// outcomeElsewhere: another endpoint has the address now.
+	outcomeElsewhere
+	// outcomeFailed: the request may have run.
+	outcomeFailed
+	// outcomeErrored: the endpoint ran it and answered with a failure of its own.
+	outcomeErrored
+)
+
+var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "errored"}
+
+func (outcome outcome) String() string { return outcomeNames[outcome] }
+
+// maxTries bounds the attempts of one request, those included that reached no
+// endpoint: each such one costs up to the time limit of a connection.
+const maxTries = 5
+
+// run makes attempts until one ends the request.
+func (exchange *exchange) run(ctx context.Context) {
+	exchange.relay.Budget.Note(exchange.service, time.Now())
+	for {
+		if result := exchange.place(); result != nil {
+			exchange.fail(*result)
+			return
+		}
+		exchange.tries++
+		outcome, err := exchange.attempt(ctx)
+		if outcome == outcomeDone {
+			exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
+			return
+		}
+		exchange.note(outcome, err)
+		if result := exchange.ended(ctx); result != nil {
+			exchange.fail(*result)
+			return
+		}
+		if result := exchange.again(outcome); result != nil {
+			exchange.fail(*result)
+			return
+		}
+	}
+}
+
+// place finds the endpoints for the next attempt.
+func (exchange *exchange) place() *peridotpath.Result {
+	relay, now := exchange.relay, time.Now()
+	candidates := exchange.candidates(now)
+	if len(candidates) == 0 {
+		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
+	}
+	work := exchange.work(now)
+	view := relay.Book.View(now)
+	var plan placement.Plan
+	var found bool
+	if exchange.spec.Engine != nil {
+		plan, found = placement.PlanPrompt(placement.Model{Rates: exchange.spec.Engine}, work, candidates, view)
+	} else {
+		plan, found = placement.PlanPlain(work, candidates, view)
+	}
+	if !found {
+		return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(candidates, view)))
+	}
+	exchange.plan = plan
+	return nil
+}
+
+func (exchange *exchange) work(now time.Time) placement.Work {
+	answer := exchange.request.Answer
+	if hint := exchange.request.AnswerHint; hint > 0 {
+		answer = min(answer, hint)
+	}
+	return placement.Work{
+		Prompt: exchange.request.Prompt, Answer: answer,
+		AnswerAim: exchange.route.AnswerAim, PauseAim: exchange.route.PauseAim,
+		Left: exchange.deadline.Sub(now), DataCentre: exchange.relay.DataCentre,
+	}
+}
+
+func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
+	endpoints := exchange.relay.Endpoints().Of(exchange.service)
+	candidates := make([]placement.Candidate, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		key := endpoint.Key()
+		if exchange.avoid[key] {
+			continue
+		}
+		suspect := exchange.relay.suspects.has(key, now)
+		candidates = append(candidates, placement.Candidate{Endpoint: endpoint, Key: key, Suspect: suspect})
+	}
+	return candidates
+}
+
+// refusal ends a request that no endpoint takes now.
+func (exchange *exchange) refusal(code peridotpath.Code, retryAfter time.Duration) *peridotpath.Result {
+	if exchange.mayHaveRun {
+		return &peridotpath.Result{Code: peridotpath.CodeEndpointFailed}
+	}
+	return &peridotpath.Result{Code: code, RetryAfter: retryAfter}
+}
+
+// note draws what an attempt's failure says of its endpoint.
+func (exchange *exchange) note(outcome outcome, err error) {
+	now, key := time.Now(), exchange.plan.Writer.Key()
+	switch outcome {
+	case outcomeRefused:
+		exchange.sent++
+		exchange.relay.suspects.full(key, now)
+	case outcomeErrored:
+		exchange.sent++
+		exchange.mayHaveRun = true
+	case outcomeFailed:
+		exchange.sent++
+		exchange.mayHaveRun = true
+		exchange.relay.suspects.failed(key, now)
+	case outcomeUnsent, outcomeElsewhere:
+		exchange.relay.suspects.failed(key, now)
+	}
+	if exchange.avoid == nil {
+		exchange.avoid = map[peridotpath.EndpointKey]bool{}
+	}
+	exchange.avoid[key] = true
+	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).
+		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).
+		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
+}
+
+// ended reports why the request has no time or no caller left.
+func (exchange *exchange) ended(ctx context.Context) *peridotpath.Result {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		if !exchange.mayHaveRun {
+			return &peridotpath.Result{Code: peridotpath.CodeCannotFinish, RetryAfter: shortReturn}
+		}
+		return &peridotpath.Result{Code: peridotpath.CodeDeadline}
+	default:
+		return &peridotpath.Result{Code: peridotpath.CodeCallerGone}
+	}
+}
+
+// again decides whether another attempt may follow; it returns the result that
+// ends the request where none may.
+func (exchange *exchange) again(outcome outcome) *peridotpath.Result {
+	final := exchange.finalResult(outcome)
+	if exchange.mayHaveRun && !exchange.route.Repeatable() {
+		return final
+	}
+	if exchange.tries >= maxTries || exchange.sent >= max(exchange.route.MaxAttempts, 1) {
+		return final
+	}
+	// What never reached an endpoint adds nothing to the load of the others.
+	if exchange.sent > 0 || outcome == outcomeElsewhere {
+		if !exchange.relay.Budget.Spend(exchange.service, time.Now()) {
+			return final
+		}
+	}
+	return nil
+}
+
+func (exchange *exchange) finalResult(outcome outcome) *peridotpath.Result {
+	switch {
+	case exchange.begun:
+		return &peridotpath.Result{Code: peridotpath.CodeStreamCut}
+	case exchange.mayHaveRun:
+		return &peridotpath.Result{Code: peridotpath.CodeEndpointFailed}
+	default:
+		return &peridotpath.Result{
+			Code: peridotpath.CodeEndpointRefused, RetryAfter: max(exchange.retryAfter, shortReturn), Detail: outcome.String(),
+		}
+	}
+}
+
+// fail ends the request without a success.
+func (exchange *exchange) fail(result peridotpath.Result) {
+	exchange.log(exchange.relay.Log.Info(), result.Code).Dur("retry_after", result.RetryAfter).Msg("failed")
+	switch {
+	case exchange.begun:
+		exchange.caller.Break()
+	case exchange.last != nil && result.Code != peridotpath.CodeCallerGone:
+		exchange.caller.Answer(exchange.last.answer.Status, exchange.last.answer.Header, exchange.last.body)
+	default:
+		exchange.caller.Refuse(result)
+	}
+}
+
+// log adds what decided the request.
+func (exchange *exchange) log(event *zerolog.Event, code peridotpath.Code) *zerolog.Event {
+	event = event.Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
+		Str("service", string(exchange.service)).Str("customer", string(exchange.customer)).
+		Int64("prompt", int64(exchange.request.Prompt)).Int("tries", exchange.tries).Int("sent", exchange.sent).
+		Dur("took", time.Since(exchange.request.Arrived)).Dur("routing_age", exchange.relay.Routing.Age()).
+		Int("code", int(code)).Str("result", code.String())
+	if exchange.plan.Writer != nil {
+		event = event.Str("endpoint", string(exchange.plan.Writer.ID)).Int("helpers", len(exchange.plan.Helpers)).
+			Dur("predicted", exchange.plan.FirstEvent).Float64("loss", exchange.plan.Loss)
+	}
+	if exchange.firstEvent > 0 {
+		event = event.Dur("first_event", exchange.firstEvent).Int("events", exchange.events)
+	}
+	return event
+}
--- /dev/null
+++ b/peridotpath/relay/relay.go
@@ -0,0 +1,130 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/routing"
+)
+
+// Relay serves requests. Set the exported fields before use.
+type Relay struct {
+	DataCentre peridotpath.DataCentre
+	Log        zerolog.Logger
+	Routing    *routing.State
+	Endpoints  func() *directory.Snapshot
+	Book       *placement.Book
+	Budget     *Budget
+	Send       Sender
+
+	suspects suspects
+}
+
+const (
+	// staleAfter is the age of the routing from which an unknown route or key may
+	// have been added since: a few readings of the store must have failed.
+	staleAfter = 1500 * time.Millisecond
+	// defaultPatience bounds a request whose caller and route name no time.
+	defaultPatience = 60 * time.Second
+	// shortReturn is when a caller may come back after a refusal that another
+	// instance or the next moment need not repeat.
+	shortReturn = 300 * time.Millisecond
+	// longReturn is when it may after one that lasts until the store is back.
+	longReturn = time.Second
+)
+
+// Serve answers the request through caller. It returns when the answer is out.
+func (relay *Relay) Serve(ctx context.Context, request *Request, caller *Caller) {
+	exchange, refusal := relay.admit(request, caller)
+	if refusal != nil {
+		relay.Log.Info().Str("request", string(request.ID)).Str("host", string(request.Host)).
+			Str("path", request.Path).Dur("routing_age", relay.Routing.Age()).
+			Int("code", int(refusal.Code)).Str("result", refusal.Code.String()).Msg("refused")
+		caller.Refuse(*refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, exchange.deadline)
+	defer cancel()
+	exchange.run(ctx)
+}
+
+// admit checks the request against the routing in force.
+func (relay *Relay) admit(request *Request, caller *Caller) (*exchange, *peridotpath.Result) {
+	table := relay.Routing.Current()
+	if table == nil {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: shortReturn}
+	}
+	route := table.Match(request.Host, request.Path)
+	if route == nil {
+		return nil, relay.unknown(peridotpath.CodeNotFound)
+	}
+	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, afterEvent: request.AfterEvent}
+	if table.NeedsKey(route) {
+		holder, known := table.Holder(request.Key)
+		if !known {
+			return nil, relay.unknown(peridotpath.CodeUnauthorized)
+		}
+		if !relay.Routing.KeysUsable() {
+			return nil, &peridotpath.Result{Code: peridotpath.CodePlatformDown, RetryAfter: longReturn}
+		}
+		exchange.customer = holder.Customer
+	}
+	exchange.service = relay.pickService(route)
+	exchange.spec = table.Service(exchange.service)
+	exchange.deadline = request.Arrived.Add(patience(request, route))
+	return exchange, nil
+}
+
+// unknown refuses what the routing does not know. One that may be old does not
+// say that something is not there: it may have been added since.
+func (relay *Relay) unknown(code peridotpath.Code) *peridotpath.Result {
+	if relay.Routing.Age() > staleAfter {
+		return &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: shortReturn}
+	}
+	return &peridotpath.Result{Code: code}
+}
+
+// patience is how long the request may take: what its caller says, at most what
+// the route allows.
+func patience(request *Request, route *peridotpath.Route) time.Duration {
+	limit := defaultPatience
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	if request.Patience > 0 {
+		limit = min(limit, request.Patience)
+	}
+	return limit
+}
+
+// pickService picks one of the route's services by weight, among those that have
+// an endpoint; any of them where none has.
+func (relay *Relay) pickService(route *peridotpath.Route) peridotpath.Service {
+	snapshot := relay.Endpoints()
+	total := 0
+	for _, backend := range route.Backends {
+		if len(snapshot.Of(backend.Service)) > 0 {
+			total += backend.Weight
+		}
+	}
+	if total == 0 {
+		return route.Backends[0].Service
+	}
+	pick := rand.IntN(total)
+	for _, backend := range route.Backends {
+		if len(snapshot.Of(backend.Service)) == 0 {
+			continue
+		}
+		if pick < backend.Weight {
+			return backend.Service
+		}
+		pick -= backend.Weight
+	}
+	return route.Backends[0].Service
+}
