gossip: instances tell each other what they have sent, and how fresh what they read is

Change: one UDP digest an instance to all peers on each change (4 ms coalesced) and every 250 ms: requests under way with their parts, version and age of the routing, content and age of the endpoints. An instance looks at the store only when nobody has within 0.5 to 0.9 s. Ages are related to an echo of the receiver's own clock that is older than they are, so a delay or a freeze on the way only makes what is told look older.

--- /dev/null
+++ b/peridotpath/clock/pace.go
@@ -0,0 +1,60 @@
+package clock
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Pace spaces looks at something that several instances look at and tell each
+// other of: each looks only when nobody has for a while. Set the exported
+// fields before Wait.
+type Pace struct {
+	// Least is the age below which nobody looks, and Spread how much later one
+	// may look that was not chosen by chance to be first.
+	Least, Spread time.Duration
+	// Retry is the pause after a look that failed.
+	Retry time.Duration
+
+	once  sync.Once
+	woken chan struct{}
+}
+
+// ageStep is the longest sleep before the age is looked at again: a peer's word
+// may have changed it.
+const ageStep = 100 * time.Millisecond
+
+func (pace *Pace) wake() chan struct{} {
+	pace.once.Do(func() { pace.woken = make(chan struct{}, 1) })
+	return pace.woken
+}
+
+// Wake ends the present wait, or the next one. It never waits.
+func (pace *Pace) Wake() {
+	select {
+	case pace.wake() <- struct{}{}:
+	default:
+	}
+}
+
+// Wait waits until what is looked at is old enough; false when ctx ended first.
+func (pace *Pace) Wait(ctx context.Context, age func() time.Duration) bool {
+	limit := pace.Least + time.Duration(rand.Float64()*float64(pace.Spread))
+	for {
+		left := limit - age()
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(min(left, ageStep))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-pace.wake():
+			timer.Stop()
+			return true
+		case <-timer.C:
+		}
+	}
+}
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -3,10 +3,12 @@
 package directory
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
@@ -51,32 +53,75 @@
 
 	current atomic.Pointer[Snapshot]
 
-	mutex      sync.Mutex
-	lastRead   time.Time
-	returnedAt time.Time
+	mutex sync.Mutex
+	// readAt and returnedAt are on a clock that goes on while the machine is
+	// suspended; content names what was read last.
+	readAt     time.Duration
+	returnedAt time.Duration
+	content    uint64
+}
+
+// ReadAt returns when the last reading was known to be the newest.
+func (directory *Directory) ReadAt() time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.readAt
+}
+
+// Content names what was read last; zero before the first reading.
+func (directory *Directory) Content() uint64 {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.content
+}
+
+// Confirm says that a reading with that content was the newest at that time.
+func (directory *Directory) Confirm(content uint64, at time.Duration) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if content == directory.content && at > directory.readAt {
+		directory.noteReading(at)
+	}
+}
+
+// noteReading notes when the store was readable, and whether it had been away.
+func (directory *Directory) noteReading(at time.Duration) {
+	if directory.readAt > 0 && at-directory.readAt > outageGap {
+		directory.returnedAt = at
+		directory.Log.Info().Dur("gap", at-directory.readAt).Msg("store_readable_again")
+	}
+	directory.readAt = max(directory.readAt, at)
 }
 
 // Current returns the endpoints in use; nil before the first reading.
 func (directory *Directory) Current() *Snapshot { return directory.current.Load() }
 
-// Apply takes a whole reading of the store in, with the time at which it ended.
-func (directory *Directory) Apply(endpoints []peridotpath.Endpoint, now time.Time) {
+// Apply takes a whole reading of the store in, which began at the time given.
+func (directory *Directory) Apply(endpoints []peridotpath.Endpoint, at time.Duration) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	if !directory.lastRead.IsZero() && now.Sub(directory.lastRead) > outageGap {
-		directory.returnedAt = now
-		directory.Log.Info().Dur("gap", now.Sub(directory.lastRead)).Msg("store_readable_again")
-	}
-	directory.lastRead = now
+	directory.noteReading(at)
+	directory.content = contentOf(endpoints)
 	before := directory.current.Load()
 	snapshot := newSnapshot(endpoints)
 	if before != nil {
-		directory.keepLapsed(before, snapshot, endpoints, now)
+		directory.keepLapsed(before, snapshot, endpoints, at)
 		directory.logChanges(before, snapshot)
 	}
 	directory.current.Store(snapshot)
 }
 
+// contentOf names a reading, whatever the order of its entries.
+func contentOf(endpoints []peridotpath.Endpoint) uint64 {
+	sum := uint64(len(endpoints)) + 1
+	for i := range endpoints {
+		endpoint := &endpoints[i]
+		entry := fmt.Sprintf("%d %s %s %s", endpoint.Key(), endpoint.Address, endpoint.State, endpoint.Service)
+		sum += xxhash.Sum64String(entry)
+	}
+	return sum
+}
+
 func newSnapshot(endpoints []peridotpath.Endpoint) *Snapshot {
 	snapshot := &Snapshot{
 		byService: map[peridotpath.Service][]*peridotpath.Endpoint{},
@@ -98,8 +143,8 @@
 // keepLapsed keeps endpoints whose entries are missing just after an outage.
 // Entries lapse when their endpoints cannot renew them; dropped at once, the
 // whole fleet would be gone for the first seconds after an outage.
-func (directory *Directory) keepLapsed(before, snapshot *Snapshot, endpoints []peridotpath.Endpoint, now time.Time) {
-	if directory.returnedAt.IsZero() || now.Sub(directory.returnedAt) > returnGrace {
+func (directory *Directory) keepLapsed(before, snapshot *Snapshot, endpoints []peridotpath.Endpoint, at time.Duration) {
+	if directory.returnedAt == 0 || at-directory.returnedAt > returnGrace {
 		return
 	}
 	named := map[peridotpath.EndpointID]bool{}
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -15,32 +15,53 @@
 type Follower struct {
 	Directory *Directory
 	// List reads every endpoint's entry.
-	List     func(ctx context.Context) ([]peridotpath.Endpoint, error)
-	Interval time.Duration
-	Log      zerolog.Logger
+	List func(ctx context.Context) ([]peridotpath.Endpoint, error)
+	// Now goes on while the machine is suspended.
+	Now  func() time.Duration
+	Pace clock.Pace
+	// Confirmed is called after each reading that succeeded.
+	Confirmed func()
+	Log       zerolog.Logger
 
 	failed bool
 }
 
-// Run reads the store at each interval until ctx ends. When a reading fails the
-// last one stays: the store may be away, and endpoints outlive that.
+// Run reads the store whenever the last reading, here or at a peer that read the
+// same, is old, until ctx ends. When a reading fails the last one stays: the
+// store may be away, and endpoints outlive that.
 func (follower *Follower) Run(ctx context.Context) error {
-	for {
-		wait := follower.Interval
+	for follower.Pace.Wait(ctx, follower.Age) {
+		asked := follower.Now()
 		endpoints, err := follower.List(ctx)
-		switch {
-		case err == nil:
-			follower.Directory.Apply(endpoints, time.Now())
+		if err == nil {
+			follower.Directory.Apply(endpoints, asked)
+			follower.Confirmed()
 			follower.failed = false
-		case ctx.Err() == nil:
-			wait /= 2
-			if !follower.failed {
-				follower.failed = true
-				follower.Log.Warn().Err(err).Msg("endpoints_unread")
-			}
+			continue
 		}
-		if !clock.Pause(ctx, wait) {
-			return ctx.Err()
+		if ctx.Err() != nil {
+			break
 		}
+		if !follower.failed {
+			follower.failed = true
+			follower.Log.Warn().Err(err).Dur("age", follower.Age()).Msg("endpoints_unread")
+		}
+		clock.Pause(ctx, follower.Pace.Retry)
+	}
+	return ctx.Err()
+}
+
+// Age returns how long ago the last reading was known to be the newest.
+func (follower *Follower) Age() time.Duration { return follower.Now() - follower.Directory.ReadAt() }
+
+// HearPeer takes in what a peer has read: it confirms what was read here, or
+// says that there is something newer.
+func (follower *Follower) HearPeer(content uint64, confirmed time.Duration) {
+	switch {
+	case content == 0:
+	case content == follower.Directory.Content():
+		follower.Directory.Confirm(content, confirmed)
+	case confirmed > follower.Directory.ReadAt():
+		follower.Pace.Wake()
 	}
 }
--- /dev/null
+++ b/peridotpath/gossip/gossip.go
@@ -0,0 +1,247 @@
+// Package gossip speaks to the other instances over UDP: each tells all others
+// what requests it has under way and how fresh what it read of the store is.
+// A datagram that is lost costs nothing but age, since each holds everything.
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/gossip/wire"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("gossip")
+
+const (
+	// heartbeat is the longest time between two digests to a peer. What peers
+	// have read of the store confirms what this instance holds, at that age.
+	heartbeat = 250 * time.Millisecond
+	// coalesce is how long a change waits for others, so that a burst of
+	// requests makes one digest and not one each.
+	coalesce = 4 * time.Millisecond
+	// forgetAfter is how long a peer that is silent and not in the store is kept.
+	forgetAfter = 5 * time.Second
+	// maxDatagram bounds what is read, in bytes.
+	maxDatagram = 64 << 10
+	// readPause is the longest wait of the receiver before it looks whether to end.
+	readPause = 500 * time.Millisecond
+)
+
+// Freshness is how old what an instance has read of the store is.
+type Freshness struct {
+	RoutingVersion peridotpath.RoutingVersion
+	RoutingAge     time.Duration
+	// Endpoints names the content of the reading of the endpoints.
+	Endpoints    uint64
+	EndpointsAge time.Duration
+}
+
+// Gossip tells and hears digests. Set the exported fields before Run.
+type Gossip struct {
+	Instance    peridotpath.InstanceID
+	Incarnation peridotpath.Incarnation
+	Address     netip.AddrPort
+	Book        *placement.Book
+	// Clock goes on while the machine is suspended.
+	Clock func() time.Duration
+	// Fresh returns what this instance has read of the store.
+	Fresh func() Freshness
+	// Heard is called with what a peer has read of the store. Asked is a time on
+	// this instance's clock that surely came before the peer spoke, to which the
+	// ages are related.
+	Heard func(fresh Freshness, asked time.Duration)
+	Log   zerolog.Logger
+
+	dirty    chan struct{}
+	once     sync.Once
+	mutex    sync.Mutex
+	peers    map[netip.AddrPort]*peer
+	sequence uint64
+}
+
+type peer struct {
+	instance peridotpath.InstanceID
+	// echo is the newest clock reading that the peer has told.
+	echo  uint64
+	heard time.Time
+	// listed says that the store names the peer.
+	listed bool
+}
+
+func (gossip *Gossip) wake() chan struct{} {
+	gossip.once.Do(func() { gossip.dirty = make(chan struct{}, 1) })
+	return gossip.dirty
+}
+
+// Changed asks for a digest soon. It never waits.
+func (gossip *Gossip) Changed() {
+	select {
+	case gossip.wake() <- struct{}{}:
+	default:
+	}
+}
+
+// SetPeers takes the addresses of the peers that the store names.
+func (gossip *Gossip) SetPeers(addresses []netip.AddrPort) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	for _, known := range gossip.peers {
+		known.listed = false
+	}
+	for _, address := range addresses {
+		if address != gossip.Address {
+			gossip.peer(address).listed = true
+		}
+	}
+}
+
+func (gossip *Gossip) peer(address netip.AddrPort) *peer {
+	if gossip.peers == nil {
+		gossip.peers = map[netip.AddrPort]*peer{}
+	}
+	known := gossip.peers[address]
+	if known == nil {
+		known = &peer{heard: time.Now()}
+		gossip.peers[address] = known
+	}
+	return known
+}
+
+// Run tells and hears until ctx ends.
+func (gossip *Gossip) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(gossip.Address))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer conn.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- gossip.receive(ctx, conn) }()
+	for {
+		select {
+		case <-ctx.Done():
+			return <-ended
+		case <-time.After(heartbeat):
+		case <-gossip.wake():
+			time.Sleep(coalesce)
+		}
+		gossip.tell(conn)
+	}
+}
+
+// target is a peer as a digest is sent to it.
+type target struct {
+	address netip.AddrPort
+	echo    uint64
+}
+
+// tell sends one digest to every peer.
+func (gossip *Gossip) tell(conn *net.UDPConn) {
+	// The echoes come first: a receiver relates the ages to the echo, so that it
+	// must be older than they are. Were the process frozen in between, an echo
+	// taken afterwards would make what was read before the freeze look fresh.
+	targets := gossip.targets(time.Now())
+	common, err := proto.Marshal(gossip.digest())
+	if err != nil {
+		gossip.Log.Error().Err(err).Msg("digest_unmade")
+		return
+	}
+	for _, target := range targets {
+		// Two messages in a row read as one: only the echo differs by peer.
+		datagram, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], &wire.Digest{Echo: target.echo})
+		if err == nil {
+			_, err = conn.WriteToUDPAddrPort(datagram, target.address)
+		}
+		if err != nil {
+			gossip.Log.Debug().Err(err).Stringer("peer", target.address).Msg("digest_unsent")
+		}
+	}
+}
+
+// targets returns the peers to tell, and forgets those that are gone.
+func (gossip *Gossip) targets(now time.Time) []target {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	targets := make([]target, 0, len(gossip.peers))
+	for address, peer := range gossip.peers {
+		if !peer.listed && now.Sub(peer.heard) > forgetAfter {
+			delete(gossip.peers, address)
+			continue
+		}
+		targets = append(targets, target{address: address, echo: peer.echo})
+	}
+	return targets
+}
+
+func (gossip *Gossip) digest() *wire.Digest {
+	fresh, now := gossip.Fresh(), time.Now()
+	gossip.sequence++
+	digest := &wire.Digest{
+		Instance: string(gossip.Instance), Incarnation: uint64(gossip.Incarnation), Sequence: gossip.sequence,
+		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: micros(fresh.RoutingAge),
+		Endpoints: fresh.Endpoints, EndpointsAge: micros(fresh.EndpointsAge),
+	}
+	for _, flight := range gossip.Book.Own() {
+		digest.Flights = append(digest.Flights, encodeFlight(&flight, now))
+	}
+	digest.Sent = micros(gossip.Clock())
+	return digest
+}
+
+func (gossip *Gossip) receive(ctx context.Context, conn *net.UDPConn) error {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		_ = conn.SetReadDeadline(time.Now().Add(readPause))
+		length, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			continue
+		}
+		digest := &wire.Digest{}
+		if err := proto.Unmarshal(buffer[:length], digest); err != nil {
+			gossip.Log.Debug().Err(err).Stringer("peer", from).Msg("digest_unread")
+			continue
+		}
+		gossip.hear(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), digest, time.Now())
+	}
+	return ctx.Err()
+}
+
+// hear takes one digest in.
+func (gossip *Gossip) hear(from netip.AddrPort, digest *wire.Digest, now time.Time) {
+	if digest.Instance == "" || digest.Instance == string(gossip.Instance) {
+		return
+	}
+	gossip.mutex.Lock()
+	peer := gossip.peer(from)
+	if peer.instance != peridotpath.InstanceID(digest.Instance) {
+		peer.instance = peridotpath.InstanceID(digest.Instance)
+		gossip.Log.Info().Str("peer", digest.Instance).Stringer("address", from).Msg("peer_heard")
+	}
+	peer.echo = digest.Sent
+	peer.heard = now
+	gossip.mutex.Unlock()
+	flights := make([]placement.Flight, 0, len(digest.Flights))
+	for _, flight := range digest.Flights {
+		flights = append(flights, decodeFlight(flight, now))
+	}
+	gossip.Book.HearPeer(peridotpath.InstanceID(digest.Instance), peridotpath.Incarnation(digest.Incarnation), digest.Sequence, flights, now)
+	if digest.Echo == 0 {
+		return
+	}
+	// A clock reading of before this machine's last start is none of this run's.
+	if asked := span(digest.Echo); asked <= gossip.Clock() {
+		gossip.Heard(Freshness{
+			RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: span(digest.RoutingAge),
+			Endpoints: digest.Endpoints, EndpointsAge: span(digest.EndpointsAge),
+		}, asked)
+	}
+}
--- /dev/null
+++ b/peridotpath/gossip/registry.go
@@ -0,0 +1,112 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/keyvalue"
+)
+
+// Registry tells this instance's address through the store, and learns those of
+// others. Set the exported fields before Run.
+type Registry struct {
+	Store       *keyvalue.Store
+	Instance    peridotpath.InstanceID
+	Incarnation peridotpath.Incarnation
+	Address     netip.AddrPort
+	SetPeers    func([]netip.AddrPort)
+	Log         zerolog.Logger
+
+	lease keyvalue.LeaseID
+}
+
+// RegistryPrefix comes before the keys under which instances register. Each
+// start has a key of its own, so that none has to take over what an earlier
+// start left; that lapses with its lease.
+const RegistryPrefix = "peridotpath/instances/"
+
+const (
+	// registryTTL is how long an entry outlives its instance, and renewal how
+	// often it is renewed: a renewal costs a tenth of a call.
+	registryTTL = 15 * time.Second
+	renewal     = 4 * time.Second
+	// firstLooks is how long after the start the list is read each second:
+	// instances that start together are not all registered at once. Later
+	// starters announce themselves to those that they read of.
+	firstLooks = 8 * time.Second
+)
+
+// registration is the value of an entry.
+type registration struct {
+	Address netip.AddrPort `json:"address"`
+}
+
+// Run keeps the entry and the list until ctx ends.
+func (registry *Registry) Run(ctx context.Context) error {
+	began := time.Now()
+	for {
+		if err := registry.round(ctx); err != nil && ctx.Err() == nil {
+			registry.Log.Warn().Err(err).Msg("registry_unreachable")
+		}
+		wait := time.Second
+		if time.Since(began) > firstLooks && registry.lease != 0 {
+			wait = renewal
+		}
+		if !clock.Pause(ctx, wait) {
+			return ctx.Err()
+		}
+	}
+}
+
+// round renews or makes the entry, and reads the others'.
+func (registry *Registry) round(ctx context.Context) error {
+	if err := registry.register(ctx); err != nil {
+		return err
+	}
+	entries, _, err := registry.Store.ListStale(ctx, RegistryPrefix)
+	if err != nil {
+		return err
+	}
+	addresses := make([]netip.AddrPort, 0, len(entries))
+	for _, entry := range entries {
+		var registration registration
+		if err := json.Unmarshal(entry.Value, &registration); err != nil {
+			registry.Log.Warn().Err(err).Str("key", entry.Key).Msg("registration_unread")
+			continue
+		}
+		addresses = append(addresses, registration.Address)
+	}
+	registry.SetPeers(addresses)
+	return nil
+}
+
+func (registry *Registry) register(ctx context.Context) error {
+	if registry.lease != 0 {
+		err := registry.Store.Renew(ctx, registry.lease)
+		if !keyvalue.ErrLeaseGone.Has(err) {
+			return err
+		}
+		registry.lease = 0
+	}
+	lease, err := registry.Store.Grant(ctx, registryTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(registration{Address: registry.Address})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	key := fmt.Sprintf("%s%s/%d-%d", RegistryPrefix, registry.Instance, registry.Incarnation, lease)
+	if _, err := registry.Store.Swap(ctx, key, 0, value, lease); err != nil {
+		return err
+	}
+	registry.lease = lease
+	return nil
+}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -17,6 +17,7 @@
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/placement"
@@ -42,13 +43,13 @@
 }
 
 const (
-	// routingInterval is the time between two looks at the routing. A change is
-	// in force everywhere within it and one call's time, which leaves more than
-	// a second of the two that the users allow for a call that fails.
-	routingInterval = 800 * time.Millisecond
-	// endpointInterval is the same for the endpoints: one that leaves gets no
-	// new work after two seconds.
-	endpointInterval = 700 * time.Millisecond
+	// lookLeast and lookSpread are the ages of what was read of the store between
+	// which one of the instances looks again. A change is known everywhere within
+	// the sum and two calls' time, which leaves half of the two seconds that the
+	// users allow for a call that fails. The spread keeps two from looking at once.
+	lookLeast, lookSpread = 500 * time.Millisecond, 400 * time.Millisecond
+	// lookRetry is the pause after a look that failed.
+	lookRetry = 250 * time.Millisecond
 	// keyMargin is how long before its end a key's lifetime is over here, for the
 	// time between the last look at the clock and the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -78,6 +79,10 @@
 	directory *directory.Directory
 	book      *placement.Book
 	relay     *relay.Relay
+	gossip    *gossip.Gossip
+	registry  *gossip.Registry
+	routes    *routing.Follower
+	endpoints *directory.Follower
 	active    atomic.Int64
 	stopping  atomic.Bool
 	callers   *inbound.Listener
@@ -100,6 +105,7 @@
 			Instances: func() int { return 1 + instance.book.Peers(time.Now()) },
 		},
 	}
+	instance.follow()
 	instance.listen()
 	return instance
 }
@@ -163,18 +169,55 @@
 	run  func(ctx context.Context) error
 }
 
-// tasks lists everything that runs beside the listeners.
-func (instance *Instance) tasks() []task {
-	routing := &routing.Follower{
-		State: instance.routing, Key: instance.Adapter.RoutingKey, Decode: instance.Adapter.DecodeRouting,
-		Check: instance.Adapter.Store.Check, Interval: routingInterval, Log: instance.Log,
+// follow joins what reads the store and what peers say of it.
+func (instance *Instance) follow() {
+	settings, adapter := instance.Settings, instance.Adapter
+	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
+	instance.gossip = &gossip.Gossip{
+		Instance: settings.InstanceID, Incarnation: incarnation, Address: settings.PeerAddress,
+		Book: instance.book, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
+	}
+	instance.book.Changed = instance.gossip.Changed
+	instance.registry = &gossip.Registry{
+		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: incarnation, Address: settings.PeerAddress,
+		SetPeers: instance.gossip.SetPeers, Log: instance.Log,
+	}
+	instance.routes = &routing.Follower{
+		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
+		Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry},
+	}
+	instance.endpoints = &directory.Follower{
+		Directory: instance.directory, List: instance.listEndpoints, Now: clock.SinceBoot,
+		Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry},
+	}
+}
+
+// fresh returns what this instance has read of the store, for its peers.
+func (instance *Instance) fresh() gossip.Freshness {
+	fresh := gossip.Freshness{
+		RoutingAge: instance.routing.Age(), Endpoints: instance.directory.Content(), EndpointsAge: instance.endpoints.Age(),
 	}
-	endpoints := &directory.Follower{
-		Directory: instance.directory, List: instance.listEndpoints, Interval: endpointInterval, Log: instance.Log,
+	if table := instance.routing.Current(); table != nil {
+		fresh.RoutingVersion = table.Routing.Version
 	}
+	return fresh
+}
+
+// heard takes in what a peer has read of the store.
+func (instance *Instance) heard(fresh gossip.Freshness, asked time.Duration) {
+	instance.routes.HearPeer(fresh.RoutingVersion, asked-fresh.RoutingAge)
+	instance.endpoints.HearPeer(fresh.Endpoints, asked-fresh.EndpointsAge)
+}
+
+// tasks lists everything that runs beside the listeners.
+func (instance *Instance) tasks() []task {
 	return []task{
-		{"routing", routing.Run},
-		{"endpoints", endpoints.Run},
+		{"gossip", instance.gossip.Run},
+		{"registry", instance.registry.Run},
+		{"routing", instance.routes.Run},
+		{"endpoints", instance.endpoints.Run},
 	}
 }
 
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -19,30 +19,46 @@
 	Key    string
 	Decode func(value []byte) (*peridotpath.Routing, error)
 	Check  func(ctx context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error)
-	// Interval is the time between two looks at the store.
-	Interval time.Duration
-	Log      zerolog.Logger
+	Pace   clock.Pace
+	// Confirmed is called after each look that succeeded.
+	Confirmed func()
+	Log       zerolog.Logger
 
 	read   keyvalue.Version
 	failed bool
 }
 
-// Run asks the store at each interval until ctx ends.
+// Run asks the store whenever the routing has not been confirmed for a while,
+// until ctx ends. What a peer has confirmed need not be asked again, so that all
+// instances together ask hardly more often than one.
 //
 // It asks whether what it has still holds, and does not wait for changes: a
 // wait that hears nothing does not say that nothing has changed.
 func (follower *Follower) Run(ctx context.Context) error {
-	for {
-		wait := follower.Interval
-		if err := follower.look(ctx); err != nil && ctx.Err() == nil {
-			// The next look comes sooner, since keys stop working without one.
-			wait /= 2
-			follower.lost(err)
+	for follower.Pace.Wait(ctx, follower.State.Age) {
+		err := follower.look(ctx)
+		if err == nil {
+			follower.Confirmed()
+			continue
 		}
-		if !clock.Pause(ctx, wait) {
-			return ctx.Err()
+		if ctx.Err() == nil {
+			follower.lost(err)
+			clock.Pause(ctx, follower.Pace.Retry)
 		}
 	}
+	return ctx.Err()
+}
+
+// HearPeer takes in what a peer has read: it confirms what is in force here, or
+// says that there is something newer to be read.
+func (follower *Follower) HearPeer(version peridotpath.RoutingVersion, confirmed time.Duration) {
+	table := follower.State.Current()
+	switch {
+	case table != nil && table.Routing.Version == version:
+		follower.State.Confirm(version, confirmed)
+	case table == nil && version > 0, table != nil && table.Routing.Version < version:
+		follower.Pace.Wake()
+	}
 }
 
 func (follower *Follower) lost(err error) {
