placement: long prompts take turns; directory: what an outage excused ends by itself

Change: prompts that one engine reads for over 150 ms wait at the instances in an order that all agree on through the digests, shortest first with a share of their reading time, and are sent when the engines are about to be free.

Change: the store counts as away only if no instance could read it, and a reading is due when the excuse ends.

--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -16,9 +16,12 @@
 	Least, Spread time.Duration
 	// Retry is the pause after a look that failed.
 	Retry time.Duration
+	// Gap is the least time between two looks, whatever the age and the wakes.
+	Gap time.Duration
 
 	once  sync.Once
 	woken chan struct{}
+	last  time.Time
 }
 
 // ageStep is the longest sleep before the age is looked at again: a peer's word
@@ -40,6 +43,12 @@
 
 // Wait waits until what is looked at is old enough; false when ctx ended first.
 func (pace *Pace) Wait(ctx context.Context, age func() time.Duration) bool {
+	// While there is nothing to be found, the age stays high: without a gap all
+	// instances that start together would ask as fast as they are answered.
+	if !Pause(ctx, pace.Gap-time.Since(pace.last)) {
+		return false
+	}
+	defer func() { pace.last = time.Now() }()
 	limit := pace.Least + time.Duration(rand.Float64()*float64(pace.Spread))
 	for {
 		left := limit - age()
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -54,11 +54,14 @@
 	current atomic.Pointer[Snapshot]
 
 	mutex sync.Mutex
-	// readAt and returnedAt are on a clock that goes on while the machine is
-	// suspended; content names what was read last.
-	readAt     time.Duration
-	returnedAt time.Duration
-	content    uint64
+	// readAt is when what was read last was the newest, seenAt when the store was
+	// last readable for any instance, returnedAt when it came back from an outage,
+	// on a clock that goes on while the machine is suspended.
+	readAt, seenAt, returnedAt time.Duration
+	// content names what was read last, keeping says that endpoints are used that
+	// it does not name.
+	content uint64
+	keeping bool
 }
 
 // ReadAt returns when the last reading was known to be the newest.
@@ -79,18 +82,33 @@
 func (directory *Directory) Confirm(content uint64, at time.Duration) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	if content == directory.content && at > directory.readAt {
-		directory.noteReading(at)
+	if content == directory.content {
+		directory.readAt = max(directory.readAt, at)
 	}
 }
 
-// noteReading notes when the store was readable, and whether it had been away.
-func (directory *Directory) noteReading(at time.Duration) {
-	if directory.readAt > 0 && at-directory.readAt > outageGap {
+// Seen says that the store could be read at that time, by whichever instance: it
+// was not away then, even if this instance was cut off from it.
+func (directory *Directory) Seen(at time.Duration) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.noteSeen(at)
+}
+
+func (directory *Directory) noteSeen(at time.Duration) {
+	if directory.seenAt > 0 && at-directory.seenAt > outageGap {
 		directory.returnedAt = at
-		directory.Log.Info().Dur("gap", at-directory.readAt).Msg("store_readable_again")
+		directory.Log.Info().Dur("gap", at-directory.seenAt).Msg("store_readable_again")
 	}
-	directory.readAt = max(directory.readAt, at)
+	directory.seenAt = max(directory.seenAt, at)
+}
+
+// Overdue reports whether endpoints are still used that an outage excused for a
+// while: the store must be read anew, even if what it held has not changed.
+func (directory *Directory) Overdue(now time.Duration) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.keeping && now-directory.returnedAt > returnGrace
 }
 
 // Current returns the endpoints in use; nil before the first reading.
@@ -100,7 +118,9 @@
 func (directory *Directory) Apply(endpoints []peridotpath.Endpoint, at time.Duration) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	directory.noteReading(at)
+	directory.noteSeen(at)
+	directory.readAt = max(directory.readAt, at)
+	directory.keeping = false
 	directory.content = contentOf(endpoints)
 	before := directory.current.Load()
 	snapshot := newSnapshot(endpoints)
@@ -157,6 +177,7 @@
 		// An address that another endpoint uses now is no longer this one's.
 		if !named[id] && !addresses[endpoint.Address.String()] {
 			snapshot.add(endpoint)
+			directory.keeping = true
 		}
 	}
 }
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,7 +31,7 @@
 // same, is old, until ctx ends. When a reading fails the last one stays: the
 // store may be away, and endpoints outlive that.
 func (follower *Follower) Run(ctx context.Context) error {
-	for follower.Pace.Wait(ctx, follower.Age) {
+	for follower.Pace.Wait(ctx, follower.due) {
 		asked := follower.Now()
 		endpoints, err := follower.List(ctx)
 		if err == nil {
@@ -51,14 +52,25 @@
 	return ctx.Err()
 }
 
+// due is the age that decides about the next reading.
+func (follower *Follower) due() time.Duration {
+	if follower.Directory.Overdue(follower.Now()) {
+		return math.MaxInt64
+	}
+	return follower.Age()
+}
+
 // Age returns how long ago the last reading was known to be the newest.
 func (follower *Follower) Age() time.Duration { return follower.Now() - follower.Directory.ReadAt() }
 
 // HearPeer takes in what a peer has read: it confirms what was read here, or
 // says that there is something newer.
 func (follower *Follower) HearPeer(content uint64, confirmed time.Duration) {
+	if content == 0 {
+		return
+	}
+	follower.Directory.Seen(confirmed)
 	switch {
-	case content == 0:
 	case content == follower.Directory.Content():
 		follower.Directory.Confirm(content, confirmed)
 	case confirmed > follower.Directory.ReadAt():
--- a/peridotpath/gossip/flight.go
+++ b/peridotpath/gossip/flight.go
@@ -8,6 +8,37 @@
 	"peridotpath.example/peridotpath/placement"
 )
 
+func decodeReport(digest *wire.Digest, now time.Time) placement.Report {
+	report := placement.Report{
+		Peer: peridotpath.InstanceID(digest.Instance), Incarnation: peridotpath.Incarnation(digest.Incarnation),
+		Sequence: digest.Sequence,
+	}
+	for _, flight := range digest.Flights {
+		// A flight without a part is nowhere; it could only come from another version.
+		if len(flight.Endpoints) > 0 {
+			report.Flights = append(report.Flights, decodeFlight(flight, now))
+		}
+	}
+	for _, wait := range digest.Waits {
+		report.Waits = append(report.Waits, decodeWait(wait, now))
+	}
+	return report
+}
+
+func encodeWait(wait *placement.Wait, now time.Time) *wire.Wait {
+	return &wire.Wait{
+		Number: uint64(wait.Number), DueIn: wait.Due.Sub(now).Microseconds(), Reading: micros(wait.Reading),
+		Late: wait.Late, Blocked: wait.Blocked,
+	}
+}
+
+func decodeWait(encoded *wire.Wait, now time.Time) placement.Wait {
+	return placement.Wait{
+		Number: placement.WaitNumber(encoded.Number), Due: now.Add(time.Duration(encoded.DueIn) * time.Microsecond),
+		Reading: span(encoded.Reading), Late: encoded.Late, Blocked: encoded.Blocked,
+	}
+}
+
 func encodeFlight(flight *placement.Flight, now time.Time) *wire.Flight {
 	encoded := &wire.Flight{
 		Number: uint64(flight.Number), Prompt: uint64(flight.Prompt), Memory: uint64(flight.Memory),
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -193,6 +193,9 @@
 	for _, flight := range gossip.Book.Own() {
 		digest.Flights = append(digest.Flights, encodeFlight(&flight, now))
 	}
+	for _, wait := range gossip.Book.OwnWaits() {
+		digest.Waits = append(digest.Waits, encodeWait(&wait, now))
+	}
 	digest.Sent = micros(gossip.Clock())
 	return digest
 }
@@ -229,11 +232,7 @@
 	peer.echo = digest.Sent
 	peer.heard = now
 	gossip.mutex.Unlock()
-	flights := make([]placement.Flight, 0, len(digest.Flights))
-	for _, flight := range digest.Flights {
-		flights = append(flights, decodeFlight(flight, now))
-	}
-	gossip.Book.HearPeer(peridotpath.InstanceID(digest.Instance), peridotpath.Incarnation(digest.Incarnation), digest.Sequence, flights, now)
+	gossip.Book.HearPeer(decodeReport(digest, now), now)
 	if digest.Echo == 0 {
 		return
 	}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -50,6 +50,9 @@
 	lookLeast, lookSpread = 500 * time.Millisecond, 400 * time.Millisecond
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 250 * time.Millisecond
+	// lookGap is the least time between two looks: at the start, when there is
+	// nothing yet, and when peers tell of something newer again and again.
+	lookGap = 60 * time.Millisecond
 	// keyMargin is how long before its end a key's lifetime is over here, for the
 	// time between the last look at the clock and the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -98,7 +101,7 @@
 	instance.directory = &directory.Directory{Log: log}
 	instance.book = &placement.Book{}
 	instance.relay = &relay.Relay{
-		DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
+		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
@@ -185,12 +188,12 @@
 	instance.routes = &routing.Follower{
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
 		Confirmed: instance.gossip.Changed, Log: instance.Log,
-		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry},
+		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry, Gap: lookGap},
 	}
 	instance.endpoints = &directory.Follower{
 		Directory: instance.directory, List: instance.listEndpoints, Now: clock.SinceBoot,
 		Confirmed: instance.gossip.Changed, Log: instance.Log,
-		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry},
+		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry, Gap: lookGap},
 	}
 }
 
--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -50,7 +50,10 @@
 	mutex sync.Mutex
 	last  FlightNumber
 	own   map[FlightNumber]*Flight
-	peers map[peridotpath.InstanceID]*peerFlights
+	// waits are this instance's requests that wait for their turn.
+	lastWait WaitNumber
+	waits    map[WaitNumber]*Wait
+	peers    map[peridotpath.InstanceID]*peerFlights
 	// slow is how much longer than predicted an endpoint's readings take.
 	slow map[peridotpath.EndpointKey]float64
 }
@@ -60,6 +63,7 @@
 	sequence    uint64
 	heard       time.Time
 	flights     []Flight
+	waits       []Wait
 }
 
 // Begin notes a request that is about to be sent and numbers it.
@@ -112,19 +116,30 @@
 	return flights
 }
 
-// HearPeer takes a peer's requests in place of those it named before. Sequence
-// orders what one incarnation says; what arrives late is dropped.
-func (book *Book) HearPeer(peer peridotpath.InstanceID, incarnation peridotpath.Incarnation, sequence uint64, flights []Flight, now time.Time) {
+// Report is all that a peer says of its requests.
+type Report struct {
+	Peer peridotpath.InstanceID
+	// Incarnation and Sequence order what a peer says; what arrives late is dropped.
+	Incarnation peridotpath.Incarnation
+	Sequence    uint64
+	Flights     []Flight
+	Waits       []Wait
+}
+
+// HearPeer takes a peer's requests in place of those it named before.
+func (book *Book) HearPeer(report Report, now time.Time) {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
 	if book.peers == nil {
 		book.peers = map[peridotpath.InstanceID]*peerFlights{}
 	}
-	known := book.peers[peer]
-	if known != nil && (incarnation < known.incarnation || incarnation == known.incarnation && sequence <= known.sequence) {
+	known := book.peers[report.Peer]
+	if known != nil && (report.Incarnation < known.incarnation || report.Incarnation == known.incarnation && report.Sequence <= known.sequence) {
 		return
 	}
-	book.peers[peer] = &peerFlights{incarnation: incarnation, sequence: sequence, heard: now, flights: flights}
+	book.peers[report.Peer] = &peerFlights{
+		incarnation: report.Incarnation, sequence: report.Sequence, heard: now, flights: report.Flights, waits: report.Waits,
+	}
 }
 
 // Peers returns how many peers have been heard lately.
--- a/peridotpath/placement/model.go
+++ b/peridotpath/placement/model.go
@@ -56,7 +56,7 @@
 	valueExponent = 0.75
 )
 
-// value weighs a request against others when not all can be on time.
-func value(prompt peridotpath.Tokens) float64 {
+// Value weighs a request against others when not all can be on time.
+func Value(prompt peridotpath.Tokens) float64 {
 	return math.Pow(max(float64(prompt), 1)/valueUnit, valueExponent)
 }
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -14,8 +14,9 @@
 	Prompt, Answer peridotpath.Tokens
 	// AnswerAim and PauseAim are when the first event and each next one are due.
 	AnswerAim, PauseAim time.Duration
-	// Left is the time until the caller stops waiting.
-	Left time.Duration
+	// Waited is how long the request has been here, Left the time until the
+	// caller stops waiting.
+	Waited, Left time.Duration
 	// DataCentre is the instance's own.
 	DataCentre peridotpath.DataCentre
 }
@@ -37,9 +38,11 @@
 	// Reading is how long each part takes, FirstEvent when the first event is due.
 	Reading    time.Duration
 	FirstEvent time.Duration
-	// Loss is what the planner expects to lose, of what the request is worth and
-	// of what others are.
-	Loss float64
+	// Ready is when the last of the engines begins to read.
+	Ready time.Duration
+	// Harm is what others lose by it; Loss is what the planner expects to lose, of what the request is worth
+	// and of what others are.
+	Harm, Loss float64
 }
 
 // Flight returns the plan as a request under way.
@@ -83,6 +86,12 @@
 	slotWait = 100 * time.Millisecond
 	// queueTolerance is the share of the aim for pauses that a pass may take.
 	queueTolerance = 0.9
+	// spreadLeast is the reading time from which a prompt is spread: shorter ones
+	// fit into the pauses of those who write at the same engine.
+	spreadLeast = 100 * time.Millisecond
+	// overtakeLoss is what a waiting prompt loses, a second, by readings that
+	// overtake it, as a part of its worth.
+	overtakeLoss = 0.2
 	// memoryTolerance is how much of an engine's memory may be promised. Answers
 	// longer than predicted would take the rest and push out whole requests.
 	memoryTolerance = 0.97
@@ -151,8 +160,7 @@
 // helpers as lose least.
 func bestSpread(model Model, work Work, whole time.Duration, writer *option, options []option) Plan {
 	best := spread(model, work, whole, writer, nil)
-	// Spreading what is read within a pass gains nothing.
-	if whole < model.Pass(1, 0) || work.PauseAim == 0 {
+	if whole < spreadLeast {
 		return best
 	}
 	helpers := make([]*option, 0, len(options))
@@ -163,7 +171,7 @@
 	}
 	// Those first at which a part as long as a third of the whole does least harm.
 	cost := func(helper *option) float64 {
-		return helper.ready.Seconds() + harm(helper, whole/3)
+		return helper.ready.Seconds() + harm(helper, whole/3) + overtaken(helper, whole/3)
 	}
 	slices.SortFunc(helpers, func(a, b *option) int { return cmp.Compare(cost(a), cost(b)) })
 	for count := 1; count <= min(len(helpers), maxHelpers); count++ {
@@ -181,7 +189,7 @@
 	for _, helper := range helpers {
 		ready = max(ready, helper.ready)
 		slow = max(slow, helper.load.Slow)
-		harmed += harm(helper, share)
+		harmed += harm(helper, share) + overtaken(helper, share)
 	}
 	reading := time.Duration(float64(share) * slow)
 	if writer.load.Writers > 0 {
@@ -193,9 +201,9 @@
 	if over := writer.load.Taken() + 1 - model.Rates.BatchSize; over > 0 {
 		first += time.Duration(over) * slotWait
 	}
-	plan := Plan{Writer: writer.Endpoint, Reading: reading, FirstEvent: first}
-	worth := value(work.Prompt)
-	plan.Loss = harmed + worth*(lateness(first, work.AnswerAim)+pauseRisk(work, writer))
+	plan := Plan{Writer: writer.Endpoint, Reading: reading, FirstEvent: first, Ready: ready, Harm: harmed}
+	worth := Value(work.Prompt)
+	plan.Loss = harmed + worth*(lateness(work.Waited+first, work.AnswerAim)+pauseRisk(work, writer))
 	plan.Loss += placeLoss(work, writer) * worth
 	for _, helper := range helpers {
 		plan.Helpers = append(plan.Helpers, helper.Endpoint)
@@ -240,6 +248,12 @@
 	return lost
 }
 
+// overtaken is what prompts lose that wait to be read where they will be
+// answered: engines read the parts of others' prompts first.
+func overtaken(at *option, span time.Duration) float64 {
+	return overtakeLoss * span.Seconds() * at.load.unreadValue
+}
+
 // placeLoss is what speaks against an engine for itself.
 func placeLoss(work Work, writer *option) float64 {
 	loss := orderLoss * writer.rank
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -25,7 +25,9 @@
 	Slow float64
 
 	pauses []pause
-	reads  []read
+	// unreadValue is the worth of those who wait for their first event.
+	unreadValue float64
+	reads       []read
 }
 
 // pause is what one writer allows between two of its events.
@@ -34,9 +36,12 @@
 	value float64
 }
 
+// read is a part of a prompt that is still to be read.
 type read struct {
 	sent time.Time
 	span time.Duration
+	// own says that the prompt is answered here as well.
+	own bool
 }
 
 // Taken counts the requests that are at the endpoint.
@@ -93,25 +98,35 @@
 		load := view.load(part.Endpoint)
 		if i == 0 {
 			load.Memory += flight.Memory
-			load.pauses = append(load.pauses, pause{aim: flight.PauseAim, value: value(flight.Prompt)})
+			load.pauses = append(load.pauses, pause{aim: flight.PauseAim, value: Value(flight.Prompt)})
 			if flight.Writing {
 				load.Writers++
 				load.Context += flight.Prompt
 			} else {
 				load.Waiting++
+				load.unreadValue += Value(flight.Prompt)
 			}
 		}
 		// The parts of a prompt end together, more or less: its first event says
 		// that all of them have been read.
 		if !flight.Writing {
-			load.reads = append(load.reads, read{sent: flight.Sent, span: part.Reading})
+			load.reads = append(load.reads, read{sent: flight.Sent, span: part.Reading, own: i == 0})
 		}
 	}
 }
 
-// queue works the readings off in the order in which they were sent.
+// queue works the readings off: parts of prompts that are answered elsewhere
+// first, then in the order in which they were sent.
 func (load *Load) queue(now time.Time) {
-	slices.SortFunc(load.reads, func(a, b read) int { return cmp.Compare(a.sent.UnixNano(), b.sent.UnixNano()) })
+	slices.SortFunc(load.reads, func(a, b read) int {
+		if a.own != b.own {
+			if b.own {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.sent.UnixNano(), b.sent.UnixNano())
+	})
 	var free time.Time
 	for _, read := range load.reads {
 		begin := read.sent
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -38,13 +38,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
-	flight := exchange.plan.Flight(exchange.work(now), now)
-	number := relay.Book.Begin(flight)
-	defer relay.Book.End(number)
+	defer relay.Book.End(exchange.flight)
 	// The instance may have been frozen since the request was checked.
 	if exchange.customer != "" && !relay.Routing.KeysUsable() {
 		return outcomeUnsent, errKeyUnsure
 	}
+	exchange.sentAt = now
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
 	answer, err := relay.Send(ctx, exchange.call(now))
@@ -65,7 +64,7 @@
 		return outcomeFailed, errForeign
 	}
 	if exchange.route.Streaming && answer.Status == http.StatusOK {
-		return exchange.stream(ctx, answer, watch, func() { relay.Book.Writing(number) })
+		return exchange.stream(ctx, answer, watch)
 	}
 	return exchange.whole(answer)
 }
@@ -133,13 +132,13 @@
 
 // stream hands on whole events as they come. A break within an event drops what
 // came of it, so that the stream can go on at another endpoint.
-func (exchange *exchange) stream(ctx context.Context, answer *Answer, watch *stallWatch, writing func()) (outcome, error) {
+func (exchange *exchange) stream(ctx context.Context, answer *Answer, watch *stallWatch) (outcome, error) {
 	events := newRawEvents(answer.Body)
 	seen := 0
 	for {
 		raw, id, err := events.next()
 		if errors.Is(err, io.EOF) && seen > 0 {
-			exchange.begin(answer)
+			exchange.beginStream(answer)
 			exchange.caller.End()
 			exchange.relay.suspects.answered(exchange.plan.Writer.Key())
 			return outcomeDone, nil
@@ -150,10 +149,10 @@
 		watch.event()
 		if seen == 0 {
 			exchange.noteFirst()
-			writing()
+			exchange.relay.Book.Writing(exchange.flight)
 		}
 		seen++
-		exchange.begin(answer)
+		exchange.beginStream(answer)
 		if err := exchange.caller.Event(raw); err != nil {
 			return outcomeFailed, err
 		}
@@ -164,7 +163,7 @@
 	}
 }
 
-func (exchange *exchange) begin(answer *Answer) {
+func (exchange *exchange) beginStream(answer *Answer) {
 	if !exchange.begun {
 		exchange.begun = true
 		exchange.caller.Begin(answer.Status, answer.Header)
@@ -177,9 +176,7 @@
 		return
 	}
 	exchange.firstEvent = time.Since(exchange.request.Arrived)
-	if exchange.tries == 1 {
-		exchange.relay.Book.Observe(exchange.plan.Writer.Key(), exchange.plan.FirstEvent, exchange.firstEvent)
-	}
+	exchange.relay.Book.Observe(exchange.plan.Writer.Key(), exchange.plan.FirstEvent, time.Since(exchange.sentAt))
 }
 
 // whole reads an answer that is no stream to its end before a byte goes out, so
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -34,6 +34,8 @@
 	events     int
 
 	plan       placement.Plan
+	flight     placement.FlightNumber
+	sentAt     time.Time
 	firstEvent time.Duration
 	retryAfter time.Duration
 	last       *failedAnswer
@@ -75,7 +77,7 @@
 func (exchange *exchange) run(ctx context.Context) {
 	exchange.relay.Budget.Note(exchange.service, time.Now())
 	for {
-		if result := exchange.place(); result != nil {
+		if result := exchange.place(ctx); result != nil {
 			exchange.fail(*result)
 			return
 		}
@@ -97,29 +99,48 @@
 	}
 }
 
-// place finds the endpoints for the next attempt.
-func (exchange *exchange) place() *peridotpath.Result {
-	relay, now := exchange.relay, time.Now()
-	candidates := exchange.candidates(now)
+// place finds the endpoints for the next attempt and notes it as under way.
+func (exchange *exchange) place(ctx context.Context) *peridotpath.Result {
+	if exchange.spec.Engine == nil {
+		return exchange.placePlain()
+	}
+	model := placement.Model{Rates: exchange.spec.Engine}
+	if reading := model.ReadTime(exchange.request.Prompt); reading > longRead {
+		return exchange.awaitTurn(ctx, model, reading)
+	}
+	now := time.Now()
+	candidates, view := exchange.candidates(now), exchange.relay.Book.View(now)
 	if len(candidates) == 0 {
 		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
 	}
-	work := exchange.work(now)
-	view := relay.Book.View(now)
-	var plan placement.Plan
-	var found bool
-	if exchange.spec.Engine != nil {
-		plan, found = placement.PlanPrompt(placement.Model{Rates: exchange.spec.Engine}, work, candidates, view)
-	} else {
-		plan, found = placement.PlanPlain(work, candidates, view)
-	}
+	plan, found := placement.PlanPrompt(model, exchange.work(now), candidates, view)
 	if !found {
 		return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(candidates, view)))
 	}
-	exchange.plan = plan
+	exchange.begin(plan, now)
 	return nil
 }
 
+func (exchange *exchange) placePlain() *peridotpath.Result {
+	now := time.Now()
+	candidates := exchange.candidates(now)
+	if len(candidates) == 0 {
+		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
+	}
+	plan, found := placement.PlanPlain(exchange.work(now), candidates, exchange.relay.Book.View(now))
+	if !found {
+		return exchange.refusal(peridotpath.CodeCannotFinish, shortReturn)
+	}
+	exchange.begin(plan, now)
+	return nil
+}
+
+// begin notes the plan as under way, so that the next one counts it.
+func (exchange *exchange) begin(plan placement.Plan, now time.Time) {
+	exchange.plan = plan
+	exchange.flight = exchange.relay.Book.Begin(plan.Flight(exchange.work(now), now))
+}
+
 func (exchange *exchange) work(now time.Time) placement.Work {
 	answer := exchange.request.Answer
 	if hint := exchange.request.AnswerHint; hint > 0 {
@@ -128,7 +149,7 @@
 	return placement.Work{
 		Prompt: exchange.request.Prompt, Answer: answer,
 		AnswerAim: exchange.route.AnswerAim, PauseAim: exchange.route.PauseAim,
-		Left: exchange.deadline.Sub(now), DataCentre: exchange.relay.DataCentre,
+		Waited: now.Sub(exchange.request.Arrived), Left: exchange.deadline.Sub(now), DataCentre: exchange.relay.DataCentre,
 	}
 }
 
@@ -249,7 +270,7 @@
 		Int("code", int(code)).Str("result", code.String())
 	if exchange.plan.Writer != nil {
 		event = event.Str("endpoint", string(exchange.plan.Writer.ID)).Int("helpers", len(exchange.plan.Helpers)).
-			Dur("predicted", exchange.plan.FirstEvent).Float64("loss", exchange.plan.Loss)
+			Dur("predicted", exchange.plan.FirstEvent).Dur("waited", exchange.sentAt.Sub(exchange.request.Arrived)).Float64("loss", exchange.plan.Loss)
 	}
 	if exchange.firstEvent > 0 {
 		event = event.Dur("first_event", exchange.firstEvent).Int("events", exchange.events)
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -15,6 +15,7 @@
 
 // Relay serves requests. Set the exported fields before use.
 type Relay struct {
+	Instance   peridotpath.InstanceID
 	DataCentre peridotpath.DataCentre
 	Log        zerolog.Logger
 	Routing    *routing.State
--- /dev/null
+++ b/peridotpath/relay/turn.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// Long prompts wait at the instances and not at the engines, for their turn in
+// an order that all instances agree on.
+//
+// The load that this is made for is a burst of long prompts: a dozen within two
+// seconds, each of which one engine reads for seconds. Sent at once, they are
+// read side by side at all engines, each overtaking the others' parts: all are
+// late, and so are the short prompts among them. One after the other, each is
+// spread over all engines that write little and takes a fraction of a second.
+const (
+	// longRead is the reading time, at one engine alone, from which a prompt
+	// waits for its turn; what is shorter fits between the events of others.
+	longRead = 150 * time.Millisecond
+	// turnTick is the time between two looks whether it is a request's turn.
+	turnTick = 10 * time.Millisecond
+	// startSlack is how long before the engines are free the next prompt is sent,
+	// so that they do not stand idle for the time that it is on its way.
+	startSlack = 120 * time.Millisecond
+	// harmShare is the loss to others, as a part of its own worth, that a prompt
+	// may cause at once; harmGrowth is what is added by the time it would be late.
+	harmShare, harmGrowth = 0.1, 0.5
+	// spreadShare is the part of all engines' time that long prompts get at best:
+	// some write for others, and parts do not end at the same moment.
+	spreadShare = 0.6
+)
+
+// awaitTurn waits until it is the request's turn and the engines can take it.
+func (exchange *exchange) awaitTurn(ctx context.Context, model placement.Model, reading time.Duration) *peridotpath.Result {
+	if exchange.request.Prompt+exchange.request.Answer > model.Rates.KVTokens {
+		return exchange.refusal(peridotpath.CodeNoMemory, longReturn)
+	}
+	book := exchange.relay.Book
+	wait := book.Join(placement.NewWait(exchange.request.Arrived, reading))
+	defer book.Leave(wait)
+	for {
+		now := time.Now()
+		candidates := exchange.candidates(now)
+		if len(candidates) == 0 {
+			return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
+		}
+		ahead, before := book.Ahead(wait, exchange.relay.Instance, now)
+		work := exchange.work(now)
+		share := spreadShare * float64(len(candidates))
+		soonest := time.Duration(float64(before+reading) / share)
+		if soonest > work.Left {
+			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, soonest-work.Left))
+		}
+		late := work.Waited+soonest > work.AnswerAim
+		if ahead == 0 {
+			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
+			if found && worthwhile(plan, work) {
+				exchange.begin(plan, now)
+				return nil
+			}
+			book.Mark(wait, late, !found)
+		} else {
+			book.Mark(wait, late, false)
+		}
+		if !clock.Pause(ctx, turnTick) {
+			return exchange.ended(ctx)
+		}
+	}
+}
+
+// worthwhile reports whether a plan is better than to wait for a better one.
+func worthwhile(plan placement.Plan, work placement.Work) bool {
+	if plan.Ready > startSlack {
+		return false
+	}
+	pressed := 1.0
+	if work.AnswerAim > 0 {
+		pressed = min(float64(work.Waited+plan.FirstEvent)/float64(work.AnswerAim), 1)
+	}
+	return plan.Harm <= (harmShare+harmGrowth*pressed)*placement.Value(work.Prompt)
+}
