--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -74,7 +74,7 @@
 		Store:      platform.ConnectStore(settings.StoreAddress),
 		RoutingKey: platform.KeyRouting, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.PrefixEndpoints, DecodeEndpoints: platform.DecodeEndpoints,
-		Send: platform.Send, ReadyPath: platform.ReadyPath,
+		Send: platform.Send, Reserve: platform.Reserve, Release: platform.Release, ReadyPath: platform.ReadyPath,
 		Ingress: func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler {
 			return &platform.Ingress{Relay: relay, Bodies: bodies, Stopping: stopping}
 		},
--- a/peridotpath/gossip/flight.go
+++ b/peridotpath/gossip/flight.go
@@ -41,17 +41,19 @@
 
 func encodeFlight(flight *placement.Flight, now time.Time) *wire.Flight {
 	encoded := &wire.Flight{
-		Number: uint64(flight.Number), Prompt: uint64(flight.Prompt), Memory: uint64(flight.Memory),
+		Number: uint64(flight.Number), Prompt: uint64(flight.Prompt),
 		PauseAimMs: uint64(flight.PauseAim.Milliseconds()), Age: micros(now.Sub(flight.Sent)), Writing: flight.Writing,
 	}
-	parts := flight.Parts
-	if flight.Writing {
-		// The helpers are done; only where the answer is written counts.
-		parts = parts[:1]
-	}
-	for _, part := range parts {
+	for i, part := range flight.Parts {
+		if flight.Writing && i > 0 && part.Memory == 0 {
+			// The helpers are done; only where something is held or written counts.
+			break
+		}
 		encoded.Endpoints = append(encoded.Endpoints, uint64(part.Endpoint))
 		encoded.Reading = micros(part.Reading)
+		if part.Memory > 0 {
+			encoded.Memory = append(encoded.Memory, uint64(part.Memory))
+		}
 	}
 	return encoded
 }
@@ -59,11 +61,15 @@
 func decodeFlight(encoded *wire.Flight, now time.Time) placement.Flight {
 	flight := placement.Flight{
 		Number: placement.FlightNumber(encoded.Number), Prompt: peridotpath.Tokens(encoded.Prompt),
-		Memory: peridotpath.Tokens(encoded.Memory), PauseAim: time.Duration(encoded.PauseAimMs) * time.Millisecond,
-		Sent: now.Add(-span(encoded.Age)), Writing: encoded.Writing,
+		PauseAim: time.Duration(encoded.PauseAimMs) * time.Millisecond,
+		Sent:     now.Add(-span(encoded.Age)), Writing: encoded.Writing,
 	}
-	for _, endpoint := range encoded.Endpoints {
-		flight.Parts = append(flight.Parts, placement.Part{Endpoint: peridotpath.EndpointKey(endpoint), Reading: span(encoded.Reading)})
+	for i, endpoint := range encoded.Endpoints {
+		part := placement.Part{Endpoint: peridotpath.EndpointKey(endpoint), Reading: span(encoded.Reading)}
+		if i < len(encoded.Memory) {
+			part.Memory = peridotpath.Tokens(encoded.Memory[i])
+		}
+		flight.Parts = append(flight.Parts, part)
 	}
 	return flight
 }
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -22,6 +22,7 @@
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 )
 
@@ -36,6 +37,9 @@
 	DecodeEndpoints func(entries []keyvalue.Entry) []peridotpath.Endpoint
 	// Send sends a call to an endpoint.
 	Send relay.Sender
+	// Reserve and Release are the orders that a reservation.Keeper gives.
+	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
+	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
 	// Ingress returns the handler of callers' requests.
 	Ingress func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler
 	// ReadyPath is where the balancer asks.
@@ -78,19 +82,21 @@
 	Adapter  Adapter
 	Log      zerolog.Logger
 
-	routing   *routing.State
-	directory *directory.Directory
-	book      *placement.Book
-	relay     *relay.Relay
-	gossip    *gossip.Gossip
-	registry  *gossip.Registry
-	routes    *routing.Follower
-	endpoints *directory.Follower
-	active    atomic.Int64
-	stopping  atomic.Bool
-	callers   *inbound.Listener
-	balancer  *inbound.Listener
-	metrics   *inbound.Listener
+	incarnation peridotpath.Incarnation
+	keeper      *reservation.Keeper
+	routing     *routing.State
+	directory   *directory.Directory
+	book        *placement.Book
+	relay       *relay.Relay
+	gossip      *gossip.Gossip
+	registry    *gossip.Registry
+	routes      *routing.Follower
+	endpoints   *directory.Follower
+	active      atomic.Int64
+	stopping    atomic.Bool
+	callers     *inbound.Listener
+	balancer    *inbound.Listener
+	metrics     *inbound.Listener
 }
 
 // New joins the parts; nothing runs yet.
@@ -100,9 +106,15 @@
 	instance.routing = &routing.State{Now: clock.SinceBoot, KeyLifetime: settings.KeyLifetime - keyMargin, Log: log}
 	instance.directory = &directory.Directory{Log: log}
 	instance.book = &placement.Book{}
+	instance.incarnation = peridotpath.Incarnation(time.Now().UnixNano())
+	instance.keeper = &reservation.Keeper{
+		Instance: settings.InstanceID, Incarnation: instance.incarnation,
+		Reserve: adapter.Reserve, Release: adapter.Release, Log: log,
+	}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
+		Keeper: instance.keeper,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: func() int { return 1 + instance.book.Peers(time.Now()) },
@@ -175,14 +187,13 @@
 // follow joins what reads the store and what peers say of it.
 func (instance *Instance) follow() {
 	settings, adapter := instance.Settings, instance.Adapter
-	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
 	instance.gossip = &gossip.Gossip{
-		Instance: settings.InstanceID, Incarnation: incarnation, Address: settings.PeerAddress,
+		Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		Book: instance.book, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
 	}
 	instance.book.Changed = instance.gossip.Changed
 	instance.registry = &gossip.Registry{
-		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: incarnation, Address: settings.PeerAddress,
+		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		SetPeers: instance.gossip.SetPeers, Log: instance.Log,
 	}
 	instance.routes = &routing.Follower{
@@ -221,6 +232,7 @@
 		{"registry", instance.registry.Run},
 		{"routing", instance.routes.Run},
 		{"endpoints", instance.endpoints.Run},
+		{"reservations", instance.keeper.Run},
 	}
 }
 
--- a/peridotpath/instance/stop.go
+++ b/peridotpath/instance/stop.go
@@ -25,6 +25,7 @@
 	defer cancel()
 	err := instance.callers.Close(ctx)
 	instance.Log.Info().Int64("active", instance.active.Load()).Dur("took", time.Since(began)).Err(err).Msg("callers_closed")
+	instance.keeper.Close(ctx)
 	// The others end at once: nothing that they serve outlives the callers' side.
 	_ = instance.balancer.Close(ctx)
 	_ = instance.metrics.Close(ctx)
--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -18,6 +18,8 @@
 		Endpoint peridotpath.EndpointKey
 		// Reading is how long the endpoint takes for it.
 		Reading time.Duration
+		// Memory is what the request holds there until it ends.
+		Memory peridotpath.Tokens
 	}
 
 	// Flight is one request that was sent and has not ended. Its first part lies
@@ -26,8 +28,6 @@
 		Number FlightNumber
 		Parts  []Part
 		Prompt peridotpath.Tokens
-		// Memory is what it holds at the endpoint that writes.
-		Memory peridotpath.Tokens
 		// PauseAim is the longest pause between events that leaves it in time.
 		PauseAim time.Duration
 		// Sent is when it was sent, on this instance's monotonic clock.
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/reservation"
 )
 
 // Work is a request as the planner sees it.
@@ -35,6 +36,11 @@
 	// read the others.
 	Writer  *peridotpath.Endpoint
 	Helpers []*peridotpath.Endpoint
+	// Reserve is the memory that is to be reserved at helpers, in the order of
+	// Helpers, where the writer cannot hold the whole; empty otherwise.
+	Reserve []reservation.Need
+	// Memory is what the writer holds.
+	Memory peridotpath.Tokens
 	// Reading is how long each part takes, FirstEvent when the first event is due.
 	Reading    time.Duration
 	FirstEvent time.Duration
@@ -48,19 +54,23 @@
 // Flight returns the plan as a request under way.
 func (plan *Plan) Flight(work Work, now time.Time) Flight {
 	parts := make([]Part, 0, 1+len(plan.Helpers))
-	parts = append(parts, Part{Endpoint: plan.Writer.Key(), Reading: plan.Reading})
-	for _, helper := range plan.Helpers {
-		parts = append(parts, Part{Endpoint: helper.Key(), Reading: plan.Reading})
-	}
-	return Flight{
-		Parts: parts, Prompt: work.Prompt, Memory: work.Prompt + work.Answer,
-		PauseAim: work.PauseAim, Sent: now,
+	parts = append(parts, Part{Endpoint: plan.Writer.Key(), Reading: plan.Reading, Memory: plan.Memory})
+	for i, helper := range plan.Helpers {
+		part := Part{Endpoint: helper.Key(), Reading: plan.Reading}
+		if i < len(plan.Reserve) {
+			part.Memory = plan.Reserve[i].Tokens
+		}
+		parts = append(parts, part)
 	}
+	return Flight{Parts: parts, Prompt: work.Prompt, PauseAim: work.PauseAim, Sent: now}
 }
 
 const (
 	// maxHelpers is how many engines may help one to read a prompt.
 	maxHelpers = 16
+	// maxHolders bounds the helpers that hold a part of a prompt's memory: every
+	// one of them can fail, and with it the prompt.
+	maxHolders = 6
 	// lateLoss is the part of an answer's worth that is lost when it is late:
 	// the users hold a late answer at a quarter to a third of a timely one.
 	lateLoss = 0.75
@@ -119,12 +129,17 @@
 	options := makeOptions(model, candidates, view)
 	whole := model.ReadTime(work.Prompt)
 	best, found := Plan{}, false
+	shared := noneFits(model, work, options)
 	for i := range options {
 		writer := &options[i]
-		if !fits(model, work, writer) {
+		if !shared && !fits(model, work, writer) {
 			continue
 		}
 		plan := bestSpread(model, work, whole, writer, options)
+		plan.Memory = work.Prompt + work.Answer
+		if shared && !plan.share(model, work, writer, options) {
+			continue
+		}
 		if plan.FirstEvent+model.WriteTime(work.Answer, max(writer.pass, model.Pass(1, work.Prompt))) > work.Left {
 			continue
 		}
@@ -135,6 +150,15 @@
 	return best, found
 }
 
+func noneFits(model Model, work Work, options []option) bool {
+	for i := range options {
+		if fits(model, work, &options[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 func makeOptions(model Model, candidates []Candidate, view View) []option {
 	options := make([]option, 0, len(candidates))
 	for _, candidate := range candidates {
@@ -152,8 +176,50 @@
 
 // fits reports whether the engine has memory for the whole request.
 func fits(model Model, work Work, writer *option) bool {
-	limit := peridotpath.Tokens(memoryTolerance * float64(model.Rates.KVTokens))
-	return writer.load.Memory+work.Prompt+work.Answer <= limit
+	return work.Prompt+work.Answer <= free(model, writer)
+}
+
+// free is the memory of an engine that is promised to nobody.
+func free(model Model, at *option) peridotpath.Tokens {
+	return peridotpath.Tokens(memoryTolerance*float64(model.Rates.KVTokens)) - at.load.Memory
+}
+
+// share spreads the memory of a prompt that no engine can hold: in even parts
+// over the writer and as few helpers as have room. It reports whether they have.
+func (plan *Plan) share(model Model, work Work, writer *option, options []option) bool {
+	need := work.Prompt + work.Answer
+	helping := map[peridotpath.EndpointID]bool{}
+	for _, helper := range plan.Helpers {
+		helping[helper.ID] = true
+	}
+	var holders []*option
+	for i := range options {
+		if helping[options[i].Endpoint.ID] {
+			holders = append(holders, &options[i])
+		}
+	}
+	slices.SortStableFunc(holders, func(a, b *option) int { return cmp.Compare(free(model, b), free(model, a)) })
+	for count := 1; count <= min(len(holders), maxHolders); count++ {
+		part := need/peridotpath.Tokens(1+count) + 1
+		if free(model, writer) >= part && free(model, holders[count-1]) >= part {
+			plan.hold(holders, count, part)
+			return true
+		}
+	}
+	return false
+}
+
+// hold notes which helpers hold a part of the memory; these go first.
+func (plan *Plan) hold(holders []*option, count int, part peridotpath.Tokens) {
+	plan.Helpers = plan.Helpers[:0]
+	plan.Reserve = nil
+	for i, holder := range holders {
+		plan.Helpers = append(plan.Helpers, holder.Endpoint)
+		if i < count {
+			plan.Reserve = append(plan.Reserve, reservation.Need{Endpoint: holder.Endpoint, Tokens: part})
+		}
+	}
+	plan.Memory = part
 }
 
 // bestSpread returns the best plan with that writer: alone, or with as many
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -96,17 +96,21 @@
 func (view View) add(flight *Flight, now time.Time) {
 	for i, part := range flight.Parts {
 		load := view.load(part.Endpoint)
+		load.Memory += part.Memory
 		if i == 0 {
-			load.Memory += flight.Memory
 			load.pauses = append(load.pauses, pause{aim: flight.PauseAim, value: Value(flight.Prompt)})
 			if flight.Writing {
 				load.Writers++
-				load.Context += flight.Prompt
+				load.Context += part.Memory
 			} else {
 				load.Waiting++
 				load.unreadValue += Value(flight.Prompt)
 			}
 		}
+		// An engine that holds a part goes through it with each step.
+		if i > 0 && flight.Writing {
+			load.Context += part.Memory
+		}
 		// The parts of a prompt end together, more or less: its first event says
 		// that all of them have been read.
 		if !flight.Writing {
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -9,6 +9,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/reservation"
 )
 
 const (
@@ -44,9 +45,14 @@
 		return outcomeUnsent, errKeyUnsure
 	}
 	exchange.sentAt = now
+	tickets, err := exchange.reserve(ctx)
+	if err != nil {
+		return outcomeNoMemory, err
+	}
+	defer relay.Keeper.End(tickets)
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
-	answer, err := relay.Send(ctx, exchange.call(now))
+	answer, err := relay.Send(ctx, exchange.call(now, tickets))
 	if err != nil {
 		if outbound.ErrNotSent.Has(err) {
 			return outcomeUnsent, err
@@ -69,13 +75,30 @@
 	return exchange.whole(answer)
 }
 
-func (exchange *exchange) call(now time.Time) *Call {
+// reserve reserves the memory that the plan needs beside the writer's.
+func (exchange *exchange) reserve(ctx context.Context) ([]*reservation.Ticket, error) {
+	if len(exchange.plan.Reserve) == 0 {
+		return nil, nil
+	}
+	tickets, err := exchange.relay.Keeper.Take(ctx, exchange.plan.Reserve)
+	var notFree *reservation.NotFree
+	if errors.As(err, &notFree) {
+		exchange.relay.suspects.full(notFree.Endpoint, time.Now())
+	}
+	return tickets, err
+}
+
+func (exchange *exchange) call(now time.Time, tickets []*reservation.Ticket) *Call {
 	call := &Call{
 		Request: exchange.request, Endpoint: exchange.plan.Writer, Customer: exchange.customer,
 		Left: exchange.deadline.Sub(now), Priority: enginePriority(exchange.route), AfterEvent: exchange.afterEvent,
 	}
-	for _, helper := range exchange.plan.Helpers {
-		call.Helpers = append(call.Helpers, Helper{Endpoint: helper})
+	for i, endpoint := range exchange.plan.Helpers {
+		helper := Helper{Endpoint: endpoint}
+		if i < len(tickets) {
+			helper.Ticket = tickets[i].ID
+		}
+		call.Helpers = append(call.Helpers, helper)
 	}
 	return call
 }
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -61,11 +61,13 @@
 	outcomeElsewhere
 	// outcomeFailed: the request may have run.
 	outcomeFailed
+	// outcomeNoMemory: the memory that the request needs could not be reserved.
+	outcomeNoMemory
 	// outcomeErrored: the endpoint ran it and answered with a failure of its own.
 	outcomeErrored
 )
 
-var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "errored"}
+var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored"}
 
 func (outcome outcome) String() string { return outcomeNames[outcome] }
 
@@ -177,6 +179,14 @@
 
 // note draws what an attempt's failure says of its endpoint.
 func (exchange *exchange) note(outcome outcome, err error) {
+	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).
+		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).
+		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
+	if outcome == outcomeNoMemory {
+		// The writer has nothing to do with it, and nothing was sent.
+		exchange.tries--
+		return
+	}
 	now, key := time.Now(), exchange.plan.Writer.Key()
 	switch outcome {
 	case outcomeRefused:
@@ -196,9 +206,6 @@
 		exchange.avoid = map[peridotpath.EndpointKey]bool{}
 	}
 	exchange.avoid[key] = true
-	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).
-		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).
-		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
 }
 
 // ended reports why the request has no time or no caller left.
@@ -219,6 +226,9 @@
 // again decides whether another attempt may follow; it returns the result that
 // ends the request where none may.
 func (exchange *exchange) again(outcome outcome) *peridotpath.Result {
+	if outcome == outcomeNoMemory {
+		return nil
+	}
 	final := exchange.finalResult(outcome)
 	if exchange.mayHaveRun && !exchange.route.Repeatable() {
 		return final
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -10,6 +10,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 )
 
@@ -23,6 +24,7 @@
 	Book       *placement.Book
 	Budget     *Budget
 	Send       Sender
+	Keeper     *reservation.Keeper
 
 	suspects suspects
 }
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -36,9 +36,6 @@
 
 // awaitTurn waits until it is the request's turn and the engines can take it.
 func (exchange *exchange) awaitTurn(ctx context.Context, model placement.Model, reading time.Duration) *peridotpath.Result {
-	if exchange.request.Prompt+exchange.request.Answer > model.Rates.KVTokens {
-		return exchange.refusal(peridotpath.CodeNoMemory, longReturn)
-	}
 	book := exchange.relay.Book
 	wait := book.Join(placement.NewWait(exchange.request.Arrived, reading))
 	defer book.Leave(wait)
