relay: suspicions are shared, standstills waited out; a stop takes nothing that may outlast it

Change: streams are given up stall_ms + 200 ms into a silence, a begun stream always goes on; an endpoint that failed, or that a refusal blames, is told to peers. Change: after 3 s, two misses of the balancer, nothing more is taken.

--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -11,9 +11,7 @@
 
 	"github.com/google/subcommands"
 
-	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/instance"
-	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/platform"
 )
@@ -66,7 +64,9 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	// SIGHUP announces new settings; all that are used here last a process's life.
 	signal.Ignore(syscall.SIGHUP)
-	log, err := telemetry.NewLog(os.Stdout, settings.LogLevel, settings.InstanceID)
+	lines := &telemetry.Lines{Out: os.Stdout}
+	defer lines.Close()
+	log, err := telemetry.NewLog(lines, settings.LogLevel, settings.InstanceID)
 	if err != nil {
 		return err
 	}
@@ -75,9 +75,7 @@
 		RoutingKey: platform.KeyRouting, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.PrefixEndpoints, DecodeEndpoints: platform.DecodeEndpoints,
 		Send: platform.Send, Reserve: platform.Reserve, Release: platform.Release, ReadyPath: platform.ReadyPath,
-		Ingress: func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler {
-			return &platform.Ingress{Relay: relay, Bodies: bodies, Stopping: stopping}
-		},
+		Ingress: func(callers instance.Callers) http.Handler { return &platform.Ingress{Callers: callers} },
 	}
 	return instance.New(settings, adapter, log).Run(stop)
 }
--- /dev/null
+++ b/peridotpath/clock/pace_test.go
@@ -0,0 +1,66 @@
+package clock_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/internal/virtual"
+)
+
+// Eight instances tell each other of what they look at. Together they look
+// hardly more often than one would alone.
+func TestPaceOfMany(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		var last, looks atomic.Int64
+		began := time.Now()
+		ended := make(chan struct{}, 8)
+		for range 8 {
+			pace := &clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Gap: 60 * time.Millisecond}
+			go func() {
+				for pace.Wait(ctx, func() time.Duration { return time.Since(began) - time.Duration(last.Load()) }) {
+					looks.Add(1)
+					last.Store(int64(time.Since(began)))
+				}
+				ended <- struct{}{}
+			}()
+		}
+		for range 8 {
+			<-ended
+		}
+		t.Logf("%d looks of 8 instances in 20 s", looks.Load())
+		is.True(looks.Load() >= 20)
+		is.True(looks.Load() <= 45)
+	})
+}
+
+// There is nothing to be found yet, so that the age stays high: it is not looked
+// for as fast as the answers come.
+func TestPaceOfNothing(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		pace, looks := &clock.Pace{Least: time.Second, Gap: 50 * time.Millisecond}, 0
+		for pace.Wait(ctx, func() time.Duration { return time.Hour }) {
+			pace.Wake()
+			looks++
+		}
+		is.True(looks <= 21)
+	})
+}
+
+func TestSinceBootGoesOn(t *testing.T) {
+	before := clock.SinceBoot()
+	time.Sleep(time.Millisecond)
+	if after := clock.SinceBoot(); after <= before {
+		t.Errorf("SinceBoot: %v, then %v", before, after)
+	}
+}
--- a/peridotpath/gossip/flight.go
+++ b/peridotpath/gossip/flight.go
@@ -22,6 +22,11 @@
 	for _, wait := range digest.Waits {
 		report.Waits = append(report.Waits, decodeWait(wait, now))
 	}
+	for _, suspicion := range digest.Suspicions {
+		report.Suspicions = append(report.Suspicions, placement.Suspicion{
+			Endpoint: peridotpath.EndpointKey(suspicion.Endpoint), Until: now.Add(span(suspicion.Left)),
+		})
+	}
 	return report
 }
 
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -196,6 +196,11 @@
 	for _, wait := range gossip.Book.OwnWaits() {
 		digest.Waits = append(digest.Waits, encodeWait(&wait, now))
 	}
+	for _, suspicion := range gossip.Book.OwnSuspicions(now) {
+		digest.Suspicions = append(digest.Suspicions, &wire.Suspicion{
+			Endpoint: uint64(suspicion.Endpoint), Left: micros(suspicion.Until.Sub(now)),
+		})
+	}
 	digest.Sent = micros(gossip.Clock())
 	return digest
 }
--- /dev/null
+++ b/peridotpath/gossip/gossip_test.go
@@ -0,0 +1,154 @@
+package gossip_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/gossip"
+	"peridotpath.example/peridotpath/gossip/wire"
+	"peridotpath.example/peridotpath/placement"
+)
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return netip.MustParseAddrPort(conn.LocalAddr().String())
+}
+
+type heard struct {
+	fresh gossip.Freshness
+	asked time.Duration
+}
+
+type node struct {
+	gossip *gossip.Gossip
+	book   *placement.Book
+	heard  chan heard
+}
+
+func start(t *testing.T, id peridotpath.InstanceID, fresh gossip.Freshness) *node {
+	t.Helper()
+	node := &node{book: &placement.Book{}, heard: make(chan heard, 1000)}
+	node.gossip = &gossip.Gossip{
+		Instance: id, Incarnation: 1, Address: freeAddress(t), Book: node.book, Clock: clock.SinceBoot, Log: zerolog.Nop(),
+		Fresh: func() gossip.Freshness { return fresh },
+		Heard: func(fresh gossip.Freshness, asked time.Duration) { node.heard <- heard{fresh, asked} },
+	}
+	node.book.Changed = node.gossip.Changed
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- node.gossip.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return node
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not in ten seconds: %s", what)
+}
+
+// What one instance has under way, waiting and in suspicion, another one knows;
+// also one that only the first has been told of.
+func TestPeersKnow(t *testing.T) {
+	is := is.New(t)
+	fresh := gossip.Freshness{RoutingVersion: 7, RoutingAge: 300 * time.Millisecond, Endpoints: 9, EndpointsAge: 200 * time.Millisecond}
+	one, two := start(t, "one", fresh), start(t, "two", gossip.Freshness{})
+	one.gossip.SetPeers([]netip.AddrPort{two.gossip.Address})
+	flight := one.book.Begin(placement.Flight{
+		Parts:  []placement.Part{{Endpoint: 5, Reading: time.Second, Memory: 70_000}, {Endpoint: 6, Reading: time.Second, Memory: 30_000}},
+		Prompt: 100_000, PauseAim: 800 * time.Millisecond, Sent: time.Now(),
+	})
+	one.book.Join(placement.NewWait(time.Now(), 3*time.Second))
+	one.book.Failed(8, time.Now())
+	eventually(t, "the load is known", func() bool {
+		load := two.book.View(time.Now()).At(6)
+		return load.Memory == 30_000 && load.Backlog > 500*time.Millisecond
+	})
+	is.Equal(two.book.View(time.Now()).At(5).Waiting, 1)
+	eventually(t, "the suspicion is known", func() bool { return two.book.Suspects(time.Now())[8] })
+	own := two.book.Join(placement.NewWait(time.Now().Add(time.Second), 3*time.Second))
+	count, reading := two.book.Ahead(own, "two", time.Now())
+	is.Equal(count, 1)
+	is.Equal(reading, 3*time.Second)
+
+	one.book.Writing(flight)
+	eventually(t, "the reading is over", func() bool { return two.book.View(time.Now()).At(6).Backlog == 0 })
+	is.Equal(two.book.View(time.Now()).At(6).Memory, peridotpath.Tokens(30_000)) // but not the memory
+	one.book.End(flight)
+	eventually(t, "the request is over", func() bool { return two.book.View(time.Now()).At(6).Memory == 0 })
+
+	// two answered, so that its clock's echo came back with what one has read.
+	told := <-two.heard
+	is.Equal(told.fresh, fresh)
+	is.True(told.asked <= clock.SinceBoot())
+}
+
+// A digest is late or comes twice: what it says of requests is out of date.
+func TestLateDigestIsDropped(t *testing.T) {
+	is := is.New(t)
+	book := &placement.Book{}
+	now := time.Now()
+	flights := []placement.Flight{{Parts: []placement.Part{{Endpoint: 5, Memory: 10}}}}
+	book.HearPeer(placement.Report{Peer: "one", Incarnation: 1, Sequence: 4, Flights: flights}, now)
+	book.HearPeer(placement.Report{Peer: "one", Incarnation: 1, Sequence: 3}, now)
+	is.Equal(book.View(now).At(5).Memory, peridotpath.Tokens(10))
+	book.HearPeer(placement.Report{Peer: "one", Incarnation: 2, Sequence: 1}, now) // started again
+	is.Equal(book.View(now).At(5).Memory, peridotpath.Tokens(0))
+	book.HearPeer(placement.Report{Peer: "one", Incarnation: 1, Sequence: 5, Flights: flights}, now)
+	is.Equal(book.View(now).At(5).Memory, peridotpath.Tokens(0))
+}
+
+// A peer dies with requests under way: endpoints drop them with their
+// connections, and nobody goes on counting them.
+func TestDeadPeerIsForgotten(t *testing.T) {
+	is := is.New(t)
+	book := &placement.Book{}
+	now := time.Now()
+	book.HearPeer(placement.Report{Peer: "one", Incarnation: 1, Sequence: 1, Flights: []placement.Flight{{Parts: []placement.Part{{Endpoint: 5, Memory: 10}}}}}, now)
+	is.Equal(book.Peers(now.Add(time.Second)), 1)
+	is.Equal(book.Peers(now.Add(3*time.Second)), 0)
+	is.Equal(book.View(now.Add(3*time.Second)).At(5).Memory, peridotpath.Tokens(0))
+}
+
+// Whatever arrives on the port, the instance goes on.
+func TestGarbage(t *testing.T) {
+	one, two := start(t, "one", gossip.Freshness{}), start(t, "two", gossip.Freshness{})
+	conn, err := net.Dial("udp4", one.gossip.Address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	empty, _ := proto.Marshal(&wire.Digest{Instance: "x", Flights: []*wire.Flight{{}}, Echo: 1 << 62})
+	for _, datagram := range [][]byte{nil, {0}, []byte("\xff\xff\xff"), empty} {
+		_, _ = conn.Write(datagram)
+	}
+	two.gossip.SetPeers([]netip.AddrPort{one.gossip.Address})
+	two.book.Begin(placement.Flight{Parts: []placement.Part{{Endpoint: 5, Memory: 10}}, Sent: time.Now()})
+	eventually(t, "digests are heard", func() bool { return one.book.View(time.Now()).At(5).Memory == 10 })
+	if len(one.heard) > 0 {
+		t.Error("an echo of a time that has not come was believed")
+	}
+}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -24,6 +24,7 @@
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // Adapter is what an instance needs of the platform it runs on.
@@ -41,11 +42,20 @@
 	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
 	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
 	// Ingress returns the handler of callers' requests.
-	Ingress func(relay *relay.Relay, bodies *caller.Bodies, stopping func() bool) http.Handler
+	Ingress func(Callers) http.Handler
 	// ReadyPath is where the balancer asks.
 	ReadyPath string
 }
 
+// Callers is what a handler of callers' requests needs of the instance.
+type Callers struct {
+	Relay  *relay.Relay
+	Bodies *caller.Bodies
+	// Stopping says that callers should not come back on the same connection,
+	// Closing that no further request is taken.
+	Stopping, Closing func() bool
+}
+
 const (
 	// lookLeast and lookSpread are the ages of what was read of the store between
 	// which one of the instances looks again. A change is known everywhere within
@@ -94,9 +104,11 @@
 	endpoints   *directory.Follower
 	active      atomic.Int64
 	stopping    atomic.Bool
-	callers     *inbound.Listener
-	balancer    *inbound.Listener
-	metrics     *inbound.Listener
+	// closing says that no further request is taken.
+	closing  atomic.Bool
+	callers  *inbound.Listener
+	balancer *inbound.Listener
+	metrics  *inbound.Listener
 }
 
 // New joins the parts; nothing runs yet.
@@ -114,7 +126,7 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
-		Keeper: instance.keeper,
+		Keeper: instance.keeper, Stall: settings.Stall,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: func() int { return 1 + instance.book.Peers(time.Now()) },
@@ -122,13 +134,27 @@
 	}
 	instance.follow()
 	instance.listen()
+	instance.setGauges()
 	return instance
 }
 
+func (instance *Instance) setGauges() {
+	telemetry.SetGauges(&telemetry.Gauges{
+		RoutingAge:     func() float64 { return instance.routing.Age().Seconds() },
+		EndpointsAge:   func() float64 { return instance.endpoints.Age().Seconds() },
+		RoutingVersion: func() float64 { return float64(instance.fresh().RoutingVersion) },
+		Peers:          func() float64 { return float64(instance.book.Peers(time.Now())) },
+		Reservations:   func() float64 { return float64(instance.keeper.Held()) },
+		Active:         func() float64 { return float64(instance.active.Load()) },
+	})
+}
+
 func (instance *Instance) listen() {
 	settings := instance.Settings
 	bodies := caller.NewBodies(maxBody, peridotpath.Bytes(bodyShare*float64(settings.Memory)), bodyPause)
-	handler := instance.Adapter.Ingress(instance.relay, bodies, instance.stopping.Load)
+	handler := instance.Adapter.Ingress(Callers{
+		Relay: instance.relay, Bodies: bodies, Stopping: instance.stopping.Load, Closing: instance.closing.Load,
+	})
 	instance.callers = &inbound.Listener{
 		Name: "callers", Address: settings.CallerAddress, MaxHeaderBytes: maxHeader,
 		Prefix: "/", PrefixHandler: instance.count(handler),
@@ -269,12 +295,13 @@
 		return err
 	case <-stop:
 	}
-	err := instance.stop(ctx)
+	instance.stop(ctx)
 	cancel()
 	for range tasks {
 		<-ended
 	}
 	inbound.Finish()
+	var err error
 	for range listeners {
 		err = errs.Combine(err, <-failed)
 	}
--- a/peridotpath/instance/stop.go
+++ b/peridotpath/instance/stop.go
@@ -6,28 +6,57 @@
 )
 
 const (
-	// noticeShare is the part of the grace during which callers that still come
-	// are served: the balancer asks each second and needs two misses, and
-	// callers on open connections are told to close them with their next answer.
-	noticeShare = 0.6
+	// notice is how long callers that still come are served: the balancer asks
+	// each second, and two misses take an instance out. Requests on connections
+	// that stay open are told to close them. What is taken later may not end
+	// before the process does.
+	notice = 3 * time.Second
+	// noticeShare bounds the notice where the grace is short.
+	noticeShare = 0.4
 	// exitMargin is how long before the grace's end the process exits by itself.
 	exitMargin = 300 * time.Millisecond
+	// activePoll is how often a stop looks whether requests still run.
+	activePoll = 20 * time.Millisecond
 )
 
 // stop is the planned stop: not ready first, then served on until the balancer
 // has moved callers on, then nothing new, then what still runs is finished.
-func (instance *Instance) stop(ctx context.Context) error {
-	began := time.Now()
+func (instance *Instance) stop(ctx context.Context) {
+	began, grace := time.Now(), instance.Settings.Grace
 	instance.stopping.Store(true)
-	instance.Log.Info().Int64("active", instance.active.Load()).Dur("grace", instance.Settings.Grace).Msg("stopping")
-	time.Sleep(time.Duration(noticeShare * float64(instance.Settings.Grace)))
-	ctx, cancel := context.WithDeadline(ctx, began.Add(instance.Settings.Grace-exitMargin))
+	instance.Log.Info().Int64("active", instance.active.Load()).Dur("grace", grace).Msg("stopping")
+	time.Sleep(min(notice, time.Duration(noticeShare*float64(grace))))
+	instance.closing.Store(true)
+	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
 	defer cancel()
-	err := instance.callers.Close(ctx)
-	instance.Log.Info().Int64("active", instance.active.Load()).Dur("took", time.Since(began)).Err(err).Msg("callers_closed")
+	instance.finish(ctx)
+	instance.Log.Info().Int64("active", instance.active.Load()).Dur("took", time.Since(began)).Msg("callers_closed")
 	instance.keeper.Close(ctx)
 	// The others end at once: nothing that they serve outlives the callers' side.
 	_ = instance.balancer.Close(ctx)
 	_ = instance.metrics.Close(ctx)
-	return nil
+}
+
+// finish takes no new connections and waits for the requests that run. It does
+// not wait for connections on which nothing has come: net/http would, for five
+// seconds.
+func (instance *Instance) finish(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- instance.callers.Close(ctx) }()
+	ticker := time.NewTicker(activePoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-closed:
+			return
+		case <-ctx.Done():
+		case <-ticker.C:
+			if instance.active.Load() == 0 {
+				cancel()
+			}
+		}
+	}
+	<-closed
 }
--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -54,6 +54,7 @@
 	lastWait WaitNumber
 	waits    map[WaitNumber]*Wait
 	peers    map[peridotpath.InstanceID]*peerFlights
+	suspects map[peridotpath.EndpointKey]suspect
 	// slow is how much longer than predicted an endpoint's readings take.
 	slow map[peridotpath.EndpointKey]float64
 }
@@ -64,6 +65,7 @@
 	heard       time.Time
 	flights     []Flight
 	waits       []Wait
+	suspicions  []Suspicion
 }
 
 // Begin notes a request that is about to be sent and numbers it.
@@ -124,6 +126,7 @@
 	Sequence    uint64
 	Flights     []Flight
 	Waits       []Wait
+	Suspicions  []Suspicion
 }
 
 // HearPeer takes a peer's requests in place of those it named before.
@@ -139,6 +142,7 @@
 	}
 	book.peers[report.Peer] = &peerFlights{
 		incarnation: report.Incarnation, sequence: report.Sequence, heard: now, flights: report.Flights, waits: report.Waits,
+		suspicions: report.Suspicions,
 	}
 }
 
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -10,20 +10,21 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/reservation"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 const (
 	// maxAnswer bounds an answer that is no stream, in bytes; it is held whole.
 	maxAnswer = 8 << 20
-	// firstStall and firstStallFactor bound the wait for a first event: so much
-	// longer than predicted, and this on top. Engines cut off what waits for a
-	// dead helper by themselves after 1.5 s.
-	firstStall       = 1500 * time.Millisecond
+	// firstStallFactor and eventStallFactor bound the wait for a first event, in
+	// times of what was predicted, and for a next one, in aims for pauses.
 	firstStallFactor = 3
-	// eventStall and eventStallFactor bound the wait for a next event, the latter
-	// in aims for pauses. Callers give a stream up after two seconds.
-	eventStall       = 1400 * time.Millisecond
 	eventStallFactor = 3
+	// stallMargin comes on top of the time for which an engine's work stands still
+	// when an engine that it depends on is gone. Given up any sooner, everything
+	// at all the engines that shared a prompt with that one would be read again.
+	// Callers give a stream up after two seconds, half a second later.
+	stallMargin = 200 * time.Millisecond
 )
 
 var (
@@ -64,7 +65,7 @@
 	case answer.Elsewhere:
 		return outcomeElsewhere, nil
 	case answer.NotRun:
-		exchange.retryAfter = answer.RetryAfter
+		exchange.retryAfter, exchange.fault = answer.RetryAfter, answer.Fault
 		return outcomeRefused, nil
 	case !answer.Genuine:
 		return outcomeFailed, errForeign
@@ -83,7 +84,7 @@
 	tickets, err := exchange.relay.Keeper.Take(ctx, exchange.plan.Reserve)
 	var notFree *reservation.NotFree
 	if errors.As(err, &notFree) {
-		exchange.relay.suspects.full(notFree.Endpoint, time.Now())
+		exchange.relay.Book.Full(notFree.Endpoint, time.Now())
 	}
 	return tickets, err
 }
@@ -135,8 +136,9 @@
 	if !route.Streaming || !route.Repeatable() || exchange.sent+1 >= route.MaxAttempts {
 		return &stallWatch{}
 	}
-	first := firstStallFactor*exchange.plan.FirstEvent + firstStall
-	span := max(eventStall, eventStallFactor*route.PauseAim)
+	stall := exchange.relay.Stall + stallMargin
+	first := firstStallFactor*exchange.plan.FirstEvent + stall
+	span := max(stall, eventStallFactor*route.PauseAim)
 	return &stallWatch{timer: time.AfterFunc(first, func() { cancel(errStalled) }), span: span}
 }
 
@@ -163,7 +165,7 @@
 		if errors.Is(err, io.EOF) && seen > 0 {
 			exchange.beginStream(answer)
 			exchange.caller.End()
-			exchange.relay.suspects.answered(exchange.plan.Writer.Key())
+			exchange.relay.Book.Works(exchange.plan.Writer.Key())
 			return outcomeDone, nil
 		}
 		if err != nil {
@@ -199,6 +201,8 @@
 		return
 	}
 	exchange.firstEvent = time.Since(exchange.request.Arrived)
+	telemetry.FirstToken(exchange.lengthClass(), exchange.firstEvent)
+	telemetry.Predicted(exchange.lengthClass(), exchange.plan.FirstEvent, time.Since(exchange.sentAt))
 	exchange.relay.Book.Observe(exchange.plan.Writer.Key(), exchange.plan.FirstEvent, time.Since(exchange.sentAt))
 }
 
@@ -216,7 +220,7 @@
 		exchange.last = &failedAnswer{answer: answer, body: body}
 		return outcomeErrored, nil
 	}
-	exchange.relay.suspects.answered(exchange.plan.Writer.Key())
+	exchange.relay.Book.Works(exchange.plan.Writer.Key())
 	exchange.caller.Answer(answer.Status, answer.Header, body)
 	return outcomeDone, nil
 }
--- /dev/null
+++ b/peridotpath/relay/burst_test.go
@@ -0,0 +1,171 @@
+package relay_test
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/relay"
+)
+
+// arrival is one request of a load.
+type arrival struct {
+	at     time.Duration
+	route  string
+	prompt peridotpath.Tokens
+	answer peridotpath.Tokens
+}
+
+// lengths draws a length around a mean, most of them shorter, few much longer.
+func lengths(random *rand.Rand, mean, spread float64) peridotpath.Tokens {
+	return peridotpath.Tokens(mean * math.Exp(spread*random.NormFloat64()-spread*spread/2))
+}
+
+// poisson returns arrivals at a rate from the given time on.
+func poisson(random *rand.Rand, from, until time.Duration, perSecond float64, make func(at time.Duration) arrival) []arrival {
+	var all []arrival
+	for at := from; ; {
+		at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+		if at >= until {
+			return all
+		}
+		all = append(all, make(at))
+	}
+}
+
+func shortAt(random *rand.Rand) func(time.Duration) arrival {
+	return func(at time.Duration) arrival {
+		return arrival{at: at, route: "short", prompt: min(lengths(random, 5_000, 0.7), 24_000), answer: 46 * 35}
+	}
+}
+
+func longAt(random *rand.Rand) func(time.Duration) arrival {
+	return func(at time.Duration) arrival {
+		return arrival{at: at, route: "long", prompt: min(lengths(random, 210_000, 0.5), 440_000), answer: 46 * 17}
+	}
+}
+
+// play runs a load against fake engines and returns each request's outcome.
+func play(t *testing.T, engineCount int, load []arrival) []*outcome {
+	t.Helper()
+	outcomes := make([]*outcome, len(load))
+	virtual.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		engines, endpoints := newFakeEngines(ctx, &testRates, engineCount)
+		fixture := newFixture(engines.Send, &testRates, endpoints...)
+		began := time.Now()
+		var all sync.WaitGroup
+		for i, arrival := range load {
+			all.Go(func() {
+				time.Sleep(arrival.at - time.Since(began))
+				outcomes[i] = fixture.ask(ctx, arrival.route, func(request *relay.Request) {
+					request.Prompt, request.Answer = arrival.prompt, arrival.answer
+					request.Patience = 15 * time.Second
+				})
+			})
+		}
+		all.Wait()
+		cancel()
+	})
+	return outcomes
+}
+
+// onTime returns the share of a route's requests that were answered in time.
+func onTime(load []arrival, outcomes []*outcome, route string, first, pause time.Duration) float64 {
+	asked, good := 0, 0
+	for i, outcome := range outcomes {
+		if load[i].route != route {
+			continue
+		}
+		asked++
+		if outcome.ended && outcome.status == http.StatusOK && outcome.first <= first && outcome.maxPause <= pause {
+			good++
+		}
+	}
+	return float64(good) / float64(asked)
+}
+
+// A dozen dossiers come within two seconds while counter staff ask short
+// questions. Sent as they came, the dossiers were read side by side at all
+// engines, overtook each other's parts, and were late together with the short
+// ones among them. They have to take turns.
+func TestBurstOfLongPrompts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	load := poisson(random, 0, 8*time.Second, 12, shortAt(random))
+	load = append(load, poisson(random, 2*time.Second, 4*time.Second, 6, longAt(random))...)
+	outcomes := play(t, 14, load)
+	short := onTime(load, outcomes, "short", 300*time.Millisecond, 200*time.Millisecond)
+	long := onTime(load, outcomes, "long", 3*time.Second, 800*time.Millisecond)
+	t.Logf("in time: short %.3f, long %.3f", short, long)
+	if short < 0.9 {
+		t.Errorf("short prompts in time: %.3f, want 0.9", short)
+	}
+	if long < 0.6 {
+		t.Errorf("long prompts in time: %.3f, want 0.6", long)
+	}
+}
+
+// Short prompts at the rate of their busiest phase: fourteen engines of sixteen
+// slots hold them only if they are spread evenly enough that none fills up.
+func TestBusiestShortPhase(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	load := poisson(random, 0, 8*time.Second, 74, shortAt(random))
+	outcomes := play(t, 14, load)
+	short := onTime(load, outcomes, "short", 300*time.Millisecond, 200*time.Millisecond)
+	t.Logf("in time: short %.3f", short)
+	if short < 0.9 {
+		t.Errorf("short prompts in time: %.3f, want 0.9", short)
+	}
+}
+
+// Long prompts at 90 in 100 of what the engines can read, and short ones beside
+// them: the long ones are finished, the short ones not held up.
+func TestLongPhase(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	load := poisson(random, 0, 12*time.Second, 11, shortAt(random))
+	load = append(load, poisson(random, 0, 12*time.Second, 2.6, longAt(random))...)
+	outcomes := play(t, 14, load)
+	short := onTime(load, outcomes, "short", 300*time.Millisecond, 200*time.Millisecond)
+	long := onTime(load, outcomes, "long", 3*time.Second, 800*time.Millisecond)
+	t.Logf("in time: short %.3f, long %.3f", short, long)
+	if short < 0.9 || long < 0.6 {
+		t.Errorf("in time: short %.3f, want 0.9; long %.3f, want 0.6", short, long)
+	}
+}
+
+// Twice the long prompts that the engines can read come for ten seconds. Who
+// cannot be served is told so with a time to come back, and has not run; short
+// prompts are served all the same.
+func TestOverloadOfLongPrompts(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 4))
+	load := poisson(random, 0, 10*time.Second, 11, shortAt(random))
+	load = append(load, poisson(random, 0, 10*time.Second, 6, longAt(random))...)
+	outcomes := play(t, 14, load)
+	short := onTime(load, outcomes, "short", 300*time.Millisecond, 200*time.Millisecond)
+	served, refused := 0, 0
+	for i, outcome := range outcomes {
+		switch {
+		case load[i].route != "long":
+		case outcome.ended:
+			served++
+		case outcome.result.Code.NotRun():
+			refused++
+			if outcome.result.RetryAfter <= 0 {
+				t.Errorf("refused with %v and no time to come back", outcome.result)
+			}
+		}
+	}
+	t.Logf("in time: short %.3f; long: %d served, %d refused", short, served, refused)
+	if short < 0.85 {
+		t.Errorf("short prompts in time: %.3f, want 0.85", short)
+	}
+	if served < 30 {
+		t.Errorf("long prompts served: %d, want 30: the engines read that many in the time", served)
+	}
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -9,6 +9,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // exchange is one request on its way through the attempts.
@@ -38,7 +39,9 @@
 	sentAt     time.Time
 	firstEvent time.Duration
 	retryAfter time.Duration
-	last       *failedAnswer
+	// fault names the endpoint that a refusal blamed.
+	fault string
+	last  *failedAnswer
 }
 
 // failedAnswer is an endpoint's own failure, kept to be handed on if no other
@@ -86,6 +89,8 @@
 		exchange.tries++
 		outcome, err := exchange.attempt(ctx)
 		if outcome == outcomeDone {
+			telemetry.Result(peridotpath.CodeOK)
+			telemetry.Total(exchange.lengthClass(), time.Since(exchange.request.Arrived))
 			exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
 			return
 		}
@@ -144,27 +149,33 @@
 }
 
 func (exchange *exchange) work(now time.Time) placement.Work {
+	left := exchange.deadline.Sub(now)
 	answer := exchange.request.Answer
 	if hint := exchange.request.AnswerHint; hint > 0 {
 		answer = min(answer, hint)
 	}
+	if exchange.begun {
+		// Most of it may be written already; and a stream that has begun is better
+		// gone on with than broken off, however late.
+		answer, left = 1, time.Hour
+	}
 	return placement.Work{
 		Prompt: exchange.request.Prompt, Answer: answer,
 		AnswerAim: exchange.route.AnswerAim, PauseAim: exchange.route.PauseAim,
-		Waited: now.Sub(exchange.request.Arrived), Left: exchange.deadline.Sub(now), DataCentre: exchange.relay.DataCentre,
+		Waited: now.Sub(exchange.request.Arrived), Left: left, DataCentre: exchange.relay.DataCentre,
 	}
 }
 
 func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
 	endpoints := exchange.relay.Endpoints().Of(exchange.service)
 	candidates := make([]placement.Candidate, 0, len(endpoints))
+	suspects := exchange.relay.Book.Suspects(now)
 	for _, endpoint := range endpoints {
 		key := endpoint.Key()
 		if exchange.avoid[key] {
 			continue
 		}
-		suspect := exchange.relay.suspects.has(key, now)
-		candidates = append(candidates, placement.Candidate{Endpoint: endpoint, Key: key, Suspect: suspect})
+		candidates = append(candidates, placement.Candidate{Endpoint: endpoint, Key: key, Suspect: suspects[key]})
 	}
 	return candidates
 }
@@ -179,6 +190,7 @@
 
 // note draws what an attempt's failure says of its endpoint.
 func (exchange *exchange) note(outcome outcome, err error) {
+	telemetry.Attempt(outcome.String())
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).
 		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).
 		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
@@ -191,16 +203,16 @@
 	switch outcome {
 	case outcomeRefused:
 		exchange.sent++
-		exchange.relay.suspects.full(key, now)
+		exchange.noteRefusal(key, now)
 	case outcomeErrored:
 		exchange.sent++
 		exchange.mayHaveRun = true
 	case outcomeFailed:
 		exchange.sent++
 		exchange.mayHaveRun = true
-		exchange.relay.suspects.failed(key, now)
+		exchange.relay.Book.Failed(key, now)
 	case outcomeUnsent, outcomeElsewhere:
-		exchange.relay.suspects.failed(key, now)
+		exchange.relay.Book.Failed(key, now)
 	}
 	if exchange.avoid == nil {
 		exchange.avoid = map[peridotpath.EndpointKey]bool{}
@@ -208,6 +220,18 @@
 	exchange.avoid[key] = true
 }
 
+// noteRefusal notes who is to blame for a refusal: the endpoint, which is full,
+// or a helper that it could not reach.
+func (exchange *exchange) noteRefusal(key peridotpath.EndpointKey, now time.Time) {
+	for _, helper := range exchange.plan.Helpers {
+		if exchange.fault != "" && (exchange.fault == string(helper.ID) || exchange.fault == helper.Address.String()) {
+			exchange.relay.Book.Failed(helper.Key(), now)
+			return
+		}
+	}
+	exchange.relay.Book.Full(key, now)
+}
+
 // ended reports why the request has no time or no caller left.
 func (exchange *exchange) ended(ctx context.Context) *peridotpath.Result {
 	switch {
@@ -239,6 +263,7 @@
 	// What never reached an endpoint adds nothing to the load of the others.
 	if exchange.sent > 0 || outcome == outcomeElsewhere {
 		if !exchange.relay.Budget.Spend(exchange.service, time.Now()) {
+			telemetry.BudgetSpent()
 			return final
 		}
 	}
@@ -260,6 +285,8 @@
 
 // fail ends the request without a success.
 func (exchange *exchange) fail(result peridotpath.Result) {
+	telemetry.Result(result.Code)
+	telemetry.Total(exchange.lengthClass(), time.Since(exchange.request.Arrived))
 	exchange.log(exchange.relay.Log.Info(), result.Code).Dur("retry_after", result.RetryAfter).Msg("failed")
 	switch {
 	case exchange.begun:
@@ -271,6 +298,15 @@
 	}
 }
 
+// lengthClass is the class under which the request is measured.
+func (exchange *exchange) lengthClass() peridotpath.LengthClass {
+	holds := peridotpath.Tokens(0)
+	if exchange.spec.Engine != nil {
+		holds = exchange.spec.Engine.KVTokens
+	}
+	return peridotpath.ClassOf(exchange.request.Prompt+exchange.request.Answer, holds)
+}
+
 // log adds what decided the request.
 func (exchange *exchange) log(event *zerolog.Event, code peridotpath.Code) *zerolog.Event {
 	event = event.Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
--- /dev/null
+++ b/peridotpath/relay/fixture_test.go
@@ -0,0 +1,148 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/reservation"
+	"peridotpath.example/peridotpath/routing"
+)
+
+func testEndpoint(number int) peridotpath.Endpoint {
+	return peridotpath.Endpoint{
+		ID: peridotpath.EndpointID(fmt.Sprintf("i-%d", number)), Service: "llm", DataCentre: "a",
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 80),
+		State:   peridotpath.StateLive, Incarnation: 1, Slots: 6,
+	}
+}
+
+// testRouting has a route of each type, all to the service "llm".
+func testRouting(engine *peridotpath.EngineRates) *peridotpath.Routing {
+	route := func(name string, change func(*peridotpath.Route)) peridotpath.Route {
+		route := peridotpath.Route{
+			Name: peridotpath.RouteName(name), Host: "host", PathPrefix: "/" + name + "/", MaxAttempts: 2,
+			Backends: []peridotpath.Backend{{Service: "llm", Weight: 1}},
+			Timeout:  15 * time.Second, AnswerAim: 300 * time.Millisecond,
+		}
+		change(&route)
+		return route
+	}
+	stream := func(aim, pause time.Duration) func(*peridotpath.Route) {
+		return func(route *peridotpath.Route) {
+			route.Streaming, route.Resumable, route.AnswerAim, route.PauseAim = true, true, aim, pause
+		}
+	}
+	return &peridotpath.Routing{
+		Version: 7,
+		Routes: []peridotpath.Route{
+			route("short", stream(300*time.Millisecond, 200*time.Millisecond)),
+			route("long", stream(3*time.Second, 800*time.Millisecond)),
+			route("look", func(route *peridotpath.Route) { route.Idempotent = true }),
+			route("save", func(*peridotpath.Route) {}),
+			route("open", func(route *peridotpath.Route) { route.Idempotent, route.Public = true, true }),
+		},
+		Services: map[peridotpath.Service]peridotpath.ServiceSpec{"llm": {Name: "llm", Engine: engine}},
+		Keys:     map[peridotpath.APIKey]peridotpath.KeyHolder{"key": {Customer: "desk"}},
+	}
+}
+
+// fixture is a relay before endpoints of the test's.
+type fixture struct {
+	relay     *relay.Relay
+	routing   *routing.State
+	directory *directory.Directory
+	book      *placement.Book
+	// clock is the time since boot.
+	clock time.Duration
+	began time.Time
+}
+
+func newFixture(send relay.Sender, engine *peridotpath.EngineRates, endpoints ...peridotpath.Endpoint) *fixture {
+	fixture := &fixture{directory: &directory.Directory{Log: zerolog.Nop()}, book: &placement.Book{}, began: time.Now()}
+	fixture.clock = time.Hour
+	fixture.routing = &routing.State{
+		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
+		KeyLifetime: time.Hour, Log: zerolog.Nop(),
+	}
+	fixture.routing.Apply(testRouting(engine), fixture.routing.Now())
+	fixture.directory.Apply(endpoints, fixture.routing.Now())
+	fixture.relay = &relay.Relay{
+		Instance: "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.routing,
+		Endpoints: fixture.directory.Current, Book: fixture.book, Send: send,
+		Budget: &relay.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
+		Stall:  1500 * time.Millisecond,
+		Keeper: &reservation.Keeper{
+			Instance: "edge-1", Incarnation: 1, Log: zerolog.Nop(),
+			Reserve: func(context.Context, *peridotpath.Endpoint, string, peridotpath.Tokens, time.Duration) (bool, error) {
+				return true, nil
+			},
+			Release: func(context.Context, *peridotpath.Endpoint, string) error { return nil },
+		},
+	}
+	return fixture
+}
+
+// outcome is what a caller got.
+type outcome struct {
+	mutex    sync.Mutex
+	result   peridotpath.Result
+	status   int
+	body     string
+	begun    bool
+	ended    bool
+	broken   bool
+	first    time.Duration
+	maxPause time.Duration
+	events   int
+}
+
+func (outcome *outcome) caller() *relay.Caller {
+	began := time.Now()
+	last := began
+	return &relay.Caller{
+		Refuse: func(result peridotpath.Result) { outcome.result, outcome.status = result, result.Code.Status() },
+		Answer: func(status int, _ http.Header, body []byte) { outcome.status, outcome.body = status, string(body) },
+		Begin:  func(status int, _ http.Header) { outcome.begun, outcome.status = true, status },
+		Event: func(raw []byte) error {
+			now := time.Now()
+			if outcome.events == 0 {
+				outcome.first = now.Sub(began)
+			} else {
+				outcome.maxPause = max(outcome.maxPause, now.Sub(last))
+			}
+			last = now
+			outcome.events++
+			outcome.body += string(raw)
+			return nil
+		},
+		End:   func() { outcome.ended = true },
+		Break: func() { outcome.broken = true },
+	}
+}
+
+// ask sends one request on a route and returns what its caller got.
+func (fixture *fixture) ask(ctx context.Context, route string, change func(*relay.Request)) *outcome {
+	request := &relay.Request{
+		ID: "r1", Method: http.MethodPost, Target: "/" + route + "/x", Path: "/" + route + "/x", Host: "host",
+		Header: http.Header{}, Key: "key", Arrived: time.Now(), Patience: 10 * time.Second,
+	}
+	if change != nil {
+		change(request)
+	}
+	outcome := &outcome{}
+	fixture.relay.Serve(ctx, request, outcome.caller())
+	return outcome
+}
+
+var errReset = errors.New("connection reset by peer")
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -12,6 +12,7 @@
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // Relay serves requests. Set the exported fields before use.
@@ -25,8 +26,9 @@
 	Budget     *Budget
 	Send       Sender
 	Keeper     *reservation.Keeper
-
-	suspects suspects
+	// Stall is how long an engine's work stands still when an engine that it
+	// depends on is gone; after that it goes on or is cut off by itself.
+	Stall time.Duration
 }
 
 const (
@@ -46,6 +48,7 @@
 func (relay *Relay) Serve(ctx context.Context, request *Request, caller *Caller) {
 	exchange, refusal := relay.admit(request, caller)
 	if refusal != nil {
+		telemetry.Result(refusal.Code)
 		relay.Log.Info().Str("request", string(request.ID)).Str("host", string(request.Host)).
 			Str("path", request.Path).Dur("routing_age", relay.Routing.Age()).
 			Int("code", int(refusal.Code)).Str("result", refusal.Code.String()).Msg("refused")
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -7,6 +7,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // Long prompts wait at the instances and not at the engines, for their turn in
@@ -56,6 +57,7 @@
 		if ahead == 0 {
 			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
 			if found && worthwhile(plan, work) {
+				telemetry.TurnWait(work.Waited)
 				exchange.begin(plan, now)
 				return nil
 			}
--- a/peridotpath/reservation/keeper.go
+++ b/peridotpath/reservation/keeper.go
@@ -143,6 +143,9 @@
 
 // End gives reservations back. It does not wait.
 func (keeper *Keeper) End(tickets []*Ticket) {
+	if len(tickets) == 0 {
+		return
+	}
 	now := time.Now()
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
--- /dev/null
+++ b/peridotpath/routing/state_test.go
@@ -0,0 +1,202 @@
+package routing_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/routing"
+)
+
+func state(now *time.Duration) *routing.State {
+	return &routing.State{
+		Now: func() time.Duration { return *now }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
+	}
+}
+
+func version(number peridotpath.RoutingVersion) *peridotpath.Routing {
+	return &peridotpath.Routing{Version: number, Keys: map[peridotpath.APIKey]peridotpath.KeyHolder{"key": {Customer: "desk"}}}
+}
+
+func TestMatch(t *testing.T) {
+	table := routing.NewTable(&peridotpath.Routing{Version: 1, Routes: []peridotpath.Route{
+		{Name: "wide", Host: "one", PathPrefix: "/a/"},
+		{Name: "narrow", Host: "one", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "two", PathPrefix: "/a/"},
+	}})
+	tests := []struct {
+		host peridotpath.Host
+		path string
+		want peridotpath.RouteName
+	}{
+		{"one", "/a/x", "wide"},
+		{"one", "/a/b/x", "narrow"},
+		{"one", "/a/b", "wide"},
+		{"one", "/a", ""},
+		{"two", "/a/b/x", "other"},
+		{"three", "/a/x", ""},
+		{"one", "/A/x", ""},
+	}
+	for _, test := range tests {
+		have := peridotpath.RouteName("")
+		if route := table.Match(test.host, test.path); route != nil {
+			have = route.Name
+		}
+		if have != test.want {
+			t.Errorf("Match(%q, %q): have %q, want %q", test.host, test.path, have, test.want)
+		}
+	}
+}
+
+// A customer's key is taken away while an instance is frozen. It wakes with the
+// old routing, and a watch or reading from before the freeze is all that it has:
+// the key must be refused until the routing is confirmed anew, also though the
+// monotonic clock stood still meanwhile.
+func TestKeyAfterFreeze(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	state := state(&now)
+	state.Apply(version(3), now)
+	is.True(state.KeysUsable())
+	now += 4 * time.Second
+	is.True(state.KeysUsable())
+	now += time.Second // frozen, or cut off
+	is.True(!state.KeysUsable())
+	state.Confirm(3, now-5*time.Second) // an answer that was on its way all the while
+	is.True(!state.KeysUsable())
+	state.Confirm(3, now)
+	is.True(state.KeysUsable())
+}
+
+// A caller whose key was taken away gets in again: the reading that took it away
+// was followed by a late answer with the version before.
+func TestOlderRoutingIsIgnored(t *testing.T) {
+	is := is.New(t)
+	now := time.Minute
+	state := state(&now)
+	state.Apply(version(9), now)
+	now += 3 * time.Second
+	state.Apply(version(4), now)
+	is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(9))
+	is.Equal(state.Age(), 3*time.Second) // and confirms nothing
+	state.Confirm(4, now)
+	is.Equal(state.Age(), 3*time.Second)
+}
+
+// fakeStore holds one key.
+type fakeStore struct {
+	mutex   sync.Mutex
+	version keyvalue.Version
+	routing peridotpath.RoutingVersion
+	calls   int
+	err     error
+}
+
+func (store *fakeStore) set(version keyvalue.Version, routing peridotpath.RoutingVersion, err error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.version, store.routing, store.err = version, routing, err
+}
+
+func (store *fakeStore) called() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.calls
+}
+
+func (store *fakeStore) check(_ context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls++
+	if store.err != nil {
+		return keyvalue.Entry{}, false, store.err
+	}
+	if store.version == expect {
+		return keyvalue.Entry{}, false, nil
+	}
+	return keyvalue.Entry{Key: key, Version: store.version, Value: []byte{byte(store.routing)}}, true, nil
+}
+
+func decode(value []byte) (*peridotpath.Routing, error) {
+	return version(peridotpath.RoutingVersion(value[0])), nil
+}
+
+// A change is in force within a look's interval, and what did not change is
+// confirmed by a call that brings nothing.
+func TestFollower(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		state := &routing.State{
+			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
+		}
+		store := &fakeStore{}
+		follower := &routing.Follower{
+			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
+			Pace: clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		is.True(state.Current() == nil) // there is none yet
+		is.True(store.called() < 20)    // and it is not asked for as fast as it is answered
+		store.set(5, 2, nil)
+		time.Sleep(time.Second)
+		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(2))
+		time.Sleep(10 * time.Second)
+		is.True(state.KeysUsable())
+		store.set(6, 8, nil)
+		time.Sleep(time.Second)
+		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(8))
+
+		// The store is away: what is known stays in force, but no key is used on it.
+		store.set(6, 8, keyvalue.ErrUnavailable.New("away"))
+		time.Sleep(6 * time.Second)
+		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(8))
+		is.True(!state.KeysUsable())
+
+		// A peer that reaches the store confirms it.
+		follower.HearPeer(8, state.Now()-100*time.Millisecond)
+		is.True(state.KeysUsable())
+		store.set(6, 8, nil)
+		time.Sleep(time.Second)
+		is.True(state.KeysUsable())
+		cancel()
+		<-ended
+	})
+}
+
+// A peer tells of a newer version: it is read at once, not at the next interval.
+func TestFollowerHearsOfNewer(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		state := &routing.State{
+			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
+		}
+		store := &fakeStore{version: 1, routing: 1}
+		follower := &routing.Follower{
+			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
+			Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.set(2, 2, nil)
+		follower.HearPeer(2, state.Now())
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(2))
+		cancel()
+		<-ended
+	})
+}
