--- a/peridotpath/directory/directory_test.go
+++ b/peridotpath/directory/directory_test.go
@@ -144,6 +144,6 @@
 		time.Sleep(2 * time.Second)
 		is.Equal(ids(dir), []string{"one"})
 		cancel()
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
 	})
 }
--- a/peridotpath/relay/engine_test.go
+++ b/peridotpath/relay/engine_test.go
@@ -47,12 +47,11 @@
 }
 
 type fakeJob struct {
-	prompt     peridotpath.Tokens
-	unread     int
-	events     chan struct{}
-	left       int
-	cancelled  <-chan struct{}
-	firstEvent bool
+	prompt    peridotpath.Tokens
+	unread    int
+	events    chan struct{}
+	left      int
+	cancelled <-chan struct{}
 }
 
 func newFakeEngines(ctx context.Context, rates *peridotpath.EngineRates, count int) (*fakeEngines, []peridotpath.Endpoint) {
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,7 +94,6 @@
 
 // outcome is what a caller got.
 type outcome struct {
-	mutex    sync.Mutex
 	result   peridotpath.Result
 	status   int
 	body     string
--- a/peridotpath/routing/state_test.go
+++ b/peridotpath/routing/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -171,7 +172,7 @@
 		time.Sleep(time.Second)
 		is.True(state.KeysUsable())
 		cancel()
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
 	})
 }
 
@@ -197,6 +198,6 @@
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(2))
 		cancel()
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
 	})
 }
