--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -16,6 +16,8 @@
 	Least, Spread time.Duration
 	// Retry is the pause after a look that failed.
 	Retry time.Duration
+	// Others returns how many others look as well; nil for none.
+	Others func() int
 	// Gap is the least time between two looks, whatever the age and the wakes.
 	Gap time.Duration
 
@@ -41,6 +43,20 @@
 	}
 }
 
+// retryShare is the pause between two looks of all instances together while
+// looks fail: without it, many instances would ask a service that is away
+// hundreds of times a second, and find it busy when it is back.
+const retryShare = 60 * time.Millisecond
+
+// Rest waits after a look that failed; false when ctx ended first.
+func (pace *Pace) Rest(ctx context.Context) bool {
+	span := pace.Retry
+	if pace.Others != nil {
+		span = max(span, time.Duration(pace.Others())*retryShare)
+	}
+	return Pause(ctx, time.Duration((0.5+rand.Float64())*float64(span)))
+}
+
 // Wait waits until what is looked at is old enough; false when ctx ended first.
 func (pace *Pace) Wait(ctx context.Context, age func() time.Duration) bool {
 	// While there is nothing to be found, the age stays high: without a gap all
--- a/peridotpath/directory/directory_test.go
+++ b/peridotpath/directory/directory_test.go
@@ -16,6 +16,7 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/keyvalue"
 )
 
 func endpoint(id string, number byte) peridotpath.Endpoint {
@@ -115,19 +116,27 @@
 		dir := &directory.Directory{Log: zerolog.Nop()}
 		one, two := endpoint("one", 1), endpoint("two", 2)
 		var mutex sync.Mutex
-		list, failure := []peridotpath.Endpoint{one, two}, error(nil)
-		set := func(endpoints []peridotpath.Endpoint, err error) {
+		list, failure := []keyvalue.Entry{{Key: "one"}, {Key: "two"}}, error(nil)
+		set := func(entries []keyvalue.Entry, err error) {
 			mutex.Lock()
 			defer mutex.Unlock()
-			list, failure = endpoints, err
+			list, failure = entries, err
 		}
 		follower := &directory.Follower{
 			Directory: dir, Now: now, Confirmed: func() {}, Log: zerolog.Nop(),
-			List: func(context.Context) ([]peridotpath.Endpoint, error) {
+			List: func(context.Context) ([]keyvalue.Entry, error) {
 				mutex.Lock()
 				defer mutex.Unlock()
 				return slices.Clone(list), failure
 			},
+			Decode: func(entries []keyvalue.Entry) []peridotpath.Endpoint {
+				endpoints := map[string]peridotpath.Endpoint{"one": one, "two": two}
+				var named []peridotpath.Endpoint
+				for _, entry := range entries {
+					named = append(named, endpoints[entry.Key])
+				}
+				return named
+			},
 			// So rarely that only the end of the excuse makes a reading due.
 			Pace: clock.Pace{Least: 4 * time.Second, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond},
 		}
@@ -138,7 +147,7 @@
 		is.Equal(len(ids(dir)), 2)
 		set(nil, errors.New("away"))
 		time.Sleep(10 * time.Second)
-		set([]peridotpath.Endpoint{one}, nil)
+		set([]keyvalue.Entry{{Key: "one"}}, nil)
 		time.Sleep(time.Second)
 		is.Equal(len(ids(dir)), 2)
 		time.Sleep(2 * time.Second)
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -3,20 +3,27 @@
 import (
 	"context"
 	"math"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/readings"
 )
 
 // Follower keeps a Directory up to date with the store. Set the exported fields
 // before Run.
 type Follower struct {
 	Directory *Directory
-	// List reads every endpoint's entry.
-	List func(ctx context.Context) ([]peridotpath.Endpoint, error)
+	// List reads every endpoint's entry, Decode makes endpoints of them.
+	List   func(ctx context.Context) ([]keyvalue.Entry, error)
+	Decode func(entries []keyvalue.Entry) []peridotpath.Endpoint
+	// Ask asks a peer for what it has read.
+	Ask func(ctx context.Context, peer netip.AddrPort) (readings.Endpoints, error)
 	// Now goes on while the machine is suspended.
 	Now  func() time.Duration
 	Pace clock.Pace
@@ -25,6 +32,11 @@
 	Log       zerolog.Logger
 
 	failed bool
+
+	mutex sync.Mutex
+	// newer is a peer that has read something newer.
+	newer   netip.AddrPort
+	entries []keyvalue.Entry
 }
 
 // Run reads the store whenever the last reading, here or at a peer that read the
@@ -32,10 +44,13 @@
 // store may be away, and endpoints outlive that.
 func (follower *Follower) Run(ctx context.Context) error {
 	for follower.Pace.Wait(ctx, follower.due) {
+		if follower.askPeer(ctx) {
+			continue
+		}
 		asked := follower.Now()
-		endpoints, err := follower.List(ctx)
+		entries, err := follower.List(ctx)
 		if err == nil {
-			follower.Directory.Apply(endpoints, asked)
+			follower.apply(entries, asked)
 			follower.Confirmed()
 			follower.failed = false
 			continue
@@ -47,7 +62,7 @@
 			follower.failed = true
 			follower.Log.Warn().Err(err).Dur("age", follower.Age()).Msg("endpoints_unread")
 		}
-		clock.Pause(ctx, follower.Pace.Retry)
+		follower.Pace.Rest(ctx)
 	}
 	return ctx.Err()
 }
@@ -63,9 +78,19 @@
 // Age returns how long ago the last reading was known to be the newest.
 func (follower *Follower) Age() time.Duration { return follower.Now() - follower.Directory.ReadAt() }
 
+// Last returns what was read last, for peers; false before the first reading.
+func (follower *Follower) Last() (readings.Endpoints, bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.entries == nil {
+		return readings.Endpoints{}, false
+	}
+	return readings.Endpoints{Entries: follower.entries, Age: follower.Age()}, true
+}
+
 // HearPeer takes in what a peer has read: it confirms what was read here, or
 // says that there is something newer.
-func (follower *Follower) HearPeer(content uint64, confirmed time.Duration) {
+func (follower *Follower) HearPeer(peer netip.AddrPort, content uint64, confirmed time.Duration) {
 	if content == 0 {
 		return
 	}
@@ -74,6 +99,41 @@
 	case content == follower.Directory.Content():
 		follower.Directory.Confirm(content, confirmed)
 	case confirmed > follower.Directory.ReadAt():
+		follower.mutex.Lock()
+		follower.newer = peer
+		follower.mutex.Unlock()
 		follower.Pace.Wake()
 	}
 }
+
+// askPeer reads from a peer that told of something newer, and reports whether
+// that was taken in.
+func (follower *Follower) askPeer(ctx context.Context) bool {
+	follower.mutex.Lock()
+	peer := follower.newer
+	follower.newer = netip.AddrPort{}
+	follower.mutex.Unlock()
+	if !peer.IsValid() || follower.Directory.Overdue(follower.Now()) {
+		return false
+	}
+	asked := follower.Now()
+	reading, err := follower.Ask(ctx, peer)
+	if err != nil {
+		follower.Log.Info().Err(err).Stringer("peer", peer).Msg("peer_not_read")
+		return false
+	}
+	if asked-reading.Age <= follower.Directory.ReadAt() {
+		return true
+	}
+	follower.apply(reading.Entries, asked-reading.Age)
+	return true
+}
+
+func (follower *Follower) apply(entries []keyvalue.Entry, asked time.Duration) {
+	// Both change together: a peer that asks in between would take the old
+	// entries for as fresh as the new ones.
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.Directory.Apply(follower.Decode(entries), asked)
+	follower.entries = entries
+}
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -1,12 +1,17 @@
 // Package gossip speaks to the other instances over UDP: each tells all others
 // what requests it has under way and how fresh what it read of the store is.
 // A datagram that is lost costs nothing but age, since each holds everything.
+//
+// An instance tells those of its own data centre itself, and one of each other
+// data centre that hands it on there, another one each time: bytes between data
+// centres are priced, and one that is gone costs single datagrams.
 package gossip
 
 import (
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +36,8 @@
 	coalesce = 4 * time.Millisecond
 	// forgetAfter is how long a peer that is silent and not in the store is kept.
 	forgetAfter = 5 * time.Second
+	// silentAfter is the silence after which a peer is not asked to hand on.
+	silentAfter = time.Second
 	// maxDatagram bounds what is read, in bytes.
 	maxDatagram = 64 << 10
 	// readPause is the longest wait of the receiver before it looks whether to end.
@@ -51,15 +58,18 @@
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
 	Address     netip.AddrPort
-	Book        *placement.Book
+	DataCentre  peridotpath.DataCentre
+	// ReadingsPort is where peers may ask for what this instance has read.
+	ReadingsPort uint16
+	Book         *placement.Book
 	// Clock goes on while the machine is suspended.
 	Clock func() time.Duration
 	// Fresh returns what this instance has read of the store.
 	Fresh func() Freshness
-	// Heard is called with what a peer has read of the store. Asked is a time on
-	// this instance's clock that surely came before the peer spoke, to which the
-	// ages are related.
-	Heard func(fresh Freshness, asked time.Duration)
+	// Heard is called with what a peer has read of the store, and where it can be
+	// asked for it. Asked is a time on this instance's clock that surely came
+	// before the peer spoke, to which the ages are related.
+	Heard func(peer netip.AddrPort, fresh Freshness, asked time.Duration)
 	Log   zerolog.Logger
 
 	dirty    chan struct{}
@@ -67,10 +77,19 @@
 	mutex    sync.Mutex
 	peers    map[netip.AddrPort]*peer
 	sequence uint64
+	// turn counts the digests, to choose who hands them on.
+	turn int
+}
+
+// Peer is where an instance is.
+type Peer struct {
+	Address    netip.AddrPort
+	DataCentre peridotpath.DataCentre
 }
 
 type peer struct {
-	instance peridotpath.InstanceID
+	instance   peridotpath.InstanceID
+	dataCentre peridotpath.DataCentre
 	// echo is the newest clock reading that the peer has told.
 	echo  uint64
 	heard time.Time
@@ -91,16 +110,17 @@
 	}
 }
 
-// SetPeers takes the addresses of the peers that the store names.
-func (gossip *Gossip) SetPeers(addresses []netip.AddrPort) {
+// SetPeers takes the peers that the store names.
+func (gossip *Gossip) SetPeers(peers []Peer) {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	for _, known := range gossip.peers {
 		known.listed = false
 	}
-	for _, address := range addresses {
-		if address != gossip.Address {
-			gossip.peer(address).listed = true
+	for _, listed := range peers {
+		if listed.Address != gossip.Address {
+			peer := gossip.peer(listed.Address)
+			peer.listed, peer.dataCentre = true, listed.DataCentre
 		}
 	}
 }
@@ -142,6 +162,8 @@
 type target struct {
 	address netip.AddrPort
 	echo    uint64
+	// handOn asks it to tell its data centre.
+	handOn bool
 }
 
 // tell sends one digest to every peer.
@@ -156,37 +178,92 @@
 		return
 	}
 	for _, target := range targets {
-		// Two messages in a row read as one: only the echo differs by peer.
-		datagram, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], &wire.Digest{Echo: target.echo})
-		if err == nil {
-			_, err = conn.WriteToUDPAddrPort(datagram, target.address)
-		}
-		if err != nil {
-			gossip.Log.Debug().Err(err).Stringer("peer", target.address).Msg("digest_unsent")
-		}
+		gossip.send(conn, target.address, common, &wire.Digest{Echo: target.echo, HandOn: target.handOn})
+	}
+}
+
+// send sends a digest with what is for one receiver only: two messages in a row
+// read as one.
+func (gossip *Gossip) send(conn *net.UDPConn, to netip.AddrPort, common []byte, own *wire.Digest) {
+	datagram, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], own)
+	if err == nil {
+		_, err = conn.WriteToUDPAddrPort(datagram, to)
+	}
+	if err != nil {
+		gossip.Log.Debug().Err(err).Stringer("peer", to).Msg("digest_unsent")
 	}
 }
 
-// targets returns the peers to tell, and forgets those that are gone.
+// targets returns the peers to tell: all of the own data centre, and of each
+// other one the next in turn that was heard lately. It forgets peers that are gone.
 func (gossip *Gossip) targets(now time.Time) []target {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	targets := make([]target, 0, len(gossip.peers))
+	var targets []target
+	elsewhere := map[peridotpath.DataCentre][]netip.AddrPort{}
 	for address, peer := range gossip.peers {
-		if !peer.listed && now.Sub(peer.heard) > forgetAfter {
+		switch {
+		case !peer.listed && now.Sub(peer.heard) > forgetAfter:
 			delete(gossip.peers, address)
-			continue
+		case peer.dataCentre == gossip.DataCentre || peer.dataCentre == "":
+			targets = append(targets, target{address: address, echo: peer.echo})
+		default:
+			elsewhere[peer.dataCentre] = append(elsewhere[peer.dataCentre], address)
 		}
-		targets = append(targets, target{address: address, echo: peer.echo})
+	}
+	gossip.turn++
+	for _, addresses := range elsewhere {
+		address := gossip.inTurn(addresses, now)
+		targets = append(targets, target{address: address, echo: gossip.peers[address].echo, handOn: true})
 	}
 	return targets
 }
 
+// inTurn picks one of a data centre's instances, each time another one; those
+// that have been silent only when all have.
+func (gossip *Gossip) inTurn(addresses []netip.AddrPort, now time.Time) netip.AddrPort {
+	heard := make([]netip.AddrPort, 0, len(addresses))
+	for _, address := range addresses {
+		if now.Sub(gossip.peers[address].heard) < silentAfter {
+			heard = append(heard, address)
+		}
+	}
+	if len(heard) == 0 {
+		heard = addresses
+	}
+	slices.SortFunc(heard, netip.AddrPort.Compare)
+	return heard[gossip.turn%len(heard)]
+}
+
+// handOn tells the own data centre what an instance of another one said.
+func (gossip *Gossip) handOn(conn *net.UDPConn, digest *wire.Digest) {
+	digest.HandOn, digest.HandedOn, digest.Echo = false, true, 0
+	datagram, err := proto.Marshal(digest)
+	if err != nil {
+		gossip.Log.Error().Err(err).Msg("digest_unmade")
+		return
+	}
+	gossip.mutex.Lock()
+	var addresses []netip.AddrPort
+	for address, peer := range gossip.peers {
+		if peer.dataCentre == gossip.DataCentre && peer.instance != peridotpath.InstanceID(digest.Instance) {
+			addresses = append(addresses, address)
+		}
+	}
+	gossip.mutex.Unlock()
+	for _, address := range addresses {
+		if _, err := conn.WriteToUDPAddrPort(datagram, address); err != nil {
+			gossip.Log.Debug().Err(err).Stringer("peer", address).Msg("digest_unsent")
+		}
+	}
+}
+
 func (gossip *Gossip) digest() *wire.Digest {
 	fresh, now := gossip.Fresh(), time.Now()
 	gossip.sequence++
 	digest := &wire.Digest{
 		Instance: string(gossip.Instance), Incarnation: uint64(gossip.Incarnation), Sequence: gossip.sequence,
+		DataCentre: string(gossip.DataCentre), Address: gossip.Address.String(), ReadingsPort: uint32(gossip.ReadingsPort),
 		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: micros(fresh.RoutingAge),
 		Endpoints: fresh.Endpoints, EndpointsAge: micros(fresh.EndpointsAge),
 	}
@@ -218,14 +295,15 @@
 			gossip.Log.Debug().Err(err).Stringer("peer", from).Msg("digest_unread")
 			continue
 		}
-		gossip.hear(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), digest, time.Now())
+		gossip.hear(conn, digest, time.Now())
 	}
 	return ctx.Err()
 }
 
 // hear takes one digest in.
-func (gossip *Gossip) hear(from netip.AddrPort, digest *wire.Digest, now time.Time) {
-	if digest.Instance == "" || digest.Instance == string(gossip.Instance) {
+func (gossip *Gossip) hear(conn *net.UDPConn, digest *wire.Digest, now time.Time) {
+	from, err := netip.ParseAddrPort(digest.Address)
+	if err != nil || digest.Instance == "" || digest.Instance == string(gossip.Instance) {
 		return
 	}
 	gossip.mutex.Lock()
@@ -234,16 +312,21 @@
 		peer.instance = peridotpath.InstanceID(digest.Instance)
 		gossip.Log.Info().Str("peer", digest.Instance).Stringer("address", from).Msg("peer_heard")
 	}
-	peer.echo = digest.Sent
+	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
 	peer.heard = now
+	peer.echo = digest.Sent
 	gossip.mutex.Unlock()
+	echo, handOn := digest.Echo, digest.HandOn
 	gossip.Book.HearPeer(decodeReport(digest, now), now)
-	if digest.Echo == 0 {
+	if handOn {
+		gossip.handOn(conn, digest)
+	}
+	if echo == 0 {
 		return
 	}
 	// A clock reading of before this machine's last start is none of this run's.
-	if asked := span(digest.Echo); asked <= gossip.Clock() {
-		gossip.Heard(Freshness{
+	if asked := span(echo); asked <= gossip.Clock() {
+		gossip.Heard(netip.AddrPortFrom(from.Addr(), uint16(digest.ReadingsPort)), Freshness{
 			RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: span(digest.RoutingAge),
 			Endpoints: digest.Endpoints, EndpointsAge: span(digest.EndpointsAge),
 		}, asked)
--- a/peridotpath/gossip/gossip_test.go
+++ b/peridotpath/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"testing"
@@ -29,6 +30,7 @@
 }
 
 type heard struct {
+	peer  netip.AddrPort
 	fresh gossip.Freshness
 	asked time.Duration
 }
@@ -39,13 +41,15 @@
 	heard  chan heard
 }
 
-func start(t *testing.T, id peridotpath.InstanceID, fresh gossip.Freshness) *node {
+func start(t *testing.T, id peridotpath.InstanceID, dataCentre peridotpath.DataCentre, fresh gossip.Freshness) *node {
 	t.Helper()
 	node := &node{book: &placement.Book{}, heard: make(chan heard, 1000)}
 	node.gossip = &gossip.Gossip{
-		Instance: id, Incarnation: 1, Address: freeAddress(t), Book: node.book, Clock: clock.SinceBoot, Log: zerolog.Nop(),
+		Instance: id, Incarnation: 1, Address: freeAddress(t), DataCentre: dataCentre, ReadingsPort: 99, Book: node.book, Clock: clock.SinceBoot, Log: zerolog.Nop(),
 		Fresh: func() gossip.Freshness { return fresh },
-		Heard: func(fresh gossip.Freshness, asked time.Duration) { node.heard <- heard{fresh, asked} },
+		Heard: func(peer netip.AddrPort, fresh gossip.Freshness, asked time.Duration) {
+			node.heard <- heard{peer, fresh, asked}
+		},
 	}
 	node.book.Changed = node.gossip.Changed
 	ctx, cancel := context.WithCancel(t.Context())
@@ -53,7 +57,9 @@
 	go func() { ended <- node.gossip.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	})
 	return node
 }
@@ -75,8 +81,8 @@
 func TestPeersKnow(t *testing.T) {
 	is := is.New(t)
 	fresh := gossip.Freshness{RoutingVersion: 7, RoutingAge: 300 * time.Millisecond, Endpoints: 9, EndpointsAge: 200 * time.Millisecond}
-	one, two := start(t, "one", fresh), start(t, "two", gossip.Freshness{})
-	one.gossip.SetPeers([]netip.AddrPort{two.gossip.Address})
+	one, two := start(t, "one", "a", fresh), start(t, "two", "a", gossip.Freshness{})
+	one.gossip.SetPeers([]gossip.Peer{{Address: two.gossip.Address, DataCentre: "a"}})
 	flight := one.book.Begin(placement.Flight{
 		Parts:  []placement.Part{{Endpoint: 5, Reading: time.Second, Memory: 70_000}, {Endpoint: 6, Reading: time.Second, Memory: 30_000}},
 		Prompt: 100_000, PauseAim: 800 * time.Millisecond, Sent: time.Now(),
@@ -104,6 +110,28 @@
 	told := <-two.heard
 	is.Equal(told.fresh, fresh)
 	is.True(told.asked <= clock.SinceBoot())
+	is.Equal(told.peer, netip.AddrPortFrom(one.gossip.Address.Addr(), 99))
+}
+
+// An instance tells one of another data centre, which hands it on to the others
+// there: all know, though only one datagram of each digest crosses. What is
+// handed on confirms no reading of the store, since its echo is another's.
+func TestHandedOn(t *testing.T) {
+	far := start(t, "far", "b", gossip.Freshness{RoutingVersion: 7})
+	near := []*node{start(t, "near-1", "a", gossip.Freshness{}), start(t, "near-2", "a", gossip.Freshness{}), start(t, "near-3", "a", gossip.Freshness{})}
+	var all []gossip.Peer
+	for _, node := range near {
+		all = append(all, gossip.Peer{Address: node.gossip.Address, DataCentre: "a"})
+	}
+	for _, node := range near {
+		node.gossip.SetPeers(append(all, gossip.Peer{Address: far.gossip.Address, DataCentre: "b"}))
+	}
+	far.gossip.SetPeers(all[:1])
+	far.book.Begin(placement.Flight{Parts: []placement.Part{{Endpoint: 5, Memory: 10}}, Sent: time.Now()})
+	for _, node := range near {
+		eventually(t, "the load is known", func() bool { return node.book.View(time.Now()).At(5).Memory == 10 })
+	}
+	eventually(t, "each other is known", func() bool { return near[2].book.Peers(time.Now()) == 3 })
 }
 
 // A digest is late or comes twice: what it says of requests is out of date.
@@ -135,17 +163,17 @@
 
 // Whatever arrives on the port, the instance goes on.
 func TestGarbage(t *testing.T) {
-	one, two := start(t, "one", gossip.Freshness{}), start(t, "two", gossip.Freshness{})
+	one, two := start(t, "one", "a", gossip.Freshness{}), start(t, "two", "a", gossip.Freshness{})
 	conn, err := net.Dial("udp4", one.gossip.Address.String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	empty, _ := proto.Marshal(&wire.Digest{Instance: "x", Flights: []*wire.Flight{{}}, Echo: 1 << 62})
+	empty, _ := proto.Marshal(&wire.Digest{Instance: "x", Address: "127.0.0.1:9", Flights: []*wire.Flight{{}}, Echo: 1 << 62})
 	for _, datagram := range [][]byte{nil, {0}, []byte("\xff\xff\xff"), empty} {
 		_, _ = conn.Write(datagram)
 	}
-	two.gossip.SetPeers([]netip.AddrPort{one.gossip.Address})
+	two.gossip.SetPeers([]gossip.Peer{{Address: one.gossip.Address, DataCentre: "a"}})
 	two.book.Begin(placement.Flight{Parts: []placement.Part{{Endpoint: 5, Memory: 10}}, Sent: time.Now()})
 	eventually(t, "digests are heard", func() bool { return one.book.View(time.Now()).At(5).Memory == 10 })
 	if len(one.heard) > 0 {
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -21,7 +21,8 @@
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
 	Address     netip.AddrPort
-	SetPeers    func([]netip.AddrPort)
+	DataCentre  peridotpath.DataCentre
+	SetPeers    func([]Peer)
 	Log         zerolog.Logger
 
 	lease keyvalue.LeaseID
@@ -35,17 +36,19 @@
 const (
 	// registryTTL is how long an entry outlives its instance, and renewal how
 	// often it is renewed: a renewal costs a tenth of a call.
-	registryTTL = 15 * time.Second
-	renewal     = 4 * time.Second
-	// firstLooks is how long after the start the list is read each second:
+	registryTTL = 20 * time.Second
+	renewal     = 6 * time.Second
+	// firstLooks is how long after the start the list is read more often:
 	// instances that start together are not all registered at once. Later
 	// starters announce themselves to those that they read of.
-	firstLooks = 8 * time.Second
+	firstLooks = 6 * time.Second
+	firstPause = 1500 * time.Millisecond
 )
 
 // registration is the value of an entry.
 type registration struct {
-	Address netip.AddrPort `json:"address"`
+	Address    netip.AddrPort         `json:"address"`
+	DataCentre peridotpath.DataCentre `json:"data_centre"`
 }
 
 // Run keeps the entry and the list until ctx ends.
@@ -55,7 +58,7 @@
 		if err := registry.round(ctx); err != nil && ctx.Err() == nil {
 			registry.Log.Warn().Err(err).Msg("registry_unreachable")
 		}
-		wait := time.Second
+		wait := firstPause
 		if time.Since(began) > firstLooks && registry.lease != 0 {
 			wait = renewal
 		}
@@ -74,16 +77,16 @@
 	if err != nil {
 		return err
 	}
-	addresses := make([]netip.AddrPort, 0, len(entries))
+	peers := make([]Peer, 0, len(entries))
 	for _, entry := range entries {
 		var registration registration
 		if err := json.Unmarshal(entry.Value, &registration); err != nil {
 			registry.Log.Warn().Err(err).Str("key", entry.Key).Msg("registration_unread")
 			continue
 		}
-		addresses = append(addresses, registration.Address)
+		peers = append(peers, Peer(registration))
 	}
-	registry.SetPeers(addresses)
+	registry.SetPeers(peers)
 	return nil
 }
 
@@ -99,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(registration{Address: registry.Address})
+	value, err := json.Marshal(registration{Address: registry.Address, DataCentre: registry.DataCentre})
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/readings"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
@@ -58,10 +60,11 @@
 
 const (
 	// lookLeast and lookSpread are the ages of what was read of the store between
-	// which one of the instances looks again. A change is known everywhere within
-	// the sum and two calls' time, which leaves half of the two seconds that the
-	// users allow for a call that fails. The spread keeps two from looking at once.
-	lookLeast, lookSpread = 500 * time.Millisecond, 400 * time.Millisecond
+	// which one of the instances looks again, as parts of the time within which a
+	// change must be in force. In that way it is known everywhere after six tenths
+	// of it and two calls; the rest is for a call that fails. The spread keeps two
+	// from looking at once.
+	lookLeast, lookSpread = 0.35, 0.25
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 250 * time.Millisecond
 	// lookGap is the least time between two looks: at the start, when there is
@@ -163,9 +166,13 @@
 		Name: "balancer", Address: settings.ReadyAddress, MaxHeaderBytes: maxHeader,
 		Routes: []rest.Route{{Method: http.MethodGet, Path: instance.Adapter.ReadyPath, Handler: instance.answerReady}},
 	}
+	peers := &readings.Server{LastRouting: instance.routes.Last, LastEndpoints: instance.endpoints.Last}
 	instance.metrics = &inbound.Listener{
 		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeader,
-		Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics}},
+		Routes: []rest.Route{
+			{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics},
+			{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
+		},
 	}
 	for _, listener := range instance.listeners() {
 		listener.Open()
@@ -215,22 +222,29 @@
 	settings, adapter := instance.Settings, instance.Adapter
 	instance.gossip = &gossip.Gossip{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
+		DataCentre: settings.DataCentre, ReadingsPort: settings.MetricsAddress.Port(),
 		Book: instance.book, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
 	}
 	instance.book.Changed = instance.gossip.Changed
 	instance.registry = &gossip.Registry{
 		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
-		SetPeers: instance.gossip.SetPeers, Log: instance.Log,
+		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Log: instance.Log,
 	}
 	instance.routes = &routing.Follower{
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
-		Confirmed: instance.gossip.Changed, Log: instance.Log,
-		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry, Gap: lookGap},
+		Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log, Pace: instance.pace(),
 	}
 	instance.endpoints = &directory.Follower{
-		Directory: instance.directory, List: instance.listEndpoints, Now: clock.SinceBoot,
-		Confirmed: instance.gossip.Changed, Log: instance.Log,
-		Pace: clock.Pace{Least: lookLeast, Spread: lookSpread, Retry: lookRetry, Gap: lookGap},
+		Directory: instance.directory, List: instance.listEndpoints, Decode: adapter.DecodeEndpoints, Now: clock.SinceBoot,
+		Ask: readings.AskEndpoints, Confirmed: instance.gossip.Changed, Log: instance.Log, Pace: instance.pace(),
+	}
+}
+
+func (instance *Instance) pace() clock.Pace {
+	within := float64(instance.Settings.ChangeWithin)
+	return clock.Pace{
+		Least: time.Duration(lookLeast * within), Spread: time.Duration(lookSpread * within), Retry: lookRetry, Gap: lookGap,
+		Others: func() int { return instance.book.Peers(time.Now()) },
 	}
 }
 
@@ -246,9 +260,9 @@
 }
 
 // heard takes in what a peer has read of the store.
-func (instance *Instance) heard(fresh gossip.Freshness, asked time.Duration) {
-	instance.routes.HearPeer(fresh.RoutingVersion, asked-fresh.RoutingAge)
-	instance.endpoints.HearPeer(fresh.Endpoints, asked-fresh.EndpointsAge)
+func (instance *Instance) heard(peer netip.AddrPort, fresh gossip.Freshness, asked time.Duration) {
+	instance.routes.HearPeer(peer, fresh.RoutingVersion, asked-fresh.RoutingAge)
+	instance.endpoints.HearPeer(peer, fresh.Endpoints, asked-fresh.EndpointsAge)
 }
 
 // tasks lists everything that runs beside the listeners.
@@ -262,12 +276,9 @@
 	}
 }
 
-func (instance *Instance) listEndpoints(ctx context.Context) ([]peridotpath.Endpoint, error) {
+func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, error) {
 	entries, _, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
-	if err != nil {
-		return nil, err
-	}
-	return instance.Adapter.DecodeEndpoints(entries), nil
+	return entries, err
 }
 
 // Run serves until a signal comes on stop and everything is finished.
--- a/peridotpath/instance/settings.go
+++ b/peridotpath/instance/settings.go
@@ -36,6 +36,9 @@
 	RetryWindow time.Duration
 	// MaxHold is the longest span for which an engine reserves memory at a time.
 	MaxHold time.Duration
+	// ChangeWithin is the time within which a change of the routing or of the
+	// endpoints must be in force.
+	ChangeWithin time.Duration
 	// Stall is how long an engine's work stands still when another engine that it
 	// depends on is gone.
 	Stall time.Duration
@@ -52,6 +55,7 @@
 	defaultKeyLifetime = 5 * time.Second
 	defaultRetryWindow = 10 * time.Second
 	defaultMaxHold     = 20 * time.Second
+	defaultChange      = 2 * time.Second
 	defaultStall       = 1500 * time.Millisecond
 	defaultLogLevel    = "info"
 
@@ -66,6 +70,7 @@
 	peridotpath.SetDefault(&settings.KeyLifetime, defaultKeyLifetime)
 	peridotpath.SetDefault(&settings.RetryWindow, defaultRetryWindow)
 	peridotpath.SetDefault(&settings.MaxHold, defaultMaxHold)
+	peridotpath.SetDefault(&settings.ChangeWithin, defaultChange)
 	peridotpath.SetDefault(&settings.Stall, defaultStall)
 	peridotpath.SetDefault(&settings.LogLevel, defaultLogLevel)
 }
@@ -85,6 +90,7 @@
 	faults.Range("retry_window_ms", settings.RetryWindow.Milliseconds(), 100, 3_600_000)
 	faults.Range("retry_slack", int64(settings.RetrySlack), 0, 1_000_000)
 	faults.Range("max_hold_ms", settings.MaxHold.Milliseconds(), 100, 3_600_000)
+	faults.Range("change_within_ms", settings.ChangeWithin.Milliseconds(), 500, 600_000)
 	faults.Range("stall_ms", settings.Stall.Milliseconds(), 10, 60_000)
 	if settings.RetryRatio < 0 || settings.RetryRatio > 1 {
 		faults.Add("retry_ratio", "is %v, must be from 0 to 1", settings.RetryRatio)
--- a/peridotpath/instance/stop.go
+++ b/peridotpath/instance/stop.go
@@ -47,16 +47,17 @@
 	go func() { closed <- instance.callers.Close(ctx) }()
 	ticker := time.NewTicker(activePoll)
 	defer ticker.Stop()
-	for ctx.Err() == nil {
+	for {
 		select {
-		case <-closed:
+		case err := <-closed:
+			if err != nil {
+				instance.Log.Debug().Err(err).Msg("connections_left")
+			}
 			return
-		case <-ctx.Done():
 		case <-ticker.C:
 			if instance.active.Load() == 0 {
 				cancel()
 			}
 		}
 	}
-	<-closed
 }
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -84,7 +84,7 @@
 	// farLoss is what another data centre costs: bytes between them are priced.
 	farLoss = 0.008
 	// suspectLoss keeps requests from an endpoint that failed a moment ago.
-	suspectLoss = 0.5
+	suspectLoss = 0.9
 	// freshLoss is what it costs to put the first writer on an engine. One that
 	// writes nothing can read long prompts at any time; writers are packed, so
 	// that such engines remain.
--- /dev/null
+++ b/peridotpath/placement/plan_test.go
@@ -0,0 +1,273 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// rates are those of a large model, as the users' services publish them.
+var rates = peridotpath.EngineRates{
+	BatchSize: 16, KVTokens: 450_000, StepsPerPass: 46, Chunk: 2048,
+	Step: 925 * time.Microsecond, StepPerWriter: 4830 * time.Nanosecond, StepPerContextK: 2540 * time.Nanosecond,
+	ReadPerSecond: 256_000, PerMillionPairs: 91_700 * time.Nanosecond, HelperHop: 100 * time.Microsecond,
+}
+
+var model = placement.Model{Rates: &rates}
+
+func candidates(count int) []placement.Candidate {
+	var all []placement.Candidate
+	for i := range count {
+		endpoint := &peridotpath.Endpoint{ID: peridotpath.EndpointID(fmt.Sprintf("i-%d", i)), Service: "llm", DataCentre: "a", Slots: 6}
+		all = append(all, placement.Candidate{Endpoint: endpoint, Key: endpoint.Key()})
+	}
+	return all
+}
+
+func shortWork() placement.Work {
+	return placement.Work{
+		Prompt: 5_000, Answer: 1_600, AnswerAim: 300 * time.Millisecond, PauseAim: 200 * time.Millisecond,
+		Left: 10 * time.Second, DataCentre: "a",
+	}
+}
+
+func longWork(prompt peridotpath.Tokens) placement.Work {
+	return placement.Work{
+		Prompt: prompt, Answer: 800, AnswerAim: 3 * time.Second, PauseAim: 800 * time.Millisecond,
+		Left: 15 * time.Second, DataCentre: "a",
+	}
+}
+
+// writer notes a short answer that is being written at a candidate.
+func writer(book *placement.Book, at placement.Candidate) {
+	number := book.Begin(placement.Flight{
+		Parts:  []placement.Part{{Endpoint: at.Key, Memory: 6_600}},
+		Prompt: 5_000, PauseAim: 200 * time.Millisecond, Sent: time.Now(),
+	})
+	book.Writing(number)
+}
+
+// reader notes a long prompt that is being read at a candidate.
+func reader(book *placement.Book, at placement.Candidate, span time.Duration) {
+	book.Begin(placement.Flight{
+		Parts:  []placement.Part{{Endpoint: at.Key, Reading: span, Memory: 200_000}},
+		Prompt: 200_000, PauseAim: 800 * time.Millisecond, Sent: time.Now(),
+	})
+}
+
+func TestReadTime(t *testing.T) {
+	tests := []struct {
+		prompt peridotpath.Tokens
+		want   time.Duration
+	}{
+		{0, 0}, {5_000, 23 * time.Millisecond}, {45_000, 289 * time.Millisecond},
+		{210_000, 2938 * time.Millisecond}, {1_000_000, 50209 * time.Millisecond},
+	}
+	for _, test := range tests {
+		if have := model.ReadTime(test.prompt); have.Round(time.Millisecond) != test.want {
+			t.Errorf("ReadTime(%d): have %v, want %v", test.prompt, have, test.want)
+		}
+	}
+	if have := model.Pass(0, 0); have != 0 {
+		t.Errorf("Pass of nobody: %v", have)
+	}
+	if have := model.Pass(10, 60_000).Round(time.Millisecond); have != 52*time.Millisecond {
+		t.Errorf("Pass of ten: %v", have)
+	}
+}
+
+// A lookup must not wait behind a dossier that is being read.
+func TestShortAvoidsReaders(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(4)
+	for _, candidate := range all[:3] {
+		reader(book, candidate, 2*time.Second)
+	}
+	plan, found := placement.PlanPrompt(model, shortWork(), all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(plan.Writer.ID, all[3].Endpoint.ID)
+	is.Equal(len(plan.Helpers), 0)
+}
+
+// Short answers are packed, so that engines remain that may read long prompts.
+func TestShortsArePacked(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(6)
+	used := map[peridotpath.EndpointID]int{}
+	for range 8 {
+		plan, found := placement.PlanPrompt(model, shortWork(), all, book.View(time.Now()))
+		is.True(found)
+		used[plan.Writer.ID]++
+		for _, candidate := range all {
+			if candidate.Endpoint.ID == plan.Writer.ID {
+				writer(book, candidate)
+			}
+		}
+	}
+	is.True(len(used) <= 2)
+}
+
+// A dossier is read by the engines at which nobody writes.
+func TestLongIsSpreadOverTheIdle(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(8)
+	busy := map[peridotpath.EndpointID]bool{}
+	for _, candidate := range all[:3] {
+		busy[candidate.Endpoint.ID] = true
+		for range 6 {
+			writer(book, candidate)
+		}
+	}
+	plan, found := placement.PlanPrompt(model, longWork(210_000), all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(len(plan.Helpers), 4)
+	for _, endpoint := range append(plan.Helpers, plan.Writer) {
+		is.True(!busy[endpoint.ID])
+	}
+	is.Equal(plan.Harm, 0.0)
+	is.True(plan.FirstEvent < time.Second)
+	is.Equal(len(plan.Reserve), 0)
+}
+
+// A bound volume needs more memory than any engine has.
+func TestMemoryIsShared(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(8)
+	work := longWork(1_000_000)
+	work.Left = time.Minute
+	plan, found := placement.PlanPrompt(model, work, all, book.View(time.Now()))
+	is.True(found)
+	held := plan.Memory
+	for i, need := range plan.Reserve {
+		is.Equal(need.Endpoint, plan.Helpers[i])
+		held += need.Tokens
+	}
+	is.True(held >= work.Prompt+work.Answer)
+	is.True(plan.Memory <= rates.KVTokens)
+
+	_, found = placement.PlanPrompt(model, work, all[:2], book.View(time.Now()))
+	is.True(!found) // two engines cannot hold it
+}
+
+func TestSuspectsAreAvoided(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(3)
+	all[0].Suspect, all[1].Suspect = true, true
+	view := book.View(time.Now())
+	plan, _ := placement.PlanPrompt(model, shortWork(), all, view)
+	is.Equal(plan.Writer.ID, all[2].Endpoint.ID)
+	plan, _ = placement.PlanPlain(shortWork(), all, view)
+	is.Equal(plan.Writer.ID, all[2].Endpoint.ID)
+	plan, found := placement.PlanPrompt(model, shortWork(), all[:2], view)
+	is.True(found && plan.Writer != nil) // better one that failed than none
+	plan, _ = placement.PlanPrompt(model, longWork(210_000), all, view)
+	is.Equal(len(plan.Helpers), 0) // a helper that is gone holds everybody up
+}
+
+func TestPlainTakesTheLeastTaken(t *testing.T) {
+	is := is.New(t)
+	book, all := &placement.Book{}, candidates(3)
+	for i, count := range []int{4, 2, 3} {
+		for range count {
+			writer(book, all[i])
+		}
+	}
+	plan, found := placement.PlanPlain(placement.Work{DataCentre: "a"}, all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(plan.Writer.ID, all[1].Endpoint.ID)
+	for range 20 {
+		for _, candidate := range all {
+			writer(book, candidate)
+		}
+	}
+	_, found = placement.PlanPlain(placement.Work{}, all, book.View(time.Now()))
+	is.True(!found)
+}
+
+// A failure is remembered for longer each time, and forgotten by an answer.
+func TestSuspicion(t *testing.T) {
+	is := is.New(t)
+	book, now := &placement.Book{}, time.Now()
+	book.Failed(5, now)
+	is.True(book.Suspects(now.Add(400 * time.Millisecond))[5])
+	is.True(!book.Suspects(now.Add(600 * time.Millisecond))[5])
+	book.Failed(5, now)
+	is.True(book.Suspects(now.Add(900 * time.Millisecond))[5])
+	is.Equal(len(book.OwnSuspicions(now)), 1)
+	book.Works(5)
+	is.True(!book.Suspects(now)[5])
+	book.Full(6, now)
+	is.True(book.Suspects(now.Add(100 * time.Millisecond))[6])
+	is.Equal(len(book.OwnSuspicions(now)), 0) // who is merely full tells each instance so
+	for range 100 {
+		book.Failed(7, now)
+	}
+	is.True(!book.Suspects(now.Add(5 * time.Second))[7])
+}
+
+// Whatever is under way, all instances put those that wait in the same order,
+// so that exactly one is first.
+func TestOneIsFirst(t *testing.T) {
+	rapid.Check(t, func(random *rapid.T) {
+		now := time.Unix(1000, 0)
+		ids := []peridotpath.InstanceID{"a", "b", "c"}
+		books := map[peridotpath.InstanceID]*placement.Book{}
+		var own = map[peridotpath.InstanceID][]placement.WaitNumber{}
+		for _, id := range ids {
+			books[id] = &placement.Book{}
+			for range rapid.IntRange(0, 4).Draw(random, "count") {
+				// A hundredth of a second apart at least: closer ones may swap on the way.
+				due := now.Add(time.Duration(rapid.IntRange(0, 50).Draw(random, "due")) * 10 * time.Millisecond)
+				number := books[id].Join(placement.Wait{Due: due, Reading: time.Second})
+				books[id].Mark(number, rapid.Bool().Draw(random, "late"), false)
+				own[id] = append(own[id], number)
+			}
+		}
+		for _, id := range ids {
+			for _, other := range ids {
+				if other != id {
+					books[id].HearPeer(placement.Report{Peer: other, Incarnation: 1, Sequence: 1, Waits: books[other].OwnWaits()}, now)
+				}
+			}
+		}
+		first, all := 0, 0
+		for _, id := range ids {
+			for _, number := range own[id] {
+				all++
+				if ahead, _ := books[id].Ahead(number, id, now); ahead == 0 {
+					first++
+				}
+			}
+		}
+		if all > 0 && first != 1 {
+			random.Errorf("%d of %d are first", first, all)
+		}
+	})
+}
+
+// What an engine is planned to hold never exceeds its memory.
+func TestMemoryIsNeverOverPromised(t *testing.T) {
+	rapid.Check(t, func(random *rapid.T) {
+		book, all := &placement.Book{}, candidates(6)
+		for range rapid.IntRange(1, 12).Draw(random, "count") {
+			work := longWork(peridotpath.Tokens(rapid.IntRange(1_000, 1_000_000).Draw(random, "prompt")))
+			work.Left = time.Hour
+			plan, found := placement.PlanPrompt(model, work, all, book.View(time.Now()))
+			if found {
+				book.Begin(plan.Flight(work, time.Now()))
+			}
+		}
+		view := book.View(time.Now())
+		for _, candidate := range all {
+			if held := view.At(candidate.Key).Memory; held > rates.KVTokens {
+				random.Errorf("%d tokens promised at %s", held, candidate.Endpoint.ID)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/peridotpath/readings/readings.go
@@ -0,0 +1,104 @@
+// Package readings lets instances ask each other for what they have read of the
+// platform's store, so that a change costs the store a call or two and not one
+// for each instance.
+package readings
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/readings/wire"
+)
+
+// PathPrefix is where the service is found.
+const PathPrefix = "/peer"
+
+// askTimeout bounds one question to a peer; the store is asked after it.
+const askTimeout = 400 * time.Millisecond
+
+type (
+	// Routing is the operators' routing as it was read.
+	Routing struct {
+		Version keyvalue.Version
+		Value   []byte
+		// Age is how long ago it was known to be the newest.
+		Age time.Duration
+	}
+	// Endpoints is the endpoints' entries as they were read.
+	Endpoints struct {
+		Entries []keyvalue.Entry
+		Age     time.Duration
+	}
+)
+
+// Server answers peers. Both fields return false before the first reading.
+type Server struct {
+	LastRouting   func() (Routing, bool)
+	LastEndpoints func() (Endpoints, bool)
+}
+
+// Handler returns the handler of the service's paths.
+func (server *Server) Handler() http.Handler {
+	return wire.NewReadingsServer(service{server}, twirp.WithServerPathPrefix(PathPrefix))
+}
+
+// service is the server in the form of the generated interface.
+type service struct{ server *Server }
+
+func (service service) Routing(context.Context, *wire.RoutingQuery) (*wire.RoutingReading, error) {
+	reading, ok := service.server.LastRouting()
+	if !ok {
+		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
+	}
+	return &wire.RoutingReading{StoreVersion: uint64(reading.Version), Value: reading.Value, Age: uint64(reading.Age.Microseconds())}, nil
+}
+
+func (service service) Endpoints(context.Context, *wire.EndpointsQuery) (*wire.EndpointsReading, error) {
+	reading, ok := service.server.LastEndpoints()
+	if !ok {
+		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
+	}
+	answer := &wire.EndpointsReading{Age: uint64(reading.Age.Microseconds()), Read: true}
+	for _, entry := range reading.Entries {
+		answer.Entries = append(answer.Entries, &wire.Entry{Key: entry.Key, Value: entry.Value})
+	}
+	return answer, nil
+}
+
+func client(peer netip.AddrPort) wire.Readings {
+	return wire.NewReadingsProtobufClient("http://"+peer.String(), outbound.Doer{}, twirp.WithClientPathPrefix(PathPrefix))
+}
+
+// AskRouting asks a peer for the routing.
+func AskRouting(ctx context.Context, peer netip.AddrPort) (Routing, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := client(peer).Routing(ctx, &wire.RoutingQuery{})
+	if err != nil {
+		return Routing{}, err
+	}
+	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: answer.Value, Age: micros(answer.Age)}, nil
+}
+
+// AskEndpoints asks a peer for the endpoints.
+func AskEndpoints(ctx context.Context, peer netip.AddrPort) (Endpoints, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := client(peer).Endpoints(ctx, &wire.EndpointsQuery{})
+	if err != nil {
+		return Endpoints{}, err
+	}
+	reading := Endpoints{Age: micros(answer.Age)}
+	for _, entry := range answer.Entries {
+		reading.Entries = append(reading.Entries, keyvalue.Entry{Key: entry.Key, Value: entry.Value})
+	}
+	return reading, nil
+}
+
+func micros(count uint64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/peridotpath/reservation/keeper_test.go
+++ b/peridotpath/reservation/keeper_test.go
@@ -122,7 +122,9 @@
 	go func() { ended <- keeper.Run(ctx) }()
 	return func() {
 		cancel()
-		<-ended
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	}
 }
 
--- a/peridotpath/routing/state_test.go
+++ b/peridotpath/routing/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/readings"
 	"peridotpath.example/peridotpath/routing"
 )
 
@@ -126,6 +128,14 @@
 	return keyvalue.Entry{Key: key, Version: store.version, Value: []byte{byte(store.routing)}}, true, nil
 }
 
+var peer = netip.MustParseAddrPort("10.0.0.1:99")
+
+var errNoPeer = errors.New("no such peer")
+
+func noPeer(context.Context, netip.AddrPort) (readings.Routing, error) {
+	return readings.Routing{}, errNoPeer
+}
+
 func decode(value []byte) (*peridotpath.Routing, error) {
 	return version(peridotpath.RoutingVersion(value[0])), nil
 }
@@ -141,7 +151,7 @@
 		}
 		store := &fakeStore{}
 		follower := &routing.Follower{
-			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
+			State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
 			Pace: clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -166,7 +176,7 @@
 		is.True(!state.KeysUsable())
 
 		// A peer that reaches the store confirms it.
-		follower.HearPeer(8, state.Now()-100*time.Millisecond)
+		follower.HearPeer(peer, 8, state.Now()-100*time.Millisecond)
 		is.True(state.KeysUsable())
 		store.set(6, 8, nil)
 		time.Sleep(time.Second)
@@ -176,8 +186,9 @@
 	})
 }
 
-// A peer tells of a newer version: it is read at once, not at the next interval.
-func TestFollowerHearsOfNewer(t *testing.T) {
+// A peer tells of a newer version: it is asked for it at once, and the store is
+// not, however many instances hear of it.
+func TestFollowerAsksPeer(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		began := time.Now()
@@ -187,6 +198,40 @@
 		store := &fakeStore{version: 1, routing: 1}
 		follower := &routing.Follower{
 			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
+			Ask: func(context.Context, netip.AddrPort) (readings.Routing, error) {
+				return readings.Routing{Version: 2, Value: []byte{2}, Age: 300 * time.Millisecond}, nil
+			},
+			Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		is.Equal(store.called(), 1)
+		follower.HearPeer(peer, 2, state.Now())
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(2))
+		is.Equal(store.called(), 1)
+		is.Equal(state.Age(), 400*time.Millisecond) // the peer's age counts on
+		last, ok := follower.Last()
+		is.True(ok)
+		is.Equal(last, readings.Routing{Version: 2, Value: []byte{2}, Age: 400 * time.Millisecond})
+		cancel()
+		is.True(errors.Is(<-ended, context.Canceled))
+	})
+}
+
+// A peer tells of a newer version and cannot be asked: the store is, at once.
+func TestFollowerHearsOfNewer(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		state := &routing.State{
+			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
+		}
+		store := &fakeStore{version: 1, routing: 1}
+		follower := &routing.Follower{
+			State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
 			Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -194,7 +239,7 @@
 		go func() { ended <- follower.Run(ctx) }()
 		time.Sleep(time.Second)
 		store.set(2, 2, nil)
-		follower.HearPeer(2, state.Now())
+		follower.HearPeer(peer, 2, state.Now())
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(state.Current().Routing.Version, peridotpath.RoutingVersion(2))
 		cancel()
