--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -51,6 +51,7 @@
 // service is the server in the form of the generated interface.
 type service struct{ server *Server }
 
+// Routing answers a peer.
 func (service service) Routing(context.Context, *wire.RoutingQuery) (*wire.RoutingReading, error) {
 	reading, ok := service.server.LastRouting()
 	if !ok {
@@ -59,6 +60,7 @@
 	return &wire.RoutingReading{StoreVersion: uint64(reading.Version), Value: reading.Value, Age: uint64(reading.Age.Microseconds())}, nil
 }
 
+// Endpoints answers a peer.
 func (service service) Endpoints(context.Context, *wire.EndpointsQuery) (*wire.EndpointsReading, error) {
 	reading, ok := service.server.LastEndpoints()
 	if !ok {
