peridotctl: trace and why read logs; caller: what cannot work is told beforehand

Cause: on-call engineers have logs only, and no reader for them. Off-the-shelf clients: messages that were a text were answered 200, a plain service's profile asked for a chat gave 424 'may have run', and the README promised the key's repeat for profiles that ignore it.

--- a/peridotctl/session_test.go
+++ b/peridotctl/session_test.go
@@ -169,6 +169,10 @@
 			"explain --profile counter --tokens 900000", "explain --profile counter --tokens 900 --json",
 			"explain --profile counter", "explain --profile counter --tokens 9000000",
 		}},
+		{name: "logs", lines: []string{
+			"trace --id r1 testdata/instances.log", "trace --id none testdata/instances.log", "trace testdata/instances.log",
+			"why testdata/instances.log", "why --top 1 testdata/instances.log testdata/instances.log", "why", "why testdata/none.log",
+		}},
 		{name: "help", lines: []string{
 			"", "help", "help exit-codes", "help changes", "help outages", "help files", "help profile", "help endpoint drain",
 			"help nothing", "profile", "profile show", "profile list --nope", "status --servers here",
@@ -278,3 +282,17 @@
 		t.Errorf("%s differs from byte %d on; have:\n%s", path, at, have[at:min(len(have), at+500)])
 	}
 }
+
+// Whatever stands in a log file, reading goes on.
+func FuzzParseLogLine(f *testing.F) {
+	f.Add(`time=2026-12-03T10:00:00Z event=served error="a \"b\" c" took=1.5`)
+	f.Add(`event="cut`)
+	f.Add(`= event= a=`)
+	f.Fuzz(func(t *testing.T, text string) {
+		line, ok := parseLogLine(text)
+		if ok && line.pairs["event"] == "" {
+			t.Error("a line without an event")
+		}
+		newTally().add(line)
+	})
+}
--- /dev/null
+++ b/peridotctl/why.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+)
+
+const whyUsage = `why [--top N] FILE...
+  Counts the failures in log files by cause, and names the seconds, routes,
+  customers and endpoints that have most of them. Reads log files, asks no
+  instance.
+
+`
+
+// defaultTop is how many rows of each table are shown.
+const defaultTop = 5
+
+// tally counts what a log says.
+type tally struct {
+	requests, failed int
+	// results counts failed requests by result, outcomes failed attempts by how
+	// they ended, the others failed requests by what they are named after.
+	results, outcomes, seconds, routes, customers map[string]int
+	// endpoints counts failed attempts.
+	endpoints map[string]int
+	changes   map[string]int
+}
+
+func newTally() *tally {
+	return &tally{
+		results: map[string]int{}, outcomes: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
+		customers: map[string]int{}, endpoints: map[string]int{}, changes: map[string]int{},
+	}
+}
+
+// callerGone is a result that is nobody's failure here.
+const callerGone = "caller_gone"
+
+func (tally *tally) add(line logLine) {
+	switch line.pairs["event"] {
+	case "served":
+		tally.requests++
+	case "failed", "refused":
+		tally.requests++
+		if line.pairs["result"] == callerGone {
+			return
+		}
+		tally.failed++
+		tally.results[line.pairs["result"]]++
+		tally.seconds[second(line.pairs["time"])]++
+		note(tally.routes, line.pairs["route"])
+		note(tally.customers, line.pairs["customer"])
+	case "attempt_failed":
+		tally.outcomes[line.pairs["outcome"]]++
+		note(tally.endpoints, line.pairs["endpoint"])
+	default:
+		tally.changes[line.pairs["event"]]++
+	}
+}
+
+func note(counts map[string]int, name string) {
+	if name != "" {
+		counts[name]++
+	}
+}
+
+// second cuts a time to its second.
+func second(time string) string {
+	const length = len("2006-01-02T15:04:05")
+	if len(time) < length {
+		return time
+	}
+	return time[:length]
+}
+
+func why(console *console) *command {
+	top := defaultTop
+	return &command{
+		console: console, name: "why", synopsis: "counts the failures in log files by cause", usage: whyUsage,
+		flags: func(flags *flag.FlagSet) { flags.IntVar(&top, "top", defaultTop, "rows of each table") },
+		run: func(_ context.Context, args []string) error {
+			if len(args) == 0 || top < 1 {
+				return errUsage
+			}
+			tally := newTally()
+			skipped, err := readLogs(args, tally.add)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(console.out, "%d requests, %d failed or refused; %d lines not understood\n", tally.requests, tally.failed, skipped)
+			tally.write(console.out, top)
+			return nil
+		},
+	}
+}
+
+func (tally *tally) write(out io.Writer, top int) {
+	tables := []struct {
+		title  string
+		counts map[string]int
+	}{
+		{"result", tally.results}, {"failed attempt", tally.outcomes}, {"second", tally.seconds}, {"route", tally.routes},
+		{"customer", tally.customers}, {"endpoint of failed attempts", tally.endpoints}, {"change of belief", tally.changes},
+	}
+	for _, table := range tables {
+		writeCounts(out, table.title, table.counts, top)
+	}
+}
+
+// writeCounts writes the largest counts, ties by name.
+func writeCounts(out io.Writer, title string, counts map[string]int, top int) {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	if len(names) == 0 {
+		return
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "\n%s\tcount\n", title)
+	for _, name := range names[:min(top, len(names))] {
+		fmt.Fprintf(table, "%s\t%d\n", name, counts[name])
+	}
+	if len(names) > top {
+		fmt.Fprintf(table, "(%d more)\t\n", len(names)-top)
+	}
+	// The console's writes do not fail.
+	_ = table.Flush()
+}
--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -89,7 +89,7 @@
 	daemon.callers = &caller.Server{
 		Log: daemon.log, Config: daemon.currentConfig, Ready: daemon.ready,
 		Do: daemon.dispatcher.Do, Continue: daemon.dispatcher.Continue, DoPlain: daemon.dispatcher.DoPlain,
-		Endpoint: daemon.fleet.follower.Endpoint, EngineHolds: daemon.fleet.engineHolds,
+		Endpoint: daemon.fleet.follower.Endpoint, EngineHolds: daemon.fleet.engineHolds, IsPlain: daemon.fleet.isPlain,
 		Oversize: daemon.shifts.counter.Note, Signer: daemon.signer, Claims: daemon.claims,
 		MaxActive: limits.MaxConnections, MaxHeaderBytes: limits.MaxHeaderBytes,
 		Bodies: caller.NewBodies(limits.MaxBodyBytes, limits.BodyMemoryBytes, bodyTimeout),
--- a/peridotd/fleet.go
+++ b/peridotd/fleet.go
@@ -157,6 +157,16 @@
 	return (*largest)[service]
 }
 
+// isPlain reports whether the service has endpoints and none is an engine.
+func (side *fleetSide) isPlain(service peridotpath.Service) bool {
+	largest := side.largest.Load()
+	if largest == nil {
+		return false
+	}
+	holds, known := (*largest)[service]
+	return known && holds == 0
+}
+
 // largestEngines returns the KV memory of each service's largest engine.
 func largestEngines(endpoints []peridotpath.Endpoint) map[peridotpath.Service]peridotpath.Tokens {
 	largest := map[peridotpath.Service]peridotpath.Tokens{}
--- a/peridotpath/caller/complete.go
+++ b/peridotpath/caller/complete.go
@@ -57,6 +57,8 @@
 	output peridotpath.Tokens
 	// prompt is the raw text of the prompt or the messages, part of the body.
 	prompt string
+	// oddMessages says that the messages are no list.
+	oddMessages bool
 }
 
 // parse checks a body and takes all fields out of it at once, without copying it.
@@ -86,6 +88,7 @@
 			if len(value.Raw) > len(fields.prompt) {
 				fields.prompt = value.Raw
 			}
+			fields.oddMessages = fields.oddMessages || name.Str == "messages" && !value.IsArray()
 		}
 		return true
 	})
@@ -102,6 +105,14 @@
 	if result != nil {
 		return nil, result
 	}
+	if server.IsPlain != nil && server.IsPlain(profile.Service) {
+		// An engine's call at a plain service would fail there, as what may have run.
+		detail := "the profile is of a plain service: ask under " + ServicePrefix + string(profile.Name) + "/"
+		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: detail}
+	}
+	if fields.oddMessages {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "messages is not a list"}
+	}
 	if fields.prompt == "" {
 		return nil, &peridotpath.Result{Code: peridotpath.CodeBadRequest, Detail: "neither prompt nor messages"}
 	}
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -59,6 +59,8 @@
 	Endpoint func(id peridotpath.EndpointID) (peridotpath.Endpoint, bool)
 	// EngineHolds returns the KV memory of the service's largest engine.
 	EngineHolds func(service peridotpath.Service) peridotpath.Tokens
+	// IsPlain, when set, reports whether the service's endpoints are no engines.
+	IsPlain func(service peridotpath.Service) bool
 	// Oversize, when set, is told of each prompt that no single engine holds.
 	Oversize func(service peridotpath.Service, tokens peridotpath.Tokens)
 	Signer   *cursor.Signer
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
 )
@@ -40,8 +41,9 @@
 	silentAfter = time.Second
 	// maxDatagram bounds what is read, in bytes.
 	maxDatagram = 64 << 10
-	// readPause is the longest wait of the receiver before it looks whether to end.
-	readPause = 500 * time.Millisecond
+	// readPause is the wait of the receiver after an error, so that one that lasts
+	// does not take the processor.
+	readPause = 10 * time.Millisecond
 )
 
 // Freshness is how old what an instance has read of the store is.
@@ -144,6 +146,9 @@
 		return Error.Wrap(err)
 	}
 	defer conn.Close()
+	// Closing ends the receiver's wait at once: a process that is told to end has
+	// little time left.
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	ended := make(chan error, 1)
 	go func() { ended <- gossip.receive(ctx, conn) }()
 	for {
@@ -285,9 +290,9 @@
 func (gossip *Gossip) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		_ = conn.SetReadDeadline(time.Now().Add(readPause))
 		length, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
+			clock.Pause(ctx, readPause)
 			continue
 		}
 		digest := &wire.Digest{}
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -27,9 +27,14 @@
 	// startSlack is how long before the engines are free the next prompt is sent,
 	// so that they do not stand idle for the time that it is on its way.
 	startSlack = 120 * time.Millisecond
-	// harmShare is the loss to others, as a part of its own worth, that a prompt
-	// may cause at once; harmGrowth is what is added by the time it would be late.
-	harmShare, harmGrowth = 0.1, 0.5
+	// harmAtOnce is the loss to others, as a part of its own worth, that a prompt
+	// may cause as soon as it comes. harmGrowth is what is added until it would be
+	// late: better others lose nearly as much than that it loses all. Once it is
+	// late, most of its worth is gone, and lateHarm is all that it may cause.
+	harmAtOnce, harmGrowth, lateHarm = 0.1, 0.8, 0.2
+	// holdShare is the part of its time after which a prompt that is late is given
+	// up rather than held on: its caller learns it while there is time to come back.
+	holdShare = 0.4
 	// spreadShare is the part of all engines' time that long prompts get at best:
 	// some write for others, and parts do not end at the same moment.
 	spreadShare = 0.6
@@ -54,6 +59,10 @@
 			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, soonest-work.Left))
 		}
 		late := work.Waited+soonest > work.AnswerAim
+		if late && work.Waited > time.Duration(holdShare*float64(work.Waited+work.Left)) {
+			return exchange.refusal(peridotpath.CodeQueueTimeout, max(shortReturn, soonest))
+		}
+		blocked := false
 		if ahead == 0 {
 			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
 			if found && worthwhile(plan, work) {
@@ -61,10 +70,11 @@
 				exchange.begin(plan, now)
 				return nil
 			}
-			book.Mark(wait, late, !found)
-		} else {
-			book.Mark(wait, late, false)
+			// Others need not wait for what this one waits for: memory, or engines at
+			// which less is lost.
+			blocked = !found || plan.Ready <= startSlack
 		}
+		book.Mark(wait, late, blocked)
 		if !clock.Pause(ctx, turnTick) {
 			return exchange.ended(ctx)
 		}
@@ -76,9 +86,10 @@
 	if plan.Ready > startSlack {
 		return false
 	}
-	pressed := 1.0
-	if work.AnswerAim > 0 {
-		pressed = min(float64(work.Waited+plan.FirstEvent)/float64(work.AnswerAim), 1)
+	allowed := lateHarm
+	if first := work.Waited + plan.FirstEvent; first <= work.AnswerAim {
+		pressed := float64(first) / float64(work.AnswerAim)
+		allowed = harmAtOnce + harmGrowth*pressed*pressed
 	}
-	return plan.Harm <= (harmShare+harmGrowth*pressed)*placement.Value(work.Prompt)
+	return plan.Harm <= allowed*placement.Value(work.Prompt)
 }
