--- a/peridotpath/caller/stack_test.go
+++ b/peridotpath/caller/stack_test.go
@@ -116,7 +116,7 @@
 		Do: dispatcher.Do, Continue: dispatcher.Continue, DoPlain: dispatcher.DoPlain,
 		Endpoint: stack.endpoint, EngineHolds: func(peridotpath.Service) peridotpath.Tokens { return 400_000 },
 		IsPlain: func(service peridotpath.Service) bool { return service == "desk-app" },
-		Claims: ledger, Signer: signer, Bodies: caller.NewBodies(16<<20, 64<<20, 10*time.Second),
+		Claims:  ledger, Signer: signer, Bodies: caller.NewBodies(16<<20, 64<<20, 10*time.Second),
 	}
 	stack.run(dispatcher.Run)
 	stack.run(ledger.Run)
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -70,6 +70,10 @@
 	// lookGap is the least time between two looks: at the start, when there is
 	// nothing yet, and when peers tell of something newer again and again.
 	lookGap = 60 * time.Millisecond
+	// servedLines bounds the log lines of requests that went well, a second: an
+	// instance of the target size takes 40 requests a second, and a line takes
+	// 24 us of the processor.
+	servedLines = 50
 	// keyMargin is how long before its end a key's lifetime is over here, for the
 	// time between the last look at the clock and the endpoint.
 	keyMargin = 500 * time.Millisecond
@@ -129,6 +133,7 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
+		Served: &telemetry.Sampler{PerSecond: servedLines},
 		Keeper: instance.keeper, Stall: settings.Stall,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -91,7 +91,9 @@
 		if outcome == outcomeDone {
 			telemetry.Result(peridotpath.CodeOK)
 			telemetry.Total(exchange.lengthClass(), time.Since(exchange.request.Arrived))
-			exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
+			if exchange.relay.Served.Allow(time.Now()) {
+				exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
+			}
 			return
 		}
 		exchange.note(outcome, err)
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -16,6 +16,7 @@
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 func testEndpoint(number int) peridotpath.Endpoint {
@@ -79,6 +80,7 @@
 	fixture.relay = &relay.Relay{
 		Instance: "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.routing,
 		Endpoints: fixture.directory.Current, Book: fixture.book, Send: send,
+		Served: &telemetry.Sampler{PerSecond: 10},
 		Budget: &relay.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
 		Stall:  1500 * time.Millisecond,
 		Keeper: &reservation.Keeper{
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -26,6 +26,8 @@
 	Budget     *Budget
 	Send       Sender
 	Keeper     *reservation.Keeper
+	// Served bounds the log lines of requests that went well.
+	Served *telemetry.Sampler
 	// Stall is how long an engine's work stands still when an engine that it
 	// depends on is gone; after that it goes on or is cut off by itself.
 	Stall time.Duration
