--- a/soak/main.go
+++ b/soak/main.go
@@ -11,8 +11,10 @@
 	"log"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -43,9 +45,12 @@
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(2)
 	}
+	// A run that is interrupted still ends the processes that it started.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	failed := 0
 	for _, seed := range list {
-		broken, err := soak(*binary, *folder, seed, *span, os.Stdout)
+		broken, err := soak(ctx, *binary, *folder, seed, *span, os.Stdout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
@@ -94,7 +99,7 @@
 )
 
 // soak makes one run and returns the promises that were broken.
-func soak(binary, folder string, seed uint64, span time.Duration, out io.Writer) ([]string, error) {
+func soak(ctx context.Context, binary, folder string, seed uint64, span time.Duration, out io.Writer) ([]string, error) {
 	if folder == "" {
 		made, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -102,7 +107,8 @@
 		}
 		folder = made
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	interrupted := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	fleet, err := build(ctx, binary, folder)
 	if err != nil {
 		cancel()
@@ -120,9 +126,12 @@
 		fleet.task(func() { fleet.client(load, number, clientRandom) })
 	}
 	var names []string
-	trouble, calm := context.WithTimeout(ctx, span)
+	trouble, calm := context.WithTimeout(interrupted, span)
 	fleet.trouble(trouble, random, func(name string) { names = append(names, name) })
 	calm()
+	if interrupted.Err() != nil {
+		return nil, interrupted.Err()
+	}
 	fleet.recover()
 	stopLoad()
 	fleet.memory()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -138,7 +139,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,7 @@
 		t.Fatalf("%v: %s", err, text)
 	}
 	for _, seed := range seeds {
-		broken, err := soak(binary, t.TempDir(), seed, 6*time.Second, t.Output())
+		broken, err := soak(t.Context(), binary, t.TempDir(), seed, 6*time.Second, t.Output())
 		is.NoErr(err)
 		for _, text := range broken {
 			t.Errorf("seed %d: %s", seed, text)
