--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,16 @@
 
 test: lint build unit ## what CI runs: formatter, linter, vet, build, race tests
 
-SOAK ?= 10m
-soak: ## long random runs of claims, configuration and leases, SOAK=10m for each; prints the seeds
-	PERIDOTPATH_SOAK=$(SOAK) go test -v -timeout 24h -run 'Random' ./peridotpath/claim/... ./peridotpath/config/... ./peridotpath/lease/...
+RANDOM_TIME ?= 10m
+random: ## long random runs of claims, configuration and leases, RANDOM_TIME=10m for each; prints the seeds
+	PERIDOTPATH_SOAK=$(RANDOM_TIME) go test -v -timeout 24h -run 'Random' ./peridotpath/claim/... ./peridotpath/config/... ./peridotpath/lease/...
+
+RUNS ?= 10
+SEED ?= 0
+SPAN ?= 20s
+soak: ## RUNS runs of real instances that are disturbed from outside, for SPAN each; SEED=N to begin with one
+	@mkdir -p bin && go build -o bin/peridotd ./peridotd && go build -o bin/soak ./soak
+	@bin/soak -peridotd bin/peridotd -seed $(SEED) -runs $(RUNS) -for $(SPAN)
 
 generate: ## writes the code of the .proto files anew (needs buf, protoc-gen-go, protoc-gen-twirp)
 	@PATH="$(GOBIN):$$PATH" buf generate
