--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -317,7 +317,7 @@
 	event = event.Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
 		Str("service", string(exchange.service)).Str("customer", string(exchange.customer)).
 		Int64("prompt", int64(exchange.request.Prompt)).Int("tries", exchange.tries).Int("sent", exchange.sent).
-		Dur("took", time.Since(exchange.request.Arrived)).Dur("routing_age", exchange.relay.Routing.Age()).
+		Dur("took", time.Since(exchange.request.Arrived)).Int64("routing_age", exchange.relay.Routing.LoggedAge()).
 		Int("code", int(code)).Str("result", code.String())
 	if exchange.plan.Writer != nil {
 		event = event.Str("endpoint", string(exchange.plan.Writer.ID)).Int("helpers", len(exchange.plan.Helpers)).
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -52,7 +52,7 @@
 	if refusal != nil {
 		telemetry.Result(refusal.Code)
 		relay.Log.Info().Str("request", string(request.ID)).Str("host", string(request.Host)).
-			Str("path", request.Path).Dur("routing_age", relay.Routing.Age()).
+			Str("path", request.Path).Int64("routing_age", relay.Routing.LoggedAge()).
 			Int("code", int(refusal.Code)).Str("result", refusal.Code.String()).Msg("refused")
 		caller.Refuse(*refusal)
 		return
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -95,7 +95,7 @@
 func (follower *Follower) lost(err error) {
 	if !follower.failed {
 		follower.failed = true
-		follower.Log.Warn().Err(err).Dur("routing_age", follower.State.Age()).Msg("routing_unconfirmed")
+		follower.Log.Warn().Err(err).Int64("routing_age", follower.State.LoggedAge()).Msg("routing_unconfirmed")
 	}
 }
 
@@ -133,7 +133,7 @@
 	}
 	if follower.failed {
 		follower.failed = false
-		follower.Log.Info().Dur("routing_age", follower.State.Age()).Msg("routing_confirmed_again")
+		follower.Log.Info().Int64("routing_age", follower.State.LoggedAge()).Msg("routing_confirmed_again")
 	}
 	switch {
 	case !changed:
--- a/peridotpath/routing/state.go
+++ b/peridotpath/routing/state.go
@@ -67,10 +67,27 @@
 }
 
 // Age returns how long ago the routing in force was last known to be the newest.
+// Without one it is longer than any bound.
 func (state *State) Age() time.Duration {
-	return state.Now() - time.Duration(state.confirmed.Load())
+	confirmed := state.confirmed.Load()
+	if confirmed == 0 {
+		return never
+	}
+	return state.Now() - time.Duration(confirmed)
 }
 
+// LoggedAge returns the age in milliseconds as logs show it: -1 where there is
+// no routing, which a long age would hide.
+func (state *State) LoggedAge() int64 {
+	if state.confirmed.Load() == 0 {
+		return -1
+	}
+	return state.Age().Milliseconds()
+}
+
+// never is the age of what was never confirmed.
+const never = 365 * 24 * time.Hour
+
 // KeysUsable reports whether keys may be used now.
 func (state *State) KeysUsable() bool {
 	return state.table.Load() != nil && state.Age() < state.KeyLifetime
