--- a/peridotpath/gossip/flight.go
+++ b/peridotpath/gossip/flight.go
@@ -81,4 +81,11 @@
 
 func micros(span time.Duration) uint64 { return uint64(max(span, 0).Microseconds()) }
 
-func span(micros uint64) time.Duration { return time.Duration(micros) * time.Microsecond }
+// span is bounded: a number that a span cannot hold would come out negative, and
+// an age like that would confirm a reading for the future.
+func span(micros uint64) time.Duration {
+	return time.Duration(min(micros, maxMicros)) * time.Microsecond
+}
+
+// maxMicros is the longest span that is told, ten years.
+const maxMicros = 10 * 365 * 24 * 3600 * 1_000_000
--- /dev/null
+++ b/peridotpath/gossip/flight_test.go
@@ -0,0 +1,49 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"peridotpath.example/peridotpath/gossip/wire"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// A peer tells an age that no span holds. Taken as it comes out, it would be
+// negative, and keys could be used on what was read long ago.
+func TestHugeAge(t *testing.T) {
+	for _, micros := range []uint64{1 << 62, 1<<64 - 1, 1 << 54} {
+		if have := span(micros); have < 0 || have < 365*24*time.Hour {
+			t.Errorf("span(%d): %v", micros, have)
+		}
+	}
+}
+
+// Whatever a datagram holds, what is made of it can be reckoned with.
+func FuzzDigest(f *testing.F) {
+	whole, err := proto.Marshal(&wire.Digest{
+		Instance: "a", Sequence: 1, Flights: []*wire.Flight{{Number: 1, Endpoints: []uint64{1, 2}, Reading: 5, Memory: []uint64{7}, Age: 9}},
+		Waits: []*wire.Wait{{Number: 1, DueIn: -5, Reading: 3}}, Suspicions: []*wire.Suspicion{{Endpoint: 1, Left: 5}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		digest := &wire.Digest{}
+		if proto.Unmarshal(datagram, digest) != nil {
+			return
+		}
+		now := time.Now()
+		book := &placement.Book{}
+		book.HearPeer(decodeReport(digest, now), now)
+		for _, load := range book.View(now) {
+			if load.Backlog < 0 || load.Taken() < 0 {
+				t.Errorf("load %+v", load)
+			}
+		}
+		book.Suspects(now)
+		book.Ahead(book.Join(placement.NewWait(now, time.Second)), "b", now)
+	})
+}
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -103,4 +103,11 @@
 	return reading, nil
 }
 
-func micros(count uint64) time.Duration { return time.Duration(count) * time.Microsecond }
+// micros is bounded: an age that no span holds would come out negative, and
+// confirm a reading for the future.
+func micros(count uint64) time.Duration {
+	return time.Duration(min(count, maxMicros)) * time.Microsecond
+}
+
+// maxMicros is the longest age that is told, ten years.
+const maxMicros = 10 * 365 * 24 * 3600 * 1_000_000
--- /dev/null
+++ b/peridotpath/relay/events_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRawEvents(t *testing.T) {
+	is := is.New(t)
+	const first, second = "x-version: 7\nid: 1\ndata: a\n\n", "data: b\r\nid:2\r\n\r\n"
+	events := newRawEvents(strings.NewReader(first + "\n" + second + "id: 3\nda"))
+	raw, id, err := events.next()
+	is.NoErr(err)
+	is.Equal(string(raw), first)
+	is.Equal(id, "1")
+	raw, id, err = events.next()
+	is.NoErr(err)
+	is.Equal(string(raw), second)
+	is.Equal(id, "2")
+	_, _, err = events.next()
+	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // it broke off within an event
+
+	_, _, err = newRawEvents(strings.NewReader("data: " + strings.Repeat("x", maxEvent))).next()
+	is.True(err != nil) // an event without an end costs bounded memory
+}
+
+// Whatever an endpoint sends, what is handed on is whole events of it, unchanged.
+func FuzzRawEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
+	f.Add([]byte("\r\n\r\nid:\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		events := newRawEvents(bytes.NewReader(stream))
+		rest := stream
+		for {
+			raw, _, err := events.next()
+			if err != nil {
+				return
+			}
+			at := bytes.Index(rest, raw)
+			if at < 0 {
+				t.Fatalf("%q is not in %q", raw, rest)
+			}
+			rest = rest[at+len(raw):]
+			if last := bytes.TrimRight(raw, "\r\n"); len(last) == 0 {
+				t.Fatalf("an event without a line: %q", raw)
+			}
+		}
+	})
+}
