instance: a stop ends by itself though requests go on

Change: with requests still running the process ends 0.2 s before the grace does. Test: TestStopWithARequestThatGoesOn.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -312,6 +312,11 @@
 	case <-stop:
 	}
 	instance.stop(ctx)
+	if active := instance.active.Load(); active > 0 {
+		// go-zero's shutdown would wait for them, beyond the grace.
+		instance.Log.Warn().Int64("active", active).Msg("stopped")
+		return nil
+	}
 	cancel()
 	for range tasks {
 		<-ended
--- /dev/null
+++ b/peridotpath/instance/instance_test.go
@@ -0,0 +1,197 @@
+package instance_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/instance"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/relay"
+)
+
+// ports returns free ports in a row.
+func freePorts(t *testing.T, count int) []netip.AddrPort {
+	t.Helper()
+	var addresses []netip.AddrPort
+	var open []net.Listener
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, listener)
+		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
+	}
+	for _, listener := range open {
+		listener.Close()
+	}
+	return addresses
+}
+
+// emptyStore is a store in which nothing lies but one routing and one endpoint.
+func emptyStore(endpoint peridotpath.Endpoint) *keyvalue.Store {
+	entry, _ := json.Marshal(endpoint)
+	return &keyvalue.Store{
+		Check: func(_ context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error) {
+			return keyvalue.Entry{Key: key, Version: 1, Value: []byte("{}")}, expect != 1, nil
+		},
+		List: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
+			return []keyvalue.Entry{{Key: "one", Value: entry}}, 1, nil
+		},
+		ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return nil, 1, nil },
+		Grant:     func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 1, nil },
+		Renew:     func(context.Context, keyvalue.LeaseID) error { return nil },
+		Swap: func(context.Context, string, keyvalue.Version, []byte, keyvalue.LeaseID) (keyvalue.Version, error) {
+			return 2, nil
+		},
+	}
+}
+
+func decodeRouting([]byte) (*peridotpath.Routing, error) {
+	return &peridotpath.Routing{Version: 1, Routes: []peridotpath.Route{{
+		Name: "r", Host: "127.0.0.1", PathPrefix: "/", Backends: []peridotpath.Backend{{Service: "app", Weight: 1}}, MaxAttempts: 1,
+	}}}, nil
+}
+
+func decodeEndpoints(entries []keyvalue.Entry) []peridotpath.Endpoint {
+	var endpoints []peridotpath.Endpoint
+	for _, entry := range entries {
+		var endpoint peridotpath.Endpoint
+		if json.Unmarshal(entry.Value, &endpoint) == nil {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	return endpoints
+}
+
+// running is an instance under test, and its way to an endpoint.
+type running struct {
+	settings *instance.Settings
+	stop     chan os.Signal
+	ended    chan error
+	// release lets the endpoint answer.
+	release chan struct{}
+	calls   atomic.Int64
+}
+
+func run(t *testing.T, grace time.Duration) *running {
+	t.Helper()
+	at := freePorts(t, 4)
+	running := &running{stop: make(chan os.Signal, 1), ended: make(chan error, 1), release: make(chan struct{})}
+	running.settings = &instance.Settings{
+		InstanceID: "edge-1", DataCentre: "a", CallerAddress: at[0], ReadyAddress: at[1], PeerAddress: at[2], MetricsAddress: at[3], Grace: grace,
+	}
+	running.settings.Defaults()
+	endpoint := peridotpath.Endpoint{ID: "one", Service: "app", State: peridotpath.StateLive, Address: at[0], Slots: 5}
+	adapter := instance.Adapter{
+		Store: emptyStore(endpoint), DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints, ReadyPath: "/ready",
+		Send: func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
+			running.calls.Add(1)
+			select {
+			case <-running.release:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			return &relay.Answer{Status: 200, Header: http.Header{}, Genuine: true, Body: io.NopCloser(strings.NewReader("done"))}, nil
+		},
+		Ingress: func(callers instance.Callers) http.Handler {
+			return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				asked := &relay.Request{ID: "r", Path: request.URL.Path, Host: peridotpath.NormalHost(request.Host), Arrived: time.Now()}
+				callers.Relay.Serve(request.Context(), asked, &relay.Caller{
+					Refuse: func(result peridotpath.Result) { writer.WriteHeader(result.Code.Status()) },
+					Answer: func(status int, _ http.Header, body []byte) {
+						writer.WriteHeader(status)
+						_, _ = writer.Write(body)
+					},
+				})
+			})
+		},
+	}
+	go func() { running.ended <- instance.New(running.settings, adapter, zerolog.Nop()).Run(running.stop) }()
+	for range 1000 {
+		if running.status("/ready", running.settings.ReadyAddress) == http.StatusOK {
+			return running
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not ready")
+	return nil
+}
+
+// status returns what a GET is answered with; zero for no answer.
+func (running *running) status(path string, at netip.AddrPort) int {
+	response, err := http.Get(fmt.Sprintf("http://%s%s", at, path))
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// A planned stop: the balancer is told at once, who still comes is served, what
+// runs is finished, and the process ends as soon as it is.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	running := run(t, 4*time.Second)
+	answered := make(chan int, 2)
+	go func() { answered <- running.status("/x", running.settings.CallerAddress) }()
+	for running.calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	running.stop <- syscall.SIGTERM
+	for running.status("/ready", running.settings.ReadyAddress) == http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { answered <- running.status("/x", running.settings.CallerAddress) }()
+	for running.calls.Load() == 1 {
+		time.Sleep(time.Millisecond)
+	}
+	close(running.release)
+	is.Equal(<-answered, http.StatusOK)
+	is.Equal(<-answered, http.StatusOK)
+	is.NoErr(<-running.ended)
+}
+
+// A request outlasts the grace. The process ends by itself before it is killed;
+// it used to wait for the request, and was.
+func TestStopWithARequestThatGoesOn(t *testing.T) {
+	is := is.New(t)
+	running := run(t, 2*time.Second)
+	defer close(running.release)
+	go running.status("/x", running.settings.CallerAddress)
+	for running.calls.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	running.stop <- syscall.SIGTERM
+	select {
+	case err := <-running.ended:
+		is.NoErr(err)
+	case <-time.After(20 * time.Second):
+		t.Error("still there")
+	}
+}
+
+func TestSettingsFaults(t *testing.T) {
+	is := is.New(t)
+	settings := &instance.Settings{RetryRatio: 2, RetrySlack: -1, Memory: 1}
+	settings.Defaults()
+	faults := settings.Validate()
+	is.Equal(len(faults), 5) // two names, the memory, the ratio and the slack
+	is.True(!errors.Is(faults.OrNil(), nil))
+}
--- a/peridotpath/instance/stop.go
+++ b/peridotpath/instance/stop.go
@@ -14,7 +14,7 @@
 	// noticeShare bounds the notice where the grace is short.
 	noticeShare = 0.4
 	// exitMargin is how long before the grace's end the process exits by itself.
-	exitMargin = 300 * time.Millisecond
+	exitMargin = 200 * time.Millisecond
 	// activePoll is how often a stop looks whether requests still run.
 	activePoll = 20 * time.Millisecond
 )
