tests: two stories of the relay fail without their guards now

With their guards taken out, 18 of 20 story tests failed; TestStandstillIsWaitedOut read from a body that no cancel reaches, and TestStreamBreaksLate left enough time for a plan. Both as strict or stricter than before.

--- a/peridotpath/relay/relay_test.go
+++ b/peridotpath/relay/relay_test.go
@@ -81,6 +81,34 @@
 	}
 }
 
+// pieceAt is a part of a body and when it comes.
+type pieceAt struct {
+	at   time.Duration
+	text string
+}
+
+// timed answers with a stream whose parts come at their times, and which ends
+// with the error given after the last, or with the call.
+func timed(end error, pieces ...pieceAt) step {
+	return func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			began := time.Now()
+			for _, piece := range pieces {
+				select {
+				case <-ctx.Done():
+					writer.CloseWithError(ctx.Err())
+					return
+				case <-time.After(piece.at - time.Since(began)):
+				}
+				_, _ = io.WriteString(writer, piece.text)
+			}
+			writer.CloseWithError(end)
+		}()
+		return &relay.Answer{Status: 200, Header: http.Header{}, Genuine: true, Body: reader}, nil
+	}
+}
+
 const events12, events34 = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"
 
 func TestAttempts(t *testing.T) {
@@ -262,15 +290,8 @@
 func TestStandstillIsWaitedOut(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		reader, writer := io.Pipe()
-		script := &script{steps: []step{answer(200, "", func(answer *relay.Answer) { answer.Body = reader })}}
+		script := &script{steps: []step{timed(io.EOF, pieceAt{0, events12}, pieceAt{1550 * time.Millisecond, events34})}}
 		fixture := newFixture(script.send, &testRates, testEndpoint(1), testEndpoint(2))
-		go func() {
-			_, _ = io.WriteString(writer, events12)
-			time.Sleep(1550 * time.Millisecond)
-			_, _ = io.WriteString(writer, events34)
-			writer.Close()
-		}()
 		outcome := fixture.ask(t.Context(), "short", nil)
 		is.Equal(len(script.calls), 1)
 		is.True(outcome.ended)
@@ -282,15 +303,7 @@
 func TestSilentStreamGoesOnElsewhere(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		silent := func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
-			reader, writer := io.Pipe()
-			go func() {
-				_, _ = io.WriteString(writer, events12)
-				<-ctx.Done()
-				writer.CloseWithError(ctx.Err())
-			}()
-			return &relay.Answer{Status: 200, Header: http.Header{}, Genuine: true, Body: reader}, nil
-		}
+		silent := timed(io.EOF, pieceAt{0, events12}, pieceAt{time.Hour, ""})
 		script := &script{steps: []step{silent, answer(200, events34, nil)}}
 		fixture := newFixture(script.send, &testRates, testEndpoint(1), testEndpoint(2))
 		outcome := fixture.ask(t.Context(), "short", nil)
@@ -304,16 +317,7 @@
 func TestStreamBreaksLate(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		late := func(context.Context, *relay.Call) (*relay.Answer, error) {
-			reader, writer := io.Pipe()
-			go func() {
-				_, _ = io.WriteString(writer, events12)
-				time.Sleep(1200 * time.Millisecond)
-				_, _ = io.WriteString(writer, events34)
-				writer.CloseWithError(errReset)
-			}()
-			return &relay.Answer{Status: 200, Header: http.Header{}, Genuine: true, Body: reader}, nil
-		}
+		late := timed(errReset, pieceAt{0, events12}, pieceAt{1200 * time.Millisecond, events34}, pieceAt{1960 * time.Millisecond, ""})
 		script := &script{steps: []step{late, answer(200, "id: 5\ndata: e\n\n", nil)}}
 		fixture := newFixture(script.send, &testRates, testEndpoint(1), testEndpoint(2))
 		outcome := fixture.ask(t.Context(), "short", func(request *relay.Request) {
