relay: the operators' ranks and the longest body are heeded; what nothing used is gone

A customer's priority goes before its route's, in the engines' order and in that of long prompts. Removed: rates and limits that nothing read.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -128,7 +128,7 @@
 	instance.incarnation = peridotpath.Incarnation(time.Now().UnixNano())
 	instance.keeper = &reservation.Keeper{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
-		Reserve: adapter.Reserve, Release: adapter.Release, Log: log,
+		Reserve: adapter.Reserve, Release: adapter.Release, MaxHold: settings.MaxHold, Log: log,
 	}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
--- a/peridotpath/keyvalue/store.go
+++ b/peridotpath/keyvalue/store.go
@@ -45,8 +45,6 @@
 	ErrUnavailable = errs.Class("keyvalue: unavailable")
 	// ErrLeaseGone says that the lease has lapsed.
 	ErrLeaseGone = errs.Class("keyvalue: lease gone")
-	// ErrCompacted says that a watch asked for history that is gone: read all anew.
-	ErrCompacted = errs.Class("keyvalue: compacted")
 	// ErrInvalid says that the service refused the call as malformed.
 	ErrInvalid = errs.Class("keyvalue: invalid")
 )
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -16,7 +16,7 @@
 var rates = peridotpath.EngineRates{
 	BatchSize: 16, KVTokens: 450_000, StepsPerPass: 46, Chunk: 2048,
 	Step: 925 * time.Microsecond, StepPerWriter: 4830 * time.Nanosecond, StepPerContextK: 2540 * time.Nanosecond,
-	ReadPerSecond: 256_000, PerMillionPairs: 91_700 * time.Nanosecond, HelperHop: 100 * time.Microsecond,
+	ReadPerSecond: 256_000, PerMillionPairs: 91_700 * time.Nanosecond,
 }
 
 var model = placement.Model{Rates: &rates}
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -92,7 +92,7 @@
 func (exchange *exchange) call(now time.Time, tickets []*reservation.Ticket) *Call {
 	call := &Call{
 		Request: exchange.request, Endpoint: exchange.plan.Writer, Customer: exchange.customer,
-		Left: exchange.deadline.Sub(now), Priority: enginePriority(exchange.route), AfterEvent: exchange.afterEvent,
+		Left: exchange.deadline.Sub(now), Priority: enginePriority(exchange.route, exchange.priority), AfterEvent: exchange.afterEvent,
 	}
 	for i, endpoint := range exchange.plan.Helpers {
 		helper := Helper{Endpoint: endpoint}
@@ -110,17 +110,20 @@
 	urgentAim, urgentPriority = 500 * time.Millisecond, 1
 	ordinaryAim, ordinaryRank = 2 * time.Second, 4
 	patientPriority           = 6
+	// usualPriority is the operators' rank that leaves these as they are, and
+	// leastPriority the engines' last.
+	usualPriority, leastPriority = 1, 9
 )
 
-func enginePriority(route *peridotpath.Route) int {
+func enginePriority(route *peridotpath.Route, priority int) int {
+	engine := patientPriority
 	switch {
 	case route.AnswerAim <= urgentAim:
-		return urgentPriority
+		engine = urgentPriority
 	case route.AnswerAim <= ordinaryAim:
-		return ordinaryRank
-	default:
-		return patientPriority
+		engine = ordinaryRank
 	}
+	return min(max(engine+priority-usualPriority, 0), leastPriority)
 }
 
 // stallWatch cancels an attempt whose events stop coming.
--- a/peridotpath/relay/engine_test.go
+++ b/peridotpath/relay/engine_test.go
@@ -20,7 +20,7 @@
 var testRates = peridotpath.EngineRates{
 	BatchSize: 16, KVTokens: 450_000, StepsPerPass: 46, Chunk: 2048,
 	Step: 925 * time.Microsecond, StepPerWriter: 4830 * time.Nanosecond, StepPerContextK: 2540 * time.Nanosecond,
-	ReadPerSecond: 256_000, PerMillionPairs: 91_700 * time.Nanosecond, HelperHop: 100 * time.Microsecond,
+	ReadPerSecond: 256_000, PerMillionPairs: 91_700 * time.Nanosecond,
 }
 
 // fakeEngines work as the published rates say, on the clock of the test.
@@ -86,7 +86,7 @@
 		engines.engines[helper.Endpoint.ID].add(&fakePart{left: share, job: job})
 	}
 	return &relay.Answer{
-		Status: http.StatusOK, Header: http.Header{}, Genuine: true, Length: -1,
+		Status: http.StatusOK, Header: http.Header{}, Genuine: true,
 		Body: &fakeStream{ctx: ctx, events: job.events},
 	}, nil
 }
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -21,6 +21,8 @@
 	service  peridotpath.Service
 	spec     peridotpath.ServiceSpec
 	customer peridotpath.CustomerID
+	// priority is the operators' rank of the request; 0 is the most urgent.
+	priority int
 	deadline time.Time
 
 	// tries counts attempts, sent those that reached an endpoint.
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -72,7 +72,7 @@
 	if route == nil {
 		return nil, relay.unknown(peridotpath.CodeNotFound)
 	}
-	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, afterEvent: request.AfterEvent}
+	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, afterEvent: request.AfterEvent, priority: route.Priority}
 	if table.NeedsKey(route) {
 		holder, known := table.Holder(request.Key)
 		if !known {
@@ -82,6 +82,9 @@
 			return nil, &peridotpath.Result{Code: peridotpath.CodePlatformDown, RetryAfter: longReturn}
 		}
 		exchange.customer = holder.Customer
+		if holder.HasPriority {
+			exchange.priority = holder.Priority
+		}
 	}
 	exchange.service = relay.pickService(route)
 	exchange.spec = table.Service(exchange.service)
@@ -89,6 +92,14 @@
 	return exchange, nil
 }
 
+// MaxBody is the longest body that the routing in force allows; zero for any.
+func (relay *Relay) MaxBody() peridotpath.Bytes {
+	if table := relay.Routing.Current(); table != nil {
+		return table.Routing.MaxBody
+	}
+	return 0
+}
+
 // unknown refuses what the routing does not know. One that may be old does not
 // say that something is not there: it may have been added since.
 func (relay *Relay) unknown(code peridotpath.Code) *peridotpath.Result {
--- a/peridotpath/relay/relay_test.go
+++ b/peridotpath/relay/relay_test.go
@@ -48,7 +48,7 @@
 
 func answer(status int, text string, change func(*relay.Answer)) step {
 	return func(context.Context, *relay.Call) (*relay.Answer, error) {
-		answer := &relay.Answer{Status: status, Header: http.Header{}, Genuine: true, Length: -1, Body: io.NopCloser(strings.NewReader(text))}
+		answer := &relay.Answer{Status: status, Header: http.Header{}, Genuine: true, Body: io.NopCloser(strings.NewReader(text))}
 		if change != nil {
 			change(answer)
 		}
@@ -365,3 +365,25 @@
 	}
 	is.True(calls <= 400+400/5+50)
 }
+
+// The operators' rank goes before the length class's own: an airline that paid
+// for urgency is admitted before a desk's lookups.
+func TestEnginePriority(t *testing.T) {
+	tests := []struct {
+		route string
+		rank  int
+		want  int
+	}{{"short", 1, 1}, {"short", 0, 0}, {"short", 4, 4}, {"long", 1, 6}, {"long", 0, 5}, {"long", 9, 9}}
+	for _, test := range tests {
+		script := &script{steps: []step{answer(200, events12, nil)}}
+		fixture := newFixture(script.send, &testRates, testEndpoint(1))
+		routing := testRouting(&testRates)
+		routing.Version++
+		routing.Keys["key"] = peridotpath.KeyHolder{Customer: "desk", Priority: test.rank, HasPriority: true}
+		fixture.routing.Apply(routing, fixture.routing.Now())
+		fixture.ask(t.Context(), test.route, nil)
+		if have := script.calls[0].Priority; have != test.want {
+			t.Errorf("%s of rank %d: have %d, want %d", test.route, test.rank, have, test.want)
+		}
+	}
+}
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -68,8 +68,6 @@
 	// Header goes to the caller as it came.
 	Header http.Header
 	Body   io.ReadCloser
-	// Length is the body's length in bytes; -1 where only its end tells.
-	Length int64
 	// NotRun says that the endpoint promises not to have run the request.
 	NotRun bool
 	// Elsewhere says that another endpoint has the address now.
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -24,6 +24,9 @@
 	longRead = 150 * time.Millisecond
 	// turnTick is the time between two looks whether it is a request's turn.
 	turnTick = 10 * time.Millisecond
+	// rankShift is how much later a request is due for each rank of priority that
+	// it has less: a rank is worth as much as being first by a second.
+	rankShift = time.Second
 	// startSlack is how long before the engines are free the next prompt is sent,
 	// so that they do not stand idle for the time that it is on its way.
 	startSlack = 120 * time.Millisecond
@@ -43,7 +46,8 @@
 // awaitTurn waits until it is the request's turn and the engines can take it.
 func (exchange *exchange) awaitTurn(ctx context.Context, model placement.Model, reading time.Duration) *peridotpath.Result {
 	book := exchange.relay.Book
-	wait := book.Join(placement.NewWait(exchange.request.Arrived, reading))
+	ranked := exchange.request.Arrived.Add(time.Duration(exchange.priority) * rankShift)
+	wait := book.Join(placement.NewWait(ranked, reading))
 	defer book.Leave(wait)
 	for {
 		now := time.Now()
--- a/peridotpath/reservation/keeper.go
+++ b/peridotpath/reservation/keeper.go
@@ -60,6 +60,8 @@
 	// not free. Release ends one. An error leaves open whether they were done.
 	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
 	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
+	// MaxHold is the longest hold that engines allow; zero for any.
+	MaxHold time.Duration
 	Log     zerolog.Logger
 
 	last  atomic.Uint64
@@ -128,10 +130,17 @@
 	return fmt.Sprintf("%s-%x-%d", keeper.Instance, uint64(keeper.Incarnation), keeper.last.Add(1))
 }
 
+func (keeper *Keeper) hold() time.Duration {
+	if keeper.MaxHold > 0 {
+		return min(Hold, keeper.MaxHold)
+	}
+	return Hold
+}
+
 func (keeper *Keeper) reserve(ctx context.Context, ticket *Ticket) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	done, err := keeper.Reserve(ctx, ticket.Need.Endpoint, ticket.ID, ticket.Need.Tokens, Hold)
+	done, err := keeper.Reserve(ctx, ticket.Need.Endpoint, ticket.ID, ticket.Need.Tokens, keeper.hold())
 	if err != nil {
 		ticket.unsure.Store(true)
 	}
--- a/peridotpath/route.go
+++ b/peridotpath/route.go
@@ -80,17 +80,11 @@
 	PerMillionPairs time.Duration
 	// Chunk is the most prompt tokens that one step reads.
 	Chunk Tokens
-	// HelperHop is what a prompt spread over several engines adds to a step.
-	HelperHop time.Duration
-	// ReportLag is the age of the load that an engine reports.
-	ReportLag time.Duration
 }
 
 // ServiceSpec is what the routing says of one service.
 type ServiceSpec struct {
 	Name Service
-	// MaxConnections bounds the connections of one endpoint, over all instances.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *EngineRates
 }
@@ -103,15 +97,6 @@
 	HasPriority bool
 }
 
-// CallerLimits bound what a caller may send.
-type CallerLimits struct {
-	MaxHeader, MaxBody Bytes
-	// HeaderTimeout bounds the time that a caller takes for a request's head.
-	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection without a request stays open.
-	IdleTimeout time.Duration
-}
-
 // Routing is one accepted state of what operators decide about requests. It is
 // not changed once made.
 type Routing struct {
@@ -119,8 +104,9 @@
 	Routes   []Route
 	Services map[Service]ServiceSpec
 	// Keys is nil where requests need none.
-	Keys   map[APIKey]KeyHolder
-	Limits CallerLimits
+	Keys map[APIKey]KeyHolder
+	// MaxBody bounds a request's body; zero for no bound of the operators'.
+	MaxBody Bytes
 }
 
 // NormalHost returns the host of a request's authority in the form of a Route.
