--- a/soak/process.go
+++ b/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,16 +35,15 @@
 	paused  bool
 }
 
+// The ports of instances lie below those that the kernel gives to outgoing
+// connections: one of these took a port between its choice and its use.
+const firstPort, portCount = 22_000, 10_000
+
 // ports finds free ports in a row for an instance.
 func ports(count int) (uint16, error) {
 	for range 200 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := netip.MustParseAddrPort(listener.Addr().String()).Port()
-		listener.Close()
-		if first < 60_000 && rowFree(first, count) {
+		first := uint16(firstPort + rand.IntN(portCount))
+		if rowFree(first, count) {
 			return first, nil
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,8 +10,14 @@
 )
 
 // seeds are the seeds of the short run in CI, and every seed that ever failed,
-// with its cause.
-var seeds = []uint64{1}
+// with its cause:
+//
+// 102: half of the requests "not served" after the last fault; the check counted
+// those whose keys had been taken away or never existed.
+//
+// 2009: an instance did not start; an outgoing connection had taken its port
+// between its choice and its use. Nothing of the seed has to do with it.
+var seeds = []uint64{1, 102}
 
 // TestSoak is a short run: real processes, disturbed from outside. What the
 // seeds disturb is the same each time.
