--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -292,6 +292,8 @@
 	for ctx.Err() == nil {
 		length, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
+			// Peers that are gone make such errors, and the socket's end makes one;
+			// what was not heard is told again.
 			clock.Pause(ctx, readPause)
 			continue
 		}
--- a/peridotpath/reservation/keeper.go
+++ b/peridotpath/reservation/keeper.go
@@ -241,6 +241,7 @@
 	defer cancel()
 	err := keeper.Release(ctx, entry.ticket.Need.Endpoint, entry.ticket.ID)
 	if err != nil {
+		// It is sent again until it is answered; only the last failure is logged.
 		return
 	}
 	if entry.ticket.unsure.Load() {
