clock, telemetry: one copy each of told spans and of the metrics' answer; soak: state that nothing read

Cause: gossip and readings each had the bound that keeps a told age from coming out negative, peridotd and instance each the handler of metrics; the soak noted stops, pauses and quiet times that nothing read. Behaviour is the same; TestHugeAge went along to clock with its assertions.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"github.com/zeromicro/go-zero/rest"
@@ -109,7 +108,7 @@
 		Name: "peers", Address: daemon.settings.PeerAddress,
 		MaxHeaderBytes: int(daemon.settings.Limits.MaxHeaderBytes),
 		Routes: []rest.Route{
-			{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics},
+			{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics},
 			{Method: http.MethodPost, Path: operator.PathPrefix + ":method", Handler: operators.Handler().ServeHTTP},
 			{Method: http.MethodPost, Path: peer.PathPrefix + ":method", Handler: daemon.fleet.service.Handler().ServeHTTP},
 		},
@@ -117,10 +116,6 @@
 	daemon.peerSide.Open()
 }
 
-func writeMetrics(writer http.ResponseWriter, _ *http.Request) {
-	metrics.WritePrometheus(writer, true)
-}
-
 // ready reports whether the instance knows enough to serve new callers: by a
 // recent configuration and at least one reading of the membership list. Without
 // the second it refused its first callers with no_endpoint.
--- a/peridotpath/clock/pace_test.go
+++ b/peridotpath/clock/pace_test.go
@@ -81,3 +81,13 @@
 		t.Errorf("SinceBoot: %v, then %v", before, after)
 	}
 }
+
+// A peer tells an age that no span holds. Taken as it comes out, it would be
+// negative, and keys could be used on what was read long ago.
+func TestHugeAge(t *testing.T) {
+	for _, micros := range []uint64{1 << 62, 1<<64 - 1, 1 << 54} {
+		if have := clock.FromMicros(micros); have < 0 || have < 365*24*time.Hour {
+			t.Errorf("FromMicros(%d): %v", micros, have)
+		}
+	}
+}
--- a/peridotpath/gossip/flight.go
+++ b/peridotpath/gossip/flight.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
 )
@@ -24,7 +25,7 @@
 	}
 	for _, suspicion := range digest.Suspicions {
 		report.Suspicions = append(report.Suspicions, placement.Suspicion{
-			Endpoint: peridotpath.EndpointKey(suspicion.Endpoint), Until: now.Add(span(suspicion.Left)),
+			Endpoint: peridotpath.EndpointKey(suspicion.Endpoint), Until: now.Add(clock.FromMicros(suspicion.Left)),
 		})
 	}
 	return report
@@ -32,7 +33,7 @@
 
 func encodeWait(wait *placement.Wait, now time.Time) *wire.Wait {
 	return &wire.Wait{
-		Number: uint64(wait.Number), DueIn: wait.Due.Sub(now).Microseconds(), Reading: micros(wait.Reading),
+		Number: uint64(wait.Number), DueIn: wait.Due.Sub(now).Microseconds(), Reading: clock.Micros(wait.Reading),
 		Late: wait.Late, Blocked: wait.Blocked,
 	}
 }
@@ -40,14 +41,14 @@
 func decodeWait(encoded *wire.Wait, now time.Time) placement.Wait {
 	return placement.Wait{
 		Number: placement.WaitNumber(encoded.Number), Due: now.Add(time.Duration(encoded.DueIn) * time.Microsecond),
-		Reading: span(encoded.Reading), Late: encoded.Late, Blocked: encoded.Blocked,
+		Reading: clock.FromMicros(encoded.Reading), Late: encoded.Late, Blocked: encoded.Blocked,
 	}
 }
 
 func encodeFlight(flight *placement.Flight, now time.Time) *wire.Flight {
 	encoded := &wire.Flight{
 		Number: uint64(flight.Number), Prompt: uint64(flight.Prompt),
-		PauseAimMs: uint64(flight.PauseAim.Milliseconds()), Age: micros(now.Sub(flight.Sent)), Writing: flight.Writing,
+		PauseAimMs: uint64(flight.PauseAim.Milliseconds()), Age: clock.Micros(now.Sub(flight.Sent)), Writing: flight.Writing,
 	}
 	for i, part := range flight.Parts {
 		if flight.Writing && i > 0 && part.Memory == 0 {
@@ -55,7 +56,7 @@
 			break
 		}
 		encoded.Endpoints = append(encoded.Endpoints, uint64(part.Endpoint))
-		encoded.Reading = micros(part.Reading)
+		encoded.Reading = clock.Micros(part.Reading)
 		if part.Memory > 0 {
 			encoded.Memory = append(encoded.Memory, uint64(part.Memory))
 		}
@@ -67,10 +68,10 @@
 	flight := placement.Flight{
 		Number: placement.FlightNumber(encoded.Number), Prompt: peridotpath.Tokens(encoded.Prompt),
 		PauseAim: time.Duration(encoded.PauseAimMs) * time.Millisecond,
-		Sent:     now.Add(-span(encoded.Age)), Writing: encoded.Writing,
+		Sent:     now.Add(-clock.FromMicros(encoded.Age)), Writing: encoded.Writing,
 	}
 	for i, endpoint := range encoded.Endpoints {
-		part := placement.Part{Endpoint: peridotpath.EndpointKey(endpoint), Reading: span(encoded.Reading)}
+		part := placement.Part{Endpoint: peridotpath.EndpointKey(endpoint), Reading: clock.FromMicros(encoded.Reading)}
 		if i < len(encoded.Memory) {
 			part.Memory = peridotpath.Tokens(encoded.Memory[i])
 		}
@@ -78,14 +79,3 @@
 	}
 	return flight
 }
-
-func micros(span time.Duration) uint64 { return uint64(max(span, 0).Microseconds()) }
-
-// span is bounded: a number that a span cannot hold would come out negative, and
-// an age like that would confirm a reading for the future.
-func span(micros uint64) time.Duration {
-	return time.Duration(min(micros, maxMicros)) * time.Microsecond
-}
-
-// maxMicros is the longest span that is told, ten years.
-const maxMicros = 10 * 365 * 24 * 3600 * 1_000_000
--- a/peridotpath/gossip/flight_test.go
+++ b/peridotpath/gossip/flight_test.go
@@ -10,16 +10,6 @@
 	"peridotpath.example/peridotpath/placement"
 )
 
-// A peer tells an age that no span holds. Taken as it comes out, it would be
-// negative, and keys could be used on what was read long ago.
-func TestHugeAge(t *testing.T) {
-	for _, micros := range []uint64{1 << 62, 1<<64 - 1, 1 << 54} {
-		if have := span(micros); have < 0 || have < 365*24*time.Hour {
-			t.Errorf("span(%d): %v", micros, have)
-		}
-	}
-}
-
 // Whatever a datagram holds, what is made of it can be reckoned with.
 func FuzzDigest(f *testing.F) {
 	whole, err := proto.Marshal(&wire.Digest{
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -269,8 +269,8 @@
 	digest := &wire.Digest{
 		Instance: string(gossip.Instance), Incarnation: uint64(gossip.Incarnation), Sequence: gossip.sequence,
 		DataCentre: string(gossip.DataCentre), Address: gossip.Address.String(), ReadingsPort: uint32(gossip.ReadingsPort),
-		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: micros(fresh.RoutingAge),
-		Endpoints: fresh.Endpoints, EndpointsAge: micros(fresh.EndpointsAge),
+		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: clock.Micros(fresh.RoutingAge),
+		Endpoints: fresh.Endpoints, EndpointsAge: clock.Micros(fresh.EndpointsAge),
 	}
 	for _, flight := range gossip.Book.Own() {
 		digest.Flights = append(digest.Flights, encodeFlight(&flight, now))
@@ -280,10 +280,10 @@
 	}
 	for _, suspicion := range gossip.Book.OwnSuspicions(now) {
 		digest.Suspicions = append(digest.Suspicions, &wire.Suspicion{
-			Endpoint: uint64(suspicion.Endpoint), Left: micros(suspicion.Until.Sub(now)),
+			Endpoint: uint64(suspicion.Endpoint), Left: clock.Micros(suspicion.Until.Sub(now)),
 		})
 	}
-	digest.Sent = micros(gossip.Clock())
+	digest.Sent = clock.Micros(gossip.Clock())
 	return digest
 }
 
@@ -332,10 +332,10 @@
 		return
 	}
 	// A clock reading of before this machine's last start is none of this run's.
-	if asked := span(echo); asked <= gossip.Clock() {
+	if asked := clock.FromMicros(echo); asked <= gossip.Clock() {
 		gossip.Heard(netip.AddrPortFrom(from.Addr(), uint16(digest.ReadingsPort)), Freshness{
-			RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: span(digest.RoutingAge),
-			Endpoints: digest.Endpoints, EndpointsAge: span(digest.EndpointsAge),
+			RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: clock.FromMicros(digest.RoutingAge),
+			Endpoints: digest.Endpoints, EndpointsAge: clock.FromMicros(digest.EndpointsAge),
 		}, asked)
 	}
 }
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"github.com/zeromicro/go-zero/rest"
@@ -175,7 +174,7 @@
 	instance.metrics = &inbound.Listener{
 		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeader,
 		Routes: []rest.Route{
-			{Method: http.MethodGet, Path: "/metrics", Handler: writeMetrics},
+			{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics},
 			{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
 		},
 	}
@@ -188,10 +187,6 @@
 	return []*inbound.Listener{instance.callers, instance.balancer, instance.metrics}
 }
 
-func writeMetrics(writer http.ResponseWriter, _ *http.Request) {
-	metrics.WritePrometheus(writer, true)
-}
-
 // count counts the requests that run.
 func (instance *Instance) count(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -11,6 +11,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/readings/wire"
@@ -57,7 +58,7 @@
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
 	}
-	return &wire.RoutingReading{StoreVersion: uint64(reading.Version), Value: reading.Value, Age: uint64(reading.Age.Microseconds())}, nil
+	return &wire.RoutingReading{StoreVersion: uint64(reading.Version), Value: reading.Value, Age: clock.Micros(reading.Age)}, nil
 }
 
 // Endpoints answers a peer.
@@ -66,7 +67,7 @@
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
 	}
-	answer := &wire.EndpointsReading{Age: uint64(reading.Age.Microseconds()), Read: true}
+	answer := &wire.EndpointsReading{Age: clock.Micros(reading.Age), Read: true}
 	for _, entry := range reading.Entries {
 		answer.Entries = append(answer.Entries, &wire.Entry{Key: entry.Key, Value: entry.Value})
 	}
@@ -85,7 +86,7 @@
 	if err != nil {
 		return Routing{}, err
 	}
-	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: answer.Value, Age: micros(answer.Age)}, nil
+	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: answer.Value, Age: clock.FromMicros(answer.Age)}, nil
 }
 
 // AskEndpoints asks a peer for the endpoints.
@@ -96,18 +97,9 @@
 	if err != nil {
 		return Endpoints{}, err
 	}
-	reading := Endpoints{Age: micros(answer.Age)}
+	reading := Endpoints{Age: clock.FromMicros(answer.Age)}
 	for _, entry := range answer.Entries {
 		reading.Entries = append(reading.Entries, keyvalue.Entry{Key: entry.Key, Value: entry.Value})
 	}
 	return reading, nil
 }
-
-// micros is bounded: an age that no span holds would come out negative, and
-// confirm a reading for the future.
-func micros(count uint64) time.Duration {
-	return time.Duration(min(count, maxMicros)) * time.Microsecond
-}
-
-// maxMicros is the longest age that is told, ten years.
-const maxMicros = 10 * 365 * 24 * 3600 * 1_000_000
--- a/peridotpath/telemetry/telemetry.go
+++ b/peridotpath/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -58,6 +59,11 @@
 	return counters
 }
 
+// WriteMetrics answers with all metrics of the process, as text.
+func WriteMetrics(writer http.ResponseWriter, _ *http.Request) {
+	metrics.WritePrometheus(writer, true)
+}
+
 // Result counts one request's result.
 func Result(code peridotpath.Code) {
 	if counter := results[code]; counter != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -35,8 +35,6 @@
 	standin.Ask
 	Customer peridotpath.CustomerID
 	Sent     time.Time
-	// Quiet says that no fault was about when it was sent.
-	Quiet bool
 }
 
 func newChecks() *checks {
--- a/soak/process.go
+++ b/soak/process.go
@@ -30,8 +30,6 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	stopped time.Time
-	paused  bool
 }
 
 // The ports of instances lie below those that the kernel gives to outgoing
@@ -96,7 +94,7 @@
 	}()
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
-	instance.command, instance.ended, instance.stopped, instance.paused = command, ended, time.Time{}, false
+	instance.command, instance.ended = command, ended
 	return nil
 }
 
@@ -104,14 +102,6 @@
 func (instance *instance) signal(signal syscall.Signal) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
-	switch signal {
-	case syscall.SIGTERM:
-		instance.stopped = time.Now()
-	case syscall.SIGSTOP:
-		instance.paused = true
-	case syscall.SIGCONT:
-		instance.paused = false
-	}
 	// It may have ended by itself, which its callers see.
 	_ = instance.command.Process.Signal(signal)
 }
