relay: an engine that is silent is asked whether it is there

Ruled out: a late or lost release (no order was sent before the attempt ended); the entry's end in the store as the sign (an engine cut off from the store alone loses its entry and still serves).

Change: an attempt that may go on elsewhere, or that holds reservations, asks a silent engine for its report each second; after two failures in a row it is given up. Long prompts only wait that long.

The cost is a probe a second of silence.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -39,6 +39,8 @@
 	DecodeEndpoints func(entries []keyvalue.Entry) []peridotpath.Endpoint
 	// Send sends a call to an endpoint.
 	Send relay.Sender
+	// Check asks an engine whether it is there.
+	Check relay.Checker
 	// Reserve and Release are the orders that a reservation.Keeper gives.
 	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
 	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
@@ -131,7 +133,7 @@
 	}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
-		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send,
+		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
 		Keeper: instance.keeper, Stall: settings.Stall,
 		Budget: &relay.Budget{
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -53,6 +53,11 @@
 	defer relay.Keeper.End(tickets)
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
+	if exchange.givesUp() || len(tickets) > 0 {
+		vital := exchange.watchVital(ctx, cancel)
+		defer vital.Close()
+		watch.vital = vital
+	}
 	answer, err := relay.Send(ctx, exchange.call(now, tickets))
 	if err != nil {
 		if outbound.ErrNotSent.Has(err) {
@@ -130,22 +135,33 @@
 type stallWatch struct {
 	timer *time.Timer
 	span  time.Duration
+	// vital learns of events as signs of life; nil where nobody asks for them.
+	vital *vital
 }
 
 // watchStall watches a stream that may go on elsewhere. What may not be repeated
 // is never given up: its answer may still come.
 func (exchange *exchange) watchStall(cancel context.CancelCauseFunc) *stallWatch {
-	route := exchange.route
-	if !route.Streaming || !route.Repeatable() || exchange.sent+1 >= route.MaxAttempts {
+	if !exchange.givesUp() {
 		return &stallWatch{}
 	}
 	stall := exchange.relay.Stall + stallMargin
 	first := firstStallFactor*exchange.plan.FirstEvent + stall
-	span := max(stall, eventStallFactor*route.PauseAim)
+	span := max(stall, eventStallFactor*exchange.route.PauseAim)
 	return &stallWatch{timer: time.AfterFunc(first, func() { cancel(errStalled) }), span: span}
 }
 
+// givesUp reports whether a stream whose events stop may be given up here, since
+// it may go on elsewhere.
+func (exchange *exchange) givesUp() bool {
+	route := exchange.route
+	return route.Streaming && route.Repeatable() && exchange.sent+1 < route.MaxAttempts
+}
+
 func (watch *stallWatch) event() {
+	if watch.vital != nil {
+		watch.vital.event()
+	}
 	if watch.timer != nil && watch.timer.Stop() {
 		watch.timer.Reset(watch.span)
 	}
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -25,6 +25,7 @@
 	Book       *placement.Book
 	Budget     *Budget
 	Send       Sender
+	Check      Checker
 	Keeper     *reservation.Keeper
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -96,3 +96,6 @@
 
 // Sender sends a call. Its error is of class outbound.ErrNotSent or ErrLost.
 type Sender func(ctx context.Context, call *Call) (*Answer, error)
+
+// Checker asks an engine for any answer. It returns nil if the engine is there.
+type Checker func(ctx context.Context, endpoint *peridotpath.Endpoint) error
