--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/soak"
 	"peridotpath.example/peridotpath/placement"
 )
 
@@ -214,7 +215,7 @@
 // Whatever is under way, all instances put those that wait in the same order,
 // so that exactly one is first.
 func TestOneIsFirst(t *testing.T) {
-	rapid.Check(t, func(random *rapid.T) {
+	soak.Check(t, 1, func(random *rapid.T) {
 		now := time.Unix(1000, 0)
 		ids := []peridotpath.InstanceID{"a", "b", "c"}
 		books := map[peridotpath.InstanceID]*placement.Book{}
@@ -253,7 +254,7 @@
 
 // What an engine is planned to hold never exceeds its memory.
 func TestMemoryIsNeverOverPromised(t *testing.T) {
-	rapid.Check(t, func(random *rapid.T) {
+	soak.Check(t, 1, func(random *rapid.T) {
 		book, all := &placement.Book{}, candidates(6)
 		for range rapid.IntRange(1, 12).Draw(random, "count") {
 			work := longWork(peridotpath.Tokens(rapid.IntRange(1_000, 1_000_000).Draw(random, "prompt")))
--- a/peridotpath/reservation/keeper_test.go
+++ b/peridotpath/reservation/keeper_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/soak"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/reservation"
 )
@@ -214,7 +215,7 @@
 // Whatever is taken, ended, answered or carried out late, everything is free
 // within the time for late orders and one hold, and no id is used twice.
 func TestEveryReservationEnds(t *testing.T) {
-	rapid.Check(t, func(random *rapid.T) {
+	soak.Check(t, 1, func(random *rapid.T) {
 		delays := rapid.SliceOfN(rapid.IntRange(0, 12), 40, 40).Draw(random, "delays")
 		steps := rapid.SliceOfN(rapid.IntRange(0, 3), 1, 20).Draw(random, "steps")
 		virtual.Test(t, func(t *testing.T) {
