--- a/peridotctl/why.go
+++ b/peridotctl/why.go
@@ -8,12 +8,14 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 )
 
 const whyUsage = `why [--top N] FILE...
-  Counts the failures in log files by cause, and names the seconds, routes,
-  customers and endpoints that have most of them. Reads log files, asks no
+  Counts the failures in log files by cause, and names the kinds of request, the
+  seconds, routes, customers and endpoints that have most of them. A kind is
+  stream, repeatable or once, with the length class. Reads log files, asks no
   instance.
 
 `
@@ -26,7 +28,7 @@
 	requests, failed int
 	// results counts failed requests by result, outcomes failed attempts by how
 	// they ended, the others failed requests by what they are named after.
-	results, outcomes, seconds, routes, customers map[string]int
+	results, outcomes, kinds, seconds, routes, customers map[string]int
 	// endpoints counts failed attempts.
 	endpoints map[string]int
 	changes   map[string]int
@@ -34,7 +36,7 @@
 
 func newTally() *tally {
 	return &tally{
-		results: map[string]int{}, outcomes: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
+		results: map[string]int{}, outcomes: map[string]int{}, kinds: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
 		customers: map[string]int{}, endpoints: map[string]int{}, changes: map[string]int{},
 	}
 }
@@ -54,6 +56,7 @@
 		tally.failed++
 		tally.results[line.pairs["result"]]++
 		tally.seconds[second(line.pairs["time"])]++
+		note(tally.kinds, strings.TrimSpace(line.pairs["kind"]+" "+line.pairs["length"]))
 		note(tally.routes, line.pairs["route"])
 		note(tally.customers, line.pairs["customer"])
 	case "attempt_failed":
@@ -105,7 +108,7 @@
 		title  string
 		counts map[string]int
 	}{
-		{"result", tally.results}, {"failed attempt", tally.outcomes}, {"second", tally.seconds}, {"route", tally.routes},
+		{"result", tally.results}, {"failed attempt", tally.outcomes}, {"kind", tally.kinds}, {"second", tally.seconds}, {"route", tally.routes},
 		{"customer", tally.customers}, {"endpoint of failed attempts", tally.endpoints}, {"change of belief", tally.changes},
 	}
 	for _, table := range tables {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"os"
@@ -116,7 +117,10 @@
 	closing  atomic.Bool
 	callers  *inbound.Listener
 	balancer *inbound.Listener
+	readings *inbound.Listener
 	metrics  *inbound.Listener
+	// unmeasured says that the metrics could not be served.
+	unmeasured atomic.Bool
 }
 
 // New joins the parts; nothing runs yet.
@@ -173,20 +177,34 @@
 		Routes: []rest.Route{{Method: http.MethodGet, Path: instance.Adapter.ReadyPath, Handler: instance.answerReady}},
 	}
 	peers := &readings.Server{LastRouting: instance.routes.Last, LastEndpoints: instance.endpoints.Last}
-	instance.metrics = &inbound.Listener{
-		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeader,
+	instance.readings = &inbound.Listener{
+		Name: "readings", Address: settings.ReadingsAddress, MaxHeaderBytes: maxHeader,
 		Routes: []rest.Route{
-			{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics},
 			{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
 		},
 	}
-	for _, listener := range instance.listeners() {
+	instance.metrics = &inbound.Listener{
+		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeader,
+		Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics}},
+	}
+	for _, listener := range append(instance.listeners(), instance.metrics) {
 		listener.Open()
 	}
 }
 
+// listeners returns those without which the instance does not work. Metrics are
+// none of them.
 func (instance *Instance) listeners() []*inbound.Listener {
-	return []*inbound.Listener{instance.callers, instance.balancer, instance.metrics}
+	return []*inbound.Listener{instance.callers, instance.balancer, instance.readings}
+}
+
+// serveMetrics serves metrics until the instance stops. Their port is the same
+// for all; where something else has it, the instance works without.
+func (instance *Instance) serveMetrics() {
+	if err := instance.metrics.Run(); !errors.Is(err, http.ErrServerClosed) {
+		instance.unmeasured.Store(true)
+		instance.Log.Warn().Err(err).Msg("metrics_unserved")
+	}
 }
 
 // count counts the requests that run.
@@ -224,7 +242,7 @@
 	settings, adapter := instance.Settings, instance.Adapter
 	instance.gossip = &gossip.Gossip{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
-		DataCentre: settings.DataCentre, ReadingsPort: settings.MetricsAddress.Port(),
+		DataCentre: settings.DataCentre, ReadingsPort: settings.ReadingsAddress.Port(),
 		Book: instance.book, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
 	}
 	instance.book.Changed = instance.gossip.Changed
@@ -302,6 +320,11 @@
 	for _, listener := range listeners {
 		go func() { failed <- listener.Run() }()
 	}
+	measured := make(chan struct{})
+	go func() {
+		defer close(measured)
+		instance.serveMetrics()
+	}()
 	instance.Log.Info().Stringer("callers", instance.Settings.CallerAddress).Msg("started")
 	select {
 	case err := <-failed:
@@ -319,6 +342,7 @@
 		<-ended
 	}
 	inbound.Finish()
+	<-measured
 	var err error
 	for range listeners {
 		err = errs.Combine(err, <-failed)
--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -90,12 +90,16 @@
 	calls   atomic.Int64
 }
 
-func run(t *testing.T, grace time.Duration) *running {
+func run(t *testing.T, grace time.Duration, changes ...func(*instance.Settings)) *running {
 	t.Helper()
-	at := freePorts(t, 4)
+	at := freePorts(t, 5)
 	running := &running{stop: make(chan os.Signal, 1), ended: make(chan error, 1), release: make(chan struct{})}
 	running.settings = &instance.Settings{
-		InstanceID: "edge-1", DataCentre: "a", CallerAddress: at[0], ReadyAddress: at[1], PeerAddress: at[2], MetricsAddress: at[3], Grace: grace,
+		InstanceID: "edge-1", DataCentre: "a", CallerAddress: at[0], ReadyAddress: at[1], PeerAddress: at[2], ReadingsAddress: at[3],
+		MetricsAddress: at[4], Grace: grace,
+	}
+	for _, change := range changes {
+		change(running.settings)
 	}
 	running.settings.Defaults()
 	endpoint := peridotpath.Endpoint{ID: "one", Service: "app", State: peridotpath.StateLive, Address: at[0], Slots: 5}
@@ -168,8 +172,44 @@
 	is.NoErr(<-running.ended)
 }
 
+func TestSettingsFaults(t *testing.T) {
+	is := is.New(t)
+	settings := &instance.Settings{RetryRatio: 2, RetrySlack: -1, Memory: 1}
+	settings.Defaults()
+	faults := settings.Validate()
+	is.Equal(len(faults), 5) // two names, the memory, the ratio and the slack
+	is.True(!errors.Is(faults.OrNil(), nil))
+}
+
+// Another process has the port of the metrics, which is the same on every machine.
+// Callers see nothing of it: the instance serves, and stops without waiting for a
+// listener that never was.
+func TestPortOfMetricsIsTaken(t *testing.T) {
+	is := is.New(t)
+	var taken net.Listener
+	running := run(t, 5*time.Second, func(settings *instance.Settings) {
+		var err error
+		taken, err = net.Listen("tcp", settings.MetricsAddress.String())
+		is.NoErr(err)
+	})
+	defer taken.Close()
+	close(running.release)
+	is.Equal(running.status("/x", running.settings.CallerAddress), http.StatusOK)
+	running.stop <- os.Interrupt
+	is.NoErr(<-running.ended)
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	is := is.New(t)
+	running := run(t, 5*time.Second)
+	is.Equal(running.status("/metrics", running.settings.MetricsAddress), http.StatusOK)
+	running.stop <- os.Interrupt
+	is.NoErr(<-running.ended)
+}
+
 // A request outlasts the grace. The process ends by itself before it is killed;
-// it used to wait for the request, and was.
+// it used to wait for the request, and was. This test comes last: like a process
+// that ends, it leaves listeners behind, on which go-zero waits for good.
 func TestStopWithARequestThatGoesOn(t *testing.T) {
 	is := is.New(t)
 	running := run(t, 2*time.Second)
@@ -186,12 +226,3 @@
 		t.Error("still there")
 	}
 }
-
-func TestSettingsFaults(t *testing.T) {
-	is := is.New(t)
-	settings := &instance.Settings{RetryRatio: 2, RetrySlack: -1, Memory: 1}
-	settings.Defaults()
-	faults := settings.Validate()
-	is.Equal(len(faults), 5) // two names, the memory, the ratio and the slack
-	is.True(!errors.Is(faults.OrNil(), nil))
-}
--- a/peridotpath/instance/settings.go
+++ b/peridotpath/instance/settings.go
@@ -18,7 +18,9 @@
 	CallerAddress, ReadyAddress netip.AddrPort
 	// PeerAddress is listened on for other instances, over UDP.
 	PeerAddress netip.AddrPort
-	// MetricsAddress serves the metrics and what peers ask over TCP.
+	// ReadingsAddress is listened on for what other instances ask, over TCP.
+	ReadingsAddress netip.AddrPort
+	// MetricsAddress serves the metrics, as text.
 	MetricsAddress netip.AddrPort
 	// StoreAddress is where the platform's key-value service listens.
 	StoreAddress netip.AddrPort
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -21,6 +21,10 @@
 	service  peridotpath.Service
 	spec     peridotpath.ServiceSpec
 	customer peridotpath.CustomerID
+	// engines is how many there were at the last look, reading how long one of them
+	// takes for the prompt.
+	engines int
+	reading time.Duration
 	// priority is the operators' rank of the request; 0 is the most urgent.
 	priority int
 	deadline time.Time
@@ -91,8 +95,7 @@
 		exchange.tries++
 		outcome, err := exchange.attempt(ctx)
 		if outcome == outcomeDone {
-			telemetry.Result(peridotpath.CodeOK)
-			telemetry.Total(exchange.lengthClass(), time.Since(exchange.request.Arrived))
+			exchange.count(peridotpath.CodeOK)
 			if exchange.relay.Served.Allow(time.Now()) {
 				exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
 			}
@@ -116,8 +119,9 @@
 		return exchange.placePlain()
 	}
 	model := placement.Model{Rates: exchange.spec.Engine}
-	if reading := model.ReadTime(exchange.request.Prompt); reading > longRead {
-		return exchange.awaitTurn(ctx, model, reading)
+	exchange.reading = model.ReadTime(exchange.request.Prompt)
+	if exchange.reading > longRead {
+		return exchange.awaitTurn(ctx, model, exchange.reading)
 	}
 	now := time.Now()
 	candidates, view := exchange.candidates(now), exchange.relay.Book.View(now)
@@ -175,6 +179,7 @@
 
 func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
 	members := exchange.relay.Endpoints().Of(exchange.service)
+	exchange.engines = len(members)
 	candidates := make([]placement.Candidate, 0, len(members))
 	suspects := exchange.relay.Book.Suspects(now)
 	for _, member := range members {
@@ -291,8 +296,7 @@
 
 // fail ends the request without a success.
 func (exchange *exchange) fail(result peridotpath.Result) {
-	telemetry.Result(result.Code)
-	telemetry.Total(exchange.lengthClass(), time.Since(exchange.request.Arrived))
+	exchange.count(result.Code)
 	exchange.log(exchange.relay.Log.Info(), result.Code).Dur("retry_after", result.RetryAfter).Msg("failed")
 	switch {
 	case exchange.begun:
@@ -304,6 +308,14 @@
 	}
 }
 
+// count counts the request's end.
+func (exchange *exchange) count(code peridotpath.Code) {
+	class, span := exchange.lengthClass(), time.Since(exchange.request.Arrived)
+	telemetry.Result(code)
+	telemetry.Total(class, span)
+	telemetry.Relayed(exchange.route.Kind(), class, span)
+}
+
 // lengthClass is the class under which the request is measured.
 func (exchange *exchange) lengthClass() peridotpath.LengthClass {
 	holds := peridotpath.Tokens(0)
@@ -316,10 +328,14 @@
 // log adds what decided the request.
 func (exchange *exchange) log(event *zerolog.Event, code peridotpath.Code) *zerolog.Event {
 	event = event.Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
+		Stringer("kind", exchange.route.Kind()).Stringer("length", exchange.lengthClass()).
 		Str("service", string(exchange.service)).Str("customer", string(exchange.customer)).
 		Int64("prompt", int64(exchange.request.Prompt)).Int("tries", exchange.tries).Int("sent", exchange.sent).
-		Dur("took", time.Since(exchange.request.Arrived)).Int64("routing_age", exchange.relay.Routing.LoggedAge()).
+		Dur("aim", exchange.route.AnswerAim).Dur("took", time.Since(exchange.request.Arrived)).Int64("routing_age", exchange.relay.Routing.LoggedAge()).
 		Int("code", int(code)).Str("result", code.String())
+	if exchange.reading > 0 {
+		event = event.Dur("reading", exchange.reading).Int("engines", exchange.engines)
+	}
 	if exchange.plan.Writer != nil {
 		event = event.Str("endpoint", string(exchange.plan.Writer.ID)).Int("helpers", len(exchange.plan.Helpers)).
 			Dur("predicted", exchange.plan.FirstEvent).Dur("waited", exchange.sentAt.Sub(exchange.request.Arrived)).Float64("loss", exchange.plan.Loss)
--- a/peridotpath/telemetry/relay.go
+++ b/peridotpath/telemetry/relay.go
@@ -14,6 +14,7 @@
 	// predictionError is how long first events took as a multiple of what was
 	// predicted.
 	predictionError [peridotpath.LengthClasses]*metrics.Histogram
+	kindTotal       [peridotpath.RequestKinds][peridotpath.LengthClasses]*metrics.Histogram
 	turnWait        = metrics.NewHistogram("peridotpath_turn_wait_seconds")
 	logLinesDropped = metrics.NewCounter("peridotpath_log_lines_dropped_total")
 )
@@ -21,9 +22,18 @@
 func init() {
 	for class := range peridotpath.LengthClasses {
 		predictionError[class] = metrics.NewHistogram(fmt.Sprintf("peridotpath_first_token_of_predicted{length=%q}", class))
+		for kind := range peridotpath.RequestKinds {
+			kindTotal[kind][class] = metrics.NewHistogram(fmt.Sprintf("peridotpath_relay_seconds{kind=%q,length=%q}", kind, class))
+		}
 	}
 }
 
+// Relayed records the time from arrival to the end of a request by its kind,
+// failed ones included.
+func Relayed(kind peridotpath.RequestKind, class peridotpath.LengthClass, span time.Duration) {
+	kindTotal[kind][class].Update(span.Seconds())
+}
+
 // Predicted records how long a first event took against what was predicted.
 func Predicted(class peridotpath.LengthClass, predicted, seen time.Duration) {
 	if predicted > 0 {
