cell: fleets of more than 100 instances work in cells

Cause: at 300 instances each hears every change of all others (1,072 wake-ups a second, 26.5 % of its processor), and all long prompts stand in one line though they go to 3,000 engines.

Ruled out: longer pauses between digests (older loads for all); a tree of instances (a delay and a failure for each hop); a sample of endpoints for each instance (no two would agree on the order of long prompts).

Change: 2, 4, 8 ... cells by a hash of the address. An instance tells and hears its cell, and sends to the cell's endpoints; to the others when none of its own may be used. The retry budget counts all instances. Fleets of up to 100 are one cell, as before.

--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -45,6 +45,25 @@
 	return snapshot.byService[service]
 }
 
+// Narrow returns the endpoints for which keep holds. A service of which none is
+// kept keeps all.
+func (snapshot *Snapshot) Narrow(keep func(key peridotpath.EndpointKey, ofService int) bool) *Snapshot {
+	narrow := &Snapshot{byService: map[peridotpath.Service][]Member{}, byID: snapshot.byID}
+	for service, members := range snapshot.byService {
+		var kept []Member
+		for _, member := range members {
+			if keep(member.Key, len(members)) {
+				kept = append(kept, member)
+			}
+		}
+		if len(kept) == 0 {
+			kept = members
+		}
+		narrow.byService[service] = kept
+	}
+	return narrow
+}
+
 // Directory follows the endpoints. Set the exported fields before use.
 type Directory struct {
 	Log zerolog.Logger
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/cell"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
@@ -74,6 +76,8 @@
 	Heard func(peer netip.AddrPort, fresh Freshness, asked time.Duration)
 	Log   zerolog.Logger
 
+	// cell is read for each request.
+	cell     atomic.Pointer[cell.Cell]
 	dirty    chan struct{}
 	once     sync.Once
 	mutex    sync.Mutex
@@ -125,6 +129,24 @@
 			peer.listed, peer.dataCentre = true, listed.DataCentre
 		}
 	}
+	fleet := 1
+	for _, known := range gossip.peers {
+		if known.listed {
+			fleet++
+		}
+	}
+	if own := cell.Of(gossip.Address, fleet); own != gossip.Cell() {
+		gossip.cell.Store(&own)
+		gossip.Log.Info().Int("instances", fleet).Int("cells", own.Count()).Msg("cells_changed")
+	}
+}
+
+// Cell returns the part of the fleet that this instance tells and hears.
+func (gossip *Gossip) Cell() cell.Cell {
+	if own := gossip.cell.Load(); own != nil {
+		return *own
+	}
+	return cell.Cell{}
 }
 
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
@@ -199,17 +221,20 @@
 	}
 }
 
-// targets returns the peers to tell: all of the own data centre, and of each
-// other one the next in turn that was heard lately. It forgets peers that are gone.
+// targets returns the peers of the cell to tell: all of the own data centre, and
+// of each other one the next in turn that was heard lately. It forgets peers that
+// are gone.
 func (gossip *Gossip) targets(now time.Time) []target {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	var targets []target
+	own := gossip.Cell()
 	elsewhere := map[peridotpath.DataCentre][]netip.AddrPort{}
 	for address, peer := range gossip.peers {
 		switch {
 		case !peer.listed && now.Sub(peer.heard) > forgetAfter:
 			delete(gossip.peers, address)
+		case !own.HasInstance(address):
 		case peer.dataCentre == gossip.DataCentre || peer.dataCentre == "":
 			targets = append(targets, target{address: address, echo: peer.echo})
 		default:
@@ -250,8 +275,9 @@
 	}
 	gossip.mutex.Lock()
 	var addresses []netip.AddrPort
+	own := gossip.Cell()
 	for address, peer := range gossip.peers {
-		if peer.dataCentre == gossip.DataCentre && peer.instance != peridotpath.InstanceID(digest.Instance) {
+		if peer.dataCentre == gossip.DataCentre && peer.instance != peridotpath.InstanceID(digest.Instance) && own.HasInstance(address) {
 			addresses = append(addresses, address)
 		}
 	}
--- a/peridotpath/gossip/gossip_test.go
+++ b/peridotpath/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/cell"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/gossip/wire"
@@ -180,3 +182,53 @@
 		t.Error("an echo of a time that has not come was believed")
 	}
 }
+
+// In a fleet of 300 an instance hears 1,000 digests a second and more, and spends
+// a third of its processor on them: every one told everybody else of each request.
+// Only those of its own cell are told.
+func TestLargeFleetIsToldInCells(t *testing.T) {
+	is := is.New(t)
+	told := map[netip.AddrPort]*atomic.Bool{}
+	var peers []gossip.Peer
+	for range 24 {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		is.NoErr(err)
+		defer conn.Close()
+		address, got := netip.MustParseAddrPort(conn.LocalAddr().String()), &atomic.Bool{}
+		told[address] = got
+		peers = append(peers, gossip.Peer{Address: address, DataCentre: "a"})
+		go func() {
+			for buffer := make([]byte, 2048); ; got.Store(true) {
+				if _, _, err := conn.ReadFrom(buffer); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	for i := range 400 {
+		unused := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 9)
+		peers = append(peers, gossip.Peer{Address: unused, DataCentre: "a"})
+	}
+	one := start(t, "one", "a", gossip.Freshness{})
+	one.gossip.SetPeers(peers)
+	own := one.gossip.Cell()
+	is.Equal(own, cell.Of(one.gossip.Address, len(peers)+1))
+	is.True(own.Count() > 1)
+	eventually(t, "all of the cell are told", func() bool {
+		for address, got := range told {
+			if own.HasInstance(address) != got.Load() {
+				return false
+			}
+		}
+		return true
+	})
+	one.gossip.SetPeers(peers[:24])
+	eventually(t, "all are told once the fleet is small", func() bool {
+		for _, got := range told {
+			if !got.Load() {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -111,6 +111,7 @@
 	registry    *gossip.Registry
 	routes      *routing.Follower
 	endpoints   *directory.Follower
+	narrowed    atomic.Pointer[narrowed]
 	active      atomic.Int64
 	stopping    atomic.Bool
 	// closing says that no further request is taken.
@@ -137,12 +138,12 @@
 	}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
-		Endpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
+		Endpoints: instance.near, Others: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
 		Keeper: instance.keeper, Stall: settings.Stall,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
-			Instances: func() int { return 1 + instance.book.Peers(time.Now()) },
+			Instances: instance.count,
 		},
 	}
 	instance.follow()
@@ -170,7 +171,7 @@
 	})
 	instance.callers = &inbound.Listener{
 		Name: "callers", Address: settings.CallerAddress, MaxHeaderBytes: maxHeader,
-		Prefix: "/", PrefixHandler: instance.count(handler),
+		Prefix: "/", PrefixHandler: instance.countActive(handler),
 	}
 	instance.balancer = &inbound.Listener{
 		Name: "balancer", Address: settings.ReadyAddress, MaxHeaderBytes: maxHeader,
@@ -207,8 +208,8 @@
 	}
 }
 
-// count counts the requests that run.
-func (instance *Instance) count(handler http.Handler) http.Handler {
+// countActive counts the requests that run.
+func (instance *Instance) countActive(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		instance.active.Add(1)
 		defer instance.active.Add(-1)
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/telemetry"
 )
@@ -177,9 +178,18 @@
 	}
 }
 
+// candidates returns the endpoints that may take the request.
 func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
 	members := exchange.relay.Endpoints().Of(exchange.service)
 	exchange.engines = len(members)
+	candidates := exchange.candidatesOf(members, now)
+	if len(candidates) == 0 {
+		candidates = exchange.candidatesOf(exchange.relay.Others().Of(exchange.service), now)
+	}
+	return candidates
+}
+
+func (exchange *exchange) candidatesOf(members []directory.Member, now time.Time) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(members))
 	suspects := exchange.relay.Book.Suspects(now)
 	for _, member := range members {
