platform: the operators' bound on headers is kept

Cause: headers were taken up to 64 KiB, whatever max_header_bytes of the routing in force says (16 kB in the users' documents); only the body's bound was read.

--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -167,7 +167,7 @@
 		if server.MaxActive > 0 && server.Active() > int64(server.MaxActive) {
 			result = &peridotpath.Result{Code: peridotpath.CodeBodyMemory, RetryAfter: retryBodies, Detail: "too many requests at a time"}
 		}
-		if server.MaxHeaderBytes > 0 && headerBytes(request) > server.MaxHeaderBytes {
+		if server.MaxHeaderBytes > 0 && HeaderBytes(request) > server.MaxHeaderBytes {
 			result = &peridotpath.Result{Code: peridotpath.CodeHeaderTooLarge}
 		}
 		if result == nil {
@@ -177,8 +177,8 @@
 	}
 }
 
-// headerBytes returns about how many bytes the headers took.
-func headerBytes(request *http.Request) peridotpath.Bytes {
+// HeaderBytes returns about how many bytes the headers took.
+func HeaderBytes(request *http.Request) peridotpath.Bytes {
 	const separators = len(": \r\n")
 	size := len(request.RequestURI)
 	for name, values := range request.Header {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -95,12 +95,13 @@
 	return exchange, nil
 }
 
-// MaxBody is the longest body that the routing in force allows; zero for any.
-func (relay *Relay) MaxBody() peridotpath.Bytes {
+// Limits returns the longest headers and the longest body that the routing in
+// force allows; zero for any.
+func (relay *Relay) Limits() (header, body peridotpath.Bytes) {
 	if table := relay.Routing.Current(); table != nil {
-		return table.Routing.MaxBody
+		return table.Routing.MaxHeader, table.Routing.MaxBody
 	}
-	return 0
+	return 0, 0
 }
 
 // unknown refuses what the routing does not know. One that may be old does not
--- a/peridotpath/route.go
+++ b/peridotpath/route.go
@@ -105,8 +105,9 @@
 	Services map[Service]ServiceSpec
 	// Keys is nil where requests need none.
 	Keys map[APIKey]KeyHolder
-	// MaxBody bounds a request's body; zero for no bound of the operators'.
-	MaxBody Bytes
+	// MaxBody bounds a request's body, MaxHeader its headers; zero for no bound of
+	// the operators'.
+	MaxBody, MaxHeader Bytes
 }
 
 // NormalHost returns the host of a request's authority in the form of a Route.
