readings: peers tell only which endpoints changed

Cause: after each change of an endpoint every instance asks a peer for the whole list; with 3,000 endpoints that is half a megabyte each.

Ruled out: what instances read of the store itself (one look a cell a second, some 15 kB a second for each of 300, reckoned).

Change: readings are named by their content; a teller keeps the last 16, and one that has any of them is told the changes since. The whole list comes where it has none.

--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -23,7 +23,7 @@
 	List   func(ctx context.Context) ([]keyvalue.Entry, error)
 	Decode func(entries []keyvalue.Entry) []peridotpath.Endpoint
 	// Ask asks a peer for what it has read.
-	Ask func(ctx context.Context, peer netip.AddrPort) (readings.Endpoints, error)
+	Ask func(ctx context.Context, peer netip.AddrPort, have readings.Endpoints) (readings.Endpoints, error)
 	// Now goes on while the machine is suspended.
 	Now  func() time.Duration
 	Pace clock.Pace
@@ -35,8 +35,9 @@
 
 	mutex sync.Mutex
 	// newer is a peer that has read something newer.
-	newer   netip.AddrPort
-	entries []keyvalue.Entry
+	newer netip.AddrPort
+	// read holds what was read.
+	read readings.History
 }
 
 // Run reads the store whenever the last reading, here or at a peer that read the
@@ -82,10 +83,15 @@
 func (follower *Follower) Last() (readings.Endpoints, bool) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	if follower.entries == nil {
-		return readings.Endpoints{}, false
-	}
-	return readings.Endpoints{Entries: follower.entries, Age: follower.Age()}, true
+	last, ok := follower.read.Last()
+	last.Age = follower.Age()
+	return last, ok
+}
+
+// Of returns what was read with that content, for peers; false where it is not
+// kept.
+func (follower *Follower) Of(content uint64) (readings.Endpoints, bool) {
+	return follower.read.Of(content)
 }
 
 // HearPeer takes in what a peer has read: it confirms what was read here, or
@@ -117,7 +123,8 @@
 		return false
 	}
 	asked := follower.Now()
-	reading, err := follower.Ask(ctx, peer)
+	have, _ := follower.read.Last()
+	reading, err := follower.Ask(ctx, peer, have)
 	if err != nil {
 		follower.Log.Info().Err(err).Stringer("peer", peer).Msg("peer_not_read")
 		return false
@@ -135,5 +142,5 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	follower.Directory.Apply(follower.Decode(entries), asked)
-	follower.entries = entries
+	follower.read.Add(readings.Endpoints{Entries: entries, Content: follower.Directory.Content()})
 }
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -23,25 +23,20 @@
 // askTimeout bounds one question to a peer; the store is asked after it.
 const askTimeout = 400 * time.Millisecond
 
-type (
-	// Routing is the operators' routing as it was read.
-	Routing struct {
-		Version keyvalue.Version
-		Value   []byte
-		// Age is how long ago it was known to be the newest.
-		Age time.Duration
-	}
-	// Endpoints is the endpoints' entries as they were read.
-	Endpoints struct {
-		Entries []keyvalue.Entry
-		Age     time.Duration
-	}
-)
+// Routing is the operators' routing as it was read.
+type Routing struct {
+	Version keyvalue.Version
+	Value   []byte
+	// Age is how long ago it was known to be the newest.
+	Age time.Duration
+}
 
-// Server answers peers. Both fields return false before the first reading.
+// Server answers peers. LastRouting and LastEndpoints return false before the
+// first reading, EndpointsOf where the reading of that content is not kept.
 type Server struct {
 	LastRouting   func() (Routing, bool)
 	LastEndpoints func() (Endpoints, bool)
+	EndpointsOf   func(content uint64) (Endpoints, bool)
 }
 
 // Handler returns the handler of the service's paths.
@@ -62,13 +57,18 @@
 }
 
 // Endpoints answers a peer.
-func (service service) Endpoints(context.Context, *wire.EndpointsQuery) (*wire.EndpointsReading, error) {
+func (service service) Endpoints(_ context.Context, query *wire.EndpointsQuery) (*wire.EndpointsReading, error) {
 	reading, ok := service.server.LastEndpoints()
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
 	}
-	answer := &wire.EndpointsReading{Age: clock.Micros(reading.Age), Read: true}
-	for _, entry := range reading.Entries {
+	answer := &wire.EndpointsReading{Age: clock.Micros(reading.Age), Read: true, Content: reading.Content}
+	entries := reading.Entries
+	if before, kept := service.server.EndpointsOf(query.Content); kept {
+		answer.Since = query.Content
+		entries, answer.Gone = changes(before.Entries, reading.Entries)
+	}
+	for _, entry := range entries {
 		answer.Entries = append(answer.Entries, &wire.Entry{Key: entry.Key, Value: entry.Value})
 	}
 	return answer, nil
@@ -89,17 +89,21 @@
 	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: answer.Value, Age: clock.FromMicros(answer.Age)}, nil
 }
 
-// AskEndpoints asks a peer for the endpoints.
-func AskEndpoints(ctx context.Context, peer netip.AddrPort) (Endpoints, error) {
+// AskEndpoints asks a peer for the endpoints; of a peer that knows what this
+// instance has, only the changes come.
+func AskEndpoints(ctx context.Context, peer netip.AddrPort, have Endpoints) (Endpoints, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := client(peer).Endpoints(ctx, &wire.EndpointsQuery{})
+	answer, err := client(peer).Endpoints(ctx, &wire.EndpointsQuery{Content: have.Content})
 	if err != nil {
 		return Endpoints{}, err
 	}
-	reading := Endpoints{Age: clock.FromMicros(answer.Age)}
+	reading := Endpoints{Age: clock.FromMicros(answer.Age), Content: answer.Content}
 	for _, entry := range answer.Entries {
 		reading.Entries = append(reading.Entries, keyvalue.Entry{Key: entry.Key, Value: entry.Value})
 	}
+	if answer.Since != 0 {
+		reading.Entries = merge(have.Entries, reading.Entries, answer.Gone)
+	}
 	return reading, nil
 }
