--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -136,7 +136,7 @@
 	}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
-		Endpoints: instance.near, Others: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
+		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
 		Keeper: instance.keeper, Stall: settings.Stall,
 		Budget: &relay.Budget{
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -54,9 +54,9 @@
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
 	if exchange.givesUp() || len(tickets) > 0 {
-		vital := exchange.watchVital(ctx, cancel)
-		defer vital.Close()
-		watch.vital = vital
+		liveness := exchange.watchLiveness(ctx, cancel)
+		defer liveness.Close()
+		watch.liveness = liveness
 	}
 	answer, err := relay.Send(ctx, exchange.call(now, tickets))
 	if err != nil {
@@ -135,8 +135,8 @@
 type stallWatch struct {
 	timer *time.Timer
 	span  time.Duration
-	// vital learns of events as signs of life; nil where nobody asks for them.
-	vital *vital
+	// liveness learns of events as signs of life; nil where nobody asks for them.
+	liveness *liveness
 }
 
 // watchStall watches a stream that may go on elsewhere. What may not be repeated
@@ -159,8 +159,8 @@
 }
 
 func (watch *stallWatch) event() {
-	if watch.vital != nil {
-		watch.vital.event()
+	if watch.liveness != nil {
+		watch.liveness.event()
 	}
 	if watch.timer != nil && watch.timer.Stop() {
 		watch.timer.Reset(watch.span)
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -184,7 +184,7 @@
 	exchange.engines = len(members)
 	candidates := exchange.candidatesOf(members, now)
 	if len(candidates) == 0 {
-		candidates = exchange.candidatesOf(exchange.relay.Others().Of(exchange.service), now)
+		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), now)
 	}
 	return candidates
 }
--- a/peridotpath/relay/vital.go
+++ b/peridotpath/relay/liveness.go
@@ -23,37 +23,37 @@
 	// milliseconds.
 	checkTimeout = 400 * time.Millisecond
 	// checksFailed is how many checks in a row must fail: a single one may be lost
-	// on the way. With that an engine that is gone is given up 2.4 seconds after
-	// its last sign of life at the latest, and memory that engines must have back
-	// four seconds after its last use is released in time.
+	// on the way. With that an engine that is gone is given up at the latest 2.8
+	// seconds after it answered a check, or 3.8 after its last event, and memory that
+	// engines must have back four seconds after its last use is released in time.
 	checksFailed = 2
 )
 
 var errSilent = errors.New("endpoint does not answer at all")
 
-// vital asks a silent engine whether it is there.
-type vital struct {
+// liveness asks a silent engine whether it is there.
+type liveness struct {
 	heard atomic.Bool
 	ended chan struct{}
 	stop  context.CancelFunc
 }
 
-// watchVital cancels the attempt once the engine does not answer any more. An
+// watchLiveness cancels the attempt once the engine does not answer any more. An
 // engine that merely takes long answers its checks and is left to its work.
-func (exchange *exchange) watchVital(ctx context.Context, cancel context.CancelCauseFunc) *vital {
+func (exchange *exchange) watchLiveness(ctx context.Context, cancel context.CancelCauseFunc) *liveness {
 	ctx, stop := context.WithCancel(ctx)
-	vital := &vital{ended: make(chan struct{}), stop: stop}
+	liveness := &liveness{ended: make(chan struct{}), stop: stop}
 	go func() {
-		defer close(vital.ended)
-		vital.run(ctx, exchange.relay.Check, exchange.plan.Writer, cancel)
+		defer close(liveness.ended)
+		liveness.run(ctx, exchange.relay.Check, exchange.plan.Writer, cancel)
 	}()
-	return vital
+	return liveness
 }
 
-func (vital *vital) run(ctx context.Context, check Checker, endpoint *peridotpath.Endpoint, cancel context.CancelCauseFunc) {
+func (liveness *liveness) run(ctx context.Context, check Checker, endpoint *peridotpath.Endpoint, cancel context.CancelCauseFunc) {
 	failed := 0
 	for clock.Pause(ctx, checkEvery) {
-		if vital.heard.Swap(false) {
+		if liveness.heard.Swap(false) {
 			failed = 0
 			continue
 		}
@@ -72,10 +72,10 @@
 }
 
 // event notes a sign of life.
-func (vital *vital) event() { vital.heard.Store(true) }
+func (liveness *liveness) event() { liveness.heard.Store(true) }
 
 // Close ends the checks and waits until none is under way.
-func (vital *vital) Close() {
-	vital.stop()
-	<-vital.ended
+func (liveness *liveness) Close() {
+	liveness.stop()
+	<-liveness.ended
 }
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -21,14 +21,14 @@
 	DataCentre peridotpath.DataCentre
 	Log        zerolog.Logger
 	Routing    *routing.State
-	// Endpoints returns those that requests go to, Others also those that take
+	// Endpoints returns those that requests go to, AllEndpoints also those that take
 	// requests only when none of Endpoints may.
-	Endpoints, Others func() *directory.Snapshot
-	Book              *placement.Book
-	Budget            *Budget
-	Send              Sender
-	Check             Checker
-	Keeper            *reservation.Keeper
+	Endpoints, AllEndpoints func() *directory.Snapshot
+	Book                    *placement.Book
+	Budget                  *Budget
+	Send                    Sender
+	Check                   Checker
+	Keeper                  *reservation.Keeper
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
 	// Stall is how long an engine's work stands still when an engine that it
