clock, readings, peridotctl: one copy of a wake, of a newer peer, of a worth

Cause: reading the whole change. The buffered channel that wakes one waiter stood in clock.Pace and in gossip; both followers kept and took the peer with something newer in the same lines; `peridotctl losses` had the formula and the constants by which decisions weigh a request, written out again.

Behaviour as before; no test changed.

Left: the followers' loops are alike in shape only (one checks a version, the other lists entries); stallWatch and liveness both follow a stream's events, with different ends.

--- a/peridotctl/losses.go
+++ b/peridotctl/losses.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"text/tabwriter"
 	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/placement"
 )
 
 const lossesUsage = `losses [--window SPAN] [--top N] FILE...
@@ -27,11 +29,6 @@
 const (
 	// defaultWindow is the span of a row of the table of windows.
 	defaultWindow = 2 * time.Second
-	// worthUnit and worthExponent weigh a request by its prompt, as the decisions
-	// do (placement.Value); what has no prompt counts as the unit.
-	worthUnit, worthExponent = 5000, 0.75
-	// lateLoss is the part of its worth that a late answer loses.
-	lateLoss = 0.75
 	// mispredicted is how much longer than predicted a first event may take
 	// before the prediction is the cause of its being late.
 	mispredicted = 1.3
@@ -79,7 +76,7 @@
 		if cause = lateCause(line); cause == "" {
 			return
 		}
-		part = lateLoss
+		part = placement.LateLoss
 	}
 	key := lossKey{cause: cause, kind: line.pairs["kind"] + " " + line.pairs["length"]}
 	row := losses.byCause[key]
@@ -105,11 +102,12 @@
 	losses.byWindow[start][cause] += worth
 }
 
+// worthOf weighs a request as the decisions do; one without a prompt counts 1.
 func worthOf(prompt float64) float64 {
 	if prompt <= 0 {
 		return 1
 	}
-	return math.Pow(prompt/worthUnit, worthExponent)
+	return placement.Value(peridotpath.Tokens(prompt))
 }
 
 // lateCause says why an answer was late; empty for one that was not.
--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 )
 
@@ -21,8 +20,7 @@
 	// Gap is the least time between two looks, whatever the age and the wakes.
 	Gap time.Duration
 
-	once  sync.Once
-	woken chan struct{}
+	woken Signal
 	last  time.Time
 }
 
@@ -30,18 +28,8 @@
 // may have changed it.
 const ageStep = 100 * time.Millisecond
 
-func (pace *Pace) wake() chan struct{} {
-	pace.once.Do(func() { pace.woken = make(chan struct{}, 1) })
-	return pace.woken
-}
-
 // Wake ends the present wait, or the next one. It never waits.
-func (pace *Pace) Wake() {
-	select {
-	case pace.wake() <- struct{}{}:
-	default:
-	}
-}
+func (pace *Pace) Wake() { pace.woken.Raise() }
 
 // retryShare is the pause between two looks of all instances together while
 // looks fail: without it, many instances would ask a service that is away
@@ -60,7 +48,7 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-pace.wake():
+	case <-pace.woken.C():
 		// The next Wait is to end at once.
 		pace.Wake()
 		return true
@@ -88,7 +76,7 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return false
-		case <-pace.wake():
+		case <-pace.woken.C():
 			timer.Stop()
 			return true
 		case <-timer.C:
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -32,10 +32,9 @@
 	Log       zerolog.Logger
 
 	failed bool
+	newer  readings.Newer
 
 	mutex sync.Mutex
-	// newer is a peer that has read something newer.
-	newer netip.AddrPort
 	// read holds what was read.
 	read readings.History
 }
@@ -105,9 +104,7 @@
 	case content == follower.Directory.Content():
 		follower.Directory.Confirm(content, confirmed)
 	case confirmed > follower.Directory.ReadAt():
-		follower.mutex.Lock()
-		follower.newer = peer
-		follower.mutex.Unlock()
+		follower.newer.Note(peer)
 		follower.Pace.Wake()
 	}
 }
@@ -115,11 +112,8 @@
 // askPeer reads from a peer that told of something newer, and reports whether
 // that was taken in.
 func (follower *Follower) askPeer(ctx context.Context) bool {
-	follower.mutex.Lock()
-	peer := follower.newer
-	follower.newer = netip.AddrPort{}
-	follower.mutex.Unlock()
-	if !peer.IsValid() || follower.Directory.Overdue(follower.Now()) {
+	peer, ok := follower.newer.Take()
+	if !ok || follower.Directory.Overdue(follower.Now()) {
 		return false
 	}
 	asked := follower.Now()
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -78,8 +78,7 @@
 
 	// cell is read for each request.
 	cell     atomic.Pointer[cell.Cell]
-	dirty    chan struct{}
-	once     sync.Once
+	dirty    clock.Signal
 	mutex    sync.Mutex
 	peers    map[netip.AddrPort]*peer
 	sequence uint64
@@ -103,18 +102,8 @@
 	listed bool
 }
 
-func (gossip *Gossip) wake() chan struct{} {
-	gossip.once.Do(func() { gossip.dirty = make(chan struct{}, 1) })
-	return gossip.dirty
-}
-
 // Changed asks for a digest soon. It never waits.
-func (gossip *Gossip) Changed() {
-	select {
-	case gossip.wake() <- struct{}{}:
-	default:
-	}
-}
+func (gossip *Gossip) Changed() { gossip.dirty.Raise() }
 
 // SetPeers takes the peers that the store names.
 func (gossip *Gossip) SetPeers(peers []Peer) {
@@ -178,7 +167,7 @@
 		case <-ctx.Done():
 			return <-ended
 		case <-time.After(heartbeat):
-		case <-gossip.wake():
+		case <-gossip.dirty.C():
 			time.Sleep(coalesce)
 		}
 		gossip.tell(conn)
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -76,9 +76,9 @@
 	// maxHolders bounds the helpers that hold a part of a prompt's memory: every
 	// one of them can fail, and with it the prompt.
 	maxHolders = 6
-	// lateLoss is the part of an answer's worth that is lost when it is late:
+	// LateLoss is the part of an answer's worth that is lost when it is late:
 	// the users hold a late answer at a quarter to a third of a timely one.
-	lateLoss = 0.75
+	LateLoss = 0.75
 	// soonEnough and tooLate bound, as parts of the aim, the predicted time in
 	// which an answer goes from surely timely to surely late. The first leaves
 	// room for what the prediction misses.
@@ -326,7 +326,7 @@
 	}
 	share := float64(first) / float64(aim)
 	late := min(max((share-soonEnough)/(tooLate-soonEnough), 0), 1)
-	return lateLoss*late + slopeLoss*share
+	return LateLoss*late + slopeLoss*share
 }
 
 // pauseRisk is what the answer itself loses where reads that wait at the writer
@@ -336,7 +336,7 @@
 		return 0
 	}
 	if writer.load.LongestRead+writer.pass > time.Duration(queueTolerance*float64(work.PauseAim)) {
-		return lateLoss / 2
+		return LateLoss / 2
 	}
 	return 0
 }
@@ -350,7 +350,7 @@
 	for _, pause := range at.load.pauses {
 		limit := time.Duration(queueTolerance * float64(pause.aim))
 		if pause.aim > 0 && before <= limit && after > limit {
-			lost += lateLoss * pause.value
+			lost += LateLoss * pause.value
 		}
 	}
 	return lost
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -30,10 +30,9 @@
 	Log       zerolog.Logger
 
 	failed bool
+	newer  readings.Newer
 
 	mutex sync.Mutex
-	// newer is a peer that has read something newer.
-	newer netip.AddrPort
 	// read and value are what was read last, routing its version.
 	read    keyvalue.Version
 	value   []byte
@@ -72,9 +71,7 @@
 	case table != nil && table.Routing.Version == version:
 		follower.State.Confirm(version, confirmed)
 	case table == nil && version > 0, table != nil && table.Routing.Version < version:
-		follower.mutex.Lock()
-		follower.newer = peer
-		follower.mutex.Unlock()
+		follower.newer.Note(peer)
 		follower.Pace.Wake()
 	}
 }
@@ -102,11 +99,8 @@
 // askPeer reads from a peer that told of something newer, and reports whether
 // that is in force now.
 func (follower *Follower) askPeer(ctx context.Context) bool {
-	follower.mutex.Lock()
-	peer := follower.newer
-	follower.newer = netip.AddrPort{}
-	follower.mutex.Unlock()
-	if !peer.IsValid() {
+	peer, ok := follower.newer.Take()
+	if !ok {
 		return false
 	}
 	asked := follower.State.Now()
