--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -200,7 +200,7 @@
 		if err := exchange.caller.Event(raw); err != nil {
 			return outcomeFailed, err
 		}
-		exchange.events++
+		exchange.noteEvent(time.Now())
 		if id != "" {
 			exchange.afterEvent = id
 		}
@@ -214,6 +214,15 @@
 	}
 }
 
+// noteEvent notes an event that went out to the caller.
+func (exchange *exchange) noteEvent(now time.Time) {
+	if exchange.events > 0 {
+		exchange.longestPause = max(exchange.longestPause, now.Sub(exchange.lastEvent))
+	}
+	exchange.events++
+	exchange.lastEvent = now
+}
+
 // noteFirst records how long the first event took against the prediction.
 func (exchange *exchange) noteFirst() {
 	if exchange.events > 0 {
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -38,6 +38,10 @@
 	begun      bool
 	afterEvent string
 	events     int
+	// lastEvent is when the last event went out, longestPause the longest time
+	// between two.
+	lastEvent    time.Time
+	longestPause time.Duration
 
 	plan       placement.Plan
 	flight     placement.FlightNumber
--- a/peridotpath/relay/record.go
+++ b/peridotpath/relay/record.go
@@ -42,7 +42,8 @@
 			Dur("predicted", exchange.plan.FirstEvent).Dur("waited", exchange.sentAt.Sub(exchange.request.Arrived)).Float64("loss", exchange.plan.Loss)
 	}
 	if exchange.firstEvent > 0 {
-		event = event.Dur("first_event", exchange.firstEvent).Int("events", exchange.events)
+		event = event.Dur("first_event", exchange.firstEvent).Int("events", exchange.events).
+			Dur("longest_pause", exchange.longestPause).Dur("pause_aim", exchange.route.PauseAim)
 	}
 	return event
 }
