relay, placement: nothing is sent or held past the moment when its caller leaves

(2) Seconds after a restart of all, every short prompt that was late anyway went to the one or two engines where nobody else lost by it: predicted 1.4 to 3.6 s, while others began within 130 ms; thirty callers left unanswered within 0.2 s. Ruled out: a lack of engines (fifteen were there, most of their time idle).

--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -18,10 +18,21 @@
 	// Waited is how long the request has been here, Left the time until the
 	// caller stops waiting.
 	Waited, Left time.Duration
+	// Patience is the time until the caller leaves if no event has come; zero
+	// where that is not known.
+	Patience time.Duration
 	// DataCentre is the instance's own.
 	DataCentre peridotpath.DataCentre
 }
 
+// LastStart is the time until the caller leaves if the answer has not begun.
+func (work *Work) LastStart() time.Duration {
+	if work.Patience > 0 {
+		return min(work.Left, work.Patience)
+	}
+	return work.Left
+}
+
 // Candidate is an endpoint that may take a request.
 type Candidate struct {
 	Endpoint *peridotpath.Endpoint
@@ -158,7 +169,7 @@
 			continue
 		}
 		writing := model.WriteTime(work.Answer, max(writer.pass, model.Pass(1, work.Prompt)))
-		if plan.FirstEvent+time.Duration(answerTrust*float64(writing)) > work.Left {
+		if !inTime(plan, work, writing) {
 			continue
 		}
 		if !found || plan.Loss < best.Loss {
@@ -168,6 +179,17 @@
 	return best, found
 }
 
+// inTime reports whether the plan's answer begins before its caller leaves and can
+// end before the caller's time is over. Prompts that are late anyway lose nothing
+// more by being later, so that without the first of these all of them went to the
+// few engines where nobody else could be harmed, and most callers left unanswered.
+func inTime(plan Plan, work Work, writing time.Duration) bool {
+	if work.Patience > 0 && plan.FirstEvent > work.Patience {
+		return false
+	}
+	return plan.FirstEvent+time.Duration(answerTrust*float64(writing)) <= work.Left
+}
+
 // orderReaders returns the engines in the order in which they should read a part
 // of the prompt: those first at which a part as long as a third of the whole
 // begins soonest and does least harm, those that failed a moment ago last.
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -298,3 +298,28 @@
 		})
 	}
 }
+
+// All instances lose power and their callers come back at once. Most engines read
+// something beside their writers, so that a short prompt more would spoil those; at
+// one engine nobody had anything to lose. All that were late anyway were sent
+// there, one behind the other, and left after two seconds without an answer.
+func TestPlanWithinPatience(t *testing.T) {
+	is := is.New(t)
+	all := candidates(2)
+	book := &placement.Book{}
+	reader(book, all[0], 3*time.Second)
+	for range 6 {
+		writer(book, all[1])
+	}
+	reader(book, all[1], 140*time.Millisecond)
+	work := shortWork()
+	work.Waited = 400 * time.Millisecond
+	work.Patience = 1600 * time.Millisecond
+	plan, found := placement.PlanPrompt(model, work, all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(plan.Writer.ID, all[1].Endpoint.ID)
+	is.True(plan.FirstEvent <= work.Patience)
+	// Where none begins before the caller leaves, that is known at once.
+	_, found = placement.PlanPrompt(model, work, all[:1], book.View(time.Now()))
+	is.True(!found)
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -123,7 +123,7 @@
 	}
 	model := placement.Model{Rates: exchange.spec.Engine}
 	exchange.reading = model.ReadTime(exchange.request.Prompt)
-	if exchange.reading > longRead {
+	if exchange.reading > longRead && exchange.route.AnswerAim >= leastWaitAim {
 		return exchange.awaitTurn(ctx, model, exchange.reading)
 	}
 	now := time.Now()
@@ -176,10 +176,20 @@
 	return placement.Work{
 		Prompt: exchange.request.Prompt, Answer: answer,
 		AnswerAim: exchange.route.AnswerAim, PauseAim: exchange.route.PauseAim,
-		Waited: now.Sub(exchange.request.Arrived), Left: left, DataCentre: exchange.relay.DataCentre,
+		Waited: now.Sub(exchange.request.Arrived), Left: left, Patience: exchange.patience(now), DataCentre: exchange.relay.DataCentre,
 	}
 }
 
+// patience is the time until the caller leaves if no event has come; zero where
+// that is not known, or the stream has begun.
+func (exchange *exchange) patience(now time.Time) time.Duration {
+	silence := exchange.route.Silence
+	if silence == 0 || exchange.begun {
+		return 0
+	}
+	return max(silence-now.Sub(exchange.request.Arrived), 1)
+}
+
 // candidates returns the endpoints that may take the request.
 func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
 	members := exchange.relay.Endpoints().Of(exchange.service)
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -46,7 +46,10 @@
 	return &peridotpath.Routing{
 		Version: 7,
 		Routes: []peridotpath.Route{
-			route("short", stream(300*time.Millisecond, 200*time.Millisecond)),
+			route("short", func(route *peridotpath.Route) {
+				stream(300*time.Millisecond, 200*time.Millisecond)(route)
+				route.Silence = 2 * time.Second
+			}),
 			route("long", stream(3*time.Second, 800*time.Millisecond)),
 			route("look", func(route *peridotpath.Route) { route.Idempotent = true }),
 			route("save", func(*peridotpath.Route) {}),
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -22,6 +22,11 @@
 	// longRead is the reading time, at one engine alone, from which a prompt
 	// waits for its turn; what is shorter fits between the events of others.
 	longRead = 150 * time.Millisecond
+	// leastWaitAim is the least aim of a request that waits. One with less is late
+	// after any wait at all, and its caller leaves before a line of long prompts
+	// has been read: a prompt of 23,000 tokens with an aim of 300 ms waited for two
+	// seconds and was never sent.
+	leastWaitAim = 4 * longRead
 	// turnTick is the time between two looks whether it is a request's turn, and
 	// turnTickPerPeer what each peer adds: a look goes through what all have under
 	// way, which grows with them.
@@ -63,8 +68,8 @@
 		work := exchange.work(now)
 		share := spreadShare * float64(len(candidates))
 		soonest := time.Duration(float64(before+reading) / share)
-		if soonest > work.Left {
-			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, soonest-work.Left))
+		if last := work.LastStart(); soonest > last {
+			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, soonest-last))
 		}
 		late := work.Waited+soonest > work.AnswerAim
 		if late && work.Waited > time.Duration(holdShare*float64(work.Waited+work.Left)) {
--- a/peridotpath/route.go
+++ b/peridotpath/route.go
@@ -50,6 +50,9 @@
 	// PauseAim is the longest pause between a stream's events that callers take
 	// for fluent; zero for answers that are no streams.
 	PauseAim time.Duration
+	// Silence is how long callers wait for an event of a stream, the first or a
+	// next one, before they leave; zero where that is not known.
+	Silence time.Duration
 }
 
 // Repeatable reports whether a request may run at a second endpoint after it
