placement: writers fill engines up

Hypothesis: in a burst of long prompts, eight of eighteen engines wrote one to seven short answers each, all within the slots of two or three; none of them could read, and 18 engines read for 5 to 9 s a second while 36 were asked for.

--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -107,6 +107,10 @@
 	// writes nothing can read long prompts at any time; writers are packed, so
 	// that such engines remain.
 	freshLoss = 0.03
+	// packLoss is what it costs, for each part of an engine's slots that is free, to
+	// put a writer there: writers fill some engines up and leave others to long
+	// prompts. At twice this price more short prompts are late for want of slots.
+	packLoss = 0.03
 	// orderLoss makes all instances try the engines in the same order.
 	orderLoss = 0.002
 	// slotWait is about how long a request waits where all slots are taken, for
@@ -133,7 +137,9 @@
 type option struct {
 	Candidate
 	load *Load
-	pass time.Duration
+	// slots is how many requests the engine runs at once.
+	slots int
+	pass  time.Duration
 	// ready is when it could begin to read.
 	ready time.Duration
 	rank  float64
@@ -236,7 +242,7 @@
 		load := view.At(candidate.Key)
 		pass := model.Pass(load.Writers, load.Context)
 		ready := time.Duration(float64(load.Backlog)*load.Slow) + pass/2
-		options = append(options, option{Candidate: candidate, load: load, pass: pass, ready: ready})
+		options = append(options, option{Candidate: candidate, load: load, slots: model.Rates.BatchSize, pass: pass, ready: ready})
 	}
 	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.Key, b.Key) })
 	for i := range options {
@@ -396,6 +402,9 @@
 	if writer.load.Taken() == 0 {
 		loss += freshLoss
 	}
+	if free := writer.slots - writer.load.Taken(); free > 0 {
+		loss += packLoss * float64(free) / float64(writer.slots)
+	}
 	return loss
 }
 
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -323,3 +323,29 @@
 	_, found = placement.PlanPrompt(model, work, all[:1], book.View(time.Now()))
 	is.True(!found)
 }
+
+// Ten short answers are written at one engine and two at another. One more was put
+// where fewer are written, since its passes are a little shorter; so all engines
+// had some writers, and none could read a long prompt without making a pause too
+// long for them.
+func TestWritersFillEngines(t *testing.T) {
+	is := is.New(t)
+	all := candidates(3)
+	book := &placement.Book{}
+	for range 2 {
+		writer(book, all[0])
+	}
+	for range 10 {
+		writer(book, all[1])
+	}
+	plan, found := placement.PlanPrompt(model, shortWork(), all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(plan.Writer.ID, all[1].Endpoint.ID)
+	// Once its slots are taken, the next one goes elsewhere.
+	for range 6 {
+		writer(book, all[1])
+	}
+	plan, found = placement.PlanPrompt(model, shortWork(), all, book.View(time.Now()))
+	is.True(found)
+	is.Equal(plan.Writer.ID, all[0].Endpoint.ID)
+}
