clock, routing: a look that finds nothing is followed by a longer pause

Ruled out: the renewals (164 stale reads and leases, a tenth of a call each) and the looks in the steady state (4.5 calls a second for both kinds). Change: 250 ms after the first look that found nothing, 500 ms after the next ones; a peer that has found it ends the pause. The test fails without the change.

--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -22,6 +22,26 @@
 
 	woken Signal
 	last  time.Time
+	// nothing is the pause after a look that found nothing.
+	nothing time.Duration
+}
+
+// The pause after a look that found nothing doubles from the least to the most.
+// When all instances start together, before there is anything to be found, each
+// asked ten times a second: 900 of the 1,550 calls that 82 instances made in 40
+// seconds. Whoever finds it first tells the others, which ends their pauses.
+const (
+	nothingLeast = 250 * time.Millisecond
+	nothingMost  = 500 * time.Millisecond
+)
+
+// Found notes whether a look found anything.
+func (pace *Pace) Found(found bool) {
+	if found {
+		pace.nothing = 0
+		return
+	}
+	pace.nothing = min(max(2*pace.nothing, nothingLeast), nothingMost)
 }
 
 // ageStep is the longest sleep before the age is looked at again: a peer's word
@@ -43,13 +63,18 @@
 	if pace.Others != nil {
 		span = max(span, time.Duration(pace.Others())*retryShare)
 	}
+	return pace.pause(ctx, span)
+}
+
+// pause waits for the span, drawn out or shortened by up to half so that instances
+// don't ask in step; false when ctx ended first. A wake ends it, and the next Wait.
+func (pace *Pace) pause(ctx context.Context, span time.Duration) bool {
 	timer := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(span)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
 	case <-pace.woken.C():
-		// The next Wait is to end at once.
 		pace.Wake()
 		return true
 	case <-ctx.Done():
@@ -64,6 +89,9 @@
 	if !Pause(ctx, pace.Gap-time.Since(pace.last)) {
 		return false
 	}
+	if pace.nothing > 0 && !pace.pause(ctx, pace.nothing) {
+		return false
+	}
 	defer func() { pace.last = time.Now() }()
 	limit := pace.Least + time.Duration(rand.Float64()*float64(pace.Spread))
 	for {
--- a/peridotpath/clock/pace_test.go
+++ b/peridotpath/clock/pace_test.go
@@ -57,6 +57,38 @@
 	})
 }
 
+// Eighty instances start together, seconds before the operators have written
+// anything. Each asked ten times a second for what was not there; a look that finds
+// nothing has to be followed by a longer pause, and a peer's word has to end it.
+func TestPaceWhileNothingIsFound(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		pace, looks := &clock.Pace{Least: time.Second, Gap: 60 * time.Millisecond}, 0
+		for pace.Wait(ctx, func() time.Duration { return time.Hour }) {
+			looks++
+			pace.Found(false)
+		}
+		t.Logf("%d looks in 10 s", looks)
+		is.True(looks <= 32) // one in a third of a second, where the gap allows five times that
+		is.True(looks >= 10) // it is found within a second
+
+		ctx, cancel = context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		began := time.Now()
+		pace.Found(false)
+		time.AfterFunc(100*time.Millisecond, pace.Wake)
+		is.True(pace.Wait(ctx, func() time.Duration { return time.Hour }))
+		is.True(time.Since(began) < 200*time.Millisecond) // a peer has it
+
+		pace.Found(true)
+		began = time.Now()
+		is.True(pace.Wait(ctx, func() time.Duration { return time.Hour }))
+		is.True(time.Since(began) < 200*time.Millisecond) // as often as before
+	})
+}
+
 // One instance of many cannot reach the store, and rests for seconds so that all
 // together ask it little. Meanwhile a peer tells of a newer configuration: it
 // served by the old one until its rest was over.
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -52,6 +52,7 @@
 		}
 		err := follower.look(ctx)
 		if err == nil {
+			follower.Pace.Found(follower.State.Current() != nil)
 			follower.Confirmed()
 			continue
 		}
