placement: a long prompt leaves room for the short ones that come meanwhile

Ruled out: instances that do not hear each other (eight of eight were heard after 70 ms). Change: a plan loses what short prompts will that come while it is read (as many as in the last second) and find neither a free slot nor one that becomes free at the engines that it leaves. The test fails without the change.

--- a/peridotpath/gossip/flight_test.go
+++ b/peridotpath/gossip/flight_test.go
@@ -20,6 +20,12 @@
 		f.Fatal(err)
 	}
 	f.Add(whole)
+	// A flight that is under way nowhere.
+	nowhere, err := proto.Marshal(&wire.Digest{Instance: "a", Sequence: 1, Flights: []*wire.Flight{{Number: 1}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(nowhere)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		digest := &wire.Digest{}
 		if proto.Unmarshal(datagram, digest) != nil {
@@ -28,7 +34,7 @@
 		now := time.Now()
 		book := &placement.Book{}
 		book.HearPeer(decodeReport(digest, now), now)
-		for _, load := range book.View(now) {
+		for _, load := range book.View(now).All() {
 			if load.Backlog < 0 || load.Taken() < 0 {
 				t.Errorf("load %+v", load)
 			}
--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -48,6 +48,8 @@
 	Changed func()
 
 	mutex sync.Mutex
+	// began is when this instance first looked at its load.
+	began time.Time
 	last  FlightNumber
 	own   map[FlightNumber]*Flight
 	// waits are this instance's requests that wait for their turn.
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -121,6 +121,11 @@
 	// spreadLeast is the reading time from which a prompt is spread: shorter ones
 	// fit into the pauses of those who write at the same engine.
 	spreadLeast = 100 * time.Millisecond
+	// roomReady is how soon an engine must be able to read for a short prompt to be
+	// on time there: half of the shortest aim that users have.
+	roomReady = 150 * time.Millisecond
+	// shortWrite is about how long a short answer is written: 33 events at 50 ms.
+	shortWrite = 1700 * time.Millisecond
 	// overtakeLoss is what a waiting prompt loses, a second, by readings that
 	// overtake it, as a part of its worth.
 	overtakeLoss = 0.2
@@ -159,6 +164,7 @@
 	options := makeOptions(model, candidates, view)
 	whole := model.ReadTime(work.Prompt)
 	readers := orderReaders(options, whole)
+	around := surroundings{arrivals: view.arrivals, readers: readers}
 	best, found := Plan{}, false
 	shared := noneFits(model, work, options)
 	tried := 0
@@ -169,7 +175,7 @@
 		if tried++; whole >= spreadLeast && tried > maxWriters {
 			break
 		}
-		plan := bestSpread(model, work, whole, writer, readers)
+		plan := bestSpread(model, work, whole, writer, around)
 		plan.Memory = work.Prompt + work.Answer
 		if shared && !plan.share(model, work, writer, readers) {
 			continue
@@ -295,15 +301,26 @@
 	plan.Memory = part
 }
 
+// surroundings is what a plan is made among.
+type surroundings struct {
+	// arrivals is the worth of the short prompts that come in a second.
+	arrivals float64
+	// readers are all engines, in the order in which they should read a part.
+	readers []*option
+}
+
 // bestSpread returns the best plan with that writer: alone, or with as many
 // helpers as lose least.
-func bestSpread(model Model, work Work, whole time.Duration, writer *option, readers []*option) Plan {
+func bestSpread(model Model, work Work, whole time.Duration, writer *option, around surroundings) Plan {
 	best := spread(model, work, whole, writer, nil)
 	if whole < spreadLeast {
 		return best
 	}
+	left := around.room()
+	left.less(writer)
+	best.crowd(around.arrivals, left)
 	helpers := make([]*option, 0, maxHelpers)
-	for _, reader := range readers {
+	for _, reader := range around.readers {
 		if reader == writer || reader.Suspect {
 			continue
 		}
@@ -311,13 +328,60 @@
 			break
 		}
 		helpers = append(helpers, reader)
-		if plan := spread(model, work, whole, writer, helpers); plan.Loss < best.Loss {
+		left.less(reader)
+		plan := spread(model, work, whole, writer, helpers)
+		if plan.crowd(around.arrivals, left); plan.Loss < best.Loss {
 			best = plan
 		}
 	}
 	return best
 }
 
+// room is what engines that read no long prompt have left for short ones.
+type room struct {
+	free, writers int
+}
+
+// room adds up all engines.
+func (around *surroundings) room() room {
+	var all room
+	for _, reader := range around.readers {
+		all.free += reader.free()
+		all.writers += reader.load.Writers
+	}
+	return all
+}
+
+// less takes an engine out.
+func (room *room) less(reader *option) {
+	room.free -= reader.free()
+	room.writers -= reader.load.Writers
+}
+
+// free is how many short prompts more the engine could take at once, none while
+// it reads for too long for them to be on time.
+func (option *option) free() int {
+	if option.ready > roomReady {
+		return 0
+	}
+	return max(option.slots-option.load.Taken(), 0)
+}
+
+// crowd adds to the plan what short prompts lose that will come while it is read
+// and find no engine that does not read.
+//
+// The load that this is made for is the moment after all instances have started
+// anew, when nobody writes yet and everybody comes back: a prompt of 300,000 tokens
+// harmed nobody, was spread over all fifteen engines, and the next hundred short
+// prompts waited for 0.7 s, though it had time enough for half as many engines.
+func (plan *Plan) crowd(arrivals float64, left room) {
+	span := plan.FirstEvent.Seconds()
+	places := float64(left.free) + float64(left.writers)*span/shortWrite.Seconds()
+	lost := LateLoss * max(0, arrivals*span-places)
+	plan.Harm += lost
+	plan.Loss += lost
+}
+
 func spread(model Model, work Work, whole time.Duration, writer *option, helpers []*option) Plan {
 	share := whole / time.Duration(1+len(helpers))
 	ready, slow := writer.ready, writer.load.Slow
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -349,3 +349,42 @@
 	is.True(found)
 	is.Equal(plan.Writer.ID, all[0].Endpoint.ID)
 }
+
+// All instances have just started anew: nobody writes yet and everybody comes back,
+// among them the caller of a dossier. It harmed nobody who wrote, so all engines
+// read it at once, and the next hundred short prompts waited for 0.7 s. It has time
+// enough to be read by fewer, and the others must have room for the short ones that
+// come meanwhile.
+func TestLongLeavesRoomForShorts(t *testing.T) {
+	is := is.New(t)
+	all := candidates(15)
+	book := &placement.Book{}
+	sent := time.Now()
+	book.View(sent)
+	for i := range 20 {
+		at := all[i%2]
+		book.Begin(placement.Flight{
+			Parts:  []placement.Part{{Endpoint: at.Key, Reading: 20 * time.Millisecond, Memory: 5_600}},
+			Prompt: 5_000, PauseAim: 200 * time.Millisecond, Sent: sent,
+		})
+	}
+	now := sent.Add(time.Second)
+	plan, found := placement.PlanPrompt(model, longWork(300_000), all, book.View(now.Add(-time.Millisecond)))
+	is.True(found)
+	reads := map[peridotpath.EndpointID]bool{plan.Writer.ID: true}
+	for _, helper := range plan.Helpers {
+		reads[helper.ID] = true
+	}
+	// Twenty short prompts came in the last second; as many come in the next one.
+	room := 0
+	for i, candidate := range all {
+		if !reads[candidate.Endpoint.ID] {
+			room += 16
+			if i < 2 {
+				room -= 10
+			}
+		}
+	}
+	is.True(float64(room) >= 20*plan.FirstEvent.Seconds())
+	is.True(plan.FirstEvent < 1800*time.Millisecond) // and it is on time all the same
+}
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -52,13 +54,28 @@
 const overdueShare = 0.125
 
 // View is the load of every endpoint at one moment.
-type View map[peridotpath.EndpointKey]*Load
+type View struct {
+	loads map[peridotpath.EndpointKey]*Load
+	// arrivals is how much short prompts are worth that are sent in a second, by
+	// all instances.
+	arrivals float64
+}
+
+const (
+	// arrivalsSpan is the time over which the short prompts sent are counted, and
+	// arrivalsLeast what counts at least for the time since this instance began.
+	arrivalsSpan  = time.Second
+	arrivalsLeast = 500 * time.Millisecond
+)
 
 // View returns the load of every endpoint that has any.
 func (book *Book) View(now time.Time) View {
 	book.mutex.Lock()
 	defer book.mutex.Unlock()
-	view := View{}
+	if book.began.IsZero() {
+		book.began = now
+	}
+	view := View{loads: map[peridotpath.EndpointKey]*Load{}}
 	for _, flight := range book.own {
 		view.add(flight, now)
 	}
@@ -70,30 +87,37 @@
 	for key, slow := range book.slow {
 		view.load(key).Slow = slow
 	}
-	for _, load := range view {
+	for _, load := range view.loads {
 		load.queue(now)
 	}
+	view.arrivals /= min(max(now.Sub(book.began), arrivalsLeast), arrivalsSpan).Seconds()
 	return view
 }
 
+// All returns the endpoints that have any load.
+func (view View) All() iter.Seq2[peridotpath.EndpointKey, *Load] { return maps.All(view.loads) }
+
 // At returns the load of an endpoint, also of one that has none.
 func (view View) At(key peridotpath.EndpointKey) *Load {
-	if load := view[key]; load != nil {
+	if load := view.loads[key]; load != nil {
 		return load
 	}
 	return &Load{Slow: 1}
 }
 
-func (view View) load(key peridotpath.EndpointKey) *Load {
-	load := view[key]
+func (view *View) load(key peridotpath.EndpointKey) *Load {
+	load := view.loads[key]
 	if load == nil {
 		load = &Load{Slow: 1}
-		view[key] = load
+		view.loads[key] = load
 	}
 	return load
 }
 
-func (view View) add(flight *Flight, now time.Time) {
+func (view *View) add(flight *Flight, now time.Time) {
+	if len(flight.Parts) > 0 && flight.Parts[0].Reading < spreadLeast && now.Sub(flight.Sent) < arrivalsSpan {
+		view.arrivals += Value(flight.Prompt)
+	}
 	for i, part := range flight.Parts {
 		load := view.load(part.Endpoint)
 		load.Memory += part.Memory
