--- /dev/null
+++ b/peridotpath/placement/loss.go
@@ -0,0 +1,96 @@
+package placement
+
+import "time"
+
+const (
+	// LateLoss is the part of an answer's worth that is lost when it is late:
+	// the users hold a late answer at a quarter to a third of a timely one.
+	LateLoss = 0.75
+	// soonEnough and tooLate bound, as parts of the aim, the predicted time in
+	// which an answer goes from surely timely to surely late. The first leaves
+	// room for what the prediction misses.
+	soonEnough = 0.6
+	tooLate    = 1.1
+	// slopeLoss prefers the sooner of two that are both in time or both late.
+	slopeLoss = 0.02
+	// farLoss is what another data centre costs: bytes between them are priced.
+	farLoss = 0.008
+	// suspectLoss keeps requests from an endpoint that failed a moment ago.
+	suspectLoss = 0.9
+	// freshLoss is what it costs to put the first writer on an engine. One that
+	// writes nothing can read long prompts at any time; writers are packed, so
+	// that such engines remain.
+	freshLoss = 0.03
+	// packLoss is what it costs, for each part of an engine's slots that is free, to
+	// put a writer there: writers fill some engines up and leave others to long
+	// prompts. At twice this price more short prompts are late for want of slots.
+	packLoss = 0.03
+	// orderLoss makes all instances try the engines in the same order.
+	orderLoss = 0.002
+	// queueTolerance is the share of the aim for pauses that a pass may take.
+	queueTolerance = 0.9
+	// overtakeLoss is what a waiting prompt loses, a second, by readings that
+	// overtake it, as a part of its worth.
+	overtakeLoss = 0.2
+)
+
+// lateness is the part of its worth that an answer is expected to lose.
+func lateness(first, aim time.Duration) float64 {
+	if aim <= 0 {
+		return 0
+	}
+	share := float64(first) / float64(aim)
+	late := min(max((share-soonEnough)/(tooLate-soonEnough), 0), 1)
+	return LateLoss*late + slopeLoss*share
+}
+
+// pauseRisk is what the answer itself loses where reads that wait at the writer
+// will make a pause too long.
+func pauseRisk(work Work, writer *option) float64 {
+	if work.PauseAim == 0 {
+		return 0
+	}
+	if writer.load.LongestRead+writer.pass > time.Duration(queueTolerance*float64(work.PauseAim)) {
+		return LateLoss / 2
+	}
+	return 0
+}
+
+// harm is what those lose who write at the engine when a reading of that span
+// comes on top of those that wait there: all of them fall into one pause.
+func harm(at *option, span time.Duration) float64 {
+	before := at.pass + at.load.Backlog
+	after := before + span
+	lost := 0.0
+	for _, pause := range at.load.pauses {
+		limit := time.Duration(queueTolerance * float64(pause.aim))
+		if pause.aim > 0 && before <= limit && after > limit {
+			lost += LateLoss * pause.value
+		}
+	}
+	return lost
+}
+
+// overtaken is what prompts lose that wait to be read where they will be
+// answered: engines read the parts of others' prompts first.
+func overtaken(at *option, span time.Duration) float64 {
+	return overtakeLoss * span.Seconds() * at.load.unreadValue
+}
+
+// placeLoss is what speaks against an engine for itself.
+func placeLoss(work Work, writer *option) float64 {
+	loss := orderLoss * writer.rank
+	if writer.Endpoint.DataCentre != work.DataCentre {
+		loss += farLoss
+	}
+	if writer.Suspect {
+		loss += suspectLoss
+	}
+	if writer.load.Taken() == 0 {
+		loss += freshLoss
+	}
+	if free := writer.slots - writer.load.Taken(); free > 0 {
+		loss += packLoss * float64(free) / float64(writer.slots)
+	}
+	return loss
+}
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -84,58 +84,18 @@
 	// number of helpers, and one that waits for its turn is planned for a hundred
 	// times a second.
 	maxWriters = 16
-	// maxHolders bounds the helpers that hold a part of a prompt's memory: every
-	// one of them can fail, and with it the prompt.
-	maxHolders = 6
-	// LateLoss is the part of an answer's worth that is lost when it is late:
-	// the users hold a late answer at a quarter to a third of a timely one.
-	LateLoss = 0.75
-	// soonEnough and tooLate bound, as parts of the aim, the predicted time in
-	// which an answer goes from surely timely to surely late. The first leaves
-	// room for what the prediction misses.
-	soonEnough = 0.6
-	tooLate    = 1.1
-	// slopeLoss prefers the sooner of two that are both in time or both late.
-	slopeLoss = 0.02
-	// farLoss is what another data centre costs: bytes between them are priced.
-	farLoss = 0.008
-	// suspectLoss keeps requests from an endpoint that failed a moment ago.
-	suspectLoss = 0.9
 	// suspectCost puts such an endpoint behind all others, in seconds.
 	suspectCost = 60
-	// freshLoss is what it costs to put the first writer on an engine. One that
-	// writes nothing can read long prompts at any time; writers are packed, so
-	// that such engines remain.
-	freshLoss = 0.03
-	// packLoss is what it costs, for each part of an engine's slots that is free, to
-	// put a writer there: writers fill some engines up and leave others to long
-	// prompts. At twice this price more short prompts are late for want of slots.
-	packLoss = 0.03
-	// orderLoss makes all instances try the engines in the same order.
-	orderLoss = 0.002
 	// slotWait is about how long a request waits where all slots are taken, for
 	// each that waits before it: the time in which one of a full batch ends.
 	slotWait = 100 * time.Millisecond
-	// queueTolerance is the share of the aim for pauses that a pass may take.
-	queueTolerance = 0.9
 	// spreadLeast is the reading time from which a prompt is spread: shorter ones
 	// fit into the pauses of those who write at the same engine.
 	spreadLeast = 100 * time.Millisecond
-	// roomReady is how soon an engine must be able to read for a short prompt to be
-	// on time there: half of the shortest aim that users have.
-	roomReady = 150 * time.Millisecond
-	// shortWrite is about how long a short answer is written: 33 events at 50 ms.
-	shortWrite = 1700 * time.Millisecond
-	// overtakeLoss is what a waiting prompt loses, a second, by readings that
-	// overtake it, as a part of its worth.
-	overtakeLoss = 0.2
 	// answerTrust is how much of the time that an answer would take, if it were as
 	// long as its caller thinks, must be left: such estimates are right in the
 	// middle and often twice too long.
 	answerTrust = 0.5
-	// memoryTolerance is how much of an engine's memory may be promised. Answers
-	// longer than predicted would take the rest and push out whole requests.
-	memoryTolerance = 0.97
 )
 
 // option is a candidate with what is known of it.
@@ -257,50 +217,6 @@
 	return options
 }
 
-// fits reports whether the engine has memory for the whole request.
-func fits(model Model, work Work, writer *option) bool {
-	return work.Prompt+work.Answer <= free(model, writer)
-}
-
-// free is the memory of an engine that is promised to nobody.
-func free(model Model, at *option) peridotpath.Tokens {
-	return peridotpath.Tokens(memoryTolerance*float64(model.Rates.KVTokens)) - at.load.Memory
-}
-
-// share spreads the memory of a prompt that no engine can hold: in even parts
-// over the writer and as few helpers as have room. It reports whether they have.
-func (plan *Plan) share(model Model, work Work, writer *option, readers []*option) bool {
-	need := work.Prompt + work.Answer
-	var holders []*option
-	for _, reader := range readers {
-		if slices.Contains(plan.Helpers, reader.Endpoint) {
-			holders = append(holders, reader)
-		}
-	}
-	slices.SortStableFunc(holders, func(a, b *option) int { return cmp.Compare(free(model, b), free(model, a)) })
-	for count := 1; count <= min(len(holders), maxHolders); count++ {
-		part := need/peridotpath.Tokens(1+count) + 1
-		if free(model, writer) >= part && free(model, holders[count-1]) >= part {
-			plan.hold(holders, count, part)
-			return true
-		}
-	}
-	return false
-}
-
-// hold notes which helpers hold a part of the memory; these go first.
-func (plan *Plan) hold(holders []*option, count int, part peridotpath.Tokens) {
-	plan.Helpers = plan.Helpers[:0]
-	plan.Reserve = nil
-	for i, holder := range holders {
-		plan.Helpers = append(plan.Helpers, holder.Endpoint)
-		if i < count {
-			plan.Reserve = append(plan.Reserve, reservation.Need{Endpoint: holder.Endpoint, Tokens: part})
-		}
-	}
-	plan.Memory = part
-}
-
 // surroundings is what a plan is made among.
 type surroundings struct {
 	// arrivals is the worth of the short prompts that come in a second.
@@ -337,51 +253,6 @@
 	return best
 }
 
-// room is what engines that read no long prompt have left for short ones.
-type room struct {
-	free, writers int
-}
-
-// room adds up all engines.
-func (around *surroundings) room() room {
-	var all room
-	for _, reader := range around.readers {
-		all.free += reader.free()
-		all.writers += reader.load.Writers
-	}
-	return all
-}
-
-// less takes an engine out.
-func (room *room) less(reader *option) {
-	room.free -= reader.free()
-	room.writers -= reader.load.Writers
-}
-
-// free is how many short prompts more the engine could take at once, none while
-// it reads for too long for them to be on time.
-func (option *option) free() int {
-	if option.ready > roomReady {
-		return 0
-	}
-	return max(option.slots-option.load.Taken(), 0)
-}
-
-// crowd adds to the plan what short prompts lose that will come while it is read
-// and find no engine that does not read.
-//
-// The load that this is made for is the moment after all instances have started
-// anew, when nobody writes yet and everybody comes back: a prompt of 300,000 tokens
-// harmed nobody, was spread over all fifteen engines, and the next hundred short
-// prompts waited for 0.7 s, though it had time enough for half as many engines.
-func (plan *Plan) crowd(arrivals float64, left room) {
-	span := plan.FirstEvent.Seconds()
-	places := float64(left.free) + float64(left.writers)*span/shortWrite.Seconds()
-	lost := LateLoss * max(0, arrivals*span-places)
-	plan.Harm += lost
-	plan.Loss += lost
-}
-
 func spread(model Model, work Work, whole time.Duration, writer *option, helpers []*option) Plan {
 	share := whole / time.Duration(1+len(helpers))
 	ready, slow := writer.ready, writer.load.Slow
@@ -411,67 +282,6 @@
 	return plan
 }
 
-// lateness is the part of its worth that an answer is expected to lose.
-func lateness(first, aim time.Duration) float64 {
-	if aim <= 0 {
-		return 0
-	}
-	share := float64(first) / float64(aim)
-	late := min(max((share-soonEnough)/(tooLate-soonEnough), 0), 1)
-	return LateLoss*late + slopeLoss*share
-}
-
-// pauseRisk is what the answer itself loses where reads that wait at the writer
-// will make a pause too long.
-func pauseRisk(work Work, writer *option) float64 {
-	if work.PauseAim == 0 {
-		return 0
-	}
-	if writer.load.LongestRead+writer.pass > time.Duration(queueTolerance*float64(work.PauseAim)) {
-		return LateLoss / 2
-	}
-	return 0
-}
-
-// harm is what those lose who write at the engine when a reading of that span
-// comes on top of those that wait there: all of them fall into one pause.
-func harm(at *option, span time.Duration) float64 {
-	before := at.pass + at.load.Backlog
-	after := before + span
-	lost := 0.0
-	for _, pause := range at.load.pauses {
-		limit := time.Duration(queueTolerance * float64(pause.aim))
-		if pause.aim > 0 && before <= limit && after > limit {
-			lost += LateLoss * pause.value
-		}
-	}
-	return lost
-}
-
-// overtaken is what prompts lose that wait to be read where they will be
-// answered: engines read the parts of others' prompts first.
-func overtaken(at *option, span time.Duration) float64 {
-	return overtakeLoss * span.Seconds() * at.load.unreadValue
-}
-
-// placeLoss is what speaks against an engine for itself.
-func placeLoss(work Work, writer *option) float64 {
-	loss := orderLoss * writer.rank
-	if writer.Endpoint.DataCentre != work.DataCentre {
-		loss += farLoss
-	}
-	if writer.Suspect {
-		loss += suspectLoss
-	}
-	if writer.load.Taken() == 0 {
-		loss += freshLoss
-	}
-	if free := writer.slots - writer.load.Taken(); free > 0 {
-		loss += packLoss * float64(free) / float64(writer.slots)
-	}
-	return loss
-}
-
 // SoonestFree returns when the first of the endpoints will have read what waits
 // there: before that, a request that came back would be refused again.
 func SoonestFree(candidates []Candidate, view View) time.Duration {
