--- a/peridotctl/losses.go
+++ b/peridotctl/losses.go
@@ -117,8 +117,13 @@
 		reached = line.number("took")
 	}
 	waited, predicted := line.number("waited"), line.number("predicted")
+	pauseAim := line.number("pause_aim")
 	switch {
-	case aim == 0 || reached <= aim:
+	case aim == 0:
+		return ""
+	case reached <= aim && pauseAim > 0 && line.number("longest_pause") > pauseAim:
+		return "late_by_a_pause"
+	case reached <= aim:
 		return ""
 	case line.number("tries") > 1:
 		return "late_after_failed_attempt"
