measure: what each mechanism is worth, by switching it off in a copy of the sources

Nothing of it is in a production build, and no branch on a request's path. A test checks that each patch still applies.

--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,11 @@
 joint: ## compares many instances with one that knows all, on a fake clock
 	@cd measure && go run . joint
 
+BENCH ?=
+SITES ?=
+ablation: ## what each mechanism is worth: BENCH=program of the users, SITES=their files, with commas between
+	@go run ./measure ablation -bench "$(BENCH)" -sites "$(SITES)"
+
 bench: ## what a decision costs, with parallel callers
 	@go test -run '^$$' -bench . -benchmem -cpu 1,4,8 ./peridotpath/decide/...
 	@go test -run '^$$' -bench . -benchtime 2s ./peridotpath/caller
--- /dev/null
+++ b/measure/ablation/ablation_test.go
@@ -0,0 +1,50 @@
+package ablation_test
+
+import (
+	"math"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/measure/ablation"
+)
+
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	result := func(worth float64, late int) *ablation.Result {
+		result := &ablation.Result{Worth: worth}
+		result.All.Requests, result.All.Late = 100, late
+		return result
+	}
+	first, second := ablation.Play{Site: "a", Day: "d", Seed: "1"}, ablation.Play{Site: "a", Day: "d", Seed: "2"}
+	elsewhere, alone := ablation.Play{Site: "b", Day: "d", Seed: "1"}, ablation.Play{Site: "a", Day: "d", Seed: "3"}
+	with := map[ablation.Play]*ablation.Result{first: result(0.7, 10), second: result(0.5, 10), elsewhere: result(1, 0), alone: result(1, 0)}
+	without := map[ablation.Play]*ablation.Result{first: result(0.6, 20), second: result(0.2, 12), elsewhere: result(0, 0)}
+	difference := ablation.Compare("a", with, without)
+	is.Equal(difference.Pairs, 2) // only what both have, of that site
+	is.True(math.Abs(difference.Worth-0.2) < 1e-9)
+	is.True(math.Abs(difference.Error-0.1) < 1e-9) // 0.1 and 0.3 about 0.2
+	is.True(math.Abs(difference.Late-0.06) < 1e-9)
+	is.Equal(ablation.Compare("c", with, without).Pairs, 0)
+}
+
+// A patch that no longer fits the sources would leave its mechanism unmeasured.
+func TestPatchesApply(t *testing.T) {
+	patches, err := filepath.Glob("patches/*.patch")
+	if err != nil || len(patches) == 0 {
+		t.Fatalf("patches: %v, %v", patches, err)
+	}
+	for _, patch := range patches {
+		path, err := filepath.Abs(patch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		check := exec.CommandContext(t.Context(), "git", "apply", "--check", path)
+		check.Dir = "../.."
+		if output, err := check.CombinedOutput(); err != nil {
+			t.Errorf("%s does not apply: %v: %s", patch, err, output)
+		}
+	}
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(&figuresCommand{}, "")
 	subcommands.Register(&plotsCommand{}, "")
 	subcommands.Register(&jointCommand{}, "")
+	subcommands.Register(&ablationCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
