--- a/measure/ablation/ablation.go
+++ b/measure/ablation/ablation.go
@@ -29,8 +29,8 @@
 	// Worth is the day's, Unserved the share of requests that never got an answer.
 	Worth    float64 `json:"G"`
 	Unserved float64 `json:"unserved"`
-	// Breaks are the rules that were broken.
-	Breaks []json.RawMessage `json:"breaks"`
+	// Breaks are the rules that were broken, by name.
+	Breaks map[string]json.RawMessage `json:"breaks"`
 	All    struct {
 		Requests int `json:"n"`
 		Late     int `json:"late"`
@@ -96,9 +96,18 @@
 	if err != nil {
 		return nil, Error.New("play %s %s %s: %v: %s", play.Site, play.Day, play.Seed, errors.Join(runErr, err), output)
 	}
+	result, err := DecodeResult(encoded)
+	if err != nil {
+		return nil, Error.New("read report of %s %s %s: %v", play.Site, play.Day, play.Seed, err)
+	}
+	return result, nil
+}
+
+// DecodeResult reads the report of a play, as JSON.
+func DecodeResult(encoded []byte) (*Result, error) {
 	result := &Result{}
 	if err := json.Unmarshal(encoded, result); err != nil {
-		return nil, Error.New("read report of %s %s %s: %v", play.Site, play.Day, play.Seed, err)
+		return nil, Error.Wrap(err)
 	}
 	return result, nil
 }
--- a/measure/ablation/ablation_test.go
+++ b/measure/ablation/ablation_test.go
@@ -30,6 +30,15 @@
 	is.Equal(ablation.Compare("c", with, without).Pairs, 0)
 }
 
+func TestDecodeResult(t *testing.T) {
+	is := is.New(t)
+	result, err := ablation.DecodeResult([]byte(`{"G":0.619,"unserved":0.0135,"breaks":{"LOST":[4,"x"]},"all":{"n":2906,"late":330,"refused":7}}`))
+	is.NoErr(err)
+	is.Equal(result.Worth, 0.619)
+	is.Equal(result.All.Late, 330)
+	is.Equal(len(result.Breaks), 1)
+}
+
 // A patch that no longer fits the sources would leave its mechanism unmeasured.
 func TestPatchesApply(t *testing.T) {
 	patches, err := filepath.Glob("patches/*.patch")
