--- a/peridotpath/placement/room.go
+++ b/peridotpath/placement/room.go
@@ -47,6 +47,8 @@
 // anew, when nobody writes yet and everybody comes back: a prompt of 300,000 tokens
 // harmed nobody, was spread over all fifteen engines, and the next hundred short
 // prompts waited for 0.7 s, though it had time enough for half as many engines.
+//
+// A place is reckoned as worth 1, which a short prompt of the usual length is.
 func (plan *Plan) crowd(arrivals float64, left room) {
 	span := plan.FirstEvent.Seconds()
 	places := float64(left.free) + float64(left.writers)*span/shortWrite.Seconds()
