--- a/measure/ablation.go
+++ b/measure/ablation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -126,5 +127,6 @@
 			}
 		}
 	}
-	return command.bench.Play(ctx, folder, plays)
+	results, err := command.bench.Play(ctx, folder, plays)
+	return results, errors.Join(err, ablation.KeepJournal(folder, command.repository))
 }
--- a/measure/ablation/ablation.go
+++ b/measure/ablation/ablation.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io/fs"
 	"math"
 	"os"
 	"os/exec"
@@ -130,6 +131,30 @@
 	return nil
 }
 
+// KeepJournal copies the entries that plays left in a copy of the sources to the
+// repository: those of trials are kept as well.
+func KeepJournal(folder, repository string) error {
+	const journal = "journal"
+	entries := os.DirFS(filepath.Join(folder, journal))
+	return fs.WalkDir(entries, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		target := filepath.Join(repository, journal, path)
+		if _, err := os.Stat(target); err == nil {
+			return nil
+		}
+		content, err := fs.ReadFile(entries, path)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if err := os.MkdirAll(filepath.Dir(target), 0o755); err != nil {
+			return Error.Wrap(err)
+		}
+		return Error.Wrap(os.WriteFile(target, content, 0o644))
+	})
+}
+
 // Difference is what a mechanism is worth on one deployment, from pairs of plays
 // with it and without it.
 type Difference struct {
--- a/measure/ablation/ablation_test.go
+++ b/measure/ablation/ablation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -39,6 +40,26 @@
 	is.Equal(len(result.Breaks), 1)
 }
 
+func TestKeepJournal(t *testing.T) {
+	is := is.New(t)
+	folder, repository := t.TempDir(), t.TempDir()
+	is.NoErr(os.MkdirAll(filepath.Join(folder, "journal", "blobs"), 0o755))
+	is.NoErr(os.MkdirAll(filepath.Join(repository, "journal"), 0o755))
+	write := func(root, name, text string) {
+		is.NoErr(os.WriteFile(filepath.Join(root, "journal", name), []byte(text), 0o644))
+	}
+	write(folder, "new.json", "new")
+	write(folder, "blobs/b", "blob")
+	write(folder, "old.json", "other")
+	write(repository, "old.json", "as written")
+	is.NoErr(ablation.KeepJournal(folder, repository))
+	for name, want := range map[string]string{"new.json": "new", "blobs/b": "blob", "old.json": "as written"} {
+		have, err := os.ReadFile(filepath.Join(repository, "journal", name))
+		is.NoErr(err)
+		is.Equal(string(have), want)
+	}
+}
+
 // A patch that no longer fits the sources would leave its mechanism unmeasured.
 func TestPatchesApply(t *testing.T) {
 	patches, err := filepath.Glob("patches/*.patch")
