placement: prices on how full an engine is fall with what is not known of it

Cause: hundreds of instances place on loads that are milliseconds old. All of a cell saw the same engine as the best one (writers fill engines up, in one order), and it had more than it can write at once before any of them heard of the others; a fifth of the short prompts of a burst were late with engines three fifths full.

Change: a book learns how old peers' requests are when first heard of, and from that and their rate how many it has not heard of yet. The price on free slots and the order of engines count by the trust that leaves; the rest of the order is by chance.

--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -59,6 +59,8 @@
 	suspects map[peridotpath.EndpointKey]suspect
 	// slow is how much longer than predicted an endpoint's readings take.
 	slow map[peridotpath.EndpointKey]float64
+	// lag is how old a peer's request usually is when it is first heard of.
+	lag time.Duration
 }
 
 type peerFlights struct {
@@ -68,6 +70,8 @@
 	flights     []Flight
 	waits       []Wait
 	suspicions  []Suspicion
+	// last is the newest request that it has told of.
+	last FlightNumber
 }
 
 // Begin notes a request that is about to be sent and numbers it.
@@ -142,10 +146,39 @@
 	if known != nil && (report.Incarnation < known.incarnation || report.Incarnation == known.incarnation && report.Sequence <= known.sequence) {
 		return
 	}
-	book.peers[report.Peer] = &peerFlights{
+	heard := &peerFlights{
 		incarnation: report.Incarnation, sequence: report.Sequence, heard: now, flights: report.Flights, waits: report.Waits,
 		suspicions: report.Suspicions,
 	}
+	if known != nil && known.incarnation == report.Incarnation {
+		heard.last = known.last
+		book.noteLag(known.last, report.Flights, now)
+	}
+	for i := range report.Flights {
+		heard.last = max(heard.last, report.Flights[i].Number)
+	}
+	book.peers[report.Peer] = heard
+}
+
+const (
+	// lagGain is how fast the lag follows what is seen, lagMost what one request
+	// counts at most: a datagram that was lost says nothing of the usual one.
+	lagGain = 0.05
+	lagMost = 100 * time.Millisecond
+	// wayHere is the part of the lag that a request's age does not show: the time
+	// that a datagram is on its way, in part by way of another instance.
+	wayHere = 4 * time.Millisecond
+)
+
+// noteLag notes how old a peer's requests are that are new here.
+func (book *Book) noteLag(last FlightNumber, flights []Flight, now time.Time) {
+	for i := range flights {
+		if flights[i].Number <= last {
+			continue
+		}
+		seen := min(wayHere+max(now.Sub(flights[i].Sent), 0), lagMost)
+		book.lag += time.Duration(lagGain * float64(seen-book.lag))
+	}
 }
 
 // Peers returns how many peers have been heard lately.
--- a/peridotpath/placement/loss.go
+++ b/peridotpath/placement/loss.go
@@ -77,9 +77,24 @@
 	return overtakeLoss * span.Seconds() * at.load.unreadValue
 }
 
-// placeLoss is what speaks against an engine for itself.
+// trust is how far what is known of the engines' load may be relied on: fully where
+// no other instance places anything before this one hears of it, half where one
+// does, hardly where two do.
+//
+// The load that this is made for is a burst of short prompts at hundreds of
+// instances. Each fills engines up on what it heard some milliseconds ago; all see
+// the same engine as the best one, and it has more than it can write at once before
+// any of them hears of the others.
+func (view *View) trust() float64 {
+	square := view.unheard * view.unheard
+	return 1 / (1 + square*square)
+}
+
+// placeLoss is what speaks against an engine for itself. How full an engine is and
+// its place in the order of all count as far as what is known can be trusted; beyond
+// that a place by chance keeps instances from choosing the same one.
 func placeLoss(work Work, writer *option) float64 {
-	loss := orderLoss * writer.rank
+	loss := orderLoss * (writer.trust*writer.rank + (1-writer.trust)*writer.chance)
 	if writer.Endpoint.DataCentre != work.DataCentre {
 		loss += farLoss
 	}
@@ -90,7 +105,7 @@
 		loss += freshLoss
 	}
 	if free := writer.slots - writer.load.Taken(); free > 0 {
-		loss += packLoss * float64(free) / float64(writer.slots)
+		loss += packLoss * writer.trust * float64(free) / float64(writer.slots)
 	}
 	return loss
 }
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -107,7 +108,11 @@
 	pass  time.Duration
 	// ready is when it could begin to read.
 	ready time.Duration
-	rank  float64
+	// rank is the engine's place in an order that all instances agree on, chance one
+	// that only this plan has, from 0 to 1.
+	rank, chance float64
+	// trust is how far what is known of the load may be relied on, from 0 to 1.
+	trust float64
 	// cost orders those that could read a part of the prompt at hand.
 	cost float64
 }
@@ -204,11 +209,15 @@
 
 func makeOptions(model Model, candidates []Candidate, view View) []option {
 	options := make([]option, 0, len(candidates))
+	trust := view.trust()
 	for _, candidate := range candidates {
 		load := view.At(candidate.Key)
 		pass := model.Pass(load.Writers, load.Context)
 		ready := time.Duration(float64(load.Backlog)*load.Slow) + pass/2
-		options = append(options, option{Candidate: candidate, load: load, slots: model.Rates.BatchSize, pass: pass, ready: ready})
+		options = append(options, option{
+			Candidate: candidate, load: load, slots: model.Rates.BatchSize, pass: pass, ready: ready,
+			chance: rand.Float64(), trust: trust,
+		})
 	}
 	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.Key, b.Key) })
 	for i := range options {
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -59,6 +59,9 @@
 	// arrivals is how much short prompts are worth that are sent in a second, by
 	// all instances.
 	arrivals float64
+	// unheard is how many requests peers have sent, or send at this moment, of which
+	// nothing is known here yet, as far as their rate and their digests' lag tell.
+	unheard float64
 }
 
 const (
@@ -82,6 +85,9 @@
 	for _, peer := range book.livePeers(now) {
 		for i := range peer.flights {
 			view.add(&peer.flights[i], now)
+			if now.Sub(peer.flights[i].Sent) < arrivalsSpan {
+				view.unheard++
+			}
 		}
 	}
 	for key, slow := range book.slow {
@@ -90,7 +96,9 @@
 	for _, load := range view.loads {
 		load.queue(now)
 	}
-	view.arrivals /= min(max(now.Sub(book.began), arrivalsLeast), arrivalsSpan).Seconds()
+	span := min(max(now.Sub(book.began), arrivalsLeast), arrivalsSpan)
+	view.arrivals /= span.Seconds()
+	view.unheard *= float64(book.lag) / float64(span)
 	return view
 }
 
--- /dev/null
+++ b/peridotpath/relay/fleet_test.go
@@ -0,0 +1,121 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/relay"
+)
+
+// fleet is many instances before the same engines, each of which hears what the
+// others have under way some milliseconds late.
+type fleet struct {
+	relays []*fixture
+	// lag is how long a digest takes from a change until it is taken in.
+	lag time.Duration
+	// told says of each instance that a digest is on its way.
+	mutex sync.Mutex
+	told  []bool
+	sent  []uint64
+}
+
+func newFleet(count int, lag time.Duration, makeOne func(i int) *fixture) *fleet {
+	fleet := &fleet{lag: lag, told: make([]bool, count), sent: make([]uint64, count)}
+	for i := range count {
+		one := makeOne(i)
+		one.relay.Instance = peridotpath.InstanceID(fmt.Sprintf("edge-%d", i))
+		one.book.Changed = func() { fleet.changed(i) }
+		fleet.relays = append(fleet.relays, one)
+	}
+	return fleet
+}
+
+// changed tells the others of an instance's requests, with what else changes until
+// the digest is made.
+func (fleet *fleet) changed(number int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.told[number] {
+		return
+	}
+	fleet.told[number] = true
+	time.AfterFunc(fleet.lag/2, func() { fleet.tell(number) })
+}
+
+func (fleet *fleet) tell(number int) {
+	fleet.mutex.Lock()
+	fleet.told[number] = false
+	fleet.sent[number]++
+	sequence := fleet.sent[number]
+	fleet.mutex.Unlock()
+	one := fleet.relays[number]
+	report := placement.Report{
+		Peer: one.relay.Instance, Incarnation: 1, Sequence: sequence, Flights: one.book.Own(), Waits: one.book.OwnWaits(),
+	}
+	time.AfterFunc(fleet.lag/2, func() {
+		for i, other := range fleet.relays {
+			if i != number {
+				other.book.HearPeer(report, time.Now())
+			}
+		}
+	})
+}
+
+// playFleet runs a load against fake engines, each request at an instance by chance.
+func playFleet(t *testing.T, instances, engineCount int, lag time.Duration, rates *peridotpath.EngineRates, load []arrival) []*outcome {
+	t.Helper()
+	outcomes := make([]*outcome, len(load))
+	virtual.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(9, 9))
+		ctx, cancel := context.WithCancel(t.Context())
+		engines, endpoints := newFakeEngines(ctx, rates, engineCount)
+		fleet := newFleet(instances, lag, func(int) *fixture { return newFixture(engines.Send, rates, endpoints...) })
+		began := time.Now()
+		var all sync.WaitGroup
+		for i, arrival := range load {
+			one := fleet.relays[random.IntN(instances)]
+			all.Go(func() {
+				time.Sleep(arrival.at - time.Since(began))
+				outcomes[i] = one.ask(ctx, arrival.route, func(request *relay.Request) {
+					request.Prompt, request.Answer = arrival.prompt, arrival.answer
+					request.Patience = 15 * time.Second
+				})
+			})
+		}
+		all.Wait()
+		cancel()
+		time.Sleep(lag)
+	})
+	return outcomes
+}
+
+// smallBatch are the rates of engines that write ten answers at once.
+func smallBatch() *peridotpath.EngineRates {
+	rates := testRates
+	rates.BatchSize, rates.StepsPerPass = 10, 73
+	return &rates
+}
+
+// Short prompts come at two and a half times their usual rate to a hundred
+// instances before 56 engines that are three fifths full. Each instance knows of
+// the others' requests some milliseconds late; all put theirs on the engine that
+// looked best, those before them had filled it, and a quarter was late.
+func TestShortBurstAtManyInstances(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	load := poisson(random, 0, 5*time.Second, 195, func(at time.Duration) arrival {
+		return arrival{at: at, route: "short", prompt: min(lengths(random, 5_000, 0.7), 24_000), answer: lengths(random, 1780, 0.5)}
+	})
+	outcomes := playFleet(t, 97, 56, 25*time.Millisecond, smallBatch(), load)
+	short := onTime(load, outcomes, "short", 300*time.Millisecond, 250*time.Millisecond)
+	t.Logf("in time: short %.3f", short)
+	if short < 0.9 {
+		t.Errorf("short prompts in time: %.3f, want 0.9", short)
+	}
+}
