routing, gossip: changes travel, not the whole; those that start look in turn

After a start of all each read the whole of the store, and nobody was ready for a second and more.

Ruled out: the store's own answer, 4 ms; processor time, 0.025 of a core.

Change: a peer sends what changed since the reading that the asker has (zstd with that as its dictionary). What a far peer has is fetched by one of each data centre, in an order that changes with the version, by the next one after 80 ms. Looks at the store go by that order and not by chance. An instance that starts reads who else is there first; while nothing is known the first of each data centre reads the rest and tells the others, which tell who is new at once. A wake for what has come already does not ask the store. Digests to other data centres go out half as often while nothing changes.

--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -19,6 +19,10 @@
 	Others func() int
 	// Gap is the least time between two looks, whatever the age and the wakes.
 	Gap time.Duration
+	// Before returns how many of those nearby are to look before this one; nil where
+	// chance decides. Known reports whether anything was read yet.
+	Before func() int
+	Known  func() bool
 
 	woken Signal
 	last  time.Time
@@ -35,6 +39,37 @@
 	nothingMost  = 500 * time.Millisecond
 )
 
+// firstTurn is about how long a first look takes until what it found is known
+// nearby: a whole routing on a small machine's link, and its way to a peer.
+const firstTurn = 300 * time.Millisecond
+
+// first returns the pause before a look while nothing was read yet. Hundreds of
+// instances that start at one moment would fill the store's link with the same
+// answer for all of them, and none had it for a second; in turn, the first one of
+// each place reads it and tells the others, which ends their pauses.
+func (pace *Pace) first() time.Duration {
+	if pace.Known == nil || pace.Known() {
+		return 0
+	}
+	return time.Duration(pace.Before()) * firstTurn
+}
+
+// lookTurns is by how many instances nearby a look is put off to its latest.
+const lookTurns = 4
+
+// later returns how much later than the least age this instance looks. Where an
+// order is known, those first in it look first: drawn by chance, a dozen of a hundred
+// instances fetched the same change while the first of them still read it.
+func (pace *Pace) later() time.Duration {
+	turn := float64(pace.Spread)
+	before := 0
+	if pace.Before != nil {
+		turn /= lookTurns
+		before = pace.Before()
+	}
+	return min(time.Duration((float64(before)+rand.Float64())*turn), pace.Spread)
+}
+
 // Found notes whether a look found anything.
 func (pace *Pace) Found(found bool) {
 	if found {
@@ -51,6 +86,9 @@
 // Wake ends the present wait, or the next one. It never waits.
 func (pace *Pace) Wake() { pace.woken.Raise() }
 
+// Due reports whether what is of that age is to be looked at again, by one at least.
+func (pace *Pace) Due(age time.Duration) bool { return age >= pace.Least }
+
 // retryShare is the pause between two looks of all instances together while
 // looks fail: without it, many instances would ask a service that is away
 // hundreds of times a second, and find it busy when it is back.
@@ -89,11 +127,11 @@
 	if !Pause(ctx, pace.Gap-time.Since(pace.last)) {
 		return false
 	}
-	if pace.nothing > 0 && !pace.pause(ctx, pace.nothing) {
+	if span := pace.nothing + pace.first(); span > 0 && !pace.pause(ctx, span) {
 		return false
 	}
 	defer func() { pace.last = time.Now() }()
-	limit := pace.Least + time.Duration(rand.Float64()*float64(pace.Spread))
+	limit := pace.Least + pace.later()
 	for {
 		left := limit - age()
 		if left <= 0 {
--- a/peridotpath/clock/pace_test.go
+++ b/peridotpath/clock/pace_test.go
@@ -123,3 +123,34 @@
 		}
 	}
 }
+
+// All instances start at one moment and nothing is known to any. Those whose turn
+// comes later wait for the word of the first, and ask themselves if it never comes.
+func TestPaceOfAFirstLook(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		for _, test := range []struct {
+			name   string
+			before int
+			word   time.Duration
+			least  time.Duration
+			most   time.Duration
+		}{
+			{"the first one", 0, time.Hour, 0, 0},
+			{"the third one, told", 2, 200 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond},
+			{"the third one, not told", 2, time.Hour, 300 * time.Millisecond, 900 * time.Millisecond},
+		} {
+			is := is.New(t)
+			pace := &clock.Pace{
+				Least: time.Second, Gap: 60 * time.Millisecond,
+				Known: func() bool { return false }, Before: func() int { return test.before },
+			}
+			began := time.Now()
+			word := time.AfterFunc(test.word, pace.Wake)
+			is.True(pace.Wait(t.Context(), func() time.Duration { return time.Hour }))
+			word.Stop()
+			if waited := time.Since(began); waited < test.least || waited > test.most {
+				t.Errorf("%s: waited %v, want %v to %v", test.name, waited, test.least, test.most)
+			}
+		}
+	})
+}
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -95,7 +95,7 @@
 
 // HearPeer takes in what a peer has read: it confirms what was read here, or
 // says that there is something newer.
-func (follower *Follower) HearPeer(peer netip.AddrPort, content uint64, confirmed time.Duration) {
+func (follower *Follower) HearPeer(peer readings.Peer, content uint64, confirmed time.Duration) {
 	if content == 0 {
 		return
 	}
@@ -103,24 +103,28 @@
 	switch {
 	case content == follower.Directory.Content():
 		follower.Directory.Confirm(content, confirmed)
-	case confirmed > follower.Directory.ReadAt():
+	case confirmed > follower.Directory.ReadAt(), follower.Directory.Content() == 0:
 		follower.newer.Note(peer)
 		follower.Pace.Wake()
 	}
 }
 
 // askPeer reads from a peer that told of something newer, and reports whether
-// that was taken in.
+// that was taken in, or was already: then the store need not be asked.
 func (follower *Follower) askPeer(ctx context.Context) bool {
-	peer, ok := follower.newer.Take()
-	if !ok || follower.Directory.Overdue(follower.Now()) {
+	peer, noted := follower.newer.Take()
+	if !noted {
+		// Woken for what another wake has brought already.
+		return !follower.Pace.Due(follower.due())
+	}
+	if follower.Directory.Overdue(follower.Now()) {
 		return false
 	}
 	asked := follower.Now()
 	have, _ := follower.read.Last()
-	reading, err := follower.Ask(ctx, peer, have)
+	reading, err := follower.Ask(ctx, peer.Address, have)
 	if err != nil {
-		follower.Log.Info().Err(err).Stringer("peer", peer).Msg("peer_not_read")
+		follower.Log.Info().Err(err).Stringer("peer", peer.Address).Msg("peer_not_read")
 		return false
 	}
 	if asked-reading.Age <= follower.Directory.ReadAt() {
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"slices"
@@ -16,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
@@ -25,6 +27,7 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/readings"
 )
 
 // Error is the class of this package's errors.
@@ -34,6 +37,9 @@
 	// heartbeat is the longest time between two digests to a peer. What peers
 	// have read of the store confirms what this instance holds, at that age.
 	heartbeat = 250 * time.Millisecond
+	// farHeartbeat is the same to other data centres: bytes between them are priced,
+	// and most of them said that nothing had changed.
+	farHeartbeat = 2 * heartbeat
 	// coalesce is how long a change waits for others, so that a burst of
 	// requests makes one digest and not one each.
 	coalesce = 4 * time.Millisecond
@@ -72,8 +78,8 @@
 	Fresh func() Freshness
 	// Heard is called with what a peer has read of the store, and where it can be
 	// asked for it. Asked is a time on this instance's clock that surely came
-	// before the peer spoke, to which the ages are related.
-	Heard func(peer netip.AddrPort, fresh Freshness, asked time.Duration)
+	// before the peer spoke, to which the ages are related; zero where none did.
+	Heard func(peer readings.Peer, fresh Freshness, asked time.Duration)
 	Log   zerolog.Logger
 
 	// cell is read for each request.
@@ -84,6 +90,8 @@
 	sequence uint64
 	// turn counts the digests, to choose who hands them on.
 	turn int
+	// toldFar is when other data centres were told last.
+	toldFar time.Time
 }
 
 // Peer is where an instance is.
@@ -93,8 +101,9 @@
 }
 
 type peer struct {
-	instance   peridotpath.InstanceID
-	dataCentre peridotpath.DataCentre
+	instance    peridotpath.InstanceID
+	incarnation peridotpath.Incarnation
+	dataCentre  peridotpath.DataCentre
 	// echo is the newest clock reading that the peer has told.
 	echo  uint64
 	heard time.Time
@@ -112,12 +121,18 @@
 	for _, known := range gossip.peers {
 		known.listed = false
 	}
+	before := len(gossip.peers)
 	for _, listed := range peers {
 		if listed.Address != gossip.Address {
 			peer := gossip.peer(listed.Address)
 			peer.listed, peer.dataCentre = true, listed.DataCentre
 		}
 	}
+	if len(gossip.peers) > before {
+		// Those that are new here may not know this instance either, and have what it
+		// waits for.
+		gossip.Changed()
+	}
 	fleet := 1
 	for _, known := range gossip.peers {
 		if known.listed {
@@ -138,6 +153,27 @@
 	return cell.Cell{}
 }
 
+// Before returns how many instances of the own data centre and cell come before
+// this one in an order that all of them agree on, another one for each matter.
+// Those that have been silent lately do not count.
+func (gossip *Gossip) Before(matter uint64) int {
+	now := time.Now()
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	own, place, before := gossip.Cell(), placeIn(matter, gossip.Address), 0
+	for address, peer := range gossip.peers {
+		if peer.dataCentre == gossip.DataCentre && own.HasInstance(address) && now.Sub(peer.heard) < silentAfter && placeIn(matter, address) < place {
+			before++
+		}
+	}
+	return before
+}
+
+// placeIn orders instances for a matter.
+func placeIn(matter uint64, address netip.AddrPort) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(address.String()), matter))
+}
+
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
 	if gossip.peers == nil {
 		gossip.peers = map[netip.AddrPort]*peer{}
@@ -167,10 +203,11 @@
 		case <-ctx.Done():
 			return <-ended
 		case <-time.After(heartbeat):
+			gossip.tell(conn, gossip.farDue(time.Now()))
 		case <-gossip.dirty.C():
 			time.Sleep(coalesce)
+			gossip.tell(conn, true)
 		}
-		gossip.tell(conn)
 	}
 }
 
@@ -182,12 +219,15 @@
 	handOn bool
 }
 
-// tell sends one digest to every peer.
-func (gossip *Gossip) tell(conn *net.UDPConn) {
+// farDue reports whether other data centres are to hear though nothing changed.
+func (gossip *Gossip) farDue(now time.Time) bool { return now.Sub(gossip.toldFar) >= farHeartbeat }
+
+// tell sends one digest to every peer, or to those of the own data centre only.
+func (gossip *Gossip) tell(conn *net.UDPConn, far bool) {
 	// The echoes come first: a receiver relates the ages to the echo, so that it
 	// must be older than they are. Were the process frozen in between, an echo
 	// taken afterwards would make what was read before the freeze look fresh.
-	targets := gossip.targets(time.Now())
+	targets := gossip.targets(time.Now(), far)
 	common, err := proto.Marshal(gossip.digest())
 	if err != nil {
 		gossip.Log.Error().Err(err).Msg("digest_unmade")
@@ -211,9 +251,9 @@
 }
 
 // targets returns the peers of the cell to tell: all of the own data centre, and
-// of each other one the next in turn that was heard lately. It forgets peers that
-// are gone.
-func (gossip *Gossip) targets(now time.Time) []target {
+// with far of each other one the next in turn that was heard lately. It forgets
+// peers that are gone.
+func (gossip *Gossip) targets(now time.Time, far bool) []target {
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	var targets []target
@@ -230,7 +270,11 @@
 			elsewhere[peer.dataCentre] = append(elsewhere[peer.dataCentre], address)
 		}
 	}
+	if !far {
+		return targets
+	}
 	gossip.turn++
+	gossip.toldFar = now
 	for _, addresses := range elsewhere {
 		address := gossip.inTurn(addresses, now)
 		targets = append(targets, target{address: address, echo: gossip.peers[address].echo, handOn: true})
@@ -330,27 +374,29 @@
 	}
 	gossip.mutex.Lock()
 	peer := gossip.peer(from)
-	if peer.instance != peridotpath.InstanceID(digest.Instance) {
-		peer.instance = peridotpath.InstanceID(digest.Instance)
+	if peer.instance != peridotpath.InstanceID(digest.Instance) || peer.incarnation != peridotpath.Incarnation(digest.Incarnation) {
+		peer.instance, peer.incarnation = peridotpath.InstanceID(digest.Instance), peridotpath.Incarnation(digest.Incarnation)
 		gossip.Log.Info().Str("peer", digest.Instance).Stringer("address", from).Msg("peer_heard")
+		// One that has just started waits to be told.
+		gossip.Changed()
 	}
 	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
 	peer.heard = now
 	peer.echo = digest.Sent
 	gossip.mutex.Unlock()
+	near := peer.dataCentre == gossip.DataCentre
 	echo, handOn := digest.Echo, digest.HandOn
 	gossip.Book.HearPeer(decodeReport(digest, now), now)
 	if handOn {
 		gossip.handOn(conn, digest)
 	}
-	if echo == 0 {
-		return
-	}
-	// A clock reading of before this machine's last start is none of this run's.
-	if asked := clock.FromMicros(echo); asked <= gossip.Clock() {
-		gossip.Heard(netip.AddrPortFrom(from.Addr(), uint16(digest.ReadingsPort)), Freshness{
-			RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: clock.FromMicros(digest.RoutingAge),
-			Endpoints: digest.Endpoints, EndpointsAge: clock.FromMicros(digest.EndpointsAge),
-		}, asked)
+	asked := clock.FromMicros(echo)
+	if asked > gossip.Clock() {
+		// A clock reading of before this machine's last start is none of this run's.
+		asked = 0
 	}
+	gossip.Heard(readings.Peer{Address: netip.AddrPortFrom(from.Addr(), uint16(digest.ReadingsPort)), Near: near}, Freshness{
+		RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: clock.FromMicros(digest.RoutingAge),
+		Endpoints: digest.Endpoints, EndpointsAge: clock.FromMicros(digest.EndpointsAge),
+	}, asked)
 }
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,9 @@
 	Log         zerolog.Logger
 
 	lease keyvalue.LeaseID
+	// first is closed once the others were read, or could not be.
+	first     chan struct{}
+	firstOnce sync.Once
 }
 
 // RegistryPrefix comes before the keys under which instances register. Each
@@ -51,13 +55,40 @@
 	DataCentre peridotpath.DataCentre `json:"data_centre"`
 }
 
+// AfterFirst returns a task that begins once the others were read, or could not
+// be: what an instance that starts does first depends on who else is there.
+func (registry *Registry) AfterFirst(run func(context.Context) error) func(context.Context) error {
+	first := registry.firstRead()
+	return func(ctx context.Context) error {
+		select {
+		case <-first:
+			return run(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (registry *Registry) firstRead() chan struct{} {
+	registry.firstOnce.Do(func() { registry.first = make(chan struct{}) })
+	return registry.first
+}
+
 // Run keeps the entry and the list until ctx ends.
+//
+// After a loss of all instances their entries are still there, and each has to know
+// the others before it reads anything else; so the list comes first.
 func (registry *Registry) Run(ctx context.Context) error {
 	began := time.Now()
+	if others, err := registry.list(ctx); err == nil && others == 0 {
+		// All start for the first time, or this one is alone.
+		registry.report(ctx, registry.round(ctx))
+	} else {
+		registry.report(ctx, err)
+	}
+	close(registry.firstRead())
 	for {
-		if err := registry.round(ctx); err != nil && ctx.Err() == nil {
-			registry.Log.Warn().Err(err).Msg("registry_unreachable")
-		}
+		registry.report(ctx, registry.round(ctx))
 		wait := firstPause
 		if time.Since(began) > firstLooks && registry.lease != 0 {
 			wait = renewal
@@ -68,14 +99,26 @@
 	}
 }
 
+func (registry *Registry) report(ctx context.Context, err error) {
+	if err != nil && ctx.Err() == nil {
+		registry.Log.Warn().Err(err).Msg("registry_unreachable")
+	}
+}
+
 // round renews or makes the entry, and reads the others'.
 func (registry *Registry) round(ctx context.Context) error {
 	if err := registry.register(ctx); err != nil {
 		return err
 	}
+	_, err := registry.list(ctx)
+	return err
+}
+
+// list reads all entries and returns how many there are.
+func (registry *Registry) list(ctx context.Context) (int, error) {
 	entries, _, err := registry.Store.ListStale(ctx, RegistryPrefix)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	peers := make([]Peer, 0, len(entries))
 	for _, entry := range entries {
@@ -87,7 +130,7 @@
 		peers = append(peers, Peer(registration))
 	}
 	registry.SetPeers(peers)
-	return nil
+	return len(peers), nil
 }
 
 func (registry *Registry) register(ctx context.Context) error {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync/atomic"
@@ -70,6 +69,9 @@
 	// lookGap is the least time between two looks: at the start, when there is
 	// nothing yet, and when peers tell of something newer again and again.
 	lookGap = 60 * time.Millisecond
+	// mostBefore bounds those that look before this instance: they may all be cut off
+	// from the store.
+	mostBefore = 9
 	// servedLines bounds the log lines of requests that went well, a second: an
 	// instance of the target size takes 40 requests a second, and a line takes
 	// 24 us of the processor.
@@ -179,19 +181,28 @@
 	}
 	instance.routes = &routing.Follower{
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
-		Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log, Pace: instance.pace(),
+		Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Before: func(version peridotpath.RoutingVersion) int { return instance.gossip.Before(uint64(version)) },
+		Pace: instance.pace(
+			func() bool { return instance.routing.Current() != nil },
+			func() uint64 { return uint64(instance.fresh().RoutingVersion) },
+		),
 	}
 	instance.endpoints = &directory.Follower{
 		Directory: instance.directory, List: instance.listEndpoints, Decode: adapter.DecodeEndpoints, Now: clock.SinceBoot,
-		Ask: readings.AskEndpoints, Confirmed: instance.gossip.Changed, Log: instance.Log, Pace: instance.pace(),
+		Ask: readings.AskEndpoints, Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Pace: instance.pace(func() bool { return instance.directory.Current() != nil }, instance.directory.Content),
 	}
 }
 
-func (instance *Instance) pace() clock.Pace {
+// pace returns the pace of looks at something of the store. The instances' order
+// changes with its content, so that no instance looks more often than others.
+func (instance *Instance) pace(known func() bool, content func() uint64) clock.Pace {
 	within := float64(instance.Settings.ChangeWithin)
 	return clock.Pace{
 		Least: time.Duration(lookLeast * within), Spread: time.Duration(lookSpread * within), Retry: lookRetry, Gap: lookGap,
 		Others: func() int { return instance.book.Peers(time.Now()) },
+		Known:  known, Before: func() int { return min(instance.gossip.Before(content()), mostBefore) },
 	}
 }
 
@@ -207,7 +218,7 @@
 }
 
 // heard takes in what a peer has read of the store.
-func (instance *Instance) heard(peer netip.AddrPort, fresh gossip.Freshness, asked time.Duration) {
+func (instance *Instance) heard(peer readings.Peer, fresh gossip.Freshness, asked time.Duration) {
 	instance.routes.HearPeer(peer, fresh.RoutingVersion, asked-fresh.RoutingAge)
 	instance.endpoints.HearPeer(peer, fresh.Endpoints, asked-fresh.EndpointsAge)
 }
@@ -217,8 +228,8 @@
 	return []task{
 		{"gossip", instance.gossip.Run},
 		{"registry", instance.registry.Run},
-		{"routing", instance.routes.Run},
-		{"endpoints", instance.endpoints.Run},
+		{"routing", instance.registry.AfterFirst(instance.routes.Run)},
+		{"endpoints", instance.registry.AfterFirst(instance.endpoints.Run)},
 		{"reservations", instance.keeper.Run},
 	}
 }
--- a/peridotpath/instance/listen.go
+++ b/peridotpath/instance/listen.go
@@ -41,7 +41,10 @@
 		Name: "balancer", Address: settings.ReadyAddress, MaxHeaderBytes: maxHeader,
 		Routes: []rest.Route{{Method: http.MethodGet, Path: instance.Adapter.ReadyPath, Handler: instance.answerReady}},
 	}
-	peers := &readings.Server{LastRouting: instance.routes.Last, LastEndpoints: instance.endpoints.Last, EndpointsOf: instance.endpoints.Of}
+	peers := &readings.Server{
+		LastRouting: instance.routes.Last, RoutingOf: instance.routes.Of,
+		LastEndpoints: instance.endpoints.Last, EndpointsOf: instance.endpoints.Of,
+	}
 	instance.readings = &inbound.Listener{
 		Name: "readings", Address: settings.ReadingsAddress, MaxHeaderBytes: maxHeader,
 		Routes: []rest.Route{
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -12,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 
 	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/delta"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/readings/wire"
@@ -23,20 +24,19 @@
 // askTimeout bounds one question to a peer; the store is asked after it.
 const askTimeout = 400 * time.Millisecond
 
-// Routing is the operators' routing as it was read.
-type Routing struct {
-	Version keyvalue.Version
-	Value   []byte
-	// Age is how long ago it was known to be the newest.
-	Age time.Duration
-}
+// maxRouting bounds a routing, in bytes: some times what the store takes.
+const maxRouting = 8 << 20
 
 // Server answers peers. LastRouting and LastEndpoints return false before the
-// first reading, EndpointsOf where the reading of that content is not kept.
+// first reading, RoutingOf and EndpointsOf where the reading of that version or
+// content is not kept.
 type Server struct {
 	LastRouting   func() (Routing, bool)
+	RoutingOf     func(version keyvalue.Version) (Routing, bool)
 	LastEndpoints func() (Endpoints, bool)
 	EndpointsOf   func(content uint64) (Endpoints, bool)
+
+	packed packedRoutings
 }
 
 // Handler returns the handler of the service's paths.
@@ -47,13 +47,24 @@
 // service is the server in the form of the generated interface.
 type service struct{ server *Server }
 
-// Routing answers a peer.
-func (service service) Routing(context.Context, *wire.RoutingQuery) (*wire.RoutingReading, error) {
+// Routing answers a peer with what changed since the reading that it has, where
+// that is kept here.
+func (service service) Routing(_ context.Context, query *wire.RoutingQuery) (*wire.RoutingReading, error) {
 	reading, ok := service.server.LastRouting()
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
 	}
-	return &wire.RoutingReading{StoreVersion: uint64(reading.Version), Value: reading.Value, Age: clock.Micros(reading.Age)}, nil
+	var base Routing
+	if query.Have != 0 {
+		base, _ = service.server.RoutingOf(keyvalue.Version(query.Have))
+	}
+	packed, err := service.server.packed.of(reading, base)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &wire.RoutingReading{
+		StoreVersion: uint64(reading.Version), Packed: packed, Age: clock.Micros(reading.Age), Since: uint64(base.Version),
+	}, nil
 }
 
 // Endpoints answers a peer.
@@ -78,15 +89,24 @@
 	return wire.NewReadingsProtobufClient("http://"+peer.String(), outbound.Doer{}, twirp.WithClientPathPrefix(PathPrefix))
 }
 
-// AskRouting asks a peer for the routing.
-func AskRouting(ctx context.Context, peer netip.AddrPort) (Routing, error) {
+// AskRouting asks a peer for the routing; of a peer that knows what this instance
+// has, only what changed comes.
+func AskRouting(ctx context.Context, peer netip.AddrPort, have Routing) (Routing, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := client(peer).Routing(ctx, &wire.RoutingQuery{})
+	answer, err := client(peer).Routing(ctx, &wire.RoutingQuery{Have: uint64(have.Version)})
+	if err != nil {
+		return Routing{}, err
+	}
+	var base []byte
+	if answer.Since != 0 {
+		base = have.Value
+	}
+	value, err := delta.Unpack(answer.Packed, base, maxRouting)
 	if err != nil {
 		return Routing{}, err
 	}
-	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: answer.Value, Age: clock.FromMicros(answer.Age)}, nil
+	return Routing{Version: keyvalue.Version(answer.StoreVersion), Value: value, Age: clock.FromMicros(answer.Age)}, nil
 }
 
 // AskEndpoints asks a peer for the endpoints; of a peer that knows what this
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -23,22 +23,31 @@
 	Decode func(value []byte) (*peridotpath.Routing, error)
 	Check  func(ctx context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error)
 	// Ask asks a peer for what it has read.
-	Ask  func(ctx context.Context, peer netip.AddrPort) (readings.Routing, error)
+	Ask  func(ctx context.Context, peer netip.AddrPort, have readings.Routing) (readings.Routing, error)
 	Pace clock.Pace
-	// Confirmed is called after each look that succeeded.
+	// Before returns how many instances nearby are to ask a far one for that version
+	// before this one does.
+	Before func(version peridotpath.RoutingVersion) int
+	// Confirmed is called when this instance knows something that those nearby do not.
 	Confirmed func()
 	Log       zerolog.Logger
 
 	failed bool
 	newer  readings.Newer
+	// read holds what was read.
+	read readings.Routings
 
 	mutex sync.Mutex
-	// read and value are what was read last, routing its version.
-	read    keyvalue.Version
-	value   []byte
+	// looked is the store's version at the last look, routing the version of what
+	// was read last.
+	looked  keyvalue.Version
 	routing peridotpath.RoutingVersion
 }
 
+// farTurn is about how long it takes to fetch a change from a peer in another data
+// centre and to tell those nearby.
+const farTurn = 80 * time.Millisecond
+
 // Run asks the store whenever the routing has not been confirmed for a while,
 // until ctx ends. What a peer has confirmed need not be asked again, so that all
 // instances together ask hardly more often than one.
@@ -47,7 +56,7 @@
 // wait that hears nothing does not say that nothing has changed.
 func (follower *Follower) Run(ctx context.Context) error {
 	for follower.Pace.Wait(ctx, follower.State.Age) {
-		if follower.askPeer(ctx) {
+		if follower.askPeers(ctx) {
 			continue
 		}
 		err := follower.look(ctx)
@@ -66,30 +75,44 @@
 
 // HearPeer takes in what a peer has read: it confirms what is in force here, or
 // says that there is something newer to be read.
-func (follower *Follower) HearPeer(peer netip.AddrPort, version peridotpath.RoutingVersion, confirmed time.Duration) {
+//
+// What a far peer has is fetched by one instance of a data centre, and by the next
+// one only if nobody nearby has it after a while: when all ask the one that has read
+// it first, its link is full for seconds.
+func (follower *Follower) HearPeer(peer readings.Peer, version peridotpath.RoutingVersion, confirmed time.Duration) {
 	table := follower.State.Current()
 	switch {
 	case table != nil && table.Routing.Version == version:
 		follower.State.Confirm(version, confirmed)
 	case table == nil && version > 0, table != nil && table.Routing.Version < version:
 		follower.newer.Note(peer)
-		follower.Pace.Wake()
+		if peer.Near {
+			follower.Pace.Wake()
+		} else {
+			time.AfterFunc(time.Duration(follower.Before(version))*farTurn, follower.Pace.Wake)
+		}
 	}
 }
 
 // Last returns what was read last, for peers; false before the first reading.
 func (follower *Follower) Last() (readings.Routing, bool) {
 	follower.mutex.Lock()
-	reading, version := readings.Routing{Version: follower.read, Value: follower.value}, follower.routing
+	reading, read := follower.read.Last()
+	version := follower.routing
 	follower.mutex.Unlock()
 	table := follower.State.Current()
-	if table == nil || table.Routing.Version != version {
+	if !read || table == nil || table.Routing.Version != version {
 		return readings.Routing{}, false
 	}
 	reading.Age = follower.State.Age()
 	return reading, true
 }
 
+// Of returns the reading of that version, for peers; false where it is not kept.
+func (follower *Follower) Of(version keyvalue.Version) (readings.Routing, bool) {
+	return follower.read.Of(version)
+}
+
 func (follower *Follower) lost(err error) {
 	if !follower.failed {
 		follower.failed = true
@@ -97,29 +120,48 @@
 	}
 }
 
-// askPeer reads from a peer that told of something newer, and reports whether
-// that is in force now.
-func (follower *Follower) askPeer(ctx context.Context) bool {
-	peer, ok := follower.newer.Take()
-	if !ok {
-		return false
+// mostAsked is how many peers are asked one after the other before the store is.
+const mostAsked = 2
+
+// askPeers asks those that told of something newer, and reports whether that is in
+// force now, or known to be so already: then the store need not be asked.
+func (follower *Follower) askPeers(ctx context.Context) bool {
+	for asked := range mostAsked {
+		peer, noted := follower.newer.Take()
+		if !noted {
+			// Woken for what another wake has brought already.
+			return asked == 0 && !follower.Pace.Due(follower.State.Age())
+		}
+		if follower.askPeer(ctx, peer) {
+			return true
+		}
 	}
+	return false
+}
+
+// askPeer asks one peer, and reports whether what it has is in force now.
+func (follower *Follower) askPeer(ctx context.Context, peer readings.Peer) bool {
 	asked := follower.State.Now()
-	reading, err := follower.Ask(ctx, peer)
+	have, _ := follower.read.Last()
+	reading, err := follower.Ask(ctx, peer.Address, have)
 	if err == nil {
 		err = follower.apply(reading.Version, reading.Value, asked-reading.Age)
 	}
 	if err != nil {
-		follower.Log.Info().Err(err).Stringer("peer", peer).Msg("peer_not_read")
+		follower.Log.Info().Err(err).Stringer("peer", peer.Address).Bool("near", peer.Near).Msg("peer_not_read")
+		return false
+	}
+	if !peer.Near {
+		follower.Confirmed()
 	}
-	return err == nil
+	return true
 }
 
 // look asks the store once. The time before the question counts: an answer says
 // nothing of what happened after the store gave it, however long it was on its way.
 func (follower *Follower) look(ctx context.Context) error {
 	follower.mutex.Lock()
-	read := follower.read
+	read := follower.looked
 	follower.mutex.Unlock()
 	asked := follower.State.Now()
 	entry, changed, err := follower.Check(ctx, follower.Key, read)
@@ -140,7 +182,7 @@
 		// There is none yet, or it was taken away; what is in force stays so,
 		// unconfirmed.
 		follower.mutex.Lock()
-		follower.read = entry.Version
+		follower.looked = entry.Version
 		follower.mutex.Unlock()
 		return nil
 	}
@@ -154,8 +196,9 @@
 		return err
 	}
 	follower.mutex.Lock()
-	if version > follower.read {
-		follower.read, follower.value, follower.routing = version, value, routing.Version
+	if version > follower.looked {
+		follower.looked, follower.routing = version, routing.Version
+		follower.read.Add(readings.Routing{Version: version, Value: value})
 	}
 	follower.mutex.Unlock()
 	follower.State.Apply(routing, asked)
