gossip: while a fleet is divided anew, the wider cell is told and the narrower used

Cause: instances learn seconds apart that the number of cells has changed. One that had learnt of it told only its new cell, while others still sent to the engines of both and took them for free; when cells merge, an instance sent to engines of a cell of which it had heard nothing.

Change: for eight seconds after a change, an instance tells the wider of both cells and uses the endpoints of the narrower. One that has just started waits for nothing.

Measured: TestCellsChangeTogether, which fails without the wait.

--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -14,7 +14,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,10 +81,9 @@
 	Heard func(peer readings.Peer, fresh Freshness, asked time.Duration)
 	Log   zerolog.Logger
 
-	// cell is read for each request.
-	cell     atomic.Pointer[cell.Cell]
 	dirty    clock.Signal
 	mutex    sync.Mutex
+	cells    cells
 	peers    map[netip.AddrPort]*peer
 	sequence uint64
 	// turn counts the digests, to choose who hands them on.
@@ -139,19 +137,13 @@
 			fleet++
 		}
 	}
-	if own := cell.Of(gossip.Address, fleet); own != gossip.Cell() {
-		gossip.cell.Store(&own)
-		gossip.Log.Info().Int("instances", fleet).Int("cells", own.Count()).Msg("cells_changed")
+	if gossip.cells.divide(cell.Of(gossip.Address, fleet), time.Now()) {
+		gossip.Log.Info().Int("instances", fleet).Int("cells", gossip.cells.due.Count()).Msg("cells_changed")
 	}
 }
 
-// Cell returns the part of the fleet that this instance tells and hears.
-func (gossip *Gossip) Cell() cell.Cell {
-	if own := gossip.cell.Load(); own != nil {
-		return *own
-	}
-	return cell.Cell{}
-}
+// Cell returns the part of the fleet whose endpoints this instance sends to.
+func (gossip *Gossip) Cell() cell.Cell { return gossip.cells.Used() }
 
 // Before returns how many instances of the own data centre and cell come before
 // this one in an order that all of them agree on, another one for each matter.
@@ -160,7 +152,7 @@
 	now := time.Now()
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
-	own, place, before := gossip.Cell(), placeIn(matter, gossip.Address), 0
+	own, place, before := gossip.cells.told, placeIn(matter, gossip.Address), 0
 	for address, peer := range gossip.peers {
 		if peer.dataCentre == gossip.DataCentre && own.HasInstance(address) && now.Sub(peer.heard) < silentAfter && placeIn(matter, address) < place {
 			before++
@@ -257,7 +249,7 @@
 	gossip.mutex.Lock()
 	defer gossip.mutex.Unlock()
 	var targets []target
-	own := gossip.Cell()
+	own := gossip.cells.told
 	elsewhere := map[peridotpath.DataCentre][]netip.AddrPort{}
 	for address, peer := range gossip.peers {
 		switch {
@@ -308,7 +300,7 @@
 	}
 	gossip.mutex.Lock()
 	var addresses []netip.AddrPort
-	own := gossip.Cell()
+	own := gossip.cells.told
 	for address, peer := range gossip.peers {
 		if peer.dataCentre == gossip.DataCentre && peer.instance != peridotpath.InstanceID(digest.Instance) && own.HasInstance(address) {
 			addresses = append(addresses, address)
