--- a/peridotpath/cell/cell.go
+++ b/peridotpath/cell/cell.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	// maxInstances is how many instances a cell has at most, on average. With 100
-	// in one cell an instance takes 13 % of its processor, with 300 it takes 27 %,
-	// with 300 in four cells 18 %; see docs/CAPACITY.md.
+	// maxInstances is how many instances a cell has at most, on average: each hears
+	// every request of its cell.
 	maxInstances = 100
 	// leastEndpoints is how many endpoints of a service a cell has at least, on
 	// average; cells share a service that has fewer. Prompts are spread over up to
--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -32,8 +32,8 @@
 
 // The pause after a look that found nothing doubles from the least to the most.
 // When all instances start together, before there is anything to be found, each
-// asked ten times a second: 900 of the 1,550 calls that 82 instances made in 40
-// seconds. Whoever finds it first tells the others, which ends their pauses.
+// would ask as often as the gap between looks allows. Whoever finds it first tells
+// the others, which ends their pauses.
 const (
 	nothingLeast = 250 * time.Millisecond
 	nothingMost  = 500 * time.Millisecond
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -72,9 +72,8 @@
 	// mostBefore bounds those that look before this instance: they may all be cut off
 	// from the store.
 	mostBefore = 9
-	// servedLines bounds the log lines of requests that went well, a second: an
-	// instance of the target size takes 40 requests a second, and a line takes
-	// 24 us of the processor.
+	// servedLines bounds the log lines of requests that went well, a second: each
+	// takes some of the processor.
 	servedLines = 50
 	// keyMargin is how long before its end a key's lifetime is over here, for the
 	// time between the last look at the clock and the endpoint.
--- a/peridotpath/placement/line.go
+++ b/peridotpath/placement/line.go
@@ -27,8 +27,7 @@
 
 // dueShare is how much later a prompt is due for its length, as a share of its
 // reading time. Short ones first makes the most on time when many come at once;
-// the share is what a long one can be made to wait, so that it is not starved:
-// 0.9 s for 210,000 tokens, 3 s for 400,000.
+// the share is what a long one can be made to wait, so that it is not starved.
 const dueShare = 0.3
 
 // NewWait returns what a request is as one that waits.
--- a/peridotpath/placement/loss.go
+++ b/peridotpath/placement/loss.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// LateLoss is the part of an answer's worth that is lost when it is late:
-	// the users hold a late answer at a quarter to a third of a timely one.
+	// LateLoss is the part of an answer's worth that is lost when it is late.
 	LateLoss = 0.75
 	// soonEnough and tooLate bound, as parts of the aim, the predicted time in
 	// which an answer goes from surely timely to surely late. The first leaves
@@ -23,7 +22,7 @@
 	freshLoss = 0.03
 	// packLoss is what it costs, for each part of an engine's slots that is free, to
 	// put a writer there: writers fill some engines up and leave others to long
-	// prompts. At twice this price more short prompts are late for want of slots.
+	// prompts.
 	packLoss = 0.03
 	// orderLoss makes all instances try the engines in the same order.
 	orderLoss = 0.002
--- a/peridotpath/placement/model.go
+++ b/peridotpath/placement/model.go
@@ -48,9 +48,8 @@
 }
 
 // valueUnit is the prompt, in tokens, whose answer counts as 1, and
-// valueExponent how value grows with length: a prompt of 210,000 tokens then
-// counts for 17 of 5,000. Between one reading for all lengths, by which long
-// work would starve, and one by tokens, by which short work would.
+// valueExponent how value grows with length: between the same for all lengths, by
+// which long work would starve, and one by tokens, by which short work would.
 const (
 	valueUnit     = 5000
 	valueExponent = 0.75
--- a/peridotpath/placement/room.go
+++ b/peridotpath/placement/room.go
@@ -4,9 +4,9 @@
 
 const (
 	// roomReady is how soon an engine must be able to read for a short prompt to be
-	// on time there: half of 300 ms, which is the aim of the users' short prompts.
+	// on time there: half of the usual aim of short prompts.
 	roomReady = 150 * time.Millisecond
-	// shortWrite is about how long a short answer is written: 33 events at 50 ms.
+	// shortWrite is about how long a short answer is written.
 	shortWrite = 1700 * time.Millisecond
 )
 
@@ -44,9 +44,9 @@
 // and find no engine that does not read.
 //
 // The load that this is made for is the moment after all instances have started
-// anew, when nobody writes yet and everybody comes back: a prompt of 300,000 tokens
-// harmed nobody, was spread over all fifteen engines, and the next hundred short
-// prompts waited for 0.7 s, though it had time enough for half as many engines.
+// anew, when nobody writes yet and everybody comes back: a long prompt harmed nobody,
+// was spread over all engines, and the short ones that came next waited until it was
+// read, though it had time enough for half as many engines.
 //
 // A place is reckoned as worth 1, which a short prompt of the usual length is.
 func (plan *Plan) crowd(arrivals float64, left room) {
--- a/peridotpath/readings/history.go
+++ b/peridotpath/readings/history.go
@@ -23,8 +23,8 @@
 const historyLength = 16
 
 // History holds the last readings of the endpoints, newest last. A peer that has
-// one of them is told the changes: a list of 3,000 endpoints takes half a
-// megabyte, and every instance asks for it after each change.
+// one of them is told the changes: the list of a large fleet is long, and every
+// instance asks for it after each change.
 type History struct {
 	mutex    sync.Mutex
 	readings []Endpoints
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -23,9 +23,8 @@
 	// milliseconds.
 	checkTimeout = 400 * time.Millisecond
 	// checksFailed is how many checks in a row must fail: a single one may be lost
-	// on the way. With that an engine that is gone is given up at the latest 2.8
-	// seconds after it answered a check, or 3.8 after its last event, and memory that
-	// engines must have back four seconds after its last use is released in time.
+	// on the way. Two checks and their time limits are over before engines must have
+	// back the memory that was reserved for a request which they no longer run.
 	checksFailed = 2
 )
 
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -24,8 +24,7 @@
 	longRead = 150 * time.Millisecond
 	// leastWaitAim is the least aim of a request that waits. One with less is late
 	// after any wait at all, and its caller leaves before a line of long prompts
-	// has been read: a prompt of 23,000 tokens with an aim of 300 ms waited for two
-	// seconds and was never sent.
+	// has been read, so that it would never be sent.
 	leastWaitAim = 4 * longRead
 	// turnTick is the time between two looks whether it is a request's turn, and
 	// turnTickPerPeer what each peer adds: a look goes through what all have under
