peridotctl: audit goes through logs for requests that were dealt with wrongly

Told not to have run though they may have, sent twice though they may run once, ended twice, refused long after they could have been, refused without a time to return. The reader of log lines is a package of its own, so that the soak audits the logs of its instances as well.

Not done: answers ready and not delivered, sends with too little time, requests that came back in vain (logs do not tell which request came back).

--- a/peridotctl/bound.go
+++ b/peridotctl/bound.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"peridotpath.example/peridotpath/logline"
 )
 
 // The bound is what one that knows all could at best have on time of the same
@@ -41,22 +43,22 @@
 	engines map[int]int
 }
 
-func (bound *bound) add(line logLine) {
-	ended, err := time.Parse(time.RFC3339Nano, line.pairs["time"])
-	reading, aim := line.number("reading"), line.number("aim")
+func (bound *bound) add(line logline.Line) {
+	ended, err := time.Parse(time.RFC3339Nano, line.Pairs["time"])
+	reading, aim := line.Number("reading"), line.Number("aim")
 	if err != nil || reading == 0 || aim == 0 {
 		return
 	}
-	arrived := float64(ended.UnixMilli()) - line.number("took")
+	arrived := float64(ended.UnixMilli()) - line.Number("took")
 	second := int(arrived / 1000)
-	bound.engines[second] = max(bound.engines[second], int(line.number("engines")))
+	bound.engines[second] = max(bound.engines[second], int(line.Number("engines")))
 	if reading < boundLeast {
 		return
 	}
-	first := line.number("first_event")
+	first := line.Number("first_event")
 	bound.jobs = append(bound.jobs, &boundJob{
-		arrived: arrived, due: arrived + aim, reading: reading, worth: worthOf(line.number("prompt")),
-		onTime: line.pairs["event"] == "served" && first > 0 && first <= aim,
+		arrived: arrived, due: arrived + aim, reading: reading, worth: worthOf(line.Number("prompt")),
+		onTime: line.Pairs["event"] == "served" && first > 0 && first <= aim,
 	})
 }
 
--- a/peridotctl/losses.go
+++ b/peridotctl/losses.go
@@ -8,11 +8,11 @@
 	"io"
 	"maps"
 	"slices"
-	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/logline"
 	"peridotpath.example/peridotpath/placement"
 )
 
@@ -62,23 +62,23 @@
 	}
 }
 
-func (losses *losses) add(line logLine) {
-	event := line.pairs["event"]
-	if event != "served" && event != "failed" || line.pairs["result"] == callerGone {
+func (losses *losses) add(line logline.Line) {
+	event := line.Pairs["event"]
+	if event != "served" && event != "failed" || line.Pairs["result"] == callerGone {
 		return
 	}
 	losses.bound.add(line)
-	worth := worthOf(line.number("prompt"))
+	worth := worthOf(line.Number("prompt"))
 	losses.requests++
 	losses.worth += worth
-	cause, part := line.pairs["result"], 1.0
+	cause, part := line.Pairs["result"], 1.0
 	if event == "served" {
 		if cause = lateCause(line); cause == "" {
 			return
 		}
 		part = placement.LateLoss
 	}
-	key := lossKey{cause: cause, kind: line.pairs["kind"] + " " + line.pairs["length"]}
+	key := lossKey{cause: cause, kind: line.Pairs["kind"] + " " + line.Pairs["length"]}
 	row := losses.byCause[key]
 	if row == nil {
 		row = &loss{}
@@ -90,12 +90,12 @@
 }
 
 // addWindow notes the loss under the window in which the request arrived.
-func (losses *losses) addWindow(line logLine, cause string, worth float64) {
-	ended, err := time.Parse(time.RFC3339Nano, line.pairs["time"])
+func (losses *losses) addWindow(line logline.Line, cause string, worth float64) {
+	ended, err := time.Parse(time.RFC3339Nano, line.Pairs["time"])
 	if err != nil {
 		return
 	}
-	start := ended.Add(-time.Duration(line.number("took") * float64(time.Millisecond))).Truncate(losses.window)
+	start := ended.Add(-time.Duration(line.Number("took") * float64(time.Millisecond))).Truncate(losses.window)
 	if losses.byWindow[start] == nil {
 		losses.byWindow[start] = map[string]float64{}
 	}
@@ -111,21 +111,21 @@
 }
 
 // lateCause says why an answer was late; empty for one that was not.
-func lateCause(line logLine) string {
-	aim, reached := line.number("aim"), line.number("first_event")
+func lateCause(line logline.Line) string {
+	aim, reached := line.Number("aim"), line.Number("first_event")
 	if reached == 0 {
-		reached = line.number("took")
+		reached = line.Number("took")
 	}
-	waited, predicted := line.number("waited"), line.number("predicted")
-	pauseAim := line.number("pause_aim")
+	waited, predicted := line.Number("waited"), line.Number("predicted")
+	pauseAim := line.Number("pause_aim")
 	switch {
 	case aim == 0:
 		return ""
-	case reached <= aim && pauseAim > 0 && line.number("longest_pause") > pauseAim:
+	case reached <= aim && pauseAim > 0 && line.Number("longest_pause") > pauseAim:
 		return "late_by_a_pause"
 	case reached <= aim:
 		return ""
-	case line.number("tries") > 1:
+	case line.Number("tries") > 1:
 		return "late_after_failed_attempt"
 	case waited > waitedShare*aim:
 		return "late_waited_for_turn"
@@ -136,15 +136,6 @@
 	}
 }
 
-// number returns a pair's value; zero where there is none.
-func (line *logLine) number(key string) float64 {
-	value, err := strconv.ParseFloat(line.pairs[key], 64)
-	if err != nil {
-		return 0
-	}
-	return value
-}
-
 func (losses *losses) write(out io.Writer, top int) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprint(table, "\ncause\tkind\trequests\tof all worth\n")
@@ -206,7 +197,7 @@
 				return errUsage
 			}
 			losses := newLosses(window)
-			skipped, err := readLogs(args, losses.add)
+			skipped, err := logline.ReadFiles(args, losses.add)
 			if err != nil {
 				return err
 			}
--- a/peridotctl/main.go
+++ b/peridotctl/main.go
@@ -63,7 +63,7 @@
 		group(console, "instance", "instances: list", []*command{instanceList(console)}),
 		group(console, "config", "configuration: history", []*command{configHistory(console)}),
 		applyFile(console), status(console), watch(console), explain(console), check(console),
-		trace(console), why(console), lossesCommand(console),
+		trace(console), why(console), lossesCommand(console), auditCommand(console),
 	}
 	return append(commands, help(console, commands))
 }
--- a/peridotctl/session_test.go
+++ b/peridotctl/session_test.go
@@ -20,6 +20,7 @@
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
+	"peridotpath.example/peridotpath/logline"
 	"peridotpath.example/peridotpath/operator"
 	pb "peridotpath.example/peridotpath/operator/operatorpb"
 )
@@ -173,6 +174,7 @@
 			"trace --id r1 testdata/instances.log", "trace --id none testdata/instances.log", "trace testdata/instances.log",
 			"why testdata/instances.log", "why --top 1 testdata/instances.log testdata/instances.log", "why", "why testdata/none.log",
 			"losses testdata/losses.log", "losses --window 1s --top 1 testdata/losses.log", "losses testdata/instances.log", "losses", "losses --top 0 x",
+			"audit testdata/losses.log", "audit --top 1 testdata/wrong.log", "audit", "audit testdata/none.log",
 		}},
 		{name: "help", lines: []string{
 			"", "help", "help exit-codes", "help changes", "help outages", "help files", "help profile", "help endpoint drain",
@@ -290,8 +292,8 @@
 	f.Add(`event="cut`)
 	f.Add(`= event= a=`)
 	f.Fuzz(func(t *testing.T, text string) {
-		line, ok := parseLogLine(text)
-		if ok && line.pairs["event"] == "" {
+		line, ok := logline.Parse(text)
+		if ok && line.Pairs["event"] == "" {
 			t.Error("a line without an event")
 		}
 		newTally().add(line)
--- a/peridotctl/trace.go
+++ b/peridotctl/trace.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"peridotpath.example/peridotpath/logline"
 )
 
 const traceUsage = `trace --id ID FILE...
@@ -30,16 +32,16 @@
 			if id == "" || len(args) == 0 {
 				return errUsage
 			}
-			var lines []logLine
-			skipped, err := readLogs(args, func(line logLine) {
-				if line.pairs["request"] == id {
+			var lines []logline.Line
+			skipped, err := logline.ReadFiles(args, func(line logline.Line) {
+				if line.Pairs["request"] == id {
 					lines = append(lines, line)
 				}
 			})
 			if err != nil {
 				return err
 			}
-			slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.pairs["time"], b.pairs["time"]) })
+			slices.SortStableFunc(lines, func(a, b logline.Line) int { return strings.Compare(a.Pairs["time"], b.Pairs["time"]) })
 			for i := range lines {
 				fmt.Fprintln(console.out, traceText(&lines[i]))
 			}
@@ -49,15 +51,15 @@
 	}
 }
 
-func traceText(line *logLine) string {
-	parts := []string{line.pairs["time"], line.pairs["instance"]}
+func traceText(line *logline.Line) string {
+	parts := []string{line.Pairs["time"], line.Pairs["instance"]}
 	for _, key := range traceKeys {
-		if value := line.pairs[key]; value != "" {
+		if value := line.Pairs[key]; value != "" {
 			parts = append(parts, key+"="+value)
 		}
 	}
 	var rest []string
-	for key, value := range line.pairs {
+	for key, value := range line.Pairs {
 		if !slices.Contains(traceKeys, key) && !slices.Contains(traceHidden, key) {
 			rest = append(rest, key+"="+value)
 		}
--- a/peridotctl/why.go
+++ b/peridotctl/why.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+
+	"peridotpath.example/peridotpath/logline"
 )
 
 const whyUsage = `why [--top N] FILE...
@@ -44,26 +46,26 @@
 // callerGone is a result that is nobody's failure here.
 const callerGone = "caller_gone"
 
-func (tally *tally) add(line logLine) {
-	switch line.pairs["event"] {
+func (tally *tally) add(line logline.Line) {
+	switch line.Pairs["event"] {
 	case "served":
 		tally.requests++
 	case "failed", "refused":
 		tally.requests++
-		if line.pairs["result"] == callerGone {
+		if line.Pairs["result"] == callerGone {
 			return
 		}
 		tally.failed++
-		tally.results[line.pairs["result"]]++
-		tally.seconds[second(line.pairs["time"])]++
-		note(tally.kinds, strings.TrimSpace(line.pairs["kind"]+" "+line.pairs["length"]))
-		note(tally.routes, line.pairs["route"])
-		note(tally.customers, line.pairs["customer"])
+		tally.results[line.Pairs["result"]]++
+		tally.seconds[second(line.Pairs["time"])]++
+		note(tally.kinds, strings.TrimSpace(line.Pairs["kind"]+" "+line.Pairs["length"]))
+		note(tally.routes, line.Pairs["route"])
+		note(tally.customers, line.Pairs["customer"])
 	case "attempt_failed":
-		tally.outcomes[line.pairs["outcome"]]++
-		note(tally.endpoints, line.pairs["endpoint"])
+		tally.outcomes[line.Pairs["outcome"]]++
+		note(tally.endpoints, line.Pairs["endpoint"])
 	default:
-		tally.changes[line.pairs["event"]]++
+		tally.changes[line.Pairs["event"]]++
 	}
 }
 
@@ -92,7 +94,7 @@
 				return errUsage
 			}
 			tally := newTally()
-			skipped, err := readLogs(args, tally.add)
+			skipped, err := logline.ReadFiles(args, tally.add)
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/peridotpath/audit/audit_test.go
@@ -0,0 +1,87 @@
+package audit_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/audit"
+	"peridotpath.example/peridotpath/logline"
+)
+
+func TestFaults(t *testing.T) {
+	const (
+		failedAttempt  = "event=attempt_failed request=r outcome=failed try=1"
+		refusedAttempt = "event=attempt_failed request=r outcome=refused try=1"
+		erredAttempt   = "event=attempt_failed request=r outcome=errored try=1"
+		served         = "event=served request=r kind=repeatable aim=300 took=80 sent=1 code=0"
+		servedOnce     = "event=served request=r kind=once aim=300 took=80 sent=1 code=0"
+		refusedInTime  = "event=failed request=r kind=stream aim=300 took=310 sent=0 code=2004 retry_after=300"
+	)
+	tests := map[string]struct {
+		lines []string
+		want  []audit.Fault
+	}{
+		"served":                            {[]string{served}, nil},
+		"served by a second endpoint":       {[]string{failedAttempt, served}, nil},
+		"sent on after a promise":           {[]string{refusedAttempt, servedOnce}, nil},
+		"the endpoint's own failure":        {[]string{erredAttempt, "event=failed request=r kind=once aim=300 took=80 sent=1 code=3003"}, nil},
+		"refused while there is time":       {[]string{refusedInTime}, nil},
+		"refused by the routing":            {[]string{"event=refused request=r code=1006"}, nil},
+		"a line of no request":              {[]string{"event=routing_in_force version=3"}, nil},
+		"cut within the line":               {[]string{"event=failed request=r aim=300 took=9"}, nil},
+		"told not to have run, and it may":  {[]string{failedAttempt, "event=failed request=r kind=stream aim=300 took=90 sent=1 code=3002 retry_after=300"}, []audit.Fault{audit.FaultRan}},
+		"a booking sent twice":              {[]string{failedAttempt, servedOnce}, []audit.Fault{audit.FaultTwice}},
+		"a booking sent twice in vain":      {[]string{failedAttempt, erredAttempt, "event=failed request=r kind=once aim=300 took=80 sent=2 code=3003"}, []audit.Fault{audit.FaultTwice}},
+		"answered by two instances":         {[]string{served, "instance=b " + served}, []audit.Fault{audit.FaultAnswers}},
+		"held until it was late, not sent":  {[]string{"event=failed request=r kind=stream aim=300 took=700 sent=0 code=2006 retry_after=300"}, []audit.Fault{audit.FaultHeld}},
+		"not told when to come back":        {[]string{"event=failed request=r kind=stream aim=300 took=7 sent=0 code=3001 retry_after=0"}, []audit.Fault{audit.FaultNoReturn}},
+		"held, and not told either":         {[]string{"event=failed request=r kind=stream aim=300 took=700 sent=0 code=3001"}, []audit.Fault{audit.FaultHeld, audit.FaultNoReturn}},
+		"late, but its caller had gone off": {[]string{"event=failed request=r kind=stream aim=300 took=700 sent=0 code=4004"}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var logs audit.Audit
+			for _, text := range test.lines {
+				line, ok := logline.Parse(text)
+				if !ok {
+					t.Fatalf("no line: %s", text)
+				}
+				logs.Add(line)
+			}
+			var have []audit.Fault
+			for _, finding := range logs.Findings() {
+				have = append(have, finding.Fault)
+			}
+			if fmt.Sprint(have) != fmt.Sprint(test.want) {
+				t.Errorf("have %v, want %v", have, test.want)
+			}
+		})
+	}
+}
+
+// A finding names its request and the lines that show it, in the order of time, though
+// they come from several files.
+func TestFindingShowsItsLines(t *testing.T) {
+	is := is.New(t)
+	var logs audit.Audit
+	for _, text := range []string{
+		"time=2026-01-01T00:00:02Z event=served request=save-1 kind=once code=0",
+		"time=2026-01-01T00:00:01Z event=attempt_failed request=save-1 outcome=failed",
+		"time=2026-01-01T00:00:01Z event=served request=other kind=once code=0",
+	} {
+		line, _ := logline.Parse(text)
+		logs.Add(line)
+	}
+	is.Equal(logs.Requests(), 2)
+	findings := logs.Findings()
+	is.Equal(len(findings), 1)
+	is.Equal(findings[0].Request, peridotpath.RequestID("save-1"))
+	is.Equal(findings[0].Fault.String(), "ran_twice")
+	is.Equal(findings[0].Lines, []string{
+		"time=2026-01-01T00:00:01Z event=attempt_failed request=save-1 outcome=failed",
+		"time=2026-01-01T00:00:02Z event=served request=save-1 kind=once code=0",
+	})
+}
--- a/peridotctl/log_line.go
+++ b/peridotpath/logline/logline.go
@@ -1,4 +1,5 @@
-package main
+// Package logline reads the lines that instances log.
+package logline
 
 import (
 	"bufio"
@@ -9,19 +10,31 @@
 	"strings"
 )
 
-// logLine is one line of an instance's log: its key=value pairs, and the text.
-type logLine struct {
-	pairs map[string]string
-	text  string
+// Line is one line of an instance's log: its key=value pairs, and the text.
+type Line struct {
+	Pairs map[string]string
+	Text  string
 }
 
-// maxLogLine bounds one line, in bytes; what is longer is no line of ours.
-const maxLogLine = 1 << 20
+// Event returns what the line is about.
+func (line *Line) Event() string { return line.Pairs["event"] }
 
-// parseLogLine returns the pairs of a line; false for one without an event. Text
+// Number returns a pair's value; zero where there is none.
+func (line *Line) Number(key string) float64 {
+	value, err := strconv.ParseFloat(line.Pairs[key], 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// maxLine bounds one line, in bytes; what is longer is no line of ours.
+const maxLine = 1 << 20
+
+// Parse returns the pairs of a line; false for one without an event. Text
 // before the first pair, such as a collector's prefix, is passed over.
-func parseLogLine(text string) (logLine, bool) {
-	line := logLine{pairs: map[string]string{}, text: text}
+func Parse(text string) (Line, bool) {
+	line := Line{Pairs: map[string]string{}, Text: text}
 	for rest := text; rest != ""; {
 		rest = strings.TrimLeft(rest, " \t")
 		end := strings.IndexAny(rest, "= \t")
@@ -35,9 +48,9 @@
 		key := rest[:end]
 		var value string
 		value, rest = cutValue(rest[end+1:])
-		line.pairs[key] = value
+		line.Pairs[key] = value
 	}
-	return line, line.pairs["event"] != ""
+	return line, line.Pairs["event"] != ""
 }
 
 // cutValue returns the value at the start of text, unquoted, and what follows.
@@ -61,11 +74,11 @@
 	return value, text[len(quoted):]
 }
 
-// readLogs calls use for each line of the files that is an instance's, and
+// ReadFiles calls use for each line of the files that is an instance's, and
 // returns how many lines were passed over.
-func readLogs(paths []string, use func(logLine)) (skipped int, err error) {
+func ReadFiles(paths []string, use func(Line)) (skipped int, err error) {
 	for _, path := range paths {
-		count, err := readLog(path, use)
+		count, err := readFile(path, use)
 		skipped += count
 		if err != nil {
 			return skipped, err
@@ -74,20 +87,20 @@
 	return skipped, nil
 }
 
-func readLog(path string, use func(logLine)) (skipped int, err error) {
+func readFile(path string, use func(Line)) (skipped int, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return 0, err
 	}
 	defer file.Close()
-	reader := bufio.NewReaderSize(file, maxLogLine)
+	reader := bufio.NewReaderSize(file, maxLine)
 	for {
 		text, err := reader.ReadSlice('\n')
 		for errors.Is(err, bufio.ErrBufferFull) {
 			// Passed over to its end; what is kept of it parses as a cut line.
 			_, err = reader.ReadSlice('\n')
 		}
-		if line, ok := parseLogLine(strings.TrimRight(string(text), "\r\n")); ok {
+		if line, ok := Parse(strings.TrimRight(string(text), "\r\n")); ok {
 			use(line)
 		} else if len(text) > 0 {
 			skipped++
--- a/soak/main.go
+++ b/soak/main.go
@@ -12,10 +12,14 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"peridotpath.example/peridotpath/audit"
+	"peridotpath.example/peridotpath/logline"
 )
 
 const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-folder DIR]
@@ -135,6 +139,9 @@
 	fleet.recover()
 	stopLoad()
 	fleet.memory()
+	if err := fleet.audit(folder); err != nil {
+		return nil, err
+	}
 	broken, requests, served := fleet.checks.report()
 	fmt.Fprintf(out, "seed %d: %d requests, %d served, %d promises broken; %s\n", seed, requests, served, len(broken), strings.Join(names, " "))
 	for _, text := range broken[:min(len(broken), 10)] {
@@ -148,6 +155,24 @@
 	return broken, nil
 }
 
+// audit checks what the instances logged against what callers are promised.
+func (fleet *fleet) audit(folder string) error {
+	paths, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil {
+		return err
+	}
+	var logs audit.Audit
+	if _, err := logline.ReadFiles(paths, logs.Add); err != nil {
+		return err
+	}
+	fleet.checks.mutex.Lock()
+	defer fleet.checks.mutex.Unlock()
+	for _, finding := range logs.Findings() {
+		fleet.checks.breaks("%s: %s by the logs", finding.Request, finding.Fault)
+	}
+	return nil
+}
+
 // recover checks that requests are served again once all is calm.
 func (fleet *fleet) recover() {
 	if !fleet.eventually(recoverTime, fleet.allReady) {
