relay: requests that come while an instance starts are held until it knows its routing

Ruled out: the time of the start itself (0.05 s until the first list of instances); a return time that callers keep to, since they have used up their one try.

Change: such a request waits until the routing and the endpoints are known, two fifths of its time and 1.5 s at most. Where the store cannot be read it is refused at once, with a second to come back and not 0.3 s.

--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +32,7 @@
 	Confirmed func()
 	Log       zerolog.Logger
 
-	failed bool
+	failed atomic.Bool
 	newer  readings.Newer
 
 	mutex sync.Mutex
@@ -52,14 +53,13 @@
 		if err == nil {
 			follower.apply(entries, asked)
 			follower.Confirmed()
-			follower.failed = false
+			follower.failed.Store(false)
 			continue
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		if !follower.failed {
-			follower.failed = true
+		if !follower.failed.Swap(true) {
 			follower.Log.Warn().Err(err).Dur("age", follower.Age()).Msg("endpoints_unread")
 		}
 		follower.Pace.Rest(ctx)
@@ -67,6 +67,9 @@
 	return ctx.Err()
 }
 
+// Failing reports whether the last look at the store failed.
+func (follower *Follower) Failing() bool { return follower.failed.Load() }
+
 // due is the age that decides about the next reading.
 func (follower *Follower) due() time.Duration {
 	if follower.Directory.Overdue(follower.Now()) {
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,6 +31,7 @@
 	// first is closed once the others were read, or could not be.
 	first     chan struct{}
 	firstOnce sync.Once
+	failed    atomic.Bool
 }
 
 // RegistryPrefix comes before the keys under which instances register. Each
@@ -99,7 +101,11 @@
 	}
 }
 
+// Failing reports whether the store could not be reached the last time.
+func (registry *Registry) Failing() bool { return registry.failed.Load() }
+
 func (registry *Registry) report(ctx context.Context, err error) {
+	registry.failed.Store(err != nil)
 	if err != nil && ctx.Err() == nil {
 		registry.Log.Warn().Err(err).Msg("registry_unreachable")
 	}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -102,6 +102,7 @@
 	registry    *gossip.Registry
 	routes      *routing.Follower
 	endpoints   *directory.Follower
+	start       *start
 	narrowed    atomic.Pointer[narrowed]
 	active      atomic.Int64
 	stopping    atomic.Bool
@@ -125,11 +126,12 @@
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
 		Reserve: adapter.Reserve, Release: adapter.Release, MaxHold: settings.MaxHold, Log: log,
 	}
+	instance.start = &start{Known: instance.knows, Failing: instance.failing, over: make(chan struct{})}
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
-		Keeper: instance.keeper, Stall: settings.Stall,
+		Keeper: instance.keeper, Stall: settings.Stall, Started: instance.start.over,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: instance.count,
@@ -155,8 +157,17 @@
 // ready reports whether new callers are served here: by a routing that is known
 // to be the newest, and endpoints.
 func (instance *Instance) ready() bool {
-	return !instance.stopping.Load() && instance.routing.Current() != nil &&
-		instance.routing.Age() < instance.Settings.KeyLifetime-readyMargin && instance.directory.Current() != nil
+	return !instance.stopping.Load() && instance.knows() && instance.routing.Age() < instance.Settings.KeyLifetime-readyMargin
+}
+
+// knows reports whether there is a routing and endpoints.
+func (instance *Instance) knows() bool {
+	return instance.routing.Current() != nil && instance.directory.Current() != nil
+}
+
+// failing reports whether the store cannot be read.
+func (instance *Instance) failing() bool {
+	return instance.registry.Failing() || instance.routes.Failing() || instance.endpoints.Failing()
 }
 
 // task is one background task.
@@ -225,6 +236,7 @@
 // tasks lists everything that runs beside the listeners.
 func (instance *Instance) tasks() []task {
 	return []task{
+		{"start", instance.start.Run},
 		{"gossip", instance.gossip.Run},
 		{"registry", instance.registry.Run},
 		{"routing", instance.registry.AfterFirst(instance.routes.Run)},
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -31,6 +31,9 @@
 	Keeper                  *reservation.Keeper
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
+	// Started is closed once the instance knows what it needs to serve, or that it will
+	// not soon; nil for one that does.
+	Started <-chan struct{}
 	// Stall is how long an engine's work stands still when an engine that it
 	// depends on is gone; after that it goes on or is cut off by itself.
 	Stall time.Duration
@@ -51,6 +54,7 @@
 
 // Serve answers the request through caller. It returns when the answer is out.
 func (relay *Relay) Serve(ctx context.Context, request *Request, caller *Caller) {
+	relay.awaitStart(ctx, request)
 	exchange, refusal := relay.admit(request, caller)
 	if refusal != nil {
 		telemetry.Result(refusal.Code)
@@ -69,7 +73,7 @@
 func (relay *Relay) admit(request *Request, caller *Caller) (*exchange, *peridotpath.Result) {
 	table := relay.Routing.Current()
 	if table == nil {
-		return nil, &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: shortReturn}
+		return nil, &peridotpath.Result{Code: peridotpath.CodeNotReady, RetryAfter: longReturn}
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,7 +33,7 @@
 	Confirmed func()
 	Log       zerolog.Logger
 
-	failed bool
+	failed atomic.Bool
 	newer  readings.Newer
 	// read holds what was read.
 	read readings.Routings
@@ -113,9 +114,11 @@
 	return follower.read.Of(version)
 }
 
+// Failing reports whether the last look at the store failed.
+func (follower *Follower) Failing() bool { return follower.failed.Load() }
+
 func (follower *Follower) lost(err error) {
-	if !follower.failed {
-		follower.failed = true
+	if !follower.failed.Swap(true) {
 		follower.Log.Warn().Err(err).Int64("routing_age", follower.State.LoggedAge()).Msg("routing_unconfirmed")
 	}
 }
@@ -168,8 +171,7 @@
 	if err != nil {
 		return err
 	}
-	if follower.failed {
-		follower.failed = false
+	if follower.failed.Swap(false) {
 		follower.Log.Info().Int64("routing_age", follower.State.LoggedAge()).Msg("routing_confirmed_again")
 	}
 	switch {
