readings, routing: one store of last readings, one way to the version in force

Found in a last reading; no behaviour changed. The last readings of the routing were kept by a copy of what keeps those of the endpoints; both are kept by one type now. The order of looks and a gauge reckoned all that a digest says of the store for the version alone; the state tells it. Tests: a load is played, a follower is made and a value is packed and unpacked in one place each, with the assertions as they were.

--- a/peridotpath/delta/delta_test.go
+++ b/peridotpath/delta/delta_test.go
@@ -28,30 +28,34 @@
 	return text.Bytes()
 }
 
+// packAndUnpack checks that the value comes back for whoever has base, and returns
+// how many bytes travelled.
+func packAndUnpack(t *testing.T, value, base []byte) int {
+	t.Helper()
+	is := is.New(t)
+	packed, err := delta.Pack(value, base)
+	is.NoErr(err)
+	unpacked, err := delta.Unpack(packed, base, limit)
+	is.NoErr(err)
+	is.True(bytes.Equal(unpacked, value))
+	return len(packed)
+}
+
 // A configuration of 1,100 routes changes in two of them, far apart. Whole it
 // takes the link of a small instance for a tenth of a second for each that asks;
 // what changed takes a few hundred bytes.
 func TestWhatChangedIsSmall(t *testing.T) {
 	is := is.New(t)
 	before, after := document(1100), document(1100, 3, 900)
-	packed, err := delta.Pack(after, before)
-	is.NoErr(err)
-	t.Logf("%d bytes, packed %d", len(after), len(packed))
-	is.True(len(packed) < len(after)/100)
-	value, err := delta.Unpack(packed, before, limit)
-	is.NoErr(err)
-	is.True(bytes.Equal(value, after))
+	length := packAndUnpack(t, after, before)
+	t.Logf("%d bytes, packed %d", len(after), length)
+	is.True(length < len(after)/100)
 }
 
 func TestPackedForAnybody(t *testing.T) {
 	is := is.New(t)
 	whole := document(1100)
-	packed, err := delta.Pack(whole, nil)
-	is.NoErr(err)
-	is.True(len(packed) < len(whole)/2)
-	value, err := delta.Unpack(packed, nil, limit)
-	is.NoErr(err)
-	is.True(bytes.Equal(value, whole))
+	is.True(packAndUnpack(t, whole, nil) < len(whole)/2)
 }
 
 // Whoever has another value than the one it was packed for learns that, and takes
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -147,7 +147,7 @@
 	telemetry.SetGauges(&telemetry.Gauges{
 		RoutingAge:     func() float64 { return instance.routing.Age().Seconds() },
 		EndpointsAge:   func() float64 { return instance.endpoints.Age().Seconds() },
-		RoutingVersion: func() float64 { return float64(instance.fresh().RoutingVersion) },
+		RoutingVersion: func() float64 { return float64(instance.routing.Version()) },
 		Peers:          func() float64 { return float64(instance.book.Peers(time.Now())) },
 		Reservations:   func() float64 { return float64(instance.keeper.Held()) },
 		Active:         func() float64 { return float64(instance.active.Load()) },
@@ -195,7 +195,7 @@
 		Before: func(version peridotpath.RoutingVersion) int { return instance.gossip.Before(uint64(version)) },
 		Pace: instance.pace(
 			func() bool { return instance.routing.Current() != nil },
-			func() uint64 { return uint64(instance.fresh().RoutingVersion) },
+			func() uint64 { return uint64(instance.routing.Version()) },
 		),
 	}
 	instance.endpoints = &directory.Follower{
@@ -218,13 +218,10 @@
 
 // fresh returns what this instance has read of the store, for its peers.
 func (instance *Instance) fresh() gossip.Freshness {
-	fresh := gossip.Freshness{
-		RoutingAge: instance.routing.Age(), Endpoints: instance.directory.Content(), EndpointsAge: instance.endpoints.Age(),
+	return gossip.Freshness{
+		RoutingVersion: instance.routing.Version(), RoutingAge: instance.routing.Age(),
+		Endpoints: instance.directory.Content(), EndpointsAge: instance.endpoints.Age(),
 	}
-	if table := instance.routing.Current(); table != nil {
-		fresh.RoutingVersion = table.Routing.Version
-	}
-	return fresh
 }
 
 // heard takes in what a peer has read of the store.
--- a/peridotpath/readings/history.go
+++ b/peridotpath/readings/history.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"sync"
 	"time"
 
 	"peridotpath.example/peridotpath/keyvalue"
@@ -25,45 +24,25 @@
 // History holds the last readings of the endpoints, newest last. A peer that has
 // one of them is told the changes: the list of a large fleet is long, and every
 // instance asks for it after each change.
-type History struct {
-	mutex    sync.Mutex
-	readings []Endpoints
-}
+type History struct{ kept kept[Endpoints] }
 
 // Add notes a reading as the newest.
 func (history *History) Add(reading Endpoints) {
-	history.mutex.Lock()
-	defer history.mutex.Unlock()
-	if count := len(history.readings); count > 0 && history.readings[count-1].Content == reading.Content {
-		history.readings[count-1] = reading
-		return
-	}
-	history.readings = append(history.readings, reading)
-	if len(history.readings) > historyLength {
-		history.readings = append([]Endpoints(nil), history.readings[1:]...)
-	}
+	history.kept.add(reading, historyLength, func(last *Endpoints) bool {
+		if last.Content != reading.Content {
+			return false
+		}
+		*last = reading
+		return true
+	})
 }
 
 // Last returns the newest reading; false before the first.
-func (history *History) Last() (Endpoints, bool) {
-	history.mutex.Lock()
-	defer history.mutex.Unlock()
-	if len(history.readings) == 0 {
-		return Endpoints{}, false
-	}
-	return history.readings[len(history.readings)-1], true
-}
+func (history *History) Last() (Endpoints, bool) { return history.kept.last() }
 
 // Of returns the reading of that content; false where it is not kept.
 func (history *History) Of(content uint64) (Endpoints, bool) {
-	history.mutex.Lock()
-	defer history.mutex.Unlock()
-	for _, reading := range history.readings {
-		if reading.Content == content {
-			return reading, true
-		}
-	}
-	return Endpoints{}, false
+	return history.kept.find(func(reading *Endpoints) bool { return reading.Content == content })
 }
 
 // changes returns the entries of after that before has not, and the keys of
--- a/peridotpath/readings/routing.go
+++ b/peridotpath/readings/routing.go
@@ -24,44 +24,19 @@
 // hundreds of kilobytes; when each instance of a large fleet asked for that after
 // each change, the links of those that were asked were full for seconds, and what
 // instances tell each other of their loads stood behind it.
-type Routings struct {
-	mutex    sync.Mutex
-	readings []Routing
-}
+type Routings struct{ kept kept[Routing] }
 
 // Add notes a reading unless a newer one is kept.
 func (routings *Routings) Add(reading Routing) {
-	routings.mutex.Lock()
-	defer routings.mutex.Unlock()
-	if count := len(routings.readings); count > 0 && routings.readings[count-1].Version >= reading.Version {
-		return
-	}
-	routings.readings = append(routings.readings, reading)
-	if len(routings.readings) > routingsKept {
-		routings.readings = append([]Routing(nil), routings.readings[1:]...)
-	}
+	routings.kept.add(reading, routingsKept, func(last *Routing) bool { return last.Version >= reading.Version })
 }
 
 // Last returns the newest reading; false before the first.
-func (routings *Routings) Last() (Routing, bool) {
-	routings.mutex.Lock()
-	defer routings.mutex.Unlock()
-	if len(routings.readings) == 0 {
-		return Routing{}, false
-	}
-	return routings.readings[len(routings.readings)-1], true
-}
+func (routings *Routings) Last() (Routing, bool) { return routings.kept.last() }
 
 // Of returns the reading of that version; false where it is not kept.
 func (routings *Routings) Of(version keyvalue.Version) (Routing, bool) {
-	routings.mutex.Lock()
-	defer routings.mutex.Unlock()
-	for _, reading := range routings.readings {
-		if reading.Version == version {
-			return reading, true
-		}
-	}
-	return Routing{}, false
+	return routings.kept.find(func(reading *Routing) bool { return reading.Version == version })
 }
 
 // packedRoutings keeps the newest routing as it was packed for those that have
--- a/peridotpath/relay/burst_test.go
+++ b/peridotpath/relay/burst_test.go
@@ -58,24 +58,31 @@
 	virtual.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		engines, endpoints := newFakeEngines(ctx, &testRates, engineCount)
-		fixture := newFixture(engines.Send, &testRates, endpoints...)
-		began := time.Now()
-		var all sync.WaitGroup
-		for i, arrival := range load {
-			all.Go(func() {
-				time.Sleep(arrival.at - time.Since(began))
-				outcomes[i] = fixture.ask(ctx, arrival.route, func(request *relay.Request) {
-					request.Prompt, request.Answer = arrival.prompt, arrival.answer
-					request.Patience = 15 * time.Second
-				})
-			})
-		}
-		all.Wait()
+		one := newFixture(engines.Send, &testRates, endpoints...)
+		askAll(ctx, load, outcomes, func() *fixture { return one })
 		cancel()
 	})
 	return outcomes
 }
 
+// askAll sends each request of a load at its time to the instance picked for it, and
+// waits for all outcomes.
+func askAll(ctx context.Context, load []arrival, outcomes []*outcome, pick func() *fixture) {
+	began := time.Now()
+	var all sync.WaitGroup
+	for i, arrival := range load {
+		one := pick()
+		all.Go(func() {
+			time.Sleep(arrival.at - time.Since(began))
+			outcomes[i] = one.ask(ctx, arrival.route, func(request *relay.Request) {
+				request.Prompt, request.Answer = arrival.prompt, arrival.answer
+				request.Patience = 15 * time.Second
+			})
+		})
+	}
+	all.Wait()
+}
+
 // onTime returns the share of a route's requests that were answered in time.
 func onTime(load []arrival, outcomes []*outcome, route string, first, pause time.Duration) float64 {
 	asked, good := 0, 0
--- a/peridotpath/relay/fleet_test.go
+++ b/peridotpath/relay/fleet_test.go
@@ -11,7 +11,6 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/placement"
-	"peridotpath.example/peridotpath/relay"
 )
 
 // fleet is many instances before the same engines, each of which hears what the
@@ -77,19 +76,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		engines, endpoints := newFakeEngines(ctx, rates, engineCount)
 		fleet := newFleet(instances, lag, func(int) *fixture { return newFixture(engines.Send, rates, endpoints...) })
-		began := time.Now()
-		var all sync.WaitGroup
-		for i, arrival := range load {
-			one := fleet.relays[random.IntN(instances)]
-			all.Go(func() {
-				time.Sleep(arrival.at - time.Since(began))
-				outcomes[i] = one.ask(ctx, arrival.route, func(request *relay.Request) {
-					request.Prompt, request.Answer = arrival.prompt, arrival.answer
-					request.Patience = 15 * time.Second
-				})
-			})
-		}
-		all.Wait()
+		askAll(ctx, load, outcomes, func() *fixture { return fleet.relays[random.IntN(instances)] })
 		cancel()
 		time.Sleep(lag)
 	})
--- a/peridotpath/routing/state.go
+++ b/peridotpath/routing/state.go
@@ -29,6 +29,14 @@
 // Current returns the table in force; nil before the first.
 func (state *State) Current() *Table { return state.table.Load() }
 
+// Version returns the version of the routing in force; zero before the first.
+func (state *State) Version() peridotpath.RoutingVersion {
+	if table := state.table.Load(); table != nil {
+		return table.Routing.Version
+	}
+	return 0
+}
+
 // Apply puts a routing in force unless a newer one is, and confirms it. Asked is
 // the time before which the reading that brought it had not begun.
 func (state *State) Apply(routing *peridotpath.Routing, asked time.Duration) {
--- a/peridotpath/routing/state_test.go
+++ b/peridotpath/routing/state_test.go
@@ -140,20 +140,27 @@
 	return version(peridotpath.RoutingVersion(value[0])), nil
 }
 
+// newFollower returns a follower of the store that has no peer and looks once a
+// minute, and its state.
+func newFollower(store *fakeStore) (*routing.Follower, *routing.State) {
+	began := time.Now()
+	state := &routing.State{
+		Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
+	}
+	return &routing.Follower{
+		State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
+		Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
+	}, state
+}
+
 // A change is in force within a look's interval, and what did not change is
 // confirmed by a call that brings nothing.
 func TestFollower(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		began := time.Now()
-		state := &routing.State{
-			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
-		}
 		store := &fakeStore{}
-		follower := &routing.Follower{
-			State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
-			Pace: clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond},
-		}
+		follower, state := newFollower(store)
+		follower.Pace = clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- follower.Run(ctx) }()
@@ -191,17 +198,10 @@
 func TestFollowerAsksPeer(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		began := time.Now()
-		state := &routing.State{
-			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
-		}
 		store := &fakeStore{version: 1, routing: 1}
-		follower := &routing.Follower{
-			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
-			Ask: func(context.Context, netip.AddrPort, readings.Routing) (readings.Routing, error) {
-				return readings.Routing{Version: 2, Value: []byte{2}, Age: 300 * time.Millisecond}, nil
-			},
-			Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
+		follower, state := newFollower(store)
+		follower.Ask = func(context.Context, netip.AddrPort, readings.Routing) (readings.Routing, error) {
+			return readings.Routing{Version: 2, Value: []byte{2}, Age: 300 * time.Millisecond}, nil
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -225,15 +225,8 @@
 func TestFollowerHearsOfNewer(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		began := time.Now()
-		state := &routing.State{
-			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
-		}
 		store := &fakeStore{version: 1, routing: 1}
-		follower := &routing.Follower{
-			State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
-			Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
-		}
+		follower, state := newFollower(store)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- follower.Run(ctx) }()
@@ -254,22 +247,15 @@
 func TestFollowerWaitsItsTurnForAFarPeer(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		began := time.Now()
-		state := &routing.State{
-			Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
-		}
 		store := &fakeStore{version: 1, routing: 1}
 		far := readings.Peer{Address: netip.MustParseAddrPort("10.9.0.1:99")}
 		asked := make(chan netip.AddrPort, 10)
-		follower := &routing.Follower{
-			State: state, Key: "routing", Decode: decode, Check: store.check, Confirmed: func() {}, Log: zerolog.Nop(),
-			Ask: func(_ context.Context, peer netip.AddrPort, have readings.Routing) (readings.Routing, error) {
-				asked <- peer
-				return readings.Routing{Version: have.Version + 1, Value: []byte{byte(have.Version + 1)}}, nil
-			},
-			Before: func(peridotpath.RoutingVersion) int { return 2 },
-			Pace:   clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
+		follower, state := newFollower(store)
+		follower.Ask = func(_ context.Context, peer netip.AddrPort, have readings.Routing) (readings.Routing, error) {
+			asked <- peer
+			return readings.Routing{Version: have.Version + 1, Value: []byte{byte(have.Version + 1)}}, nil
 		}
+		follower.Before = func(peridotpath.RoutingVersion) int { return 2 }
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- follower.Run(ctx) }()
