placement: the price on engines where nobody writes falls with what is not known, too

In the first second nobody writes, every instance avoids the empty engines, and all that come go to the few where somebody writes; at first nothing has been heard, so that what is known was trusted fully.

Ruled out: reading speed and slots (one instance alone is on time); the order of goroutines decides by some hundredths only.

Change: freshLoss falls with trust as packLoss does; in an instance's first second trust grows with what it has heard; what is not trusted is replaced by chance of the width of these prices.

The test plays three seeds now. Tests of packing are of an instance that has heard its peers.

--- a/peridotpath/placement/loss.go
+++ b/peridotpath/placement/loss.go
@@ -26,6 +26,10 @@
 	packLoss = 0.03
 	// orderLoss makes all instances try the engines in the same order.
 	orderLoss = 0.002
+	// chanceLoss spreads the writers of instances that do not know of each other's:
+	// as wide as freshLoss and packLoss pull them together, and less than what a
+	// full engine costs.
+	chanceLoss = 0.03
 	// queueTolerance is the share of the aim for pauses that a pass may take.
 	queueTolerance = 0.9
 	// overtakeLoss is what a waiting prompt loses, a second, by readings that
@@ -78,22 +82,25 @@
 
 // trust is how far what is known of the engines' load may be relied on: fully where
 // no other instance places anything before this one hears of it, half where one
-// does, hardly where two do.
+// does, hardly where two do; and not yet where this instance has only begun to hear
+// what others place.
 //
 // The load that this is made for is a burst of short prompts at hundreds of
-// instances. Each fills engines up on what it heard some milliseconds ago; all see
-// the same engine as the best one, and it has more than it can write at once before
-// any of them hears of the others.
+// instances, and the return of all callers after all instances have started anew.
+// Each fills engines up on what it heard some milliseconds ago, or has not heard
+// yet; all see the same engine as the best one, and it has more than it can write at
+// once before any of them hears of the others.
 func (view *View) trust() float64 {
 	square := view.unheard * view.unheard
-	return 1 / (1 + square*square)
+	return view.heard / (1 + square*square)
 }
 
-// placeLoss is what speaks against an engine for itself. How full an engine is and
-// its place in the order of all count as far as what is known can be trusted; beyond
-// that a place by chance keeps instances from choosing the same one.
+// placeLoss is what speaks against an engine for itself. How full an engine is,
+// whether anybody writes there and its place in the order of all count as far as what
+// is known can be trusted; beyond that a place by chance keeps instances from choosing
+// the same one.
 func placeLoss(work Work, writer *option) float64 {
-	loss := orderLoss * (writer.trust*writer.rank + (1-writer.trust)*writer.chance)
+	loss := orderLoss*writer.trust*writer.rank + chanceLoss*(1-writer.trust)*writer.chance
 	if writer.Endpoint.DataCentre != work.DataCentre {
 		loss += farLoss
 	}
@@ -101,7 +108,7 @@
 		loss += suspectLoss
 	}
 	if writer.load.Taken() == 0 {
-		loss += freshLoss
+		loss += freshLoss * writer.trust
 	}
 	if free := writer.slots - writer.load.Taken(); free > 0 {
 		loss += packLoss * writer.trust * float64(free) / float64(writer.slots)
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -96,10 +96,17 @@
 	is.Equal(len(plan.Helpers), 0)
 }
 
+// settled returns the book of an instance that has heard its peers for a while.
+func settled() *placement.Book {
+	book := &placement.Book{}
+	book.View(time.Now().Add(-time.Minute))
+	return book
+}
+
 // Short answers are packed, so that engines remain that may read long prompts.
 func TestShortsArePacked(t *testing.T) {
 	is := is.New(t)
-	book, all := &placement.Book{}, candidates(6)
+	book, all := settled(), candidates(6)
 	used := map[peridotpath.EndpointID]int{}
 	for range 8 {
 		plan, found := placement.PlanPrompt(model, shortWork(), all, book.View(time.Now()))
@@ -331,7 +338,7 @@
 func TestWritersFillEngines(t *testing.T) {
 	is := is.New(t)
 	all := candidates(3)
-	book := &placement.Book{}
+	book := settled()
 	for range 2 {
 		writer(book, all[0])
 	}
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -62,6 +62,9 @@
 	// unheard is how many requests peers have sent, or send at this moment, of which
 	// nothing is known here yet, as far as their rate and their digests' lag tell.
 	unheard float64
+	// heard is the part of arrivalsSpan for which this instance has heard what peers
+	// send, from 0 to 1.
+	heard float64
 }
 
 const (
@@ -96,7 +99,9 @@
 	for _, load := range view.loads {
 		load.queue(now)
 	}
-	span := min(max(now.Sub(book.began), arrivalsLeast), arrivalsSpan)
+	since := now.Sub(book.began)
+	view.heard = min(float64(since)/float64(arrivalsSpan), 1)
+	span := min(max(since, arrivalsLeast), arrivalsSpan)
 	view.arrivals /= span.Seconds()
 	view.unheard *= float64(book.lag) / float64(span)
 	return view
--- a/peridotpath/relay/fleet_test.go
+++ b/peridotpath/relay/fleet_test.go
@@ -93,16 +93,20 @@
 // Short prompts come at two and a half times their usual rate to a hundred
 // instances before 56 engines that are three fifths full. Each instance knows of
 // the others' requests some milliseconds late; all put theirs on the engine that
-// looked best, those before them had filled it, and a quarter was late.
+// looked best, those before them had filled it, and a quarter was late. The same when
+// nobody writes yet: all avoided the engines that were still empty, and one in ten
+// was late.
 func TestShortBurstAtManyInstances(t *testing.T) {
-	random := rand.New(rand.NewPCG(5, 5))
-	load := poisson(random, 0, 5*time.Second, 195, func(at time.Duration) arrival {
-		return arrival{at: at, route: "short", prompt: min(lengths(random, 5_000, 0.7), 24_000), answer: lengths(random, 1780, 0.5)}
-	})
-	outcomes := playFleet(t, 97, 56, 25*time.Millisecond, smallBatch(), load)
-	short := onTime(load, outcomes, "short", 300*time.Millisecond, 250*time.Millisecond)
-	t.Logf("in time: short %.3f", short)
-	if short < 0.9 {
-		t.Errorf("short prompts in time: %.3f, want 0.9", short)
+	for _, seed := range []uint64{5, 6, 7} {
+		random := rand.New(rand.NewPCG(seed, seed))
+		load := poisson(random, 0, 5*time.Second, 195, func(at time.Duration) arrival {
+			return arrival{at: at, route: "short", prompt: min(lengths(random, 5_000, 0.7), 24_000), answer: lengths(random, 1780, 0.5)}
+		})
+		outcomes := playFleet(t, 97, 56, 25*time.Millisecond, smallBatch(), load)
+		short := onTime(load, outcomes, "short", 300*time.Millisecond, 250*time.Millisecond)
+		t.Logf("seed %d: in time: short %.3f", seed, short)
+		if short < 0.9 {
+			t.Errorf("seed %d: short prompts in time: %.3f, want 0.9", seed, short)
+		}
 	}
 }
