placement: a request waits for a slot until one of those that take it has ended

Cause: with engines of the tests that run no more at once than their batch, as the users' do, TestReturnOfAllCallers failed before this change: of 294 requests 96 were served and 24 waited 2.7 s to 3 s for a first event that their callers, who leave after 2 s, never saw. The wait for a slot was reckoned as 100 ms for each that waits, though all had just begun.

Change: the wait follows from the age of those that write and the length of an answer; a refusal says when a slot is free, too. Fake engines keep to their batch, which is stricter.

Measured (tests): 96 served as before, the others are told at once when to come back.

--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -87,9 +87,6 @@
 	maxWriters = 16
 	// suspectCost puts such an endpoint behind all others, in seconds.
 	suspectCost = 60
-	// slotWait is about how long a request waits where all slots are taken, for
-	// each that waits before it: the time in which one of a full batch ends.
-	slotWait = 100 * time.Millisecond
 	// spreadLeast is the reading time from which a prompt is spread: shorter ones
 	// fit into the pauses of those who write at the same engine.
 	spreadLeast = 100 * time.Millisecond
@@ -278,9 +275,7 @@
 		reading += time.Duration(steps * float64(writer.pass) / float64(model.Rates.StepsPerPass))
 	}
 	first := ready + reading + model.Pass(writer.load.Writers+1, writer.load.Context+work.Prompt)
-	if over := writer.load.Taken() + 1 - model.Rates.BatchSize; over > 0 {
-		first += time.Duration(over) * slotWait
-	}
+	first += writer.slotWait(model, work)
 	plan := Plan{Writer: writer.Endpoint, Reading: reading, FirstEvent: first, Ready: ready, Harm: harmed}
 	worth := Value(work.Prompt)
 	plan.Loss = harmed + worth*(lateness(work.Waited+first, work.AnswerAim)+pauseRisk(work, writer))
@@ -292,11 +287,12 @@
 }
 
 // SoonestFree returns when the first of the endpoints will have read what waits
-// there: before that, a request that came back would be refused again.
-func SoonestFree(candidates []Candidate, view View) time.Duration {
+// there and has a slot free: before that, a request that came back would be refused
+// again.
+func SoonestFree(model Model, work Work, candidates []Candidate, view View) time.Duration {
 	soonest := time.Duration(math.MaxInt64)
-	for _, candidate := range candidates {
-		soonest = min(soonest, view.At(candidate.Key).Backlog)
+	for _, option := range makeOptions(model, candidates, view) {
+		soonest = min(soonest, option.load.Backlog+option.slotWait(model, work))
 	}
 	if soonest == math.MaxInt64 {
 		return 0
--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -395,3 +395,41 @@
 	is.True(float64(room) >= 20*plan.FirstEvent.Seconds())
 	is.True(plan.FirstEvent < 1800*time.Millisecond) // and it is on time all the same
 }
+
+// All callers come back at once and sixteen of them take an engine's slots; none ends
+// for as long as an answer takes on a full engine, two seconds. A seventeenth was sent there as
+// if a slot were free in a tenth of a second, and its caller left before its answer
+// had begun. It must hear at once when to come back.
+func TestPlanKnowsWhenSlotsAreFree(t *testing.T) {
+	tests := map[string]struct {
+		age   time.Duration
+		found bool
+		// least and most bound the time after which a caller may come back.
+		least, most time.Duration
+	}{
+		"all have just begun":  {age: 100 * time.Millisecond, least: 1700 * time.Millisecond, most: 2100 * time.Millisecond},
+		"the oldest ends soon": {age: 1800 * time.Millisecond, found: true, least: 50 * time.Millisecond, most: 300 * time.Millisecond},
+		"longer than is usual": {age: 5 * time.Second, found: true, least: 50 * time.Millisecond, most: 300 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			book, all := settled(), candidates(1)
+			now := time.Now()
+			for range 16 {
+				number := book.Begin(placement.Flight{
+					Parts:  []placement.Part{{Endpoint: all[0].Key, Reading: 20 * time.Millisecond, Memory: 5_600}},
+					Prompt: 5_000, PauseAim: 200 * time.Millisecond, Sent: now.Add(-test.age),
+				})
+				book.Writing(number)
+			}
+			work := shortWork()
+			work.Patience = 1200 * time.Millisecond
+			_, found := placement.PlanPrompt(model, work, all, book.View(now))
+			is.Equal(found, test.found)
+			free := placement.SoonestFree(model, work, all, book.View(now))
+			is.True(free >= test.least)
+			is.True(free <= test.most)
+		})
+	}
+}
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -26,6 +26,8 @@
 	// Slow is by how much its readings are longer than predicted; 1 or more.
 	Slow float64
 
+	// ages is how long ago each of those was sent that are being written.
+	ages   []time.Duration
 	pauses []pause
 	// unreadValue is the worth of those who wait for their first event.
 	unreadValue float64
@@ -138,6 +140,7 @@
 			load.pauses = append(load.pauses, pause{aim: flight.PauseAim, value: Value(flight.Prompt)})
 			if flight.Writing {
 				load.Writers++
+				load.ages = append(load.ages, now.Sub(flight.Sent))
 				load.Context += part.Memory
 			} else {
 				load.Waiting++
--- a/peridotpath/relay/engine_test.go
+++ b/peridotpath/relay/engine_test.go
@@ -32,7 +32,8 @@
 }
 
 // fakeEngine works in passes: helpers' parts first, then the prompts of its own
-// requests in the order of their coming, each pass 46 steps when somebody writes.
+// requests in the order of their coming, each pass 46 steps when somebody writes. A
+// request beyond its batch waits until one of the batch has ended.
 type fakeEngine struct {
 	model placement.Model
 	parts []*fakePart
@@ -46,9 +47,13 @@
 	job  *fakeJob
 }
 
+// waits reports whether the part's own request has no place in the batch yet.
+func (part *fakePart) waits() bool { return part.own && !part.job.admitted }
+
 type fakeJob struct {
 	prompt    peridotpath.Tokens
 	unread    int
+	admitted  bool
 	events    chan struct{}
 	left      int
 	cancelled <-chan struct{}
@@ -174,6 +179,9 @@
 		}
 	}
 	engine.jobs = kept
+	for i, job := range kept {
+		job.admitted = i < engine.model.Rates.BatchSize
+	}
 	return count, context
 }
 
@@ -190,7 +198,7 @@
 		if !part.own {
 			return part
 		}
-		if own == nil {
+		if own == nil && !part.waits() {
 			own = part
 		}
 	}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -131,9 +131,10 @@
 	if len(candidates) == 0 {
 		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
 	}
-	plan, found := placement.PlanPrompt(model, exchange.work(now), candidates, view)
+	work := exchange.work(now)
+	plan, found := placement.PlanPrompt(model, work, candidates, view)
 	if !found {
-		return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(candidates, view)))
+		return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(model, work, candidates, view)))
 	}
 	exchange.begin(plan, now)
 	return nil
