gossip: the list of instances is read as often as the fleet is large, and when a peer knows of other cells

Cause: each instance read the whole list every six seconds, and five times as it started; an entry for each of them is in it, so what all of them read grows with their square.

Change: after its registration an instance reads the list once, linearizable, so that of two that start together one knows the other; then all together read four lists a second. A digest says how many cells its sender knows; who knows another number reads the list within a second. At a first start there is half a second for all to register before anybody looks for the routing.

Measured: TestListsOfInstances (60 instances, a minute): 900 lists by reckoning before, 360 at most now.

--- a/peridotpath/gossip/cells.go
+++ b/peridotpath/gossip/cells.go
@@ -7,8 +7,8 @@
 	"peridotpath.example/peridotpath/cell"
 )
 
-// settleTime is how long after a change of the cells all instances know of it: each
-// reads the list of instances every few seconds, and what it reads may be old.
+// settleTime is how long after a change of the cells all instances know of it: one
+// reads it, and those that hear of it read the list of instances within seconds.
 const settleTime = 8 * time.Second
 
 // cells is the part of the fleet that an instance belongs to, while the fleet is
@@ -37,6 +37,14 @@
 	return cell.Cell{}
 }
 
+// known returns how many cells there are by the last list, zero before the first.
+func (cells *cells) known() int {
+	if cells.began.IsZero() {
+		return 0
+	}
+	return cells.due.Count()
+}
+
 // divide takes the cell by a new list of instances, and reports whether it is
 // another one.
 func (cells *cells) divide(own cell.Cell, now time.Time) bool {
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -79,7 +79,9 @@
 	// asked for it. Asked is a time on this instance's clock that surely came
 	// before the peer spoke, to which the ages are related; zero where none did.
 	Heard func(peer readings.Peer, fresh Freshness, asked time.Duration)
-	Log   zerolog.Logger
+	// OtherCells is called when a peer knows of another number of cells.
+	OtherCells func()
+	Log        zerolog.Logger
 
 	dirty    clock.Signal
 	mutex    sync.Mutex
@@ -316,12 +318,15 @@
 
 func (gossip *Gossip) digest() *wire.Digest {
 	fresh, now := gossip.Fresh(), time.Now()
+	gossip.mutex.Lock()
+	cells := gossip.cells.known()
+	gossip.mutex.Unlock()
 	gossip.sequence++
 	digest := &wire.Digest{
 		Instance: string(gossip.Instance), Incarnation: uint64(gossip.Incarnation), Sequence: gossip.sequence,
 		DataCentre: string(gossip.DataCentre), Address: gossip.Address.String(), ReadingsPort: uint32(gossip.ReadingsPort),
 		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: clock.Micros(fresh.RoutingAge),
-		Endpoints: fresh.Endpoints, EndpointsAge: clock.Micros(fresh.EndpointsAge),
+		Endpoints: fresh.Endpoints, EndpointsAge: clock.Micros(fresh.EndpointsAge), Cells: uint32(cells),
 	}
 	for _, flight := range gossip.Book.Own() {
 		digest.Flights = append(digest.Flights, encodeFlight(&flight, now))
@@ -375,7 +380,11 @@
 	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
 	peer.heard = now
 	peer.echo = digest.Sent
+	known := gossip.cells.known()
 	gossip.mutex.Unlock()
+	if known != 0 && digest.Cells != 0 && int(digest.Cells) != known {
+		gossip.OtherCells()
+	}
 	near := peer.dataCentre == gossip.DataCentre
 	echo, handOn := digest.Echo, digest.HandOn
 	gossip.Book.HearPeer(decodeReport(digest, now), now)
--- a/peridotpath/gossip/gossip_test.go
+++ b/peridotpath/gossip/gossip_test.go
@@ -42,6 +42,8 @@
 	gossip *gossip.Gossip
 	book   *placement.Book
 	heard  chan heard
+	// others counts the peers that knew of another number of cells.
+	others atomic.Int64
 }
 
 func start(t *testing.T, id peridotpath.InstanceID, dataCentre peridotpath.DataCentre, fresh gossip.Freshness) *node {
@@ -56,6 +58,7 @@
 			}
 		},
 	}
+	node.gossip.OtherCells = func() { node.others.Add(1) }
 	node.book.Changed = node.gossip.Changed
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -259,3 +262,39 @@
 		return true
 	})
 }
+
+// The fleet has grown and is divided into two cells; a peer has read that, this
+// instance has not and would not for most of a minute.
+func TestHearsOfOtherCells(t *testing.T) {
+	is := is.New(t)
+	node := start(t, "one", "a", gossip.Freshness{})
+	peer := freeAddress(t)
+	conn, err := net.Dial("udp4", node.gossip.Address.String())
+	is.NoErr(err)
+	defer conn.Close()
+	sequence := uint64(0)
+	// tell sends until the node has heard one: it may not listen yet.
+	tell := func(cells uint32) {
+		eventually(t, "the digest is heard", func() bool {
+			sequence++
+			datagram, err := proto.Marshal(&wire.Digest{
+				Instance: "two", Incarnation: 1, Sequence: sequence, Address: peer.String(), DataCentre: "a", Cells: cells, Echo: 1,
+			})
+			is.NoErr(err)
+			// An error says that nobody listens yet.
+			_, _ = conn.Write(datagram)
+			select {
+			case <-node.heard:
+				return true
+			case <-time.After(5 * time.Millisecond):
+				return false
+			}
+		})
+	}
+	tell(2) // it has read no list itself
+	node.gossip.SetPeers([]gossip.Peer{{Address: peer, DataCentre: "a"}})
+	tell(1)
+	is.Equal(node.others.Load(), int64(0))
+	tell(2)
+	is.True(node.others.Load() > 0)
+}
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,11 @@
 	Log         zerolog.Logger
 
 	lease keyvalue.LeaseID
+	// listed is when the others were last read, zero where that is due; others is how
+	// many there were.
+	listed time.Time
+	others int
+	wanted clock.Signal
 	// first is closed once the others were read, or could not be.
 	first     chan struct{}
 	firstOnce sync.Once
@@ -44,11 +50,18 @@
 	// often it is renewed: a renewal costs a tenth of a call.
 	registryTTL = 20 * time.Second
 	renewal     = 6 * time.Second
-	// firstLooks is how long after the start the list is read more often:
-	// instances that start together are not all registered at once. Later
-	// starters announce themselves to those that they read of.
-	firstLooks = 6 * time.Second
-	firstPause = 1500 * time.Millisecond
+	// retryPause is the wait after the store could not be reached.
+	retryPause = 1500 * time.Millisecond
+	// gather is how long an instance that finds nobody waits before it looks for
+	// those that started at the same moment.
+	gather = 500 * time.Millisecond
+	// listShare is the time between two lists of all instances together: an entry for
+	// each of them is in each list, so that what all of them read would grow with their
+	// square.
+	listShare = 250 * time.Millisecond
+	// wantedSpread is the time over which instances look that heard of another number
+	// of cells at the same moment.
+	wantedSpread = time.Second
 )
 
 // registration is the value of an entry.
@@ -81,23 +94,65 @@
 // After a loss of all instances their entries are still there, and each has to know
 // the others before it reads anything else; so the list comes first.
 func (registry *Registry) Run(ctx context.Context) error {
-	began := time.Now()
-	if others, err := registry.list(ctx); err == nil && others == 0 {
-		// All start for the first time, or this one is alone.
-		registry.report(ctx, registry.round(ctx))
-	} else {
-		registry.report(ctx, err)
+	err := registry.list(ctx, registry.Store.ListStale)
+	registry.report(ctx, err)
+	wait := time.Duration(0)
+	if err == nil && registry.others == 0 {
+		wait = registry.startTogether(ctx)
 	}
 	close(registry.firstRead())
+	for registry.rest(ctx, wait) {
+		wait = registry.next(ctx, registry.round(ctx))
+	}
+	return ctx.Err()
+}
+
+// startTogether registers this instance and gives those time to do the same that
+// start at the same moment. It returns the wait until the next round.
+//
+// The load that it is made for is the first start of hundreds of instances. Each of
+// them found nobody else, and asked the store for everything by itself.
+func (registry *Registry) startTogether(ctx context.Context) time.Duration {
+	err := registry.register(ctx)
+	if err == nil && clock.Pause(ctx, gather) {
+		err = registry.list(ctx, registry.Store.List)
+	}
+	return registry.next(ctx, err)
+}
+
+// next returns the wait until the next round, after one that ended so.
+func (registry *Registry) next(ctx context.Context, err error) time.Duration {
+	registry.report(ctx, err)
+	if err != nil {
+		return retryPause
+	}
+	return renewal
+}
+
+// Look asks for a list soon: a peer knows of another number of cells. It never waits.
+func (registry *Registry) Look() { registry.wanted.Raise() }
+
+// rest waits for the given time, and reads the others if that is asked for meanwhile;
+// false when ctx ended first.
+func (registry *Registry) rest(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	for {
-		registry.report(ctx, registry.round(ctx))
-		wait := firstPause
-		if time.Since(began) > firstLooks && registry.lease != 0 {
-			wait = renewal
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-registry.wanted.C():
 		}
-		if !clock.Pause(ctx, wait) {
-			return ctx.Err()
+		if registry.lease == 0 || time.Since(registry.listed) < renewal {
+			// The next round reads them, or they were just read.
+			continue
 		}
+		if !clock.Pause(ctx, rand.N(wantedSpread)) {
+			return false
+		}
+		registry.report(ctx, registry.list(ctx, registry.Store.List))
 	}
 }
 
@@ -111,20 +166,27 @@
 	}
 }
 
-// round renews or makes the entry, and reads the others'.
+// round renews or makes the entry, and reads the others' where that is due.
 func (registry *Registry) round(ctx context.Context) error {
 	if err := registry.register(ctx); err != nil {
 		return err
 	}
-	_, err := registry.list(ctx)
-	return err
+	switch {
+	case registry.listed.IsZero():
+		// Of two that start at the same moment, the one that registered later reads of
+		// the other and tells it; a list that may be old would leave both unknown.
+		return registry.list(ctx, registry.Store.List)
+	case time.Since(registry.listed) >= time.Duration(registry.others)*listShare:
+		return registry.list(ctx, registry.Store.ListStale)
+	}
+	return nil
 }
 
-// list reads all entries and returns how many there are.
-func (registry *Registry) list(ctx context.Context) (int, error) {
-	entries, _, err := registry.Store.ListStale(ctx, RegistryPrefix)
+// list reads all entries.
+func (registry *Registry) list(ctx context.Context, read func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error)) error {
+	entries, _, err := read(ctx, RegistryPrefix)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	peers := make([]Peer, 0, len(entries))
 	for _, entry := range entries {
@@ -135,10 +197,12 @@
 		}
 		peers = append(peers, Peer(registration))
 	}
+	registry.listed, registry.others = time.Now(), len(peers)
 	registry.SetPeers(peers)
-	return len(peers), nil
+	return nil
 }
 
+// register renews the entry, or makes one. After that the others are to be read.
 func (registry *Registry) register(ctx context.Context) error {
 	if registry.lease != 0 {
 		err := registry.Store.Renew(ctx, registry.lease)
@@ -159,6 +223,6 @@
 	if _, err := registry.Store.Swap(ctx, key, 0, value, lease); err != nil {
 		return err
 	}
-	registry.lease = lease
+	registry.lease, registry.listed = lease, time.Time{}
 	return nil
 }
--- a/peridotpath/gossip/registry_test.go
+++ b/peridotpath/gossip/registry_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/keyvalue"
@@ -27,9 +28,9 @@
 		err    error
 		want   string
 	}{
-		"others are there":  {[]keyvalue.Entry{other}, nil, "[list peers grant task swap list peers]"},
-		"nobody is there":   {nil, nil, "[list peers grant swap list peers list task peers]"},
-		"the store is away": {nil, keyvalue.ErrUnavailable.New("away"), "[list grant task]"},
+		"others are there":  {[]keyvalue.Entry{other}, nil, "[stale peers grant task swap list peers]"},
+		"nobody is there":   {nil, nil, "[stale peers grant swap list peers task]"},
+		"the store is away": {nil, keyvalue.ErrUnavailable.New("away"), "[stale grant task]"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,6 +51,9 @@
 				registry := &gossip.Registry{
 					Store: &keyvalue.Store{
 						ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
+							return test.listed, 1, call("stale")
+						},
+						List: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
 							return test.listed, 1, call("list")
 						},
 						Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 5, call("grant") },
@@ -80,3 +84,156 @@
 		})
 	}
 }
+
+// lists is a store of registrations whose lists may be three seconds old.
+type lists struct {
+	mutex   sync.Mutex
+	entries []keyvalue.Entry
+	made    []time.Time
+	// count is how many lists were read.
+	count int
+}
+
+const listsLag = 3 * time.Second
+
+func (lists *lists) read(lag time.Duration) ([]keyvalue.Entry, keyvalue.Version, error) {
+	time.Sleep(4 * time.Millisecond)
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	lists.count++
+	var entries []keyvalue.Entry
+	for i, entry := range lists.entries {
+		if time.Since(lists.made[i]) >= lag {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, 1, nil
+}
+
+// total is how many lists were read so far.
+func (lists *lists) total() int {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	return lists.count
+}
+
+func (lists *lists) store() *keyvalue.Store {
+	return &keyvalue.Store{
+		ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return lists.read(listsLag) },
+		List:      func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return lists.read(0) },
+		Grant:     func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 5, nil },
+		Renew:     func(context.Context, keyvalue.LeaseID) error { return nil },
+		Swap: func(_ context.Context, key string, _ keyvalue.Version, value []byte, _ keyvalue.LeaseID) (keyvalue.Version, error) {
+			time.Sleep(4 * time.Millisecond)
+			lists.mutex.Lock()
+			defer lists.mutex.Unlock()
+			lists.entries = append(lists.entries, keyvalue.Entry{Key: key, Value: value})
+			lists.made = append(lists.made, time.Now())
+			return 1, nil
+		},
+	}
+}
+
+// listed is one instance of a test, with those that it knows.
+type listed struct {
+	registry *gossip.Registry
+	mutex    sync.Mutex
+	peers    map[netip.AddrPort]bool
+}
+
+func newListed(number int, store *keyvalue.Store) *listed {
+	one := &listed{peers: map[netip.AddrPort]bool{}}
+	one.registry = &gossip.Registry{
+		Store: store, Instance: peridotpath.InstanceID(fmt.Sprintf("edge-%d", number)), Incarnation: 1,
+		Address: listedAddress(number), DataCentre: "a", Log: zerolog.Nop(),
+		SetPeers: func(peers []gossip.Peer) {
+			one.mutex.Lock()
+			defer one.mutex.Unlock()
+			for _, peer := range peers {
+				one.peers[peer.Address] = true
+			}
+		},
+	}
+	return one
+}
+
+func listedAddress(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 9)
+}
+
+func (listed *listed) knows(number int) bool {
+	listed.mutex.Lock()
+	defer listed.mutex.Unlock()
+	return listed.peers[listedAddress(number)]
+}
+
+// Sixty instances start within a tenth of a second, and the store's cheap lists are
+// seconds old. Of any two one must know the other soon, or neither hears what the other
+// sends. Each read the list every few seconds; with an entry for each of them in it,
+// that was most of what went between the data centres of a large fleet.
+func TestListsOfInstances(t *testing.T) {
+	const count, span = 60, 60 * time.Second
+	virtual.Test(t, func(t *testing.T) {
+		lists := &lists{}
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		ended := make(chan error, count)
+		var all []*listed
+		for i := range count {
+			one := newListed(i, lists.store())
+			all = append(all, one)
+			go func() {
+				time.Sleep(time.Duration(i*37%100) * time.Millisecond)
+				ended <- one.registry.Run(ctx)
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		for i := range count {
+			for j := range i {
+				if !all[i].knows(j) && !all[j].knows(i) {
+					t.Errorf("after 2 s neither %d nor %d knows the other", i, j)
+				}
+			}
+		}
+		for range count {
+			if err := <-ended; !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("Run: %v", err)
+			}
+		}
+		// Two for each at its start, and four a second of all together.
+		if got, want := lists.total(), 2*count+4*int(span.Seconds()); got > want {
+			t.Errorf("%d lists were read, want %d at most", got, want)
+		}
+	})
+}
+
+// A peer has read that the fleet is divided into more cells. An instance whose list is
+// not due for most of a minute would go on by the old cells, place on engines that
+// others use, and hear nothing of them.
+func TestListIsReadForOtherCells(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lists := &lists{}
+		for i := range 200 {
+			lists.entries = append(lists.entries, keyvalue.Entry{Key: "k", Value: []byte(`{"address":"10.0.1.1:9","data_centre":"a"}`)})
+			lists.made = append(lists.made, time.Now().Add(-time.Duration(i)*time.Hour))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		one := newListed(1, lists.store())
+		ended := make(chan error, 1)
+		go func() { ended <- one.registry.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		is.Equal(lists.total(), 2) // those of its start
+		_, err := lists.store().Swap(ctx, "new", 0, []byte(`{"address":"10.0.0.7:9","data_centre":"a"}`), 5)
+		is.NoErr(err)
+		one.registry.Look()
+		one.registry.Look()
+		time.Sleep(1500 * time.Millisecond)
+		is.True(one.knows(7))
+		is.Equal(lists.total(), 3)
+		one.registry.Look() // it was read a moment ago
+		is.True(errors.Is(<-ended, context.DeadlineExceeded))
+		is.Equal(lists.total(), 3)
+	})
+}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -189,6 +189,7 @@
 		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Log: instance.Log,
 	}
+	instance.gossip.OtherCells = instance.registry.Look
 	instance.routes = &routing.Follower{
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
 		Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log,
