readings, platform: heartbeats of endpoints are no changes; lists of endpoints are compressed

Cause: what peers tell each other of the endpoints' list since an earlier reading was worked out of the store's entries as they are, with the heartbeat in them: whenever one endpoint came or went, nearly the whole list went to each instance. The whole list of three thousand endpoints, some 450 kB, goes to two peers in the 400 ms that they wait on a link of 20 Mbit/s; all others ask the store.

Change: entries are kept and told with nothing but what is read of them; answers are gzipped for those that take it, so that older versions are still answered.

--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -74,7 +74,8 @@
 		Store:      platform.ConnectStore(settings.StoreAddress),
 		RoutingKey: platform.KeyRouting, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.PrefixEndpoints, DecodeEndpoints: platform.DecodeEndpoints,
-		Send: platform.Send, Check: platform.Check, Reserve: platform.Reserve, Release: platform.Release, ReadyPath: platform.ReadyPath,
+		CompactEndpoints: platform.CompactEndpoints,
+		Send:             platform.Send, Check: platform.Check, Reserve: platform.Reserve, Release: platform.Release, ReadyPath: platform.ReadyPath,
 		Ingress: func(callers instance.Callers) http.Handler { return &platform.Ingress{Callers: callers} },
 	}
 	return instance.New(settings, adapter, log).Run(stop)
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -33,8 +33,10 @@
 	RoutingKey    string
 	DecodeRouting func(value []byte) (*peridotpath.Routing, error)
 	// EndpointPrefix is where the endpoints' entries lie, DecodeEndpoints reads them.
-	EndpointPrefix  string
-	DecodeEndpoints func(entries []keyvalue.Entry) []peridotpath.Endpoint
+	// CompactEndpoints leaves nothing in them but what DecodeEndpoints reads.
+	EndpointPrefix   string
+	DecodeEndpoints  func(entries []keyvalue.Entry) []peridotpath.Endpoint
+	CompactEndpoints func(entries []keyvalue.Entry) []keyvalue.Entry
 	// Send sends a call to an endpoint.
 	Send relay.Sender
 	// Check asks an engine whether it is there.
@@ -245,7 +247,10 @@
 
 func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, error) {
 	entries, _, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
-	return entries, err
+	if err != nil {
+		return nil, err
+	}
+	return instance.Adapter.CompactEndpoints(entries), nil
 }
 
 // Run serves until a signal comes on stop and everything is finished.
--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -104,7 +104,8 @@
 	running.settings.Defaults()
 	endpoint := peridotpath.Endpoint{ID: "one", Service: "app", State: peridotpath.StateLive, Address: at[0], Slots: 5}
 	adapter := instance.Adapter{
-		Store: emptyStore(endpoint), DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints, ReadyPath: "/ready",
+		Store: emptyStore(endpoint), DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints,
+		CompactEndpoints: func(entries []keyvalue.Entry) []keyvalue.Entry { return entries }, ReadyPath: "/ready",
 		Send: func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
 			running.calls.Add(1)
 			select {
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -14,7 +14,6 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/delta"
 	"peridotpath.example/peridotpath/keyvalue"
-	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/readings/wire"
 )
 
@@ -41,7 +40,7 @@
 
 // Handler returns the handler of the service's paths.
 func (server *Server) Handler() http.Handler {
-	return wire.NewReadingsServer(service{server}, twirp.WithServerPathPrefix(PathPrefix))
+	return compressed(wire.NewReadingsServer(service{server}, twirp.WithServerPathPrefix(PathPrefix)))
 }
 
 // service is the server in the form of the generated interface.
@@ -86,7 +85,7 @@
 }
 
 func client(peer netip.AddrPort) wire.Readings {
-	return wire.NewReadingsProtobufClient("http://"+peer.String(), outbound.Doer{}, twirp.WithClientPathPrefix(PathPrefix))
+	return wire.NewReadingsProtobufClient("http://"+peer.String(), doer{}, twirp.WithClientPathPrefix(PathPrefix))
 }
 
 // AskRouting asks a peer for the routing; of a peer that knows what this instance
--- a/peridotpath/readings/readings_test.go
+++ b/peridotpath/readings/readings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -61,16 +62,7 @@
 	kept.Add(before)
 	kept.Add(after)
 	kept.Add(before) // late; the newest stays
-	sent := 0
-	handler := (&readings.Server{LastRouting: kept.Last, RoutingOf: kept.Of}).Handler()
-	listener := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, request)
-		sent = recorder.Body.Len()
-		_, _ = writer.Write(recorder.Body.Bytes())
-	}))
-	defer listener.Close()
-	peer := netip.MustParseAddrPort(listener.Listener.Addr().String())
+	peer, sent := countedPeer(t, &readings.Server{LastRouting: kept.Last, RoutingOf: kept.Of})
 	tests := map[string]struct {
 		have readings.Routing
 		most int
@@ -86,9 +78,55 @@
 			got, err := readings.AskRouting(t.Context(), peer, test.have)
 			is.NoErr(err)
 			is.Equal(got, after)
-			if sent > test.most {
-				t.Errorf("sent %d bytes of %d, want at most %d", sent, len(after.Value), test.most)
+			if *sent > test.most {
+				t.Errorf("sent %d bytes of %d, want at most %d", *sent, len(after.Value), test.most)
 			}
 		})
 	}
 }
+
+// countedPeer serves readings and counts the bytes of the last answer's body.
+func countedPeer(t *testing.T, server *readings.Server) (peer netip.AddrPort, sent *int) {
+	t.Helper()
+	handler := server.Handler()
+	sent = new(int)
+	listener := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		*sent = recorder.Body.Len()
+		maps.Copy(writer.Header(), recorder.Header())
+		writer.WriteHeader(recorder.Code)
+		_, _ = writer.Write(recorder.Body.Bytes())
+	}))
+	t.Cleanup(listener.Close)
+	return netip.MustParseAddrPort(listener.Listener.Addr().String()), sent
+}
+
+// Three hundred instances start before three thousand endpoints, and each asks a peer
+// for the list of them. At 20 Mbit/s a peer could send it to two of them in the time
+// that they wait; the others asked the store, all at once, and again.
+func TestListOfEndpointsIsCompressed(t *testing.T) {
+	is := is.New(t)
+	var list readings.Endpoints
+	for i := range 3000 {
+		list.Entries = append(list.Entries, keyvalue.Entry{
+			Key:   fmt.Sprintf("servers/i-%010x", i*2654435761),
+			Value: fmt.Appendf(nil, `{"service":"llm","address":"10.%d.%d.%d:8263","zone":"colombo-a","capacity":10,"state":"ready","born":%d}`, i%5, i/5%64, i/320, 1700000000000+i*7919),
+		})
+	}
+	list.Content, list.Age = 7, 90*time.Millisecond
+	peer, sent := countedPeer(t, &readings.Server{
+		LastEndpoints: func() (readings.Endpoints, bool) { return list, true },
+		EndpointsOf:   func(uint64) (readings.Endpoints, bool) { return readings.Endpoints{}, false },
+	})
+	got, err := readings.AskEndpoints(t.Context(), peer, readings.Endpoints{})
+	is.NoErr(err)
+	is.Equal(got, list)
+	whole := 0
+	for _, entry := range list.Entries {
+		whole += len(entry.Key) + len(entry.Value)
+	}
+	if *sent > whole/4 {
+		t.Errorf("sent %d bytes of %d, want a quarter at most", *sent, whole)
+	}
+}
