placement: an engine that does not say how many it runs at once has no wait for a slot

Cause: found in reading the change over: the new wait divides by the number of slots, and a service need not publish it; the instance would have ended with the second request there. TestSlotsAreNotKnown fails with a division by zero before.

--- a/peridotpath/placement/plan_test.go
+++ b/peridotpath/placement/plan_test.go
@@ -433,3 +433,19 @@
 		})
 	}
 }
+
+// A service does not publish how many requests its engines run at once. The instance
+// divided by that number when the second request came, and ended.
+func TestSlotsAreNotKnown(t *testing.T) {
+	is := is.New(t)
+	unknown := rates
+	unknown.BatchSize = 0
+	book, all := settled(), candidates(2)
+	for range 3 {
+		writer(book, all[0])
+		writer(book, all[1])
+	}
+	plan, found := placement.PlanPrompt(placement.Model{Rates: &unknown}, shortWork(), all, book.View(time.Now()))
+	is.True(found)
+	is.True(plan.FirstEvent < 300*time.Millisecond)
+}
--- a/peridotpath/placement/slots.go
+++ b/peridotpath/placement/slots.go
@@ -18,7 +18,8 @@
 // slots, and their callers left before their answers had begun.
 func (option *option) slotWait(model Model, work Work) time.Duration {
 	over := option.load.Taken() + 1 - option.slots
-	if over <= 0 {
+	if over <= 0 || option.slots <= 0 {
+		// A service that does not say how many its engines run at once has no such wait.
 		return 0
 	}
 	stay := model.WriteTime(work.Answer, max(option.pass, model.Pass(1, work.Prompt)))
