--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -9,14 +9,11 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
@@ -147,27 +144,6 @@
 // Cell returns the part of the fleet whose endpoints this instance sends to.
 func (gossip *Gossip) Cell() cell.Cell { return gossip.cells.Used() }
 
-// Before returns how many instances of the own data centre and cell come before
-// this one in an order that all of them agree on, another one for each matter.
-// Those that have been silent lately do not count.
-func (gossip *Gossip) Before(matter uint64) int {
-	now := time.Now()
-	gossip.mutex.Lock()
-	defer gossip.mutex.Unlock()
-	own, place, before := gossip.cells.told, placeIn(matter, gossip.Address), 0
-	for address, peer := range gossip.peers {
-		if peer.dataCentre == gossip.DataCentre && own.HasInstance(address) && now.Sub(peer.heard) < silentAfter && placeIn(matter, address) < place {
-			before++
-		}
-	}
-	return before
-}
-
-// placeIn orders instances for a matter.
-func placeIn(matter uint64, address netip.AddrPort) uint64 {
-	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(address.String()), matter))
-}
-
 func (gossip *Gossip) peer(address netip.AddrPort) *peer {
 	if gossip.peers == nil {
 		gossip.peers = map[netip.AddrPort]*peer{}
@@ -205,14 +181,6 @@
 	}
 }
 
-// target is a peer as a digest is sent to it.
-type target struct {
-	address netip.AddrPort
-	echo    uint64
-	// handOn asks it to tell its data centre.
-	handOn bool
-}
-
 // farDue reports whether other data centres are to hear though nothing changed.
 func (gossip *Gossip) farDue(now time.Time) bool { return now.Sub(gossip.toldFar) >= farHeartbeat }
 
@@ -244,54 +212,6 @@
 	}
 }
 
-// targets returns the peers of the cell to tell: all of the own data centre, and
-// with far of each other one the next in turn that was heard lately. It forgets
-// peers that are gone.
-func (gossip *Gossip) targets(now time.Time, far bool) []target {
-	gossip.mutex.Lock()
-	defer gossip.mutex.Unlock()
-	var targets []target
-	own := gossip.cells.told
-	elsewhere := map[peridotpath.DataCentre][]netip.AddrPort{}
-	for address, peer := range gossip.peers {
-		switch {
-		case !peer.listed && now.Sub(peer.heard) > forgetAfter:
-			delete(gossip.peers, address)
-		case !own.HasInstance(address):
-		case peer.dataCentre == gossip.DataCentre || peer.dataCentre == "":
-			targets = append(targets, target{address: address, echo: peer.echo})
-		default:
-			elsewhere[peer.dataCentre] = append(elsewhere[peer.dataCentre], address)
-		}
-	}
-	if !far {
-		return targets
-	}
-	gossip.turn++
-	gossip.toldFar = now
-	for _, addresses := range elsewhere {
-		address := gossip.inTurn(addresses, now)
-		targets = append(targets, target{address: address, echo: gossip.peers[address].echo, handOn: true})
-	}
-	return targets
-}
-
-// inTurn picks one of a data centre's instances, each time another one; those
-// that have been silent only when all have.
-func (gossip *Gossip) inTurn(addresses []netip.AddrPort, now time.Time) netip.AddrPort {
-	heard := make([]netip.AddrPort, 0, len(addresses))
-	for _, address := range addresses {
-		if now.Sub(gossip.peers[address].heard) < silentAfter {
-			heard = append(heard, address)
-		}
-	}
-	if len(heard) == 0 {
-		heard = addresses
-	}
-	slices.SortFunc(heard, netip.AddrPort.Compare)
-	return heard[gossip.turn%len(heard)]
-}
-
 // handOn tells the own data centre what an instance of another one said.
 func (gossip *Gossip) handOn(conn *net.UDPConn, digest *wire.Digest) {
 	digest.HandOn, digest.HandedOn, digest.Echo = false, true, 0
