placement: at least half of the price on engines where nobody writes counts, however little is known

In a mix at 97 instances before 28 engines (50 short and 5 long prompts a second, four seeds) 0.454 of the long ones were in time, 0.660 with the price whole: short prompts were put on every engine, and few were left to read at.

Ruled out: chance by itself (0.656 with it and the price whole).

Measured, floor of nothing, 0.25, 0.35, 0.5 and whole, with chance: long in time 0.454, 0.572, 0.619, 0.655, 0.656; short 0.924, 0.949, 0.946, 0.935, 0.908; the burst of short ones alone 0.998, 0.994, 0.984, 0.968, 0.920. TestMixAtManyInstances (50 and 4 a second) had 0.590 of the long ones before (want 0.6), 0.68 to 0.75 now.

--- a/peridotpath/placement/loss.go
+++ b/peridotpath/placement/loss.go
@@ -35,6 +35,10 @@
 	// overtakeLoss is what a waiting prompt loses, a second, by readings that
 	// overtake it, as a part of its worth.
 	overtakeLoss = 0.2
+	// freshTrust is the least part of freshLoss that counts, however little is known.
+	// Without any, a burst of short prompts leaves no engine that long ones could be
+	// read at.
+	freshTrust = 0.5
 )
 
 // lateness is the part of its worth that an answer is expected to lose.
@@ -97,8 +101,8 @@
 
 // placeLoss is what speaks against an engine for itself. How full an engine is,
 // whether anybody writes there and its place in the order of all count as far as what
-// is known can be trusted; beyond that a place by chance keeps instances from choosing
-// the same one.
+// is known can be trusted, the second by half at least; beyond that a place by chance
+// keeps instances from choosing the same one.
 func placeLoss(work Work, writer *option) float64 {
 	loss := orderLoss*writer.trust*writer.rank + chanceLoss*(1-writer.trust)*writer.chance
 	if writer.Endpoint.DataCentre != work.DataCentre {
@@ -108,7 +112,7 @@
 		loss += suspectLoss
 	}
 	if writer.load.Taken() == 0 {
-		loss += freshLoss * writer.trust
+		loss += freshLoss * max(writer.trust, freshTrust)
 	}
 	if free := writer.slots - writer.load.Taken(); free > 0 {
 		loss += packLoss * writer.trust * float64(free) / float64(writer.slots)
--- a/peridotpath/relay/fleet_test.go
+++ b/peridotpath/relay/fleet_test.go
@@ -110,3 +110,27 @@
 		}
 	}
 }
+
+// Short and long prompts come to a hundred instances before 28 engines, which the long
+// ones keep half busy. Where instances knew little of each other's, short ones were put
+// on every engine, and four in ten of the long ones found too few to be read at in time.
+func TestMixAtManyInstances(t *testing.T) {
+	const seeds = 4
+	short, long := 0.0, 0.0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed+5, seed+5))
+		load := poisson(random, 0, 10*time.Second, 50, func(at time.Duration) arrival {
+			return arrival{at: at, route: "short", prompt: min(lengths(random, 5_000, 0.7), 24_000), answer: lengths(random, 1780, 0.5)}
+		})
+		load = append(load, poisson(random, 0, 10*time.Second, 4, func(at time.Duration) arrival {
+			return arrival{at: at, route: "long", prompt: min(lengths(random, 300_000, 0.5), 440_000), answer: 73 * 12}
+		})...)
+		outcomes := playFleet(t, 97, 28, 25*time.Millisecond, smallBatch(), load)
+		short += onTime(load, outcomes, "short", 300*time.Millisecond, 250*time.Millisecond) / seeds
+		long += onTime(load, outcomes, "long", 4*time.Second, time.Second) / seeds
+	}
+	t.Logf("in time: short %.3f, long %.3f", short, long)
+	if short < 0.9 || long < 0.6 {
+		t.Errorf("in time: short %.3f, want 0.9; long %.3f, want 0.6", short, long)
+	}
+}
