--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -33,6 +33,7 @@
 	// many there were.
 	listed time.Time
 	others int
+	// wanted asks for a list that is not due.
 	wanted clock.Signal
 	// first is closed once the others were read, or could not be.
 	first     chan struct{}
--- a/peridotpath/readings/readings_test.go
+++ b/peridotpath/readings/readings_test.go
@@ -110,8 +110,8 @@
 	var list readings.Endpoints
 	for i := range 3000 {
 		list.Entries = append(list.Entries, keyvalue.Entry{
-			Key:   fmt.Sprintf("servers/i-%010x", i*2654435761),
-			Value: fmt.Appendf(nil, `{"service":"llm","address":"10.%d.%d.%d:8263","zone":"colombo-a","capacity":10,"state":"ready","born":%d}`, i%5, i/5%64, i/320, 1700000000000+i*7919),
+			Key:   fmt.Sprintf("endpoints/%010x", i*2654435761),
+			Value: fmt.Appendf(nil, `{"service":"llm","address":"10.%d.%d.%d:8263","data_centre":"a","slots":10,"state":"live","incarnation":%d}`, i%5, i/5%64, i/320, 1700000000000+i*7919),
 		})
 	}
 	list.Content, list.Age = 7, 90*time.Millisecond
