relay, platform: a failed attempt's line names the request's content and whether its endpoint is gone

A connection that broke off without our doing is an outcome of its own now (broken); the endpoint is asked once for all that broke off together, and a refused connection or another endpoint at the address says that it is gone.

No decision uses it yet.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -63,7 +63,7 @@
 		if outbound.ErrNotSent.Has(err) {
 			return outcomeUnsent, err
 		}
-		return outcomeFailed, errors.Join(err, context.Cause(ctx))
+		return brokenUnless(ctx), errors.Join(err, context.Cause(ctx))
 	}
 	defer answer.Body.Close()
 	switch {
@@ -78,7 +78,16 @@
 	if exchange.route.Streaming && answer.Status == http.StatusOK {
 		return exchange.stream(ctx, answer, watch)
 	}
-	return exchange.whole(answer)
+	return exchange.whole(ctx, answer)
+}
+
+// brokenUnless is the outcome of an attempt whose connection failed: it broke off,
+// unless this instance had given the attempt up.
+func brokenUnless(ctx context.Context) outcome {
+	if ctx.Err() != nil {
+		return outcomeFailed
+	}
+	return outcomeBroken
 }
 
 // reserve reserves the memory that the plan needs beside the writer's.
@@ -188,7 +197,7 @@
 			return outcomeDone, nil
 		}
 		if err != nil {
-			return outcomeFailed, errors.Join(err, context.Cause(ctx))
+			return brokenUnless(ctx), errors.Join(err, context.Cause(ctx))
 		}
 		watch.event()
 		if seen == 0 {
@@ -236,10 +245,10 @@
 
 // whole reads an answer that is no stream to its end before a byte goes out, so
 // that a broken one never looks complete.
-func (exchange *exchange) whole(answer *Answer) (outcome, error) {
+func (exchange *exchange) whole(ctx context.Context, answer *Answer) (outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
 	if err != nil {
-		return outcomeFailed, err
+		return brokenUnless(ctx), err
 	}
 	if len(body) > maxAnswer {
 		return outcomeFailed, errTooLarge
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -24,6 +24,9 @@
 	// takes for the prompt.
 	engines int
 	reading time.Duration
+	// content is the request's fingerprint once hasContent.
+	content    peridotpath.Fingerprint
+	hasContent bool
 	// priority is the operators' rank of the request; 0 is the most urgent.
 	priority int
 	deadline time.Time
@@ -77,9 +80,11 @@
 	outcomeNoMemory
 	// outcomeErrored: the endpoint ran it and answered with a failure of its own.
 	outcomeErrored
+	// outcomeBroken: the connection broke off; the request may have run.
+	outcomeBroken
 )
 
-var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored"}
+var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored", "broken"}
 
 func (outcome outcome) String() string { return outcomeNames[outcome] }
 
@@ -104,7 +109,7 @@
 			}
 			return
 		}
-		exchange.note(outcome, err)
+		exchange.note(ctx, outcome, err)
 		if result := exchange.ended(ctx); result != nil {
 			exchange.fail(*result)
 			return
@@ -214,6 +219,16 @@
 	return candidates
 }
 
+// fingerprint names the request's content. It is taken when it is first asked for.
+func (exchange *exchange) fingerprint() peridotpath.Fingerprint {
+	if !exchange.hasContent {
+		request := exchange.request
+		exchange.content = peridotpath.FingerprintOf(exchange.customer, request.Host, request.Method, request.Target, request.Body)
+		exchange.hasContent = true
+	}
+	return exchange.content
+}
+
 // refusal ends a request that no endpoint takes now.
 func (exchange *exchange) refusal(code peridotpath.Code, retryAfter time.Duration) *peridotpath.Result {
 	if exchange.mayHaveRun {
@@ -223,10 +238,11 @@
 }
 
 // note draws what an attempt's failure says of its endpoint.
-func (exchange *exchange) note(outcome outcome, err error) {
+func (exchange *exchange) note(ctx context.Context, outcome outcome, err error) {
 	telemetry.Attempt(outcome.String())
-	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).
-		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).
+	gone := outcome == outcomeBroken && exchange.relay.departed(ctx, exchange.plan.Writer)
+	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
+		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).Bool("endpoint_gone", gone).
 		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
 	if outcome == outcomeNoMemory {
 		// The writer has nothing to do with it, and nothing was sent.
@@ -241,7 +257,7 @@
 	case outcomeErrored:
 		exchange.sent++
 		exchange.mayHaveRun = true
-	case outcomeFailed:
+	case outcomeFailed, outcomeBroken:
 		exchange.sent++
 		exchange.mayHaveRun = true
 		exchange.relay.Book.Failed(key, now)
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
@@ -37,6 +38,8 @@
 	// Stall is how long an engine's work stands still when an engine that it
 	// depends on is gone; after that it goes on or is cut off by itself.
 	Stall time.Duration
+
+	inquiries singleflight.Group
 }
 
 const (
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -97,5 +97,6 @@
 // Sender sends a call. Its error is of class outbound.ErrNotSent or ErrLost.
 type Sender func(ctx context.Context, call *Call) (*Answer, error)
 
-// Checker asks an engine for any answer. It returns nil if the engine is there.
+// Checker asks an endpoint for any answer. It returns nil if the endpoint is there, and
+// an error of class ErrGone where something else answers or nobody listens.
 type Checker func(ctx context.Context, endpoint *peridotpath.Endpoint) error
