relay: a failing test for one request that ends every endpoint it is sent to

Six instances before twelve endpoints, one body six times a second for 16 s beside 40 other requests a second, on virtual time.

TestPopularBodyIsServedWhileEndpointsEnd holds what must stay: nobody is refused who sends what many send, while endpoints end by themselves twice a second.

--- /dev/null
+++ b/peridotpath/relay/crash_test.go
@@ -0,0 +1,157 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/relay"
+)
+
+const (
+	// fatalBody is a body that no endpoint survives.
+	fatalBody = "fatal"
+	// verdictTime is the time after the third end under a request within which all
+	// instances know of it, and spareRuns how often it may run after that.
+	verdictTime = 3 * time.Second
+	spareRuns   = 3
+)
+
+// storm is a load of requests with their bodies.
+type storm []stormAsk
+
+type stormAsk struct {
+	at    time.Duration
+	route string
+	body  string
+}
+
+// steady adds requests at a rate, each with a body by its number.
+func (load storm) steady(random *rand.Rand, route string, from, until time.Duration, perSecond float64, body func(i int) string) storm {
+	for i, arrival := range poisson(random, from, until, perSecond, func(at time.Duration) arrival { return arrival{at: at} }) {
+		load = append(load, stormAsk{at: arrival.at, route: route, body: body(i)})
+	}
+	return load
+}
+
+func ownBody(i int) string { return fmt.Sprintf("body %d", i) }
+
+func sameBody(body string) func(int) string { return func(int) string { return body } }
+
+// playStorm sends a load to instances by chance and returns what each caller got.
+func playStorm(mortal *mortalEndpoints, fleet *fleet, random *rand.Rand, load storm) []*outcome {
+	outcomes := make([]*outcome, len(load))
+	began := time.Now()
+	var all sync.WaitGroup
+	for i, ask := range load {
+		one := fleet.relays[random.IntN(len(fleet.relays))]
+		one.relay.Check = mortal.check
+		all.Go(func() {
+			time.Sleep(ask.at - time.Since(began))
+			outcomes[i] = one.ask(context.Background(), ask.route, func(request *relay.Request) {
+				request.ID, request.Body = peridotpath.RequestID(fmt.Sprint("r", i)), []byte(ask.body)
+				request.Prompt, request.Answer = 2000, 400
+			})
+		})
+	}
+	all.Wait()
+	return outcomes
+}
+
+// lateRuns counts the runs of a body that began when three endpoints had ended under
+// it for longer than instances may take to know that.
+func (mortal *mortalEndpoints) lateRuns(body string) (late, ended int) {
+	mortal.mutex.Lock()
+	defer mortal.mutex.Unlock()
+	var third time.Time
+	for _, run := range mortal.runs {
+		if run.body != body || run.ended.IsZero() {
+			continue
+		}
+		if ended++; ended == 3 {
+			third = run.ended
+		}
+	}
+	for _, run := range mortal.runs {
+		if run.body == body && !third.IsZero() && run.at.After(third.Add(verdictTime)) {
+			late++
+		}
+	}
+	return late, ended
+}
+
+func served(load storm, outcomes []*outcome, body func(string) bool) (good, asked int) {
+	for i, outcome := range outcomes {
+		if !body(load[i].body) {
+			continue
+		}
+		asked++
+		if outcome.status == http.StatusOK && !outcome.broken {
+			good++
+		}
+	}
+	return good, asked
+}
+
+// Guards against one request that ends every endpoint it is sent to, again and again.
+func TestRequestThatEndsEndpointsIsNotSentOn(t *testing.T) {
+	for _, test := range []struct {
+		route  string
+		engine *peridotpath.EngineRates
+	}{
+		{"short", &testRates}, {"look", nil}, {"save", nil},
+	} {
+		t.Run(test.route, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(29, 1))
+				mortal, endpoints := newMortalEndpoints(12, func(body string) bool { return body == fatalBody })
+				fleet := newFleet(6, 10*time.Millisecond, func(int) *fixture { return newFixture(mortal.send, test.engine, endpoints...) })
+				load := storm{}.steady(random, test.route, 0, 20*time.Second, 40, ownBody)
+				load = load.steady(random, test.route, 2*time.Second, 18*time.Second, 6, sameBody(fatalBody))
+				outcomes := playStorm(mortal, fleet, random, load)
+				late, ended := mortal.lateRuns(fatalBody)
+				good, asked := served(load, outcomes, func(body string) bool { return body != fatalBody })
+				t.Logf("%d endpoints ended, %d runs too late; %d of %d others served", ended, late, good, asked)
+				if late > spareRuns {
+					t.Errorf("runs of it %v after the third end: %d, want %d at most", verdictTime, late, spareRuns)
+				}
+				time.Sleep(downFor)
+			})
+		})
+	}
+}
+
+// Guards against a body that many send being kept from them because endpoints end by themselves.
+func TestPopularBodyIsServedWhileEndpointsEnd(t *testing.T) {
+	for seed := range uint64(3) {
+		virtual.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(29, seed))
+			mortal, endpoints := newMortalEndpoints(24, func(string) bool { return false })
+			fleet := newFleet(6, 10*time.Millisecond, func(int) *fixture { return newFixture(mortal.send, nil, endpoints...) })
+			load := storm{}.steady(random, "look", 0, 20*time.Second, 60, sameBody("popular"))
+			for at := time.Second; at < 19*time.Second; at += 500 * time.Millisecond {
+				id := endpoints[random.IntN(len(endpoints))].ID
+				time.AfterFunc(at, func() { mortal.end(id) })
+			}
+			outcomes := playStorm(mortal, fleet, random, load)
+			good, asked := served(load, outcomes, func(string) bool { return true })
+			refused := 0
+			for _, outcome := range outcomes {
+				if outcome.result.Code == peridotpath.CodeNoEndpoint || outcome.result.Code.NotRun() && outcome.result.Code != peridotpath.CodeOK {
+					refused++
+				}
+			}
+			t.Logf("seed %d: %d of %d served, %d refused", seed, good, asked, refused)
+			if refused > 0 {
+				t.Errorf("seed %d: refused %d of %d, want none", seed, refused, asked)
+			}
+			time.Sleep(downFor)
+		})
+	}
+}
