relay, facts, quarantine: a request that ends endpoints is kept off them, fleet-wide

Cause: nothing joined the attempts. Each instance sent the request to one engine and then to another, each of which ended, and neither an instance nor its peers knew that it was the same. An overload of the engines was ruled out: they ended with one and two requests on them.

Change: instances tell each other facts (package facts): which request an endpoint ended under, which has survived one. A request under which three endpoints have ended, which none has survived since, and whose ends are not those of a request found in more of them, is refused (3007 quarantined, with the time left) for a minute; then one instance at a time may try it, and each further end doubles the time. From the second end on one attempt at a time goes out in the whole fleet. Facts go with the digests, five times, to one instance of each other cell too, and lasting ones now and then for those who missed them.

--- a/peridotpath/cell/cell.go
+++ b/peridotpath/cell/cell.go
@@ -51,6 +51,9 @@
 	return cell.parts == 0 || hash(instance)&cell.parts == cell.index
 }
 
+// IndexOf returns which of the cells the instance belongs to, from 0 to Count less one.
+func (cell Cell) IndexOf(instance netip.AddrPort) int { return int(hash(instance) & cell.parts) }
+
 // HasEndpoint reports whether an endpoint of a service that has so many is used
 // in the cell. Several cells share what is too few for one each.
 func (cell Cell) HasEndpoint(key peridotpath.EndpointKey, ofService int) bool {
--- /dev/null
+++ b/peridotpath/facts/facts.go
@@ -0,0 +1,258 @@
+// Package facts holds what single instances see and all have to know: each fact with
+// its age, who saw it, and when it ends. Instances tell each other what is new, and
+// everybody decides by the same facts.
+//
+// The load that it is made for is what one instance cannot see: a request that comes
+// to another instance each time, an endpoint that names to one what binds all. Facts
+// are few while nothing happens; what is kept and told of each kind is bounded.
+package facts
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// Kind is what a fact says. The numbers stand in digests.
+type Kind uint8
+
+// The kinds.
+const (
+	// KindEnded: an endpoint, the detail, ended while it ran a request, the subject.
+	KindEnded Kind = 1
+	// KindSurvived: an endpoint has run a request, the subject, and goes on.
+	KindSurvived Kind = 2
+	// KindBarred: a request, the subject, is kept off the endpoints for as many
+	// seconds as the value says.
+	KindBarred Kind = 3
+	// KindTrial: an instance, the detail, sends a suspected request, the subject.
+	KindTrial Kind = 4
+)
+
+// rule is how facts of a kind are kept.
+type rule struct {
+	name string
+	// keep is how long one is known, most how many are at once.
+	keep time.Duration
+	most int
+	// lasting facts are told again now and then for those that missed them.
+	lasting bool
+}
+
+// evidenceKept is how long an end counts against a request: one that comes once a
+// minute is found out, too.
+const evidenceKept = 10 * time.Minute
+
+var rules = map[Kind]rule{
+	KindEnded:    {name: "ended", keep: evidenceKept, most: 2048},
+	KindSurvived: {name: "survived", keep: evidenceKept, most: 1024},
+	KindBarred:   {name: "barred", keep: 2 * time.Hour, most: 256, lasting: true},
+	KindTrial:    {name: "trial", keep: 5 * time.Second, most: 256},
+}
+
+// String returns the kind's name as logs and metrics write it.
+func (kind Kind) String() string { return rules[kind].name }
+
+// Subject is what a fact is about.
+type Subject [16]byte
+
+// Fact is one thing that an instance saw.
+type Fact struct {
+	Kind    Kind
+	Subject Subject
+	Detail  uint64
+	Value   float64
+	// At is when it was seen, on this instance's monotonic clock.
+	At time.Time
+	// From is the instance that this one has it from.
+	From peridotpath.InstanceID
+}
+
+type key struct {
+	kind    Kind
+	subject Subject
+	detail  uint64
+}
+
+func (fact *Fact) key() key { return key{fact.Kind, fact.Subject, fact.Detail} }
+
+type entry struct {
+	fact Fact
+	// tellings counts how often it has been told, due is when it is next.
+	tellings int
+	due      time.Time
+}
+
+const (
+	// tellings is how often a fact is told, so that lost datagrams cost nothing but
+	// time, and tellPause the pause after the first telling, which doubles each time.
+	tellings  = 5
+	tellPause = 100 * time.Millisecond
+	// tellMost bounds the facts of one digest, which goes out in one datagram.
+	tellMost = 64
+	// sameAge is the difference in age up to which two tellings of a fact are the same
+	// one: the age of what is handed on grows by the time on the way.
+	sameAge = 250 * time.Millisecond
+)
+
+// Table holds facts. Set the exported fields before use.
+type Table struct {
+	// Changed, when set, is called when there is something to tell.
+	Changed func()
+
+	mutex sync.Mutex
+	facts map[key]*entry
+	// about counts the facts about a subject.
+	about map[Subject]int
+	count atomic.Int64
+}
+
+// Empty reports whether nothing is known. It costs a request next to nothing.
+func (table *Table) Empty() bool { return table.count.Load() == 0 }
+
+// Knows reports whether there is any fact about the subject.
+func (table *Table) Knows(subject Subject) bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.about[subject] > 0
+}
+
+// Learn takes in what this instance saw itself.
+func (table *Table) Learn(fact Fact) {
+	table.take(fact, true)
+	if table.Changed != nil {
+		table.Changed()
+	}
+}
+
+// Hear takes in what a peer tells. What comes from another cell is told in this one.
+func (table *Table) Hear(told []Fact, handOn bool) {
+	news := false
+	for _, fact := range told {
+		if _, known := rules[fact.Kind]; known {
+			news = table.take(fact, handOn) || news
+		}
+	}
+	if news && handOn && table.Changed != nil {
+		table.Changed()
+	}
+}
+
+// take keeps the newer of two facts, and reports whether it is new.
+func (table *Table) take(fact Fact, tell bool) bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	known := table.facts[fact.key()]
+	if known != nil && !fact.At.After(known.fact.At.Add(sameAge)) && (fact.Value == known.fact.Value || !fact.At.After(known.fact.At)) {
+		return false
+	}
+	added := &entry{fact: fact, tellings: tellings}
+	if tell {
+		added.tellings, added.due = 0, fact.At
+	}
+	table.put(added)
+	table.bound(fact.Kind, fact.At)
+	table.count.Store(int64(len(table.facts)))
+	return true
+}
+
+func (table *Table) put(added *entry) {
+	if table.facts == nil {
+		table.facts, table.about = map[key]*entry{}, map[Subject]int{}
+	}
+	if table.facts[added.fact.key()] == nil {
+		table.about[added.fact.Subject]++
+	}
+	table.facts[added.fact.key()] = added
+}
+
+func (table *Table) drop(key key) {
+	delete(table.facts, key)
+	if table.about[key.subject]--; table.about[key.subject] == 0 {
+		delete(table.about, key.subject)
+	}
+}
+
+// bound forgets facts of a kind that are over, and the oldest where there are too many.
+func (table *Table) bound(kind Kind, now time.Time) {
+	rule := rules[kind]
+	var kept []*entry
+	for key, entry := range table.facts {
+		if key.kind != kind {
+			continue
+		}
+		if now.Sub(entry.fact.At) > rule.keep {
+			table.drop(key)
+			continue
+		}
+		kept = append(kept, entry)
+	}
+	if len(kept) <= rule.most {
+		return
+	}
+	oldest := slices.MinFunc(kept, func(a, b *entry) int { return a.fact.At.Compare(b.fact.At) })
+	table.drop(oldest.fact.key())
+	telemetry.FactForgotten(kind.String())
+}
+
+// All returns the facts of a kind that are not over, in no order.
+func (table *Table) All(kind Kind, now time.Time) []Fact {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var all []Fact
+	for key, entry := range table.facts {
+		if key.kind == kind && now.Sub(entry.fact.At) <= rules[kind].keep {
+			all = append(all, entry.fact)
+		}
+	}
+	return all
+}
+
+// Get returns the fact of a kind about a subject and a detail.
+func (table *Table) Get(kind Kind, subject Subject, detail uint64, now time.Time) (Fact, bool) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	entry := table.facts[key{kind, subject, detail}]
+	if entry == nil || now.Sub(entry.fact.At) > rules[kind].keep {
+		return Fact{}, false
+	}
+	return entry.fact, true
+}
+
+// Tell returns what is to be told now. With again, lasting facts are told that have
+// been told before.
+func (table *Table) Tell(now time.Time, again bool) []Fact {
+	if table.Empty() {
+		return nil
+	}
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var due []*entry
+	for key, entry := range table.facts {
+		rule := rules[key.kind]
+		switch {
+		case now.Sub(entry.fact.At) > rule.keep:
+			table.drop(key)
+		case entry.tellings < tellings && !now.Before(entry.due), again && rule.lasting:
+			due = append(due, entry)
+		}
+	}
+	table.count.Store(int64(len(table.facts)))
+	slices.SortFunc(due, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.tellings, b.tellings), b.fact.At.Compare(a.fact.At))
+	})
+	told := make([]Fact, 0, min(len(due), tellMost))
+	for _, entry := range due[:min(len(due), tellMost)] {
+		if entry.tellings < tellings {
+			entry.due = now.Add(tellPause << entry.tellings)
+			entry.tellings++
+		}
+		told = append(told, entry.fact)
+	}
+	return told
+}
--- /dev/null
+++ b/peridotpath/gossip/fact_test.go
@@ -0,0 +1,80 @@
+package gossip_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/gossip"
+)
+
+func knows(node *node, fact facts.Fact) bool {
+	_, known := node.facts.Get(fact.Kind, fact.Subject, fact.Detail, time.Now())
+	return known
+}
+
+// What one instance saw is known to its peers, in other data centres too.
+func TestFactsReachPeers(t *testing.T) {
+	one, near, far := start(t, "one", "a", gossip.Freshness{}), start(t, "two", "a", gossip.Freshness{}), start(t, "three", "b", gossip.Freshness{})
+	one.gossip.SetPeers([]gossip.Peer{{Address: near.gossip.Address, DataCentre: "a"}, {Address: far.gossip.Address, DataCentre: "b"}})
+	fact := facts.Fact{Kind: facts.KindEnded, Subject: facts.Subject{7}, Detail: 5, At: time.Now()}
+	one.facts.Learn(fact)
+	eventually(t, "the fact is known", func() bool { return knows(near, fact) && knows(far, fact) })
+}
+
+// A request that was barred in one cell went on ending endpoints in the others.
+func TestFactsReachOtherCells(t *testing.T) {
+	is := is.New(t)
+	one := start(t, "one", "a", gossip.Freshness{})
+	var peers []gossip.Peer
+	for i := range 400 {
+		unused := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 9)
+		peers = append(peers, gossip.Peer{Address: unused, DataCentre: "a"})
+	}
+	one.gossip.SetPeers(peers)
+	own := one.gossip.Cell()
+	is.True(own.Count() > 1)
+	others := make([]*node, own.Count())
+	for found := 0; found < len(others)-1; {
+		node := start(t, "another", "a", gossip.Freshness{})
+		index := own.IndexOf(node.gossip.Address)
+		if own.HasInstance(node.gossip.Address) || others[index] != nil {
+			continue
+		}
+		others[index] = node
+		found++
+	}
+	// Each of them is the only one of its cell that there is.
+	peers = peers[:0]
+	for i := range 400 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 9)
+		if own.HasInstance(address) {
+			peers = append(peers, gossip.Peer{Address: address, DataCentre: "a"})
+		}
+	}
+	for i := 0; len(peers) < 400; i++ {
+		peers = append(peers, gossip.Peer{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 9), DataCentre: "a"})
+		if !own.HasInstance(peers[len(peers)-1].Address) {
+			peers = peers[:len(peers)-1]
+		}
+	}
+	for _, node := range others {
+		if node != nil {
+			peers = append(peers, gossip.Peer{Address: node.gossip.Address, DataCentre: "a"})
+		}
+	}
+	one.gossip.SetPeers(peers)
+	fact := facts.Fact{Kind: facts.KindBarred, Subject: facts.Subject{7}, Value: 60, At: time.Now()}
+	one.facts.Learn(fact)
+	eventually(t, "the fact is known in every cell", func() bool {
+		for _, node := range others {
+			if node != nil && !knows(node, fact) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/peridotpath/gossip/flight_test.go
+++ b/peridotpath/gossip/flight_test.go
@@ -1,13 +1,18 @@
 package gossip
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/quarantine"
 )
 
 // Whatever a datagram holds, what is made of it can be reckoned with.
@@ -26,12 +31,25 @@
 		f.Fatal(err)
 	}
 	f.Add(nowhere)
+	fact, err := proto.Marshal(&wire.Digest{Instance: "a", Facts: []*wire.Fact{
+		{Kind: uint32(facts.KindBarred), Subject: make([]byte, 16), Value: math.NaN()}, {Kind: 99, Subject: []byte{1}, Age: math.MaxUint64},
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(fact)
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		digest := &wire.Digest{}
 		if proto.Unmarshal(datagram, digest) != nil {
 			return
 		}
 		now := time.Now()
+		table := &facts.Table{}
+		decider := &quarantine.Quarantine{Facts: table, Log: zerolog.Nop()}
+		table.Hear(decodeFacts(digest, now), digest.FactsOnly)
+		for _, fact := range table.Tell(now, true) {
+			decider.Look(peridotpath.Fingerprint(fact.Subject), now)
+		}
 		book := &placement.Book{}
 		book.HearPeer(decodeReport(digest, now), now)
 		for _, load := range book.View(now).All() {
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/cell"
 	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/readings"
@@ -68,6 +69,8 @@
 	// ReadingsPort is where peers may ask for what this instance has read.
 	ReadingsPort uint16
 	Book         *placement.Book
+	// Facts is what all instances have to know.
+	Facts *facts.Table
 	// Clock goes on while the machine is suspended.
 	Clock func() time.Duration
 	// Fresh returns what this instance has read of the store.
@@ -173,10 +176,11 @@
 		case <-ctx.Done():
 			return <-ended
 		case <-time.After(heartbeat):
-			gossip.tell(conn, gossip.farDue(time.Now()))
+			now := time.Now()
+			gossip.tell(conn, gossip.farDue(now), gossip.again(now))
 		case <-gossip.dirty.C():
 			time.Sleep(coalesce)
-			gossip.tell(conn, true)
+			gossip.tell(conn, true, false)
 		}
 	}
 }
@@ -184,13 +188,18 @@
 // farDue reports whether other data centres are to hear though nothing changed.
 func (gossip *Gossip) farDue(now time.Time) bool { return now.Sub(gossip.toldFar) >= farHeartbeat }
 
-// tell sends one digest to every peer, or to those of the own data centre only.
-func (gossip *Gossip) tell(conn *net.UDPConn, far bool) {
+// tell sends one digest to every peer, or to those of the own data centre only where
+// there is no fact to tell. With again, lasting facts are told once more.
+func (gossip *Gossip) tell(conn *net.UDPConn, far, again bool) {
 	// The echoes come first: a receiver relates the ages to the echo, so that it
 	// must be older than they are. Were the process frozen in between, an echo
 	// taken afterwards would make what was read before the freeze look fresh.
-	targets := gossip.targets(time.Now(), far)
-	common, err := proto.Marshal(gossip.digest())
+	now := time.Now()
+	told := encodeFacts(gossip.Facts.Tell(now, again), now)
+	targets := gossip.targets(now, far || len(told) > 0)
+	digest := gossip.digest()
+	digest.Facts = told
+	common, err := proto.Marshal(digest)
 	if err != nil {
 		gossip.Log.Error().Err(err).Msg("digest_unmade")
 		return
@@ -198,6 +207,7 @@
 	for _, target := range targets {
 		gossip.send(conn, target.address, common, &wire.Digest{Echo: target.echo, HandOn: target.handOn})
 	}
+	gossip.tellAbroad(conn, told, now)
 }
 
 // send sends a digest with what is for one receiver only: two messages in a row
@@ -289,6 +299,10 @@
 	if err != nil || digest.Instance == "" || digest.Instance == string(gossip.Instance) {
 		return
 	}
+	gossip.Facts.Hear(decodeFacts(digest, now), digest.FactsOnly)
+	if digest.FactsOnly {
+		return
+	}
 	gossip.mutex.Lock()
 	peer := gossip.peer(from)
 	if peer.instance != peridotpath.InstanceID(digest.Instance) || peer.incarnation != peridotpath.Incarnation(digest.Incarnation) {
--- a/peridotpath/gossip/gossip_test.go
+++ b/peridotpath/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/cell"
 	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/gossip/wire"
 	"peridotpath.example/peridotpath/placement"
@@ -41,6 +42,7 @@
 type node struct {
 	gossip *gossip.Gossip
 	book   *placement.Book
+	facts  *facts.Table
 	heard  chan heard
 	// others counts the peers that knew of another number of cells.
 	others atomic.Int64
@@ -48,9 +50,9 @@
 
 func start(t *testing.T, id peridotpath.InstanceID, dataCentre peridotpath.DataCentre, fresh gossip.Freshness) *node {
 	t.Helper()
-	node := &node{book: &placement.Book{}, heard: make(chan heard, 1000)}
+	node := &node{book: &placement.Book{}, facts: &facts.Table{}, heard: make(chan heard, 1000)}
 	node.gossip = &gossip.Gossip{
-		Instance: id, Incarnation: 1, Address: freeAddress(t), DataCentre: dataCentre, ReadingsPort: 99, Book: node.book, Clock: clock.SinceBoot, Log: zerolog.Nop(),
+		Instance: id, Incarnation: 1, Address: freeAddress(t), DataCentre: dataCentre, ReadingsPort: 99, Book: node.book, Facts: node.facts, Clock: clock.SinceBoot, Log: zerolog.Nop(),
 		Fresh: func() gossip.Freshness { return fresh },
 		Heard: func(peer readings.Peer, fresh gossip.Freshness, asked time.Duration) {
 			if asked > 0 {
@@ -60,6 +62,7 @@
 	}
 	node.gossip.OtherCells = func() { node.others.Add(1) }
 	node.book.Changed = node.gossip.Changed
+	node.facts.Changed = node.gossip.Changed
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- node.gossip.Run(ctx) }()
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -15,10 +15,12 @@
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/readings"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
@@ -99,6 +101,8 @@
 	routing     *routing.State
 	directory   *directory.Directory
 	book        *placement.Book
+	facts       *facts.Table
+	quarantine  *quarantine.Quarantine
 	relay       *relay.Relay
 	gossip      *gossip.Gossip
 	registry    *gossip.Registry
@@ -123,6 +127,8 @@
 	instance.routing = &routing.State{Now: clock.SinceBoot, KeyLifetime: settings.KeyLifetime - keyMargin, Log: log}
 	instance.directory = &directory.Directory{Log: log}
 	instance.book = &placement.Book{}
+	instance.facts = &facts.Table{}
+	instance.quarantine = &quarantine.Quarantine{Instance: settings.InstanceID, Facts: instance.facts, Log: log}
 	instance.incarnation = peridotpath.Incarnation(time.Now().UnixNano())
 	instance.keeper = &reservation.Keeper{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
@@ -133,7 +139,7 @@
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
-		Keeper: instance.keeper, Stall: settings.Stall, Started: instance.start.over,
+		Keeper: instance.keeper, Quarantine: instance.quarantine, Stall: settings.Stall, Started: instance.start.over,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: instance.count,
@@ -184,9 +190,10 @@
 	instance.gossip = &gossip.Gossip{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, ReadingsPort: settings.ReadingsAddress.Port(),
-		Book: instance.book, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
+		Book: instance.book, Facts: instance.facts, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
 	}
 	instance.book.Changed = instance.gossip.Changed
+	instance.facts.Changed = instance.gossip.Changed
 	instance.registry = &gossip.Registry{
 		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Log: instance.Log,
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -45,7 +45,7 @@
 	if exchange.customer != "" && !relay.Routing.KeysUsable() {
 		return outcomeUnsent, errKeyUnsure
 	}
-	exchange.sentAt = now
+	exchange.sentAt, exchange.writingSince, exchange.survived = now, time.Time{}, false
 	tickets, err := exchange.reserve(ctx)
 	if err != nil {
 		return outcomeNoMemory, err
@@ -210,6 +210,7 @@
 			return outcomeFailed, err
 		}
 		exchange.noteEvent(time.Now())
+		exchange.noteProgress()
 		if id != "" {
 			exchange.afterEvent = id
 		}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -46,6 +46,11 @@
 	lastEvent    time.Time
 	longestPause time.Duration
 
+	// writingSince is when the attempt's first event came; zero before it.
+	writingSince time.Time
+	// survived says that the attempt's endpoint was found to go on with the request.
+	survived bool
+
 	plan       placement.Plan
 	flight     placement.FlightNumber
 	sentAt     time.Time
@@ -96,13 +101,23 @@
 func (exchange *exchange) run(ctx context.Context) {
 	exchange.relay.Budget.Note(exchange.service, time.Now())
 	for {
+		if result := exchange.awaitTrial(ctx); result != nil {
+			exchange.fail(*result)
+			return
+		}
 		if result := exchange.place(ctx); result != nil {
 			exchange.fail(*result)
 			return
 		}
+		if result := exchange.barred(); result != nil {
+			exchange.relay.Book.End(exchange.flight)
+			exchange.fail(*result)
+			return
+		}
 		exchange.tries++
 		outcome, err := exchange.attempt(ctx)
 		if outcome == outcomeDone {
+			exchange.noteSurvival()
 			exchange.count(peridotpath.CodeOK)
 			if exchange.relay.Served.Allow(time.Now()) {
 				exchange.log(exchange.relay.Log.Info(), peridotpath.CodeOK).Msg("served")
@@ -250,6 +265,9 @@
 		return
 	}
 	now, key := time.Now(), exchange.plan.Writer.Key()
+	if gone {
+		exchange.noteEnd(now)
+	}
 	switch outcome {
 	case outcomeRefused:
 		exchange.sent++
@@ -257,6 +275,7 @@
 	case outcomeErrored:
 		exchange.sent++
 		exchange.mayHaveRun = true
+		exchange.noteSurvival()
 	case outcomeFailed, outcomeBroken:
 		exchange.sent++
 		exchange.mayHaveRun = true
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -12,7 +12,9 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
@@ -66,6 +68,7 @@
 	routing   *routing.State
 	directory *directory.Directory
 	book      *placement.Book
+	facts     *facts.Table
 	// clock is the time since boot.
 	clock time.Duration
 	began time.Time
@@ -73,7 +76,8 @@
 
 func newFixture(send relay.Sender, engine *peridotpath.EngineRates, endpoints ...peridotpath.Endpoint) *fixture {
 	fixture := &fixture{directory: &directory.Directory{Log: zerolog.Nop()}, book: &placement.Book{}, began: time.Now()}
-	fixture.clock = time.Hour
+	fixture.clock, fixture.facts = time.Hour, &facts.Table{}
+	keeper := &quarantine.Quarantine{Instance: "edge-1", Facts: fixture.facts, Log: zerolog.Nop()}
 	fixture.routing = &routing.State{
 		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
 		KeyLifetime: time.Hour, Log: zerolog.Nop(),
@@ -82,7 +86,7 @@
 	fixture.directory.Apply(endpoints, fixture.routing.Now())
 	fixture.relay = &relay.Relay{
 		Instance: "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.routing,
-		Endpoints: fixture.directory.Current, AllEndpoints: fixture.directory.Current, Book: fixture.book, Send: send,
+		Endpoints: fixture.directory.Current, AllEndpoints: fixture.directory.Current, Book: fixture.book, Send: send, Quarantine: keeper,
 		Check:  func(context.Context, *peridotpath.Endpoint) error { return nil },
 		Served: &telemetry.Sampler{PerSecond: 10},
 		Budget: &relay.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -11,6 +11,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/telemetry"
@@ -30,6 +31,8 @@
 	Send                    Sender
 	Check                   Checker
 	Keeper                  *reservation.Keeper
+	// Quarantine keeps requests off the endpoints that end what runs them.
+	Quarantine *quarantine.Quarantine
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
 	// Started is closed once the instance knows what it needs to serve, or that it will
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -58,6 +58,9 @@
 	wait := book.Join(placement.NewWait(ranked, reading))
 	defer book.Leave(wait)
 	for {
+		if result := exchange.barred(); result != nil {
+			return result
+		}
 		now := time.Now()
 		candidates := exchange.candidates(now)
 		if len(candidates) == 0 {
--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -44,6 +44,7 @@
 	CodeBadAnswer       Code = 3004 // garbage or an empty success
 	CodeStreamCut       Code = 3005
 	CodeNoMemory        Code = 3006 // no endpoint or group holds the prompt
+	CodeQuarantined     Code = 3007 // endpoints ended while they ran this very request
 
 	CodeDeadline       Code = 4001
 	CodeOutcomeUnknown Code = 4002 // may have run; never run again
@@ -95,6 +96,7 @@
 	CodeBadAnswer:       {http.StatusBadGateway, "bad_answer", false, "the endpoint's answer was empty or not understood"},
 	CodeStreamCut:       {http.StatusBadGateway, "stream_cut", false, "the answer broke off and could not be resumed"},
 	CodeNoMemory:        {http.StatusServiceUnavailable, "no_memory", true, "no endpoint or group has memory for the prompt"},
+	CodeQuarantined:     {http.StatusServiceUnavailable, "quarantined", true, "endpoints ended while they ran this request; it is kept off them for a while"},
 
 	CodeDeadline:       {http.StatusGatewayTimeout, "deadline", false, "the request's time ran out"},
 	CodeOutcomeUnknown: {http.StatusFailedDependency, "outcome_unknown", false, "the request may have run and will not be run again"},
