platform, relay: what an endpoint says that it takes is read and logged

The adapter reads the header into the answer (decimals; the least of several; what cannot be read neither sets nor ends a limit), and each answer that names one is a line, limit_named. No decision uses it yet.

--- a/peridotpath/id.go
+++ b/peridotpath/id.go
@@ -26,6 +26,8 @@
 	Tokens int64
 	// Bytes counts bytes.
 	Bytes int64
+	// Rate is requests a second.
+	Rate float64
 	// Millis is a span in milliseconds, as settings and documents write it.
 	Millis int64
 	// Revision numbers the accepted states of one configuration document;
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -66,6 +66,7 @@
 		return brokenUnless(ctx), errors.Join(err, context.Cause(ctx))
 	}
 	defer answer.Body.Close()
+	exchange.noteLimit(answer)
 	switch {
 	case answer.Elsewhere:
 		return outcomeElsewhere, nil
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -76,6 +76,10 @@
 	Genuine bool
 	// Fault names the address of a helper that was to blame for a refusal.
 	Fault string
+	// Limit is how much the endpoint takes from all instances together, as long as it
+	// says so; nil where it named nothing that can be read, NoLimit where it named nothing.
+	Limit   *peridotpath.Rate
+	NoLimit bool
 	// RetryAfter is when the endpoint would take the request; zero if unsaid.
 	RetryAfter time.Duration
 }
