--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -113,6 +113,7 @@
 	first    time.Duration
 	maxPause time.Duration
 	events   int
+	took     time.Duration
 }
 
 func (outcome *outcome) caller() *relay.Caller {
@@ -150,6 +151,7 @@
 	}
 	outcome := &outcome{}
 	fixture.relay.Serve(ctx, request, outcome.caller())
+	outcome.took = time.Since(request.Arrived)
 	return outcome
 }
 
--- a/peridotpath/relay/mortal_test.go
+++ b/peridotpath/relay/mortal_test.go
@@ -29,6 +29,8 @@
 type mortalEndpoints struct {
 	// crashes says of a body that no endpoint survives it.
 	crashes func(body string) bool
+	// limit, when set, is what an endpoint names in its answers; nil for nothing.
+	limit func(id peridotpath.EndpointID) *peridotpath.Rate
 
 	mutex sync.Mutex
 	lives map[peridotpath.EndpointID]*life
@@ -38,8 +40,9 @@
 
 // mortalRun is a request that an endpoint began to work on.
 type mortalRun struct {
-	body string
-	at   time.Time
+	body     string
+	endpoint peridotpath.EndpointID
+	at       time.Time
 	// ended is when the endpoint ended under it; zero if it did not.
 	ended time.Time
 }
@@ -86,7 +89,7 @@
 	if life.down {
 		return nil, outbound.ErrNotSent.Wrap(syscall.ECONNREFUSED)
 	}
-	mortal.runs = append(mortal.runs, mortalRun{body: body, at: time.Now()})
+	mortal.runs = append(mortal.runs, mortalRun{body: body, endpoint: call.Endpoint.ID, at: time.Now()})
 	if mortal.crashes(body) {
 		run := len(mortal.runs) - 1
 		time.AfterFunc(crashAfter, func() {
@@ -100,7 +103,12 @@
 	if mortal.crashes(body) {
 		stream.next = time.Now().Add(time.Hour)
 	}
-	return &relay.Answer{Status: http.StatusOK, Header: http.Header{}, Genuine: true, Body: stream}, nil
+	answer := &relay.Answer{Status: http.StatusOK, Header: http.Header{}, Genuine: true, Body: stream, NoLimit: true}
+	if mortal.limit != nil {
+		answer.Limit = mortal.limit(call.Endpoint.ID)
+		answer.NoLimit = answer.Limit == nil
+	}
+	return answer, nil
 }
 
 // check answers as an endpoint's address does: nobody listens where it has ended.
