relay, throttle: an endpoint gets no more than it names, from all instances together

Cause: nobody read the limit.

Change: limits are facts, and so is how many requests each instance has sent to an endpoint that has one. Each keeps a bucket for it that fills at the limit and from which what all have sent is taken; what several send at the same moment is made up for. With others who send at this moment, as far as their rate tells, each is let through by chance. Where all that are left take none it is refused at once (3008 limited, with the time until the first does). A limit ends with an answer that names none to a request that was sent after it was named; so 0.4 a second go even to one that names less.

--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -32,6 +32,14 @@
 	KindBarred Kind = 3
 	// KindTrial: an instance, the detail, sends a suspected request, the subject.
 	KindTrial Kind = 4
+	// KindLimit: an endpoint, the subject, takes as many requests a second from all
+	// instances together as the value says.
+	KindLimit Kind = 5
+	// KindSent: an instance, the detail, has sent as many requests to an endpoint with a
+	// limit, the subject, as the value says.
+	KindSent Kind = 6
+
+	kinds = 7
 )
 
 // rule is how facts of a kind are kept.
@@ -42,17 +50,26 @@
 	most int
 	// lasting facts are told again now and then for those that missed them.
 	lasting bool
+	// same is the difference in age up to which two facts that say the same are one; the
+	// age of what is handed on grows by the time on its way.
+	same time.Duration
 }
 
 // evidenceKept is how long an end counts against a request: one that comes once a
 // minute is found out, too.
 const evidenceKept = 10 * time.Minute
 
-var rules = map[Kind]rule{
-	KindEnded:    {name: "ended", keep: evidenceKept, most: 2048},
-	KindSurvived: {name: "survived", keep: evidenceKept, most: 1024},
-	KindBarred:   {name: "barred", keep: 2 * time.Hour, most: 256, lasting: true},
-	KindTrial:    {name: "trial", keep: 5 * time.Second, most: 256},
+// onWay is the time that a fact may have been on its way.
+const onWay = 250 * time.Millisecond
+
+var rules = [kinds]rule{
+	KindEnded:    {name: "ended", keep: evidenceKept, most: 2048, same: onWay},
+	KindSurvived: {name: "survived", keep: evidenceKept, most: 1024, same: onWay},
+	KindBarred:   {name: "barred", keep: 2 * time.Hour, most: 256, same: onWay, lasting: true},
+	KindTrial:    {name: "trial", keep: 5 * time.Second, most: 256, same: onWay},
+	// Endpoints name their limits in each answer; once in a while is news enough.
+	KindLimit: {name: "limit", keep: time.Minute, most: 1024, same: 5 * time.Second, lasting: true},
+	KindSent:  {name: "sent", keep: 20 * time.Second, most: 4096, same: onWay},
 }
 
 // String returns the kind's name as logs and metrics write it.
@@ -95,9 +112,6 @@
 	tellPause = 100 * time.Millisecond
 	// tellMost bounds the facts of one digest, which goes out in one datagram.
 	tellMost = 64
-	// sameAge is the difference in age up to which two tellings of a fact are the same
-	// one: the age of what is handed on grows by the time on the way.
-	sameAge = 250 * time.Millisecond
 )
 
 // Table holds facts. Set the exported fields before use.
@@ -108,12 +122,12 @@
 	mutex sync.Mutex
 	facts map[key]*entry
 	// about counts the facts about a subject.
-	about map[Subject]int
-	count atomic.Int64
+	about  map[Subject]int
+	counts [kinds]atomic.Int64
 }
 
-// Empty reports whether nothing is known. It costs a request next to nothing.
-func (table *Table) Empty() bool { return table.count.Load() == 0 }
+// Has reports whether any fact of a kind is held. It costs a request next to nothing.
+func (table *Table) Has(kind Kind) bool { return table.counts[kind].Load() > 0 }
 
 // Knows reports whether there is any fact about the subject.
 func (table *Table) Knows(subject Subject) bool {
@@ -134,7 +148,7 @@
 func (table *Table) Hear(told []Fact, handOn bool) {
 	news := false
 	for _, fact := range told {
-		if _, known := rules[fact.Kind]; known {
+		if fact.Kind > 0 && fact.Kind < kinds {
 			news = table.take(fact, handOn) || news
 		}
 	}
@@ -148,7 +162,7 @@
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	known := table.facts[fact.key()]
-	if known != nil && !fact.At.After(known.fact.At.Add(sameAge)) && (fact.Value == known.fact.Value || !fact.At.After(known.fact.At)) {
+	if known != nil && !fact.At.After(known.fact.At.Add(rules[fact.Kind].same)) && (fact.Value == known.fact.Value || !fact.At.After(known.fact.At)) {
 		return false
 	}
 	added := &entry{fact: fact, tellings: tellings}
@@ -157,7 +171,6 @@
 	}
 	table.put(added)
 	table.bound(fact.Kind, fact.At)
-	table.count.Store(int64(len(table.facts)))
 	return true
 }
 
@@ -167,12 +180,14 @@
 	}
 	if table.facts[added.fact.key()] == nil {
 		table.about[added.fact.Subject]++
+		table.counts[added.fact.Kind].Add(1)
 	}
 	table.facts[added.fact.key()] = added
 }
 
 func (table *Table) drop(key key) {
 	delete(table.facts, key)
+	table.counts[key.kind].Add(-1)
 	if table.about[key.subject]--; table.about[key.subject] == 0 {
 		delete(table.about, key.subject)
 	}
@@ -202,11 +217,20 @@
 
 // All returns the facts of a kind that are not over, in no order.
 func (table *Table) All(kind Kind, now time.Time) []Fact {
+	return table.find(now, func(key key) bool { return key.kind == kind })
+}
+
+// About returns the facts of a kind about a subject that are not over, in no order.
+func (table *Table) About(kind Kind, subject Subject, now time.Time) []Fact {
+	return table.find(now, func(key key) bool { return key.kind == kind && key.subject == subject })
+}
+
+func (table *Table) find(now time.Time, wanted func(key) bool) []Fact {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	var all []Fact
 	for key, entry := range table.facts {
-		if key.kind == kind && now.Sub(entry.fact.At) <= rules[kind].keep {
+		if wanted(key) && now.Sub(entry.fact.At) <= rules[key.kind].keep {
 			all = append(all, entry.fact)
 		}
 	}
@@ -227,9 +251,6 @@
 // Tell returns what is to be told now. With again, lasting facts are told that have
 // been told before.
 func (table *Table) Tell(now time.Time, again bool) []Fact {
-	if table.Empty() {
-		return nil
-	}
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	var due []*entry
@@ -242,7 +263,6 @@
 			due = append(due, entry)
 		}
 	}
-	table.count.Store(int64(len(table.facts)))
 	slices.SortFunc(due, func(a, b *entry) int {
 		return cmp.Or(cmp.Compare(a.tellings, b.tellings), b.fact.At.Compare(a.fact.At))
 	})
--- a/peridotpath/facts/facts_test.go
+++ b/peridotpath/facts/facts_test.go
@@ -85,12 +85,12 @@
 	is := is.New(t)
 	now := time.Now()
 	table := &facts.Table{}
-	is.True(table.Empty())
+	is.True(!table.Has(facts.KindTrial))
 	table.Learn(fact(facts.KindTrial, 1, now))
-	is.True(!table.Empty())
+	is.True(table.Has(facts.KindTrial))
 	now = now.Add(time.Minute)
 	_, known := table.Get(facts.KindTrial, facts.Subject{1}, 0, now)
 	is.True(!known)
 	is.Equal(len(table.Tell(now, false)), 0)
-	is.True(table.Empty())
+	is.True(!table.Has(facts.KindTrial))
 }
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -26,6 +26,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/telemetry"
+	"peridotpath.example/peridotpath/throttle"
 )
 
 // Adapter is what an instance needs of the platform it runs on.
@@ -103,6 +104,7 @@
 	book        *placement.Book
 	facts       *facts.Table
 	quarantine  *quarantine.Quarantine
+	throttle    *throttle.Throttle
 	relay       *relay.Relay
 	gossip      *gossip.Gossip
 	registry    *gossip.Registry
@@ -123,13 +125,15 @@
 // New joins the parts; nothing runs yet.
 func New(settings *Settings, adapter Adapter, log zerolog.Logger) *Instance {
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
-	instance := &Instance{Settings: settings, Adapter: adapter, Log: log}
+	instance := &Instance{Settings: settings, Adapter: adapter, Log: log, incarnation: peridotpath.Incarnation(time.Now().UnixNano())}
 	instance.routing = &routing.State{Now: clock.SinceBoot, KeyLifetime: settings.KeyLifetime - keyMargin, Log: log}
 	instance.directory = &directory.Directory{Log: log}
 	instance.book = &placement.Book{}
 	instance.facts = &facts.Table{}
 	instance.quarantine = &quarantine.Quarantine{Instance: settings.InstanceID, Facts: instance.facts, Log: log}
-	instance.incarnation = peridotpath.Incarnation(time.Now().UnixNano())
+	instance.throttle = &throttle.Throttle{
+		Instance: settings.InstanceID, Sender: throttle.SenderOf(settings.InstanceID, instance.incarnation), Facts: instance.facts, Log: log,
+	}
 	instance.keeper = &reservation.Keeper{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
 		Reserve: adapter.Reserve, Release: adapter.Release, MaxHold: settings.MaxHold, Log: log,
@@ -139,7 +143,7 @@
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
-		Keeper: instance.keeper, Quarantine: instance.quarantine, Stall: settings.Stall, Started: instance.start.over,
+		Keeper: instance.keeper, Quarantine: instance.quarantine, Throttle: instance.throttle, Stall: settings.Stall, Started: instance.start.over,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: instance.count,
--- /dev/null
+++ b/peridotpath/instance/parts_test.go
@@ -0,0 +1,23 @@
+package instance
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/throttle"
+)
+
+// Instances that all send under one name do not count what the others send to an endpoint.
+func TestInstanceSendsUnderItsOwnName(t *testing.T) {
+	is := is.New(t)
+	one := New(&Settings{InstanceID: "edge-1"}, Adapter{
+		Store: &keyvalue.Store{}, Ingress: func(Callers) http.Handler { return http.NotFoundHandler() },
+	}, zerolog.Nop())
+	is.True(one.incarnation != 0)
+	is.Equal(one.throttle.Sender, throttle.SenderOf("edge-1", one.incarnation))
+	is.True(one.throttle.Sender != throttle.SenderOf("edge-2", one.incarnation))
+}
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -109,6 +109,10 @@
 	return view
 }
 
+// Unheard returns how many requests peers send at this moment of which nothing is known
+// here.
+func (view View) Unheard() float64 { return view.unheard }
+
 // All returns the endpoints that have any load.
 func (view View) All() iter.Seq2[peridotpath.EndpointKey, *Load] { return maps.All(view.loads) }
 
--- a/peridotpath/quarantine/quarantine.go
+++ b/peridotpath/quarantine/quarantine.go
@@ -90,7 +90,9 @@
 
 // Empty reports whether nothing is held against anybody. While it is so, requests need
 // no fingerprint.
-func (quarantine *Quarantine) Empty() bool { return quarantine.Facts.Empty() }
+func (quarantine *Quarantine) Empty() bool {
+	return !quarantine.Facts.Has(facts.KindEnded) && !quarantine.Facts.Has(facts.KindBarred)
+}
 
 // Look returns what is held against a request, and for how long it is barred.
 func (quarantine *Quarantine) Look(content peridotpath.Fingerprint, now time.Time) (Standing, time.Duration) {
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -56,6 +56,9 @@
 	sentAt     time.Time
 	firstEvent time.Duration
 	retryAfter time.Duration
+	// limited is how long it is until the first of the endpoints takes a request that
+	// were passed over for their limits; zero where none was.
+	limited time.Duration
 	// fault names the endpoint that a refusal blamed.
 	fault string
 	last  *failedAnswer
@@ -146,38 +149,51 @@
 	if exchange.reading > longRead && exchange.route.AnswerAim >= leastWaitAim {
 		return exchange.awaitTurn(ctx, model, exchange.reading)
 	}
-	now := time.Now()
-	candidates, view := exchange.candidates(now), exchange.relay.Book.View(now)
-	if len(candidates) == 0 {
-		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
-	}
-	work := exchange.work(now)
-	plan, found := placement.PlanPrompt(model, work, candidates, view)
-	if !found {
-		return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(model, work, candidates, view)))
+	for {
+		now := time.Now()
+		view := exchange.relay.Book.View(now)
+		candidates := exchange.candidates(view, now)
+		if len(candidates) == 0 {
+			return exchange.noEndpoint()
+		}
+		work := exchange.work(now)
+		plan, found := placement.PlanPrompt(model, work, candidates, view)
+		if !found {
+			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, placement.SoonestFree(model, work, candidates, view)))
+		}
+		if exchange.begin(plan, now) {
+			return nil
+		}
 	}
-	exchange.begin(plan, now)
-	return nil
 }
 
 func (exchange *exchange) placePlain() *peridotpath.Result {
-	now := time.Now()
-	candidates := exchange.candidates(now)
-	if len(candidates) == 0 {
-		return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
-	}
-	plan, found := placement.PlanPlain(exchange.work(now), candidates, exchange.relay.Book.View(now))
-	if !found {
-		return exchange.refusal(peridotpath.CodeCannotFinish, shortReturn)
+	for {
+		now := time.Now()
+		view := exchange.relay.Book.View(now)
+		candidates := exchange.candidates(view, now)
+		if len(candidates) == 0 {
+			return exchange.noEndpoint()
+		}
+		plan, found := placement.PlanPlain(exchange.work(now), candidates, view)
+		if !found {
+			return exchange.refusal(peridotpath.CodeCannotFinish, shortReturn)
+		}
+		if exchange.begin(plan, now) {
+			return nil
+		}
 	}
-	exchange.begin(plan, now)
-	return nil
 }
 
-// begin notes the plan as under way, so that the next one counts it.
-func (exchange *exchange) begin(plan placement.Plan, now time.Time) {
+// begin notes the plan as under way, so that the next one counts it. It returns false
+// where another request has used up the writer's limit meanwhile.
+func (exchange *exchange) begin(plan placement.Plan, now time.Time) bool {
+	if !exchange.take(&plan, now) {
+		return false
+	}
 	exchange.plan = plan
 	exchange.flight = exchange.relay.Book.Begin(plan.Flight(exchange.work(now), now))
+	return true
 }
 
 func (exchange *exchange) work(now time.Time) placement.Work {
@@ -212,21 +228,23 @@
 }
 
 // candidates returns the endpoints that may take the request.
-func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
+func (exchange *exchange) candidates(view placement.View, now time.Time) []placement.Candidate {
+	exchange.limited = 0
 	members := exchange.relay.Endpoints().Of(exchange.service)
 	exchange.engines = len(members)
-	candidates := exchange.candidatesOf(members, now)
+	candidates := exchange.candidatesOf(members, view, now)
 	if len(candidates) == 0 {
-		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), now)
+		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), view, now)
 	}
 	return candidates
 }
 
-func (exchange *exchange) candidatesOf(members []directory.Member, now time.Time) []placement.Candidate {
+func (exchange *exchange) candidatesOf(members []directory.Member, view placement.View, now time.Time) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(members))
 	suspects := exchange.relay.Book.Suspects(now)
+	unlimited := exchange.relay.Throttle.Idle()
 	for _, member := range members {
-		if exchange.avoid[member.Key] {
+		if exchange.avoid[member.Key] || !unlimited && !exchange.withinLimit(member.Key, view, now) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, Suspect: suspects[member.Key]})
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -19,6 +20,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/telemetry"
+	"peridotpath.example/peridotpath/throttle"
 )
 
 func testEndpoint(number int) peridotpath.Endpoint {
@@ -87,10 +89,11 @@
 	fixture.relay = &relay.Relay{
 		Instance: "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.routing,
 		Endpoints: fixture.directory.Current, AllEndpoints: fixture.directory.Current, Book: fixture.book, Send: send, Quarantine: keeper,
-		Check:  func(context.Context, *peridotpath.Endpoint) error { return nil },
-		Served: &telemetry.Sampler{PerSecond: 10},
-		Budget: &relay.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
-		Stall:  1500 * time.Millisecond,
+		Throttle: &throttle.Throttle{Sender: rand.Uint64(), Facts: fixture.facts, Log: zerolog.Nop()},
+		Check:    func(context.Context, *peridotpath.Endpoint) error { return nil },
+		Served:   &telemetry.Sampler{PerSecond: 10},
+		Budget:   &relay.Budget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
+		Stall:    1500 * time.Millisecond,
 		Keeper: &reservation.Keeper{
 			Instance: "edge-1", Incarnation: 1, Log: zerolog.Nop(),
 			Reserve: func(context.Context, *peridotpath.Endpoint, string, peridotpath.Tokens, time.Duration) (bool, error) {
--- a/peridotpath/relay/limit_test.go
+++ b/peridotpath/relay/limit_test.go
@@ -68,6 +68,7 @@
 		{6, 12, 10 * time.Millisecond, 60, "short", &testRates},
 		{6, 12, 10 * time.Millisecond, 60, "save", nil},
 		{97, 56, 25 * time.Millisecond, 195, "short", smallBatch()},
+		{97, 48, 25 * time.Millisecond, 195, "look", nil},
 	} {
 		t.Run(fmt.Sprintf("%d instances %s", test.instances, test.route), func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -15,6 +15,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/telemetry"
+	"peridotpath.example/peridotpath/throttle"
 )
 
 // Relay serves requests. Set the exported fields before use.
@@ -33,6 +34,8 @@
 	Keeper                  *reservation.Keeper
 	// Quarantine keeps requests off the endpoints that end what runs them.
 	Quarantine *quarantine.Quarantine
+	// Throttle keeps endpoints to what they have named.
+	Throttle *throttle.Throttle
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
 	// Started is closed once the instance knows what it needs to serve, or that it will
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -62,9 +62,10 @@
 			return result
 		}
 		now := time.Now()
-		candidates := exchange.candidates(now)
+		view := book.View(now)
+		candidates := exchange.candidates(view, now)
 		if len(candidates) == 0 {
-			return exchange.refusal(peridotpath.CodeNoEndpoint, shortReturn)
+			return exchange.noEndpoint()
 		}
 		ahead, before := book.Ahead(wait, exchange.relay.Instance, now)
 		work := exchange.work(now)
@@ -79,10 +80,9 @@
 		}
 		blocked := false
 		if ahead == 0 {
-			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
-			if found && worthwhile(plan, work) {
+			plan, found := placement.PlanPrompt(model, work, candidates, view)
+			if found && worthwhile(plan, work) && exchange.begin(plan, now) {
 				telemetry.TurnWait(work.Waited)
-				exchange.begin(plan, now)
 				return nil
 			}
 			// Others need not wait for what this one waits for: memory, or engines at
--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -45,6 +45,7 @@
 	CodeStreamCut       Code = 3005
 	CodeNoMemory        Code = 3006 // no endpoint or group holds the prompt
 	CodeQuarantined     Code = 3007 // endpoints ended while they ran this very request
+	CodeLimited         Code = 3008 // all endpoints that are left take no more for now
 
 	CodeDeadline       Code = 4001
 	CodeOutcomeUnknown Code = 4002 // may have run; never run again
@@ -97,6 +98,7 @@
 	CodeStreamCut:       {http.StatusBadGateway, "stream_cut", false, "the answer broke off and could not be resumed"},
 	CodeNoMemory:        {http.StatusServiceUnavailable, "no_memory", true, "no endpoint or group has memory for the prompt"},
 	CodeQuarantined:     {http.StatusServiceUnavailable, "quarantined", true, "endpoints ended while they ran this request; it is kept off them for a while"},
+	CodeLimited:         {http.StatusServiceUnavailable, "limited", true, "every endpoint that is left has named a limit that is used up"},
 
 	CodeDeadline:       {http.StatusGatewayTimeout, "deadline", false, "the request's time ran out"},
 	CodeOutcomeUnknown: {http.StatusFailedDependency, "outcome_unknown", false, "the request may have run and will not be run again"},
