soak: an endpoint that names a limit for a while

It names 0 to 6 requests a second for ten seconds and more; what undisturbed instances send it in any four seconds is held to one and a half times that, and five.

--- a/soak/check.go
+++ b/soak/check.go
@@ -24,6 +24,7 @@
 	// all had to know.
 	ended    map[string][]time.Time
 	late     map[string]int
+	limits   map[peridotpath.EndpointID]*limited
 	broken   []string
 	requests int
 	served   int
@@ -45,7 +46,7 @@
 func newChecks() *checks {
 	return &checks{
 		runs: map[peridotpath.RequestID][]run{}, revoked: map[peridotpath.APIKey]time.Time{},
-		ended: map[string][]time.Time{}, late: map[string]int{}, leaving: map[peridotpath.EndpointID]time.Time{}, asked: map[peridotpath.RequestID]question{},
+		ended: map[string][]time.Time{}, late: map[string]int{}, limits: map[peridotpath.EndpointID]*limited{}, leaving: map[peridotpath.EndpointID]time.Time{}, asked: map[peridotpath.RequestID]question{},
 	}
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,6 +78,7 @@
 	{"fatal_request", func(fleet *fleet, random *rand.Rand) func() {
 		return fleet.repeat(random, fmt.Sprintf("%s %x", fatalBody, random.Uint64()))
 	}},
+	{"limit", func(fleet *fleet, random *rand.Rand) func() { return fleet.nameLimit(random) }},
 	{"revoke", func(fleet *fleet, random *rand.Rand) func() {
 		fleet.revoke(customers[random.IntN(len(customers))])
 		return func() {}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -141,8 +141,9 @@
 			defer endpoint.mutex.Unlock()
 			return endpoint.breaking && rand.IntN(60) == 0
 		},
-		Fatal: func(run standin.Run) bool { return fatal(run.Body) },
-		End:   func() { fleet.end(ctx, endpoint) },
+		Fatal:   func(run standin.Run) bool { return fatal(run.Body) },
+		End:     func() { fleet.end(ctx, endpoint) },
+		Arrived: func(request peridotpath.RequestID) { fleet.checks.arrived(id, request) },
 	}
 	at, err := fleet.serve(ctx, endpoint.Endpoint)
 	if err != nil {
