facts: a digest with nothing to tell goes through no facts

Each digest looked at every fact, up to a hundred times a second, also for minutes after the last end. The time of the next telling is kept now, and facts are found by what they are about.

--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -121,9 +121,11 @@
 
 	mutex sync.Mutex
 	facts map[key]*entry
-	// about counts the facts about a subject.
-	about  map[Subject]int
+	// about holds the same facts by subject.
+	about  map[Subject]map[key]*entry
 	counts [kinds]atomic.Int64
+	// due is when the next fact is to be told.
+	due time.Time
 }
 
 // Has reports whether any fact of a kind is held. It costs a request next to nothing.
@@ -133,7 +135,7 @@
 func (table *Table) Knows(subject Subject) bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
-	return table.about[subject] > 0
+	return len(table.about[subject]) > 0
 }
 
 // Learn takes in what this instance saw itself.
@@ -168,6 +170,7 @@
 	added := &entry{fact: fact, tellings: tellings}
 	if tell {
 		added.tellings, added.due = 0, fact.At
+		table.due = time.Time{}
 	}
 	table.put(added)
 	table.bound(fact.Kind, fact.At)
@@ -176,26 +179,33 @@
 
 func (table *Table) put(added *entry) {
 	if table.facts == nil {
-		table.facts, table.about = map[key]*entry{}, map[Subject]int{}
+		table.facts, table.about = map[key]*entry{}, map[Subject]map[key]*entry{}
 	}
-	if table.facts[added.fact.key()] == nil {
-		table.about[added.fact.Subject]++
-		table.counts[added.fact.Kind].Add(1)
+	name, subject := added.fact.key(), added.fact.Subject
+	if table.facts[name] == nil {
+		table.counts[name.kind].Add(1)
 	}
-	table.facts[added.fact.key()] = added
+	if table.about[subject] == nil {
+		table.about[subject] = map[key]*entry{}
+	}
+	table.facts[name], table.about[subject][name] = added, added
 }
 
 func (table *Table) drop(key key) {
 	delete(table.facts, key)
 	table.counts[key.kind].Add(-1)
-	if table.about[key.subject]--; table.about[key.subject] == 0 {
+	delete(table.about[key.subject], key)
+	if len(table.about[key.subject]) == 0 {
 		delete(table.about, key.subject)
 	}
 }
 
-// bound forgets facts of a kind that are over, and the oldest where there are too many.
+// bound forgets what is over of a kind of which there is too much, and then the oldest.
 func (table *Table) bound(kind Kind, now time.Time) {
 	rule := rules[kind]
+	if table.counts[kind].Load() <= int64(rule.most) {
+		return
+	}
 	var kept []*entry
 	for key, entry := range table.facts {
 		if key.kind != kind {
@@ -217,20 +227,22 @@
 
 // All returns the facts of a kind that are not over, in no order.
 func (table *Table) All(kind Kind, now time.Time) []Fact {
-	return table.find(now, func(key key) bool { return key.kind == kind })
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return ofKind(table.facts, kind, now)
 }
 
 // About returns the facts of a kind about a subject that are not over, in no order.
 func (table *Table) About(kind Kind, subject Subject, now time.Time) []Fact {
-	return table.find(now, func(key key) bool { return key.kind == kind && key.subject == subject })
-}
-
-func (table *Table) find(now time.Time, wanted func(key) bool) []Fact {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	return ofKind(table.about[subject], kind, now)
+}
+
+func ofKind(entries map[key]*entry, kind Kind, now time.Time) []Fact {
 	var all []Fact
-	for key, entry := range table.facts {
-		if wanted(key) && now.Sub(entry.fact.At) <= rules[key.kind].keep {
+	for key, entry := range entries {
+		if key.kind == kind && now.Sub(entry.fact.At) <= rules[kind].keep {
 			all = append(all, entry.fact)
 		}
 	}
@@ -253,6 +265,9 @@
 func (table *Table) Tell(now time.Time, again bool) []Fact {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
+	if !again && now.Before(table.due) {
+		return nil
+	}
 	var due []*entry
 	for key, entry := range table.facts {
 		rule := rules[key.kind]
@@ -274,5 +289,17 @@
 		}
 		told = append(told, entry.fact)
 	}
+	table.due = table.nextDue(now)
 	return told
 }
+
+// nextDue returns when the next fact is to be told; long after now where there is none.
+func (table *Table) nextDue(now time.Time) time.Time {
+	next := now.Add(time.Hour)
+	for _, entry := range table.facts {
+		if entry.tellings < tellings && entry.due.Before(next) {
+			next = entry.due
+		}
+	}
+	return next
+}
--- a/peridotpath/facts/facts_test.go
+++ b/peridotpath/facts/facts_test.go
@@ -94,3 +94,19 @@
 	is.Equal(len(table.Tell(now, false)), 0)
 	is.True(!table.Has(facts.KindTrial))
 }
+
+// BenchmarkTellNothing is what a digest pays while many facts are known and none is new.
+func BenchmarkTellNothing(b *testing.B) {
+	now := time.Now()
+	table := &facts.Table{}
+	for i := range 2000 {
+		table.Learn(facts.Fact{Kind: facts.KindEnded, Subject: facts.Subject{byte(i), byte(i >> 8)}, At: now})
+	}
+	for range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		table.Tell(now, false)
+	}
+	for b.Loop() {
+		table.Tell(now, false)
+	}
+}
