throttle, relay: lines of limits name the endpoint, lines of requests their content

A change of a limit was logged under the endpoint's hash, which no other line has. Lines of requests have their content where it is known, so that a refusal as quarantined can be related to the ends that led to it.

--- a/peridotpath/relay/limit.go
+++ b/peridotpath/relay/limit.go
@@ -9,14 +9,14 @@
 
 // noteLimit notes what the attempt's endpoint says that it takes.
 func (exchange *exchange) noteLimit(answer *Answer) {
-	key, now := exchange.plan.Writer.Key(), time.Now()
+	writer, now := exchange.plan.Writer, time.Now()
 	switch {
 	case answer.Elsewhere || !answer.NotRun && !answer.Genuine:
 		// It is not this endpoint's.
 	case answer.Limit != nil:
-		exchange.relay.Throttle.Named(key, *answer.Limit, now)
+		exchange.relay.Throttle.Named(writer, *answer.Limit, now)
 	case answer.NoLimit:
-		exchange.relay.Throttle.Unnamed(key, exchange.sentAt, now)
+		exchange.relay.Throttle.Unnamed(writer, exchange.sentAt, now)
 	}
 }
 
--- a/peridotpath/relay/record.go
+++ b/peridotpath/relay/record.go
@@ -34,6 +34,9 @@
 		Int64("prompt", int64(exchange.request.Prompt)).Int("tries", exchange.tries).Int("sent", exchange.sent).
 		Dur("aim", exchange.route.AnswerAim).Dur("took", time.Since(exchange.request.Arrived)).Int64("routing_age", exchange.relay.Routing.LoggedAge()).
 		Int("code", int(code)).Str("result", code.String())
+	if exchange.hasContent {
+		event = event.Stringer("content", exchange.content)
+	}
 	if exchange.reading > 0 {
 		event = event.Dur("reading", exchange.reading).Int("engines", exchange.engines)
 	}
--- a/peridotpath/throttle/throttle.go
+++ b/peridotpath/throttle/throttle.go
@@ -70,26 +70,26 @@
 }
 
 // Named notes that an endpoint named its limit.
-func (throttle *Throttle) Named(endpoint peridotpath.EndpointKey, limit peridotpath.Rate, now time.Time) {
-	before, known := throttle.limit(endpoint, now)
+func (throttle *Throttle) Named(endpoint *peridotpath.Endpoint, limit peridotpath.Rate, now time.Time) {
+	before, known := throttle.limit(endpoint.Key(), now)
 	if !known || before != limit {
-		throttle.Log.Info().Uint64("endpoint_key", uint64(endpoint)).Float64("limit", float64(limit)).Float64("before", float64(before)).Msg("limit_changed")
+		throttle.Log.Info().Str("endpoint", string(endpoint.ID)).Float64("limit", float64(limit)).Float64("before", float64(before)).Msg("limit_changed")
 	}
-	throttle.tell(endpoint, limit, now)
+	throttle.tell(endpoint.Key(), limit, now)
 }
 
 // Unnamed notes that an endpoint named no limit in its answer to a request that was sent
 // at a time. What was sent before the limit was named says nothing.
-func (throttle *Throttle) Unnamed(endpoint peridotpath.EndpointKey, sent, now time.Time) {
-	if !throttle.Facts.Has(facts.KindLimit) {
+func (throttle *Throttle) Unnamed(endpoint *peridotpath.Endpoint, sent, now time.Time) {
+	if throttle.Idle() {
 		return
 	}
-	named, known := throttle.Facts.Get(facts.KindLimit, subjectOf(endpoint), 0, now)
+	named, known := throttle.Facts.Get(facts.KindLimit, subjectOf(endpoint.Key()), 0, now)
 	if !known || peridotpath.Rate(named.Value) >= noLimit || !sent.After(named.At) {
 		return
 	}
-	throttle.Log.Info().Uint64("endpoint_key", uint64(endpoint)).Float64("before", named.Value).Msg("limit_ended")
-	throttle.tell(endpoint, noLimit, now)
+	throttle.Log.Info().Str("endpoint", string(endpoint.ID)).Float64("before", named.Value).Msg("limit_ended")
+	throttle.tell(endpoint.Key(), noLimit, now)
 }
 
 func (throttle *Throttle) tell(endpoint peridotpath.EndpointKey, limit peridotpath.Rate, now time.Time) {
--- a/peridotpath/throttle/throttle_test.go
+++ b/peridotpath/throttle/throttle_test.go
@@ -12,7 +12,8 @@
 	"peridotpath.example/peridotpath/throttle"
 )
 
-const endpoint peridotpath.EndpointKey = 7
+// limited is the endpoint of the tests.
+var limited = &peridotpath.Endpoint{ID: "i-7"}
 
 // fleet is instances that hear each other's facts when told to.
 type fleet struct {
@@ -46,7 +47,7 @@
 // ask lets an instance send if the endpoint takes it.
 func (fleet *fleet) ask(instance int) bool {
 	one := fleet.throttles[instance]
-	return one.Wait(endpoint, 0, fleet.now) == 0 && one.Take([]peridotpath.EndpointKey{endpoint}, fleet.now)
+	return one.Wait(limited.Key(), 0, fleet.now) == 0 && one.Take([]peridotpath.EndpointKey{limited.Key()}, fleet.now)
 }
 
 // play lets every instance ask each 50 ms, and returns how often they sent.
@@ -86,7 +87,7 @@
 	for _, test := range tests {
 		is := is.New(t)
 		fleet := newFleet(8)
-		fleet.throttles[3].Named(endpoint, test.limit, fleet.now)
+		fleet.throttles[3].Named(limited, test.limit, fleet.now)
 		fleet.tell()
 		sent := fleet.play(10 * time.Second)
 		if sent < test.least || sent > test.most {
@@ -100,7 +101,7 @@
 func TestOneInstanceMayUseAll(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(8)
-	fleet.throttles[0].Named(endpoint, 2, fleet.now)
+	fleet.throttles[0].Named(limited, 2, fleet.now)
 	fleet.tell()
 	sent := 0
 	for range 200 {
@@ -118,39 +119,39 @@
 func TestOvershootIsMadeUpFor(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(4)
-	fleet.throttles[0].Named(endpoint, 1, fleet.now)
+	fleet.throttles[0].Named(limited, 1, fleet.now)
 	fleet.tell()
 	for i := range fleet.throttles {
-		fleet.throttles[i].Wait(endpoint, 0, fleet.now) // the limit is known
+		fleet.throttles[i].Wait(limited.Key(), 0, fleet.now) // the limit is known
 	}
 	fleet.now = fleet.now.Add(time.Second)
 	for i := range fleet.throttles {
 		is.True(fleet.ask(i))
 	}
 	fleet.tell()
-	is.Equal(fleet.throttles[2].Wait(endpoint, 0, fleet.now), 4*time.Second)
+	is.Equal(fleet.throttles[2].Wait(limited.Key(), 0, fleet.now), 4*time.Second)
 }
 
 func TestLimitChangesAndEnds(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(2)
 	one, two := fleet.throttles[0], fleet.throttles[1]
-	one.Named(endpoint, 1, fleet.now)
+	one.Named(limited, 1, fleet.now)
 	fleet.tell()
-	is.True(one.Wait(endpoint, 0, fleet.now) > 0)
-	is.True(two.Wait(endpoint, 0, fleet.now) > 0)
+	is.True(one.Wait(limited.Key(), 0, fleet.now) > 0)
+	is.True(two.Wait(limited.Key(), 0, fleet.now) > 0)
 	// What had been sent before it named the limit says nothing.
-	one.Unnamed(endpoint, fleet.now.Add(-time.Second), fleet.now.Add(time.Second))
+	one.Unnamed(limited, fleet.now.Add(-time.Second), fleet.now.Add(time.Second))
 	fleet.tell()
-	is.True(two.Wait(endpoint, 0, fleet.now) > 0)
+	is.True(two.Wait(limited.Key(), 0, fleet.now) > 0)
 
 	fleet.now = fleet.now.Add(2 * time.Second)
-	two.Named(endpoint, 100, fleet.now)
+	two.Named(limited, 100, fleet.now)
 	fleet.tell()
 	fleet.now = fleet.now.Add(100 * time.Millisecond)
-	is.Equal(one.Wait(endpoint, 0, fleet.now), time.Duration(0))
+	is.Equal(one.Wait(limited.Key(), 0, fleet.now), time.Duration(0))
 
-	two.Unnamed(endpoint, fleet.now, fleet.now.Add(50*time.Millisecond))
+	two.Unnamed(limited, fleet.now, fleet.now.Add(50*time.Millisecond))
 	fleet.now = fleet.now.Add(100 * time.Millisecond)
 	fleet.tell()
 	for range 50 {
@@ -158,18 +159,18 @@
 	}
 	is.True(fleet.ask(1))
 	fleet.now = fleet.now.Add(time.Second)
-	one.Named(endpoint, 1, fleet.now) // anew
+	one.Named(limited, 1, fleet.now) // anew
 	fleet.tell()
-	is.True(two.Wait(endpoint, 0, fleet.now) > 0)
+	is.True(two.Wait(limited.Key(), 0, fleet.now) > 0)
 }
 
 // Another start of an endpoint has named nothing.
 func TestOtherEndpointsAreNotLimited(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(1)
-	fleet.throttles[0].Named(endpoint, 0, fleet.now)
-	is.Equal(fleet.throttles[0].Wait(endpoint+1, 0, fleet.now), time.Duration(0))
-	is.True(fleet.throttles[0].Take([]peridotpath.EndpointKey{endpoint + 1}, fleet.now))
+	fleet.throttles[0].Named(limited, 0, fleet.now)
+	is.Equal(fleet.throttles[0].Wait(limited.Key()+1, 0, fleet.now), time.Duration(0))
+	is.True(fleet.throttles[0].Take([]peridotpath.EndpointKey{limited.Key() + 1}, fleet.now))
 }
 
 // What an endpoint reads for another one counts, too.
@@ -177,18 +178,18 @@
 	is := is.New(t)
 	fleet := newFleet(1)
 	one := fleet.throttles[0]
-	one.Named(endpoint, 1, fleet.now)
-	is.True(one.Wait(endpoint, 0, fleet.now) > 0)
+	one.Named(limited, 1, fleet.now)
+	is.True(one.Wait(limited.Key(), 0, fleet.now) > 0)
 	fleet.now = fleet.now.Add(time.Second)
-	is.True(one.Take([]peridotpath.EndpointKey{endpoint + 1, endpoint}, fleet.now))
-	is.True(one.Wait(endpoint, 0, fleet.now) > 0)
+	is.True(one.Take([]peridotpath.EndpointKey{limited.Key() + 1, limited.Key()}, fleet.now))
+	is.True(one.Wait(limited.Key(), 0, fleet.now) > 0)
 }
 
 // An endpoint whose answers nobody hears any more is not limited for ever.
 func TestSilentLimitEnds(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(1)
-	fleet.throttles[0].Named(endpoint, 0, fleet.now)
+	fleet.throttles[0].Named(limited, 0, fleet.now)
 	fleet.now = fleet.now.Add(2 * time.Minute)
-	is.Equal(fleet.throttles[0].Wait(endpoint, 0, fleet.now), time.Duration(0))
+	is.Equal(fleet.throttles[0].Wait(limited.Key(), 0, fleet.now), time.Duration(0))
 }
