quarantine: a suspected request is judged after 100 ms

An innocent request that came 150 ms after a second end was refused: it waited for half of its aim of 300 ms, and what else had run there counted as known only after 200 ms. Instances know within some 20 ms; 100 ms are left for it, and requests wait for 150 ms.

--- a/peridotpath/quarantine/quarantine.go
+++ b/peridotpath/quarantine/quarantine.go
@@ -33,7 +33,7 @@
 	firstBar, longestBar = time.Minute, time.Hour
 	// settleTime is how long after an end all that ran there is known: instances find
 	// out within milliseconds, and tell each other as soon.
-	settleTime = 200 * time.Millisecond
+	settleTime = 100 * time.Millisecond
 	// trialTime bounds what an instance may take to find out whether an endpoint
 	// survives a request.
 	trialTime = 3 * time.Second
@@ -74,15 +74,15 @@
 // held against is told of.
 func (quarantine *Quarantine) Survived(content peridotpath.Fingerprint, now time.Time) {
 	subject := facts.Subject(content)
-	if !quarantine.Facts.Knows(subject) || !quarantine.known(content, now) {
+	if !quarantine.Facts.Knows(subject) || !quarantine.accused(content, now) {
 		return
 	}
 	before, _ := quarantine.Facts.Get(facts.KindSurvived, subject, 0, now)
 	quarantine.Facts.Learn(facts.Fact{Kind: facts.KindSurvived, Subject: subject, Value: before.Value + 1, At: now, From: quarantine.Instance})
 }
 
-// known reports whether anything is held against a request.
-func (quarantine *Quarantine) known(content peridotpath.Fingerprint, now time.Time) bool {
+// accused reports whether anything is held against a request.
+func (quarantine *Quarantine) accused(content peridotpath.Fingerprint, now time.Time) bool {
 	evidence := quarantine.evidence(now)
 	_, barred := evidence.bar(content)
 	return barred || len(evidence.ends[content]) > 0
@@ -108,8 +108,7 @@
 		quarantine.announce(content, verdict, len(evidence.ends[content]))
 		return Barred, verdict.until.Sub(now)
 	}
-	switch {
-	case known || len(evidence.ends[content]) >= endsForTrial:
+	if known || len(evidence.ends[content]) >= endsForTrial {
 		return Suspected, 0
 	}
 	return Clear, 0
--- a/peridotpath/quarantine/quarantine_test.go
+++ b/peridotpath/quarantine/quarantine_test.go
@@ -19,7 +19,7 @@
 )
 
 // settled is the time after which an end is judged.
-const settled = 200 * time.Millisecond
+const settled = 100 * time.Millisecond
 
 // bench is a quarantine with a clock of the test's.
 type bench struct {
--- a/peridotpath/relay/suspect.go
+++ b/peridotpath/relay/suspect.go
@@ -13,11 +13,11 @@
 	// earlyRun is how long after a first event an end of the endpoint still counts
 	// against a request: one that ends endpoints does so as it begins to run.
 	earlyRun = time.Second
-	// trialTick is the time between two looks at another attempt's trial, and trialShare
-	// the part of its aim for which a request waits for one: its caller learns soon
-	// that it is not sent now.
-	trialTick  = 20 * time.Millisecond
-	trialShare = 0.5
+	// trialTick is the time between two looks at another attempt's trial, and trialWait
+	// the longest wait for one: longer than it takes until what ran at an end is known,
+	// and no longer, so that a caller learns soon that its request is not sent now.
+	trialTick = 20 * time.Millisecond
+	trialWait = 150 * time.Millisecond
 	// trialReturn is when a caller may come back whose request is on trial.
 	trialReturn = 2 * time.Second
 )
@@ -38,7 +38,7 @@
 			return exchange.refusal(peridotpath.CodeQuarantined, left)
 		case standing == quarantine.Clear, decider.Try(content, now):
 			return nil
-		case now.Sub(began) > time.Duration(trialShare*float64(exchange.route.AnswerAim)):
+		case now.Sub(began) > trialWait:
 			return exchange.refusal(peridotpath.CodeQuarantined, trialReturn)
 		}
 		if !clock.Pause(ctx, trialTick) {
