--- a/peridotctl/why.go
+++ b/peridotctl/why.go
@@ -31,15 +31,17 @@
 	// results counts failed requests by result, outcomes failed attempts by how
 	// they ended, the others failed requests by what they are named after.
 	results, outcomes, kinds, seconds, routes, customers map[string]int
-	// endpoints counts failed attempts.
-	endpoints map[string]int
-	changes   map[string]int
+	// endpoints counts failed attempts, contents the requests that ran where an endpoint
+	// ended.
+	endpoints, contents map[string]int
+	changes             map[string]int
 }
 
 func newTally() *tally {
 	return &tally{
 		results: map[string]int{}, outcomes: map[string]int{}, kinds: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
-		customers: map[string]int{}, endpoints: map[string]int{}, changes: map[string]int{},
+		customers: map[string]int{}, endpoints: map[string]int{}, contents: map[string]int{},
+		changes: map[string]int{},
 	}
 }
 
@@ -64,6 +66,9 @@
 	case "attempt_failed":
 		tally.outcomes[line.Pairs["outcome"]]++
 		note(tally.endpoints, line.Pairs["endpoint"])
+		if line.Pairs["endpoint_gone"] == "true" {
+			note(tally.contents, line.Pairs["content"])
+		}
 	default:
 		tally.changes[line.Pairs["event"]]++
 	}
@@ -111,7 +116,8 @@
 		counts map[string]int
 	}{
 		{"result", tally.results}, {"failed attempt", tally.outcomes}, {"kind", tally.kinds}, {"second", tally.seconds}, {"route", tally.routes},
-		{"customer", tally.customers}, {"endpoint of failed attempts", tally.endpoints}, {"change of belief", tally.changes},
+		{"customer", tally.customers}, {"endpoint of failed attempts", tally.endpoints},
+		{"content where an endpoint ended", tally.contents}, {"change of belief", tally.changes},
 	}
 	for _, table := range tables {
 		writeCounts(out, table.title, table.counts, top)
