quarantine: what is merely suspected is never refused

A body that many send was refused once where two endpoints in a row had ended by themselves while they ran it: tries beside the one that had the right to send it waited for 150 ms and were told to come back. They wait for 400 ms now and then go; after a bar it is one at a time without exception.

--- a/peridotpath/quarantine/quarantine.go
+++ b/peridotpath/quarantine/quarantine.go
@@ -56,8 +56,11 @@
 const (
 	// Clear: it is sent as any other.
 	Clear Standing = iota
-	// Suspected: endpoints have ended under it; one instance at a time sends it.
+	// Suspected: endpoints have ended under it; it is sent by one instance at a time for
+	// as long as it may wait.
 	Suspected
+	// OnTrial: its bar is over; one instance at a time sends it.
+	OnTrial
 	// Barred: it is not sent.
 	Barred
 )
@@ -108,10 +111,14 @@
 		quarantine.announce(content, verdict, len(evidence.ends[content]))
 		return Barred, verdict.until.Sub(now)
 	}
-	if known || len(evidence.ends[content]) >= endsForTrial {
+	switch {
+	case known:
+		return OnTrial, 0
+	case len(evidence.ends[content]) >= endsForTrial:
 		return Suspected, 0
+	default:
+		return Clear, 0
 	}
-	return Clear, 0
 }
 
 // announce tells all instances that a request is barred.
--- a/peridotpath/relay/suspect.go
+++ b/peridotpath/relay/suspect.go
@@ -14,16 +14,17 @@
 	// against a request: one that ends endpoints does so as it begins to run.
 	earlyRun = time.Second
 	// trialTick is the time between two looks at another attempt's trial, and trialWait
-	// the longest wait for one: longer than it takes until what ran at an end is known,
-	// and no longer, so that a caller learns soon that its request is not sent now.
+	// the longest wait of a suspected request for one. Most that are suspected were there
+	// by chance; one that ends endpoints does so in that time, mostly.
 	trialTick = 20 * time.Millisecond
-	trialWait = 150 * time.Millisecond
-	// trialReturn is when a caller may come back whose request is on trial.
+	trialWait = 400 * time.Millisecond
+	// trialReturn is when a caller may come back whose request another one tries.
 	trialReturn = 2 * time.Second
 )
 
-// awaitTrial lets a request through against which nothing is held, and a suspected one
-// when no other attempt at it is under way in the fleet.
+// awaitTrial lets a request through against which nothing is held, a suspected one when
+// no other attempt at it is under way in the fleet or it has waited long enough for that,
+// and one whose bar is over when no other attempt is under way.
 func (exchange *exchange) awaitTrial(ctx context.Context) *peridotpath.Result {
 	decider := exchange.relay.Quarantine
 	if decider.Empty() {
@@ -38,8 +39,10 @@
 			return exchange.refusal(peridotpath.CodeQuarantined, left)
 		case standing == quarantine.Clear, decider.Try(content, now):
 			return nil
-		case now.Sub(began) > trialWait:
+		case standing == quarantine.OnTrial:
 			return exchange.refusal(peridotpath.CodeQuarantined, trialReturn)
+		case now.Sub(began) > trialWait:
+			return nil
 		}
 		if !clock.Pause(ctx, trialTick) {
 			return exchange.ended(ctx)
