relay: a look at the line of long prompts goes through no loads while none is limited

Since limits are kept each look, a hundred a second for each prompt that waits, made the view of all loads to know how many others send, also where no endpoint names a limit and where it is not the prompt's turn. It is made where a limit is named only.

--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -30,7 +30,8 @@
 	// KindBarred: a request, the subject, is kept off the endpoints for as many
 	// seconds as the value says.
 	KindBarred Kind = 3
-	// KindTrial: an instance, the detail, sends a suspected request, the subject.
+	// KindTrial: an instance sends a suspected request, the subject; the value numbers
+	// these attempts.
 	KindTrial Kind = 4
 	// KindLimit: an endpoint, the subject, takes as many requests a second from all
 	// instances together as the value says.
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -151,8 +151,7 @@
 	}
 	for {
 		now := time.Now()
-		view := exchange.relay.Book.View(now)
-		candidates := exchange.candidates(view, now)
+		candidates, view := exchange.candidates(now), exchange.relay.Book.View(now)
 		if len(candidates) == 0 {
 			return exchange.noEndpoint()
 		}
@@ -170,12 +169,11 @@
 func (exchange *exchange) placePlain() *peridotpath.Result {
 	for {
 		now := time.Now()
-		view := exchange.relay.Book.View(now)
-		candidates := exchange.candidates(view, now)
+		candidates := exchange.candidates(now)
 		if len(candidates) == 0 {
 			return exchange.noEndpoint()
 		}
-		plan, found := placement.PlanPlain(exchange.work(now), candidates, view)
+		plan, found := placement.PlanPlain(exchange.work(now), candidates, exchange.relay.Book.View(now))
 		if !found {
 			return exchange.refusal(peridotpath.CodeCannotFinish, shortReturn)
 		}
@@ -228,23 +226,23 @@
 }
 
 // candidates returns the endpoints that may take the request.
-func (exchange *exchange) candidates(view placement.View, now time.Time) []placement.Candidate {
+func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
 	exchange.limited = 0
 	members := exchange.relay.Endpoints().Of(exchange.service)
 	exchange.engines = len(members)
-	candidates := exchange.candidatesOf(members, view, now)
+	candidates := exchange.candidatesOf(members, now)
 	if len(candidates) == 0 {
-		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), view, now)
+		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), now)
 	}
 	return candidates
 }
 
-func (exchange *exchange) candidatesOf(members []directory.Member, view placement.View, now time.Time) []placement.Candidate {
+func (exchange *exchange) candidatesOf(members []directory.Member, now time.Time) []placement.Candidate {
 	candidates := make([]placement.Candidate, 0, len(members))
 	suspects := exchange.relay.Book.Suspects(now)
-	unlimited := exchange.relay.Throttle.Idle()
+	withinLimit := exchange.limits(now)
 	for _, member := range members {
-		if exchange.avoid[member.Key] || !unlimited && !exchange.withinLimit(member.Key, view, now) {
+		if exchange.avoid[member.Key] || !withinLimit(member.Key) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, Suspect: suspects[member.Key]})
--- a/peridotpath/relay/limit.go
+++ b/peridotpath/relay/limit.go
@@ -20,14 +20,21 @@
 	}
 }
 
-// withinLimit reports whether an endpoint takes a request now by what it has named. It
-// notes when the first that does not will.
-func (exchange *exchange) withinLimit(key peridotpath.EndpointKey, view placement.View, now time.Time) bool {
-	wait := exchange.relay.Throttle.Wait(key, view.Unheard(), now)
-	if wait > 0 && (exchange.limited == 0 || wait < exchange.limited) {
-		exchange.limited = wait
+// limits returns what reports whether an endpoint takes a request now by what it has
+// named. It notes when the first that does not will.
+func (exchange *exchange) limits(now time.Time) func(peridotpath.EndpointKey) bool {
+	throttle := exchange.relay.Throttle
+	if throttle.Idle() {
+		return func(peridotpath.EndpointKey) bool { return true }
+	}
+	contenders := exchange.relay.Book.View(now).Unheard()
+	return func(key peridotpath.EndpointKey) bool {
+		wait := throttle.Wait(key, contenders, now)
+		if wait > 0 && (exchange.limited == 0 || wait < exchange.limited) {
+			exchange.limited = wait
+		}
+		return wait == 0
 	}
-	return wait == 0
 }
 
 // noEndpoint refuses a request that no endpoint may take.
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -62,8 +62,7 @@
 			return result
 		}
 		now := time.Now()
-		view := book.View(now)
-		candidates := exchange.candidates(view, now)
+		candidates := exchange.candidates(now)
 		if len(candidates) == 0 {
 			return exchange.noEndpoint()
 		}
@@ -80,7 +79,7 @@
 		}
 		blocked := false
 		if ahead == 0 {
-			plan, found := placement.PlanPrompt(model, work, candidates, view)
+			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
 			if found && worthwhile(plan, work) && exchange.begin(plan, now) {
 				telemetry.TurnWait(work.Waited)
 				return nil
