--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -117,7 +117,7 @@
 func (history *history) mayHaveRun() int {
 	count := 0
 	for i := range history.failed {
-		if outcome := history.failed[i].Pairs["outcome"]; outcome == "failed" || outcome == "errored" {
+		if outcome := history.failed[i].Pairs["outcome"]; outcome == "failed" || outcome == "broken" || outcome == "errored" {
 			count++
 		}
 	}
--- a/peridotpath/audit/audit_test.go
+++ b/peridotpath/audit/audit_test.go
@@ -14,6 +14,7 @@
 func TestFaults(t *testing.T) {
 	const (
 		failedAttempt  = "event=attempt_failed request=r outcome=failed try=1"
+		brokenAttempt  = "event=attempt_failed request=r outcome=broken try=1"
 		refusedAttempt = "event=attempt_failed request=r outcome=refused try=1"
 		erredAttempt   = "event=attempt_failed request=r outcome=errored try=1"
 		served         = "event=served request=r kind=repeatable aim=300 took=80 sent=1 code=0"
@@ -33,6 +34,8 @@
 		"a line of no request":              {[]string{"event=routing_in_force version=3"}, nil},
 		"cut within the line":               {[]string{"event=failed request=r aim=300 took=9"}, nil},
 		"told not to have run, and it may":  {[]string{failedAttempt, "event=failed request=r kind=stream aim=300 took=90 sent=1 code=3002 retry_after=300"}, []audit.Fault{audit.FaultRan}},
+		"told not to have run, broken off":  {[]string{brokenAttempt, "event=failed request=r kind=stream aim=300 took=90 sent=1 code=3002 retry_after=300"}, []audit.Fault{audit.FaultRan}},
+		"a booking that broke off sent on":  {[]string{brokenAttempt, servedOnce}, []audit.Fault{audit.FaultTwice}},
 		"a booking sent twice":              {[]string{failedAttempt, servedOnce}, []audit.Fault{audit.FaultTwice}},
 		"a booking sent twice in vain":      {[]string{failedAttempt, erredAttempt, "event=failed request=r kind=once aim=300 took=80 sent=2 code=3003"}, []audit.Fault{audit.FaultTwice}},
 		"answered by two instances":         {[]string{served, "instance=b " + served}, []audit.Fault{audit.FaultAnswers}},
