--- a/peridotpath/relay/crash_test.go
+++ b/peridotpath/relay/crash_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/relay"
 )
@@ -193,3 +194,24 @@
 		}
 	}
 }
+
+// Guards against a suspected request that waits for another one's trial before each of its attempts.
+func TestSuspectedRequestWaitsOnce(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		script := &script{steps: []step{unsent(), unsent()}}
+		fixture := newFixture(script.send, nil, testEndpoint(0), testEndpoint(1))
+		content := facts.Subject(peridotpath.FingerprintOf("desk", "host", http.MethodPost, "/look/x", []byte("body")))
+		for endpoint := range uint64(2) {
+			fixture.facts.Learn(facts.Fact{Kind: facts.KindEnded, Subject: content, Detail: endpoint, At: time.Now()})
+		}
+		time.Sleep(200 * time.Millisecond)
+		fixture.facts.Learn(facts.Fact{Kind: facts.KindTrial, Subject: content, Value: 1, At: time.Now()})
+		outcome := fixture.ask(t.Context(), "look", func(request *relay.Request) { request.Body = []byte("body") })
+		if len(script.calls) != 2 || !outcome.result.Code.NotRun() {
+			t.Errorf("%d calls, %v; want both endpoints tried and none to have run it", len(script.calls), outcome.result)
+		}
+		if most := 500 * time.Millisecond; outcome.took > most {
+			t.Errorf("refused after %v, want %v at most", outcome.took, most)
+		}
+	})
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -46,6 +46,9 @@
 	lastEvent    time.Time
 	longestPause time.Duration
 
+	// suspected is when the request first asked whether it is; attempts wait no longer for
+	// that together than one of them may.
+	suspected time.Time
 	// writingSince is when the attempt's first event came; zero before it.
 	writingSince time.Time
 	// survived says that the attempt's endpoint was found to go on with the request.
--- a/peridotpath/relay/suspect.go
+++ b/peridotpath/relay/suspect.go
@@ -31,7 +31,10 @@
 		return nil
 	}
 	content := exchange.fingerprint()
-	for began := time.Now(); ; {
+	if exchange.suspected.IsZero() {
+		exchange.suspected = time.Now()
+	}
+	for {
 		now := time.Now()
 		standing, left := decider.Look(content, now)
 		switch {
@@ -41,7 +44,7 @@
 			return nil
 		case standing == quarantine.OnTrial:
 			return exchange.refusal(peridotpath.CodeQuarantined, trialReturn)
-		case now.Sub(began) > trialWait:
+		case now.Sub(exchange.suspected) > trialWait:
 			return nil
 		}
 		if !clock.Pause(ctx, trialTick) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,10 @@
 //
 // 8002: tries at a fatal request were held for a second, behind another one on trial,
 // and then refused; before requests were kept off at all, it ended endpoints for seconds.
-var seeds = []uint64{1, 102, 8002}
+//
+// 9102: tries at a suspected request waited for another one's trial before each of their
+// attempts, and were refused after two aims and more.
+var seeds = []uint64{1, 102, 8002, 9102}
 
 // TestSoak is a short run: real processes, disturbed from outside. What the
 // seeds disturb is the same each time.
