gossip: lasting facts are told again by busy instances, and at once after a new peer

Facts that last were told again with heartbeats, and a busy instance sends none: each request is a change, which is told at once. The time since the last telling decides now, and a new peer makes it due. TestBusyInstanceTellsANewPeerWhatLasts failed before (not known in ten seconds).

--- a/peridotpath/gossip/fact.go
+++ b/peridotpath/gossip/fact.go
@@ -44,9 +44,17 @@
 
 // again reports whether this digest is to tell facts that all should know already. In
 // a fleet of any size some instance does so several times a second, so that one that
-// was frozen or has just started knows them soon.
+// was frozen knows them soon; all do after a new peer was heard. A busy instance sends
+// no heartbeats, so that the time decides and not what the digest is sent for.
 func (gossip *Gossip) again(now time.Time) bool {
-	return rand.IntN(1+gossip.Book.Peers(now)) == 0
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	if now.Before(gossip.againDue) {
+		return false
+	}
+	span := time.Duration(1+len(gossip.peers)) * heartbeat
+	gossip.againDue = now.Add(span/2 + rand.N(span))
+	return true
 }
 
 // tellAbroad tells facts to one instance of each other cell, another one each time.
--- a/peridotpath/gossip/fact_test.go
+++ b/peridotpath/gossip/fact_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -78,3 +79,27 @@
 		return true
 	})
 }
+
+// A busy instance sends no heartbeats, and did not tell one that had just started which requests are barred.
+func TestBusyInstanceTellsANewPeerWhatLasts(t *testing.T) {
+	one := start(t, "one", "a", gossip.Freshness{})
+	fact := facts.Fact{Kind: facts.KindBarred, Subject: facts.Subject{7}, Value: 60, At: time.Now()}
+	one.facts.Hear([]facts.Fact{fact}, false) // told by somebody else, long ago
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		for ctx.Err() == nil {
+			one.gossip.Changed()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	two := start(t, "two", "a", gossip.Freshness{})
+	two.gossip.SetPeers([]gossip.Peer{{Address: one.gossip.Address, DataCentre: "a"}})
+	eventually(t, "the fact is known", func() bool {
+		for len(two.heard) > 0 {
+			<-two.heard
+		}
+		return knows(two, fact)
+	})
+}
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -90,8 +90,9 @@
 	sequence uint64
 	// turn counts the digests, to choose who hands them on.
 	turn int
-	// toldFar is when other data centres were told last.
-	toldFar time.Time
+	// toldFar is when other data centres were told last, againDue when lasting facts are
+	// told again.
+	toldFar, againDue time.Time
 }
 
 // Peer is where an instance is.
@@ -176,11 +177,10 @@
 		case <-ctx.Done():
 			return <-ended
 		case <-time.After(heartbeat):
-			now := time.Now()
-			gossip.tell(conn, gossip.farDue(now), gossip.again(now))
+			gossip.tell(conn, gossip.farDue(time.Now()))
 		case <-gossip.dirty.C():
 			time.Sleep(coalesce)
-			gossip.tell(conn, true, false)
+			gossip.tell(conn, true)
 		}
 	}
 }
@@ -189,13 +189,13 @@
 func (gossip *Gossip) farDue(now time.Time) bool { return now.Sub(gossip.toldFar) >= farHeartbeat }
 
 // tell sends one digest to every peer, or to those of the own data centre only where
-// there is no fact to tell. With again, lasting facts are told once more.
-func (gossip *Gossip) tell(conn *net.UDPConn, far, again bool) {
+// there is no fact to tell.
+func (gossip *Gossip) tell(conn *net.UDPConn, far bool) {
 	// The echoes come first: a receiver relates the ages to the echo, so that it
 	// must be older than they are. Were the process frozen in between, an echo
 	// taken afterwards would make what was read before the freeze look fresh.
 	now := time.Now()
-	told := encodeFacts(gossip.Facts.Tell(now, again), now)
+	told := encodeFacts(gossip.Facts.Tell(now, gossip.again(now)), now)
 	targets := gossip.targets(now, far || len(told) > 0)
 	digest := gossip.digest()
 	digest.Facts = told
@@ -309,6 +309,7 @@
 		peer.instance, peer.incarnation = peridotpath.InstanceID(digest.Instance), peridotpath.Incarnation(digest.Incarnation)
 		gossip.Log.Info().Str("peer", digest.Instance).Stringer("address", from).Msg("peer_heard")
 		// One that has just started waits to be told.
+		gossip.againDue = time.Time{}
 		gossip.Changed()
 	}
 	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
