--- a/peridotpath/relay/engine_test.go
+++ b/peridotpath/relay/engine_test.go
@@ -51,6 +51,8 @@
 func (part *fakePart) waits() bool { return part.own && !part.job.admitted }
 
 type fakeJob struct {
+	// home is where the answer is written.
+	home      *fakeEngine
 	prompt    peridotpath.Tokens
 	unread    int
 	admitted  bool
@@ -84,7 +86,7 @@
 	count := 1 + len(call.Helpers)
 	share := engine.model.ReadTime(call.Request.Prompt) / time.Duration(count)
 	events := int(call.Request.Answer) / engine.model.Rates.StepsPerPass
-	job := &fakeJob{prompt: call.Request.Prompt, unread: count, left: max(events, 1), events: make(chan struct{}, 10_000), cancelled: ctx.Done()}
+	job := &fakeJob{home: engine, prompt: call.Request.Prompt, unread: count, left: max(events, 1), events: make(chan struct{}, 10_000), cancelled: ctx.Done()}
 	engine.jobs = append(engine.jobs, job)
 	engine.add(&fakePart{left: share, own: true, job: job})
 	for _, helper := range call.Helpers {
@@ -98,6 +100,10 @@
 
 func (engine *fakeEngine) add(part *fakePart) {
 	engine.parts = append(engine.parts, part)
+	engine.wake()
+}
+
+func (engine *fakeEngine) wake() {
 	select {
 	case engine.awake <- struct{}{}:
 	default:
@@ -154,6 +160,8 @@
 			span += worked
 			if part.left <= 0 {
 				part.job.unread--
+				// Its writer may stand idle until the last part has been read.
+				part.job.home.wake()
 			}
 		}
 	}
