--- a/peridotpath/relay/crash_test.go
+++ b/peridotpath/relay/crash_test.go
@@ -47,12 +47,14 @@
 
 // playStorm sends a load to instances by chance and returns what each caller got.
 func playStorm(mortal *mortalEndpoints, fleet *fleet, random *rand.Rand, load storm) []*outcome {
+	for _, one := range fleet.relays {
+		one.relay.Check = mortal.check
+	}
 	outcomes := make([]*outcome, len(load))
 	began := time.Now()
 	var all sync.WaitGroup
 	for i, ask := range load {
 		one := fleet.relays[random.IntN(len(fleet.relays))]
-		one.relay.Check = mortal.check
 		all.Go(func() {
 			time.Sleep(ask.at - time.Since(began))
 			outcomes[i] = one.ask(context.Background(), ask.route, func(request *relay.Request) {
--- a/peridotpath/relay/fleet_test.go
+++ b/peridotpath/relay/fleet_test.go
@@ -51,6 +51,12 @@
 	time.AfterFunc(fleet.lag/2, func() { fleet.tell(number) })
 }
 
+func (fleet *fleet) loses(from, to int) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.lost != nil && fleet.lost(from, to)
+}
+
 // beat lets all instances tell what they know now and then, until ctx ends.
 func (fleet *fleet) beat(ctx context.Context, every time.Duration) {
 	for {
@@ -78,7 +84,7 @@
 	told := one.facts.Tell(time.Now(), false)
 	time.AfterFunc(fleet.lag/2, func() {
 		for i, other := range fleet.relays {
-			if i != number && (fleet.lost == nil || !fleet.lost(number, i)) {
+			if i != number && !fleet.loses(number, i) {
 				other.book.HearPeer(report, time.Now())
 				other.facts.Hear(told, false)
 			}
