--- a/soak/faults.go
+++ b/soak/faults.go
@@ -130,7 +130,7 @@
 
 // trouble begins faults until ctx ends, and returns when all have ended. Each
 // thing is disturbed by one fault at a time.
-func (fleet *fleet) trouble(ctx context.Context, random *rand.Rand, tell func(string)) {
+func (fleet *fleet) trouble(ctx context.Context, faults []fault, random *rand.Rand, tell func(string)) {
 	ended := make(chan string, len(faults))
 	busy := map[string]bool{}
 	for ctx.Err() == nil {
@@ -170,6 +170,8 @@
 	switch name {
 	case "kill", "pause", "stop":
 		return "process"
+	case "store_back":
+		return "store"
 	}
 	return name
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,8 +48,13 @@
 
 	mutex   sync.Mutex
 	version int
+	copies  []standin.Copy
 	keys    map[peridotpath.CustomerID][]peridotpath.APIKey
 	tasks   sync.WaitGroup
+	// probes counts those sent, for their ids.
+	probes atomic.Int64
+	// paused stops the endpoints from writing their entries.
+	paused atomic.Bool
 }
 
 // endpoint is a stand-in behind a proxy.
@@ -190,7 +196,7 @@
 			return
 		case <-ticker.C:
 			for _, endpoint := range fleet.endpoints {
-				if !endpoint.isDown() {
+				if !endpoint.isDown() && !fleet.paused.Load() {
 					fleet.publish(endpoint)
 				}
 			}
@@ -203,6 +209,10 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.version += 1 + rand.IntN(5)
+	fleet.writeRouting()
+}
+
+func (fleet *fleet) writeRouting() {
 	fleet.store.Put(standin.RoutingKey, standin.Routing(fleet.version, engines, plain, fleet.keys))
 }
 
--- a/soak/load.go
+++ b/soak/load.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// probe asks an instance once with a key, and returns the status; zero for no answer.
+func (fleet *fleet) probe(ctx context.Context, instance *instance, customer peridotpath.CustomerID, key peridotpath.APIKey) int {
+	fleet.probes.Add(1)
+	id := peridotpath.RequestID(fmt.Sprintf("probe-%d", fleet.probes.Load()))
+	ask := standin.Ask{ID: id, Key: key, Body: "of " + string(id), Patience: patience, Route: standin.RouteLook}
+	fleet.checks.ask(question{Ask: ask, Customer: customer, Instance: instance, Sent: time.Now()})
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	reply, err := standin.Send(ctx, &http.Client{Transport: transport}, instance.Callers, ask)
+	if err != nil {
+		return 0
+	}
+	return reply.Status
+}
+
 func (fleet *fleet) request(ctx context.Context, client *http.Client, random *rand.Rand, id peridotpath.RequestID) {
 	customer := customers[random.IntN(len(customers))]
 	ask := standin.Ask{ID: id, Key: keyOf(customer, 1+random.IntN(keysEach)), Body: "of " + string(id), Patience: patience}
--- a/soak/main.go
+++ b/soak/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -22,9 +23,10 @@
 	"peridotpath.example/peridotpath/logline"
 )
 
-const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-folder DIR]
+const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-back] [-folder DIR]
   Each run has a seed, which decides what is disturbed and when; how the
-  processes take turns is no part of it. Prints each run's seed and what was
+  processes take turns is no part of it. With -back the store comes back from older
+  copies, too. Prints each run's seed and what was
   broken; exits with 1 if anything was.
 `
 
@@ -37,6 +39,7 @@
 	seeds := flag.String("seeds", "", "seeds to run, separated by commas")
 	runs := flag.Int("runs", 1, "how many runs")
 	span := flag.Duration("for", 20*time.Second, "how long each run disturbs")
+	back := flag.Bool("back", false, "lets the store come back from older copies")
 	folder := flag.String("folder", "", "where logs go; else a new temporary folder")
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
 	flag.Parse()
@@ -54,7 +57,7 @@
 	defer stop()
 	failed := 0
 	for _, seed := range list {
-		broken, err := soak(ctx, *binary, *folder, seed, *span, os.Stdout)
+		broken, err := soak(ctx, options{binary: *binary, folder: *folder, seed: seed, span: *span, back: *back}, os.Stdout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
@@ -102,8 +105,18 @@
 	leastServed = 0.5
 )
 
+// options are those of one run.
+type options struct {
+	binary, folder string
+	seed           uint64
+	span           time.Duration
+	// back lets the store come back from copies.
+	back bool
+}
+
 // soak makes one run and returns the promises that were broken.
-func soak(ctx context.Context, binary, folder string, seed uint64, span time.Duration, out io.Writer) ([]string, error) {
+func soak(ctx context.Context, options options, out io.Writer) ([]string, error) {
+	folder, seed := options.folder, options.seed
 	if folder == "" {
 		made, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -113,7 +126,7 @@
 	}
 	interrupted := ctx
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	fleet, err := build(ctx, binary, folder)
+	fleet, err := build(ctx, options.binary, folder)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -130,13 +143,20 @@
 		fleet.task(func() { fleet.client(load, number, clientRandom) })
 	}
 	var names []string
-	trouble, calm := context.WithTimeout(interrupted, span)
-	fleet.trouble(trouble, random, func(name string) { names = append(names, name) })
+	trouble, calm := context.WithTimeout(interrupted, options.span)
+	drawn := faults
+	if options.back {
+		fleet.task(func() { fleet.keepCopies(ctx) })
+		drawn = append(slices.Clone(faults), backFault, backFault)
+	}
+	fleet.trouble(trouble, drawn, random, func(name string) { names = append(names, name) })
 	calm()
 	if interrupted.Err() != nil {
 		return nil, interrupted.Err()
 	}
 	fleet.recover()
+	fleet.registered()
+	fleet.inForce(ctx)
 	stopLoad()
 	fleet.memory()
 	if err := fleet.audit(folder); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,17 +31,23 @@
 // seeds disturb is the same each time.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
-	binary := filepath.Join(t.TempDir(), "peridotd")
-	build := exec.Command("go", "build", "-o", binary, "peridotpath.example/peridotd")
-	text, err := build.CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v: %s", err, text)
-	}
+	binary := buildDaemon(t)
 	for _, seed := range seeds {
-		broken, err := soak(t.Context(), binary, t.TempDir(), seed, 6*time.Second, t.Output())
+		broken, err := soak(t.Context(), options{binary: binary, folder: t.TempDir(), seed: seed, span: 6 * time.Second}, t.Output())
 		is.NoErr(err)
 		for _, text := range broken {
 			t.Errorf("seed %d: %s", seed, text)
 		}
 	}
 }
+
+// buildDaemon returns the path of the program under test.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "peridotd")
+	build := exec.Command("go", "build", "-o", binary, "peridotpath.example/peridotd")
+	if text, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	return binary
+}
