--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -13,6 +13,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/claim"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/cursor"
 	"peridotpath.example/peridotpath/decide"
@@ -63,7 +64,7 @@
 	// by more than the instance was gone; the number only tells runs apart.
 	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
 	daemon := &daemon{settings: settings, log: log, incarnation: incarnation, signer: &cursor.Signer{}}
-	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress)
+	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress, &keyvalue.Eras{Now: clock.SinceBoot, Log: daemon.log})
 	daemon.config = &config.Store{KeyValue: daemon.keyValue, Log: log}
 	daemon.engines = &engine.Client{Instance: settings.InstanceID, Incarnation: incarnation}
 	daemon.scheduler = &decide.Scheduler{Seed: uint64(incarnation)}
--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -11,7 +11,9 @@
 
 	"github.com/google/subcommands"
 
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/instance"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/platform"
 )
@@ -70,8 +72,9 @@
 	if err != nil {
 		return err
 	}
+	eras := &keyvalue.Eras{Now: clock.SinceBoot, Log: log}
 	adapter := instance.Adapter{
-		Store:      platform.ConnectStore(settings.StoreAddress),
+		Store: platform.ConnectStore(settings.StoreAddress, eras), Eras: eras,
 		RoutingKey: platform.KeyRouting, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.PrefixEndpoints, DecodeEndpoints: platform.DecodeEndpoints,
 		CompactEndpoints: platform.CompactEndpoints,
--- a/peridotpath/claim/commit.go
+++ b/peridotpath/claim/commit.go
@@ -125,7 +125,7 @@
 	defer cancel()
 	expect := decision.next.version
 	markSent(batch, bucket.ledger.Clock.Read())
-	version, err := bucket.ledger.Store.Swap(ctx, bucket.name, expect, value, 0)
+	version, err := bucket.ledger.Store.Swap(ctx, bucket.name, expect, value, keyvalue.LeaseID{})
 	bucket.counted("swap", err)
 	if err != nil {
 		markFailed(batch, expect, err)
--- a/peridotpath/clock/pace.go
+++ b/peridotpath/clock/pace.go
@@ -20,12 +20,14 @@
 	// Gap is the least time between two looks, whatever the age and the wakes.
 	Gap time.Duration
 	// Before returns how many of those nearby are to look before this one; nil where
-	// chance decides. Known reports whether anything was read yet.
+	// chance decides. Known reports whether anything was read yet, and counts.
 	Before func() int
 	Known  func() bool
 
 	woken Signal
 	last  time.Time
+	// early says that the last wait was ended by a wake.
+	early bool
 	// nothing is the pause after a look that found nothing.
 	nothing time.Duration
 }
@@ -43,7 +45,7 @@
 // nearby: a whole routing on a small machine's link, and its way to a peer.
 const firstTurn = 300 * time.Millisecond
 
-// first returns the pause before a look while nothing was read yet. Hundreds of
+// first returns the pause before a look while nothing was read yet that counts. Hundreds of
 // instances that start at one moment would fill the store's link with the same
 // answer for all of them, and none had it for a second; in turn, the first one of
 // each place reads it and tells the others, which ends their pauses.
@@ -86,6 +88,9 @@
 // Wake ends the present wait, or the next one. It never waits.
 func (pace *Pace) Wake() { pace.woken.Raise() }
 
+// Early reports whether the last Wait was ended by a wake.
+func (pace *Pace) Early() bool { return pace.early }
+
 // Due reports whether what is of that age is to be looked at again, by one at least.
 func (pace *Pace) Due(age time.Duration) bool { return age >= pace.Least }
 
@@ -127,6 +132,7 @@
 	if !Pause(ctx, pace.Gap-time.Since(pace.last)) {
 		return false
 	}
+	pace.early = false
 	if span := pace.nothing + pace.first(); span > 0 && !pace.pause(ctx, span) {
 		return false
 	}
@@ -135,6 +141,7 @@
 	for {
 		left := limit - age()
 		if left <= 0 {
+			pace.early = pace.woken.Take()
 			return ctx.Err() == nil
 		}
 		timer := time.NewTimer(min(left, ageStep))
@@ -144,6 +151,7 @@
 			return false
 		case <-pace.woken.C():
 			timer.Stop()
+			pace.early = true
 			return true
 		case <-timer.C:
 		}
--- a/peridotpath/clock/signal.go
+++ b/peridotpath/clock/signal.go
@@ -17,6 +17,16 @@
 	return signal.raised
 }
 
+// Take reports whether the signal was given, and forgets it.
+func (signal *Signal) Take() bool {
+	select {
+	case <-signal.channel():
+		return true
+	default:
+		return false
+	}
+}
+
 // Raise gives the signal. It never waits.
 func (signal *Signal) Raise() {
 	select {
--- a/peridotpath/config/change.go
+++ b/peridotpath/config/change.go
@@ -252,7 +252,7 @@
 	if len(text) > maxDocument {
 		return Accepted{}, writer.giveUp(Error.New("document %s is full: %d of %d bytes", writer.document, len(text), maxDocument))
 	}
-	_, err = writer.store.KeyValue.Swap(ctx, writer.document.key(), version, text, 0)
+	_, err = writer.store.KeyValue.Swap(ctx, writer.document.key(), version, text, keyvalue.LeaseID{})
 	switch {
 	case err == nil:
 		return writer.accept(current.Revision, text), nil
--- a/peridotpath/config/change_test.go
+++ b/peridotpath/config/change_test.go
@@ -219,7 +219,7 @@
 		time.Sleep(time.Second)
 		entry, err := fleet.platform.Get(t.Context(), "config/profiles")
 		is.NoErr(err)
-		_, err = fleet.platform.Swap(t.Context(), "config/profiles", entry.Version, copied.Value, 0)
+		_, err = fleet.platform.Swap(t.Context(), "config/profiles", entry.Version, copied.Value, keyvalue.LeaseID{})
 		is.NoErr(err)
 		time.Sleep(time.Minute)
 		restarted := fleet.instances[0]
--- a/peridotpath/config/config_test.go
+++ b/peridotpath/config/config_test.go
@@ -13,6 +13,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
@@ -46,7 +47,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		kv := (&memory.Memory{}).Store()
-		version, err := kv.Swap(ctx, "config/profiles", 0, stored(t, 5, "counter", profile("counter", "gpt")), 0)
+		version, err := kv.Swap(ctx, "config/profiles", 0, stored(t, 5, "counter", profile("counter", "gpt")), keyvalue.LeaseID{})
 		is.NoErr(err)
 		store := &config.Store{KeyValue: kv}
 		is.True(!store.Ready())
@@ -57,12 +58,12 @@
 		go func() { done <- store.Run(ctx) }()
 
 		shard := "config/" + string(config.DocumentOf(config.KindCustomer, "air"))
-		_, err = kv.Swap(ctx, shard, 0, stored(t, 1, "air", customer("air", "secret")), 0)
+		_, err = kv.Swap(ctx, shard, 0, stored(t, 1, "air", customer("air", "secret")), keyvalue.LeaseID{})
 		is.NoErr(err)
 		synctest.Wait()
 		is.Equal(store.Current().Config.CustomerByKey("secret").ID, peridotpath.CustomerID("air"))
 
-		_, err = kv.Swap(ctx, "config/profiles", version, stored(t, 4, "old", profile("old")), 0)
+		_, err = kv.Swap(ctx, "config/profiles", version, stored(t, 4, "old", profile("old")), keyvalue.LeaseID{})
 		is.NoErr(err)
 		time.Sleep(time.Minute)
 		is.Equal(store.Applied()["profiles"], peridotpath.Revision(5)) // a lower revision came into force
--- a/peridotpath/config/follow_test.go
+++ b/peridotpath/config/follow_test.go
@@ -13,6 +13,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/config"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 )
 
@@ -188,7 +189,7 @@
 		is.NoErr(err)
 		done := make(chan error, 1)
 		go func() { done <- store.Run(ctx) }()
-		_, err = platform.Swap(ctx, "config/profiles", 0, stored(t, 1, "counter", profile("counter")), 0)
+		_, err = platform.Swap(ctx, "config/profiles", 0, stored(t, 1, "counter", profile("counter")), keyvalue.LeaseID{})
 		is.NoErr(err)
 		time.Sleep(config.DefaultStaleAfter + config.DefaultWait)
 		is.Equal(store.Applied()["profiles"], peridotpath.Revision(1)) // the follower stayed behind
--- a/peridotpath/config/size_test.go
+++ b/peridotpath/config/size_test.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			tb.Fatal(err)
 		}
-		if _, err := platform.Swap(tb.Context(), config.KeyPrefix+string(name), 0, text, 0); err != nil {
+		if _, err := platform.Swap(tb.Context(), config.KeyPrefix+string(name), 0, text, keyvalue.LeaseID{}); err != nil {
 			tb.Fatal(err)
 		}
 	}
--- a/peridotpath/cursor/secret.go
+++ b/peridotpath/cursor/secret.go
@@ -53,7 +53,7 @@
 	if _, err := rand.Read(secret); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if _, err := store.Swap(ctx, secretKey, 0, secret, 0); err != nil {
+	if _, err := store.Swap(ctx, secretKey, 0, secret, keyvalue.LeaseID{}); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	return secret, nil
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -4,16 +4,21 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("directory")
+
 const (
 	// returnGrace is how long after an outage of the store an entry may still be
 	// missing though its endpoint lives: entries lapse meanwhile and are back
@@ -22,6 +27,11 @@
 	// outageGap is the time between two readings from which the store counts as
 	// having been away: several readings must have failed or been left out.
 	outageGap = 2500 * time.Millisecond
+	// leftKnown is how long it is remembered that an endpoint has left, leftStands how long
+	// after the store came back from a copy that memory goes before what the store says: an
+	// entry in the copy of an endpoint that is gone lasts until it lapses.
+	leftKnown  = time.Minute
+	leftStands = 8 * time.Second
 )
 
 // Member is an endpoint with its key, which is reckoned once and not for each
@@ -75,10 +85,14 @@
 	// last readable for any instance, returnedAt when it came back from an outage,
 	// on a clock that goes on while the machine is suspended.
 	readAt, seenAt, returnedAt time.Duration
-	// content names what was read last, keeping says that endpoints are used that
-	// it does not name.
-	content uint64
-	keeping bool
+	// wentBackAt is when the store was first known to have come back from a copy.
+	wentBackAt time.Duration
+	// content names what was read last, differsUntil is when the first excuse ends by which
+	// what is used differs from it; zero where it does not.
+	content      uint64
+	differsUntil time.Duration
+	// left holds when endpoints left.
+	left map[peridotpath.EndpointKey]time.Duration
 }
 
 // ReadAt returns when the last reading was known to be the newest.
@@ -120,12 +134,25 @@
 	directory.seenAt = max(directory.seenAt, at)
 }
 
-// Overdue reports whether endpoints are still used that an outage excused for a
-// while: the store must be read anew, even if what it held has not changed.
-func (directory *Directory) Overdue(now time.Duration) bool {
+// WentBack says that the store came back from an older copy at that time. Endpoints that
+// joined since the copy are missing from it until they are written again, and those that
+// left since stand in it again.
+func (directory *Directory) WentBack(at time.Duration) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	return directory.keeping && now-directory.returnedAt > returnGrace
+	directory.wentBackAt, directory.returnedAt = at, max(directory.returnedAt, at)
+}
+
+// Overdue returns for how long what is used has differed from what was read though nothing
+// excuses that any more: the store must be read anew, even if what it held has not changed.
+// It returns zero where that is not so.
+func (directory *Directory) Overdue(now time.Duration) time.Duration {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if directory.differsUntil == 0 {
+		return 0
+	}
+	return max(0, now-directory.differsUntil)
 }
 
 // Current returns the endpoints in use; nil before the first reading.
@@ -137,17 +164,39 @@
 	defer directory.mutex.Unlock()
 	directory.noteSeen(at)
 	directory.readAt = max(directory.readAt, at)
-	directory.keeping = false
+	directory.differsUntil = 0
 	directory.content = contentOf(endpoints)
 	before := directory.current.Load()
-	snapshot := newSnapshot(endpoints)
+	snapshot := newSnapshot(endpoints, func(key peridotpath.EndpointKey) bool { return directory.stillGone(key, at) })
 	if before != nil {
 		directory.keepLapsed(before, snapshot, endpoints, at)
-		directory.logChanges(before, snapshot)
+		directory.noteChanges(before, snapshot, at)
+	}
+	for i := range endpoints {
+		if endpoints[i].State != peridotpath.StateLive {
+			directory.noteLeft(endpoints[i].Key(), at)
+		}
 	}
 	directory.current.Store(snapshot)
 }
 
+// stillGone reports whether the endpoint is known to have left and stands in what was read
+// only since the store came back from a copy.
+func (directory *Directory) stillGone(key peridotpath.EndpointKey, at time.Duration) bool {
+	left, known := directory.left[key]
+	if !known || directory.wentBackAt == 0 || left > directory.wentBackAt || at-directory.wentBackAt > leftStands {
+		return false
+	}
+	directory.differ(directory.wentBackAt + leftStands)
+	return true
+}
+
+func (directory *Directory) differ(until time.Duration) {
+	if directory.differsUntil == 0 || until < directory.differsUntil {
+		directory.differsUntil = until
+	}
+}
+
 // contentOf names a reading, whatever the order of its entries.
 func contentOf(endpoints []peridotpath.Endpoint) uint64 {
 	sum := uint64(len(endpoints)) + 1
@@ -159,13 +208,13 @@
 	return sum
 }
 
-func newSnapshot(endpoints []peridotpath.Endpoint) *Snapshot {
+func newSnapshot(endpoints []peridotpath.Endpoint, gone func(peridotpath.EndpointKey) bool) *Snapshot {
 	snapshot := &Snapshot{
 		byService: map[peridotpath.Service][]Member{},
 		byID:      map[peridotpath.EndpointID]*peridotpath.Endpoint{},
 	}
 	for i := range endpoints {
-		if endpoints[i].State == peridotpath.StateLive {
+		if endpoints[i].State == peridotpath.StateLive && !gone(endpoints[i].Key()) {
 			snapshot.add(&endpoints[i])
 		}
 	}
@@ -195,12 +244,13 @@
 		// An address that another endpoint uses now is no longer this one's.
 		if !named[id] && !addresses[endpoint.Address.String()] {
 			snapshot.add(endpoint)
-			directory.keeping = true
+			directory.differ(directory.returnedAt + returnGrace)
 		}
 	}
 }
 
-func (directory *Directory) logChanges(before, after *Snapshot) {
+// noteChanges remembers which endpoints left, and logs who came and went.
+func (directory *Directory) noteChanges(before, after *Snapshot, at time.Duration) {
 	for id, endpoint := range after.byID {
 		if known := before.byID[id]; known == nil || known.Incarnation != endpoint.Incarnation {
 			directory.Log.Info().Str("endpoint", string(id)).Str("service", string(endpoint.Service)).
@@ -210,6 +260,15 @@
 	for id := range before.byID {
 		if after.byID[id] == nil {
 			directory.Log.Info().Str("endpoint", string(id)).Msg("endpoint_left")
+			directory.noteLeft(before.byID[id].Key(), at)
 		}
 	}
 }
+
+func (directory *Directory) noteLeft(key peridotpath.EndpointKey, at time.Duration) {
+	if directory.left == nil {
+		directory.left = map[peridotpath.EndpointKey]time.Duration{}
+	}
+	maps.DeleteFunc(directory.left, func(_ peridotpath.EndpointKey, left time.Duration) bool { return at-left > leftKnown })
+	directory.left[key] = at
+}
--- a/peridotpath/directory/directory_test.go
+++ b/peridotpath/directory/directory_test.go
@@ -58,11 +58,11 @@
 	back := time.Minute + 10*time.Second
 	dir.Apply([]peridotpath.Endpoint{one}, back)
 	is.Equal(ids(dir), []string{"one", "two"})
-	is.True(!dir.Overdue(back + 2*time.Second))
-	is.True(dir.Overdue(back + 2300*time.Millisecond))
+	is.Equal(dir.Overdue(back+2*time.Second), time.Duration(0))
+	is.True(dir.Overdue(back+2300*time.Millisecond) > 0)
 	dir.Apply([]peridotpath.Endpoint{one}, back+2300*time.Millisecond)
 	is.Equal(ids(dir), []string{"one"})
-	is.True(!dir.Overdue(back + time.Minute))
+	is.Equal(dir.Overdue(back+time.Minute), time.Duration(0))
 }
 
 // An endpoint that left while one instance was cut off from the store got
@@ -123,10 +123,11 @@
 		}
 		follower := &directory.Follower{
 			Directory: dir, Now: now, Confirmed: func() {}, Log: zerolog.Nop(),
-			List: func(context.Context) ([]keyvalue.Entry, error) {
+			Eras: &keyvalue.Eras{},
+			List: func(context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
 				mutex.Lock()
 				defer mutex.Unlock()
-				return slices.Clone(list), failure
+				return slices.Clone(list), 0, failure
 			},
 			Decode: func(entries []keyvalue.Entry) []peridotpath.Endpoint {
 				endpoints := map[string]peridotpath.Endpoint{"one": one, "two": two}
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -20,11 +19,14 @@
 // before Run.
 type Follower struct {
 	Directory *Directory
-	// List reads every endpoint's entry, Decode makes endpoints of them.
-	List   func(ctx context.Context) ([]keyvalue.Entry, error)
+	// List reads every endpoint's entry, and tells the era of the store that they are of;
+	// Decode makes endpoints of them.
+	List   func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error)
 	Decode func(entries []keyvalue.Entry) []peridotpath.Endpoint
 	// Ask asks a peer for what it has read.
 	Ask func(ctx context.Context, peer netip.AddrPort, have readings.Endpoints) (readings.Endpoints, error)
+	// Eras are those of the store.
+	Eras *keyvalue.Eras
 	// Now goes on while the machine is suspended.
 	Now  func() time.Duration
 	Pace clock.Pace
@@ -49,9 +51,9 @@
 			continue
 		}
 		asked := follower.Now()
-		entries, err := follower.List(ctx)
+		entries, era, err := follower.List(ctx)
 		if err == nil {
-			follower.apply(entries, asked)
+			follower.apply(entries, era, asked)
 			follower.Confirmed()
 			follower.failed.Store(false)
 			continue
@@ -70,10 +72,12 @@
 // Failing reports whether the last look at the store failed.
 func (follower *Follower) Failing() bool { return follower.failed.Load() }
 
-// due is the age that decides about the next reading.
+// due is the age that decides about the next reading. What is overdue is about to be read
+// by all instances at one moment; it counts as old as makes the first of them look at once,
+// and the others hear of it.
 func (follower *Follower) due() time.Duration {
-	if follower.Directory.Overdue(follower.Now()) {
-		return math.MaxInt64
+	if overdue := follower.Directory.Overdue(follower.Now()); overdue > 0 {
+		return max(follower.Age(), follower.Pace.Least+overdue)
 	}
 	return follower.Age()
 }
@@ -105,13 +109,25 @@
 	follower.Directory.Seen(confirmed)
 	switch {
 	case content == follower.Directory.Content():
-		follower.Directory.Confirm(content, confirmed)
+		follower.confirm(content, confirmed)
 	case confirmed > follower.Directory.ReadAt(), follower.Directory.Content() == 0:
 		follower.newer.Note(peer)
 		follower.Pace.Wake()
 	}
 }
 
+// confirm says that what was read last was still the newest at that time. Where what is
+// used differed from it, and nothing excused that any more by then, it is taken in anew.
+func (follower *Follower) confirm(content uint64, at time.Duration) {
+	follower.Directory.Confirm(content, at)
+	if follower.Directory.Overdue(at) == 0 {
+		return
+	}
+	if last, ok := follower.read.Last(); ok && last.Content == content {
+		follower.apply(last.Entries, last.Era, at)
+	}
+}
+
 // askPeer reads from a peer that told of something newer, and reports whether
 // that was taken in, or was already: then the store need not be asked.
 func (follower *Follower) askPeer(ctx context.Context) bool {
@@ -120,12 +136,15 @@
 		// Woken for what another wake has brought already.
 		return !follower.Pace.Due(follower.due())
 	}
-	if follower.Directory.Overdue(follower.Now()) {
-		return false
-	}
 	asked := follower.Now()
 	have, _ := follower.read.Last()
 	reading, err := follower.Ask(ctx, peer.Address, have)
+	if err == nil {
+		follower.Eras.Heard(reading.Era, 0, false)
+		if era := follower.Eras.Current(); reading.Era != era {
+			err = Error.New("reading of era %d of the store in era %d", reading.Era, era)
+		}
+	}
 	if err != nil {
 		follower.Log.Info().Err(err).Stringer("peer", peer.Address).Msg("peer_not_read")
 		return false
@@ -133,15 +152,15 @@
 	if asked-reading.Age <= follower.Directory.ReadAt() {
 		return true
 	}
-	follower.apply(reading.Entries, asked-reading.Age)
+	follower.apply(reading.Entries, reading.Era, asked-reading.Age)
 	return true
 }
 
-func (follower *Follower) apply(entries []keyvalue.Entry, asked time.Duration) {
+func (follower *Follower) apply(entries []keyvalue.Entry, era keyvalue.Era, asked time.Duration) {
 	// Both change together: a peer that asks in between would take the old
 	// entries for as fresh as the new ones.
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	follower.Directory.Apply(follower.Decode(entries), asked)
-	follower.read.Add(readings.Endpoints{Entries: entries, Content: follower.Directory.Content()})
+	follower.read.Add(readings.Endpoints{Entries: entries, Content: follower.Directory.Content(), Era: era})
 }
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/gossip/wire"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/readings"
 )
@@ -58,6 +59,11 @@
 	// Endpoints names the content of the reading of the endpoints.
 	Endpoints    uint64
 	EndpointsAge time.Duration
+	// Era is the newest one of the store that was met, EraAge how long ago it was first met,
+	// where EraDated says that this is known.
+	Era      keyvalue.Era
+	EraAge   time.Duration
+	EraDated bool
 }
 
 // Gossip tells and hears digests. Set the exported fields before Run.
@@ -257,6 +263,7 @@
 		DataCentre: string(gossip.DataCentre), Address: gossip.Address.String(), ReadingsPort: uint32(gossip.ReadingsPort),
 		RoutingVersion: uint64(fresh.RoutingVersion), RoutingAge: clock.Micros(fresh.RoutingAge),
 		Endpoints: fresh.Endpoints, EndpointsAge: clock.Micros(fresh.EndpointsAge), Cells: uint32(cells),
+		Era: uint64(fresh.Era), EraAge: clock.Micros(fresh.EraAge), EraDated: fresh.EraDated,
 	}
 	for _, flight := range gossip.Book.Own() {
 		digest.Flights = append(digest.Flights, encodeFlight(&flight, now))
@@ -334,5 +341,6 @@
 	gossip.Heard(readings.Peer{Address: netip.AddrPortFrom(from.Addr(), uint16(digest.ReadingsPort)), Near: near}, Freshness{
 		RoutingVersion: peridotpath.RoutingVersion(digest.RoutingVersion), RoutingAge: clock.FromMicros(digest.RoutingAge),
 		Endpoints: digest.Endpoints, EndpointsAge: clock.FromMicros(digest.EndpointsAge),
+		Era: keyvalue.Era(digest.Era), EraAge: clock.FromMicros(digest.EraAge), EraDated: digest.EraDated,
 	}, asked)
 }
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -26,7 +26,9 @@
 	Address     netip.AddrPort
 	DataCentre  peridotpath.DataCentre
 	SetPeers    func([]Peer)
-	Log         zerolog.Logger
+	// Eras are those of the store.
+	Eras *keyvalue.Eras
+	Log  zerolog.Logger
 
 	lease keyvalue.LeaseID
 	// listed is when the others were last read, zero where that is due; others is how
@@ -35,6 +37,8 @@
 	others int
 	// wanted asks for a list that is not due.
 	wanted clock.Signal
+	// lapsed asks for a new entry, as the store may have lost this one.
+	lapsed clock.Signal
 	// first is closed once the others were read, or could not be.
 	first     chan struct{}
 	firstOnce sync.Once
@@ -60,6 +64,10 @@
 	// each of them is in each list, so that what all of them read would grow with their
 	// square.
 	listShare = 250 * time.Millisecond
+	// renewShare is the time between two entries of all instances together after the
+	// store came back from a copy, renewLeast the time that a small fleet takes.
+	renewShare = 10 * time.Millisecond
+	renewLeast = 500 * time.Millisecond
 	// wantedSpread is the time over which instances look that heard of another number
 	// of cells at the same moment.
 	wantedSpread = time.Second
@@ -69,6 +77,8 @@
 type registration struct {
 	Address    netip.AddrPort         `json:"address"`
 	DataCentre peridotpath.DataCentre `json:"data_centre"`
+	// Era is that of the store when it was written.
+	Era keyvalue.Era `json:"era,omitempty"`
 }
 
 // AfterFirst returns a task that begins once the others were read, or could not
@@ -130,6 +140,10 @@
 	return renewal
 }
 
+// Renew asks for a new entry soon, at another moment than other instances: the store came
+// back from a copy in which this one's may not be. It never waits.
+func (registry *Registry) Renew() { registry.lapsed.Raise() }
+
 // Look asks for a list soon: a peer knows of another number of cells. It never waits.
 func (registry *Registry) Look() { registry.wanted.Raise() }
 
@@ -144,9 +158,12 @@
 			return false
 		case <-timer.C:
 			return true
+		case <-registry.lapsed.C():
+			spread := max(renewLeast, time.Duration(registry.others)*renewShare)
+			return clock.Pause(ctx, rand.N(spread))
 		case <-registry.wanted.C():
 		}
-		if registry.lease == 0 || time.Since(registry.listed) < renewal {
+		if registry.lease.None() || time.Since(registry.listed) < renewal {
 			// The next round reads them, or they were just read.
 			continue
 		}
@@ -196,34 +213,43 @@
 			registry.Log.Warn().Err(err).Str("key", entry.Key).Msg("registration_unread")
 			continue
 		}
-		peers = append(peers, Peer(registration))
+		peers = append(peers, Peer{Address: registration.Address, DataCentre: registration.DataCentre})
+		if registration.Era < registry.Eras.Current() {
+			// An entry lasts some seconds; the era began since this one was written.
+			registry.Eras.Suspect()
+		}
 	}
 	registry.listed, registry.others = time.Now(), len(peers)
 	registry.SetPeers(peers)
 	return nil
 }
 
-// register renews the entry, or makes one. After that the others are to be read.
+// register renews the entry, or makes one. After that the others are to be read, unless
+// they were known and only the store went back.
 func (registry *Registry) register(ctx context.Context) error {
-	if registry.lease != 0 {
-		err := registry.Store.Renew(ctx, registry.lease)
+	before := registry.lease
+	if !before.None() {
+		err := registry.Store.Renew(ctx, before)
 		if !keyvalue.ErrLeaseGone.Has(err) {
 			return err
 		}
-		registry.lease = 0
+		registry.lease = keyvalue.LeaseID{}
 	}
 	lease, err := registry.Store.Grant(ctx, registryTTL)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(registration{Address: registry.Address, DataCentre: registry.DataCentre})
+	value, err := json.Marshal(registration{Address: registry.Address, DataCentre: registry.DataCentre, Era: lease.Era})
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	key := fmt.Sprintf("%s%s/%d-%d", RegistryPrefix, registry.Instance, registry.Incarnation, lease)
+	key := fmt.Sprintf("%s%s/%d-%d-%d", RegistryPrefix, registry.Instance, registry.Incarnation, lease.Era, lease.Number)
 	if _, err := registry.Store.Swap(ctx, key, 0, value, lease); err != nil {
 		return err
 	}
-	registry.lease, registry.listed = lease, time.Time{}
+	registry.lease = lease
+	if before.None() || before.Era == lease.Era {
+		registry.listed = time.Time{}
+	}
 	return nil
 }
--- /dev/null
+++ b/peridotpath/gossip/registry_era_test.go
@@ -0,0 +1,157 @@
+package gossip_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/gossip"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+)
+
+// registered is an instance with its own way to a service that goes back.
+type registered struct {
+	*gossip.Registry
+	link  memory.Link
+	ended chan error
+}
+
+func register(ctx context.Context, service *memory.Memory, number int) *registered {
+	began := time.Now()
+	one := &registered{ended: make(chan error, 1)}
+	one.link.Eras = &keyvalue.Eras{Now: func() time.Duration { return time.Hour + time.Since(began) }}
+	store := one.link.Store(service)
+	store.ListStale = store.List
+	one.Registry = &gossip.Registry{
+		Store: store, Instance: peridotpath.InstanceID(fmt.Sprintf("edge-%d", number)), Incarnation: 1, Eras: one.link.Eras,
+		Address: listedAddress(number), DataCentre: "a", Log: zerolog.Nop(), SetPeers: func([]gossip.Peer) {},
+	}
+	one.link.Eras.Risen = func(_, _ keyvalue.Era) { one.Renew() }
+	go func() { one.ended <- one.Run(ctx) }()
+	return one
+}
+
+// entries returns the registrations that the service holds, by instance.
+func entries(t *testing.T, service *memory.Memory) map[string]int {
+	t.Helper()
+	listed, _, err := service.Store().List(t.Context(), gossip.RegistryPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := map[string]int{}
+	for _, entry := range listed {
+		name, _, _ := strings.Cut(strings.TrimPrefix(entry.Key, gossip.RegistryPrefix), "/")
+		count[name]++
+	}
+	return count
+}
+
+// The store loses an instance's entry and lease, and gives the lease's number to somebody
+// else, whose lease the instance renewed for good, without an entry of its own. Those that
+// have theirs in the copy make a new one, too, since nobody can tell; not all at once.
+func TestEntryThatTheStoreLost(t *testing.T) {
+	const early, late = 40, 20
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := &memory.Memory{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var all []*registered
+		for i := range early {
+			all = append(all, register(ctx, service, i))
+		}
+		time.Sleep(3 * time.Second)
+		before := service.Copy()
+		for i := range late {
+			all = append(all, register(ctx, service, early+i))
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(len(entries(t, service)), early+late)
+
+		service.GoBack(before)
+		var theirs []keyvalue.LeaseID
+		for range late {
+			lease, err := service.Store().Grant(ctx, 15*time.Second)
+			is.NoErr(err)
+			theirs = append(theirs, lease)
+		}
+		// One meets the era first and tells the others.
+		for _, one := range all {
+			one.link.Eras.Heard(1, 0, true)
+		}
+		writes := func() int { return service.Calls()[keyvalue.CallSwap] }
+		most, began := 0, writes()
+		for range 20 {
+			last := writes()
+			time.Sleep(100 * time.Millisecond)
+			most = max(most, writes()-last)
+		}
+		is.Equal(len(entries(t, service)), early+late)
+		is.Equal(writes()-began, early+late) // one each
+		if most > (early+late)/3 {
+			t.Errorf("%d of %d entries were made within 100 ms", most, early+late)
+		}
+		time.Sleep(20 * time.Second)
+		for name, count := range entries(t, service) {
+			if count != 1 {
+				t.Errorf("%s has %d entries, want one", name, count)
+			}
+		}
+		for _, lease := range theirs {
+			is.True(keyvalue.ErrLeaseGone.Has(service.Store().Renew(ctx, lease))) // nobody kept it
+		}
+		cancel()
+		for _, one := range all {
+			is.True(errors.Is(<-one.ended, context.Canceled))
+		}
+	})
+}
+
+// An instance starts a moment after the store came back from a copy. It cannot know when
+// that was, but entries of the era before are left.
+func TestStartFindsEntriesOfTheEraBefore(t *testing.T) {
+	for name, test := range map[string]struct {
+		era  keyvalue.Era
+		want bool
+	}{
+		"of the era before": {4, false},
+		"of this era":       {5, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			value, err := json.Marshal(map[string]any{"address": netip.MustParseAddrPort("10.0.0.2:9"), "data_centre": "a", "era": test.era})
+			is.NoErr(err)
+			eras := &keyvalue.Eras{Now: func() time.Duration { return time.Hour }}
+			registry := &gossip.Registry{
+				Store: &keyvalue.Store{
+					ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
+						eras.Met(5)
+						return []keyvalue.Entry{{Key: "one", Value: value}}, 1, nil
+					},
+					Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
+						return keyvalue.LeaseID{}, keyvalue.ErrUnavailable.New("away")
+					},
+				},
+				Instance: "one", Eras: eras, SetPeers: func([]gossip.Peer) {}, Log: zerolog.Nop(),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var all sync.WaitGroup
+			all.Go(func() { _ = registry.Run(ctx) })
+			is.NoErr(registry.AfterFirst(func(context.Context) error { return nil })(ctx))
+			is.Equal(eras.Settled(), test.want)
+			cancel()
+			all.Wait()
+		})
+	}
+}
--- a/peridotpath/gossip/registry_test.go
+++ b/peridotpath/gossip/registry_test.go
@@ -56,14 +56,16 @@
 						List: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
 							return test.listed, 1, call("list")
 						},
-						Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 5, call("grant") },
+						Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
+							return keyvalue.LeaseID{Number: 5}, call("grant")
+						},
 						Renew: func(context.Context, keyvalue.LeaseID) error { return nil },
 						Swap: func(context.Context, string, keyvalue.Version, []byte, keyvalue.LeaseID) (keyvalue.Version, error) {
 							return 1, call("swap")
 						},
 					},
 					Instance: "one", Incarnation: 1, Address: netip.MustParseAddrPort("10.0.0.1:9"), DataCentre: "a",
-					SetPeers: func([]gossip.Peer) { note("peers") }, Log: zerolog.Nop(),
+					SetPeers: func([]gossip.Peer) { note("peers") }, Eras: &keyvalue.Eras{}, Log: zerolog.Nop(),
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -121,8 +123,10 @@
 	return &keyvalue.Store{
 		ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return lists.read(listsLag) },
 		List:      func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return lists.read(0) },
-		Grant:     func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 5, nil },
-		Renew:     func(context.Context, keyvalue.LeaseID) error { return nil },
+		Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
+			return keyvalue.LeaseID{Number: 5}, nil
+		},
+		Renew: func(context.Context, keyvalue.LeaseID) error { return nil },
 		Swap: func(_ context.Context, key string, _ keyvalue.Version, value []byte, _ keyvalue.LeaseID) (keyvalue.Version, error) {
 			time.Sleep(4 * time.Millisecond)
 			lists.mutex.Lock()
@@ -145,7 +149,7 @@
 	one := &listed{peers: map[netip.AddrPort]bool{}}
 	one.registry = &gossip.Registry{
 		Store: store, Instance: peridotpath.InstanceID(fmt.Sprintf("edge-%d", number)), Incarnation: 1,
-		Address: listedAddress(number), DataCentre: "a", Log: zerolog.Nop(),
+		Address: listedAddress(number), DataCentre: "a", Eras: &keyvalue.Eras{}, Log: zerolog.Nop(),
 		SetPeers: func(peers []gossip.Peer) {
 			one.mutex.Lock()
 			defer one.mutex.Unlock()
@@ -225,7 +229,7 @@
 		go func() { ended <- one.registry.Run(ctx) }()
 		time.Sleep(10 * time.Second)
 		is.Equal(lists.total(), 2) // those of its start
-		_, err := lists.store().Swap(ctx, "new", 0, []byte(`{"address":"10.0.0.7:9","data_centre":"a"}`), 5)
+		_, err := lists.store().Swap(ctx, "new", 0, []byte(`{"address":"10.0.0.7:9","data_centre":"a"}`), keyvalue.LeaseID{Number: 5})
 		is.NoErr(err)
 		one.registry.Look()
 		one.registry.Look()
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -32,6 +32,8 @@
 // Adapter is what an instance needs of the platform it runs on.
 type Adapter struct {
 	Store *keyvalue.Store
+	// Eras guards Store, and follows its eras.
+	Eras *keyvalue.Eras
 	// RoutingKey is where the operators' routing lies, DecodeRouting reads it.
 	RoutingKey    string
 	DecodeRouting func(value []byte) (*peridotpath.Routing, error)
@@ -196,25 +198,26 @@
 		DataCentre: settings.DataCentre, ReadingsPort: settings.ReadingsAddress.Port(),
 		Book: instance.book, Facts: instance.facts, Clock: clock.SinceBoot, Fresh: instance.fresh, Heard: instance.heard, Log: instance.Log,
 	}
+	adapter.Eras.Risen = func(_, _ keyvalue.Era) { instance.wentBack() }
 	instance.book.Changed = instance.gossip.Changed
 	instance.facts.Changed = instance.gossip.Changed
 	instance.registry = &gossip.Registry{
 		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
-		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Log: instance.Log,
+		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Eras: adapter.Eras, Log: instance.Log,
 	}
 	instance.gossip.OtherCells = instance.registry.Look
 	instance.routes = &routing.Follower{
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, Check: adapter.Store.Check,
-		Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Eras: adapter.Eras, Ask: readings.AskRouting, Confirmed: instance.gossip.Changed, Log: instance.Log,
 		Before: func(version peridotpath.RoutingVersion) int { return instance.gossip.Before(uint64(version)) },
 		Pace: instance.pace(
-			func() bool { return instance.routing.Current() != nil },
+			func() bool { return instance.routing.Current() != nil && adapter.Eras.Settled() },
 			func() uint64 { return uint64(instance.routing.Version()) },
 		),
 	}
 	instance.endpoints = &directory.Follower{
 		Directory: instance.directory, List: instance.listEndpoints, Decode: adapter.DecodeEndpoints, Now: clock.SinceBoot,
-		Ask: readings.AskEndpoints, Confirmed: instance.gossip.Changed, Log: instance.Log,
+		Eras: adapter.Eras, Ask: readings.AskEndpoints, Confirmed: instance.gossip.Changed, Log: instance.Log,
 		Pace: instance.pace(func() bool { return instance.directory.Current() != nil }, instance.directory.Content),
 	}
 }
@@ -230,9 +233,20 @@
 	}
 }
 
+// wentBack begins what follows when the store came back from an older copy. The routing is
+// looked at when its turn comes, and by then as something that may be older than it was.
+func (instance *Instance) wentBack() {
+	instance.directory.WentBack(clock.SinceBoot())
+	instance.registry.Renew()
+	instance.gossip.Changed()
+}
+
 // fresh returns what this instance has read of the store, for its peers.
 func (instance *Instance) fresh() gossip.Freshness {
+	eras := instance.Adapter.Eras
+	age, dated := eras.Age()
 	return gossip.Freshness{
+		Era: eras.Current(), EraAge: age, EraDated: dated,
 		RoutingVersion: instance.routing.Version(), RoutingAge: instance.routing.Age(),
 		Endpoints: instance.directory.Content(), EndpointsAge: instance.endpoints.Age(),
 	}
@@ -240,6 +254,7 @@
 
 // heard takes in what a peer has read of the store.
 func (instance *Instance) heard(peer readings.Peer, fresh gossip.Freshness, asked time.Duration) {
+	instance.Adapter.Eras.Heard(fresh.Era, fresh.EraAge, fresh.EraDated)
 	instance.routes.HearPeer(peer, fresh.RoutingVersion, asked-fresh.RoutingAge)
 	instance.endpoints.HearPeer(peer, fresh.Endpoints, asked-fresh.EndpointsAge)
 }
@@ -256,12 +271,12 @@
 	}
 }
 
-func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, error) {
-	entries, _, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
+func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
+	entries, version, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return instance.Adapter.CompactEndpoints(entries), nil
+	return instance.Adapter.CompactEndpoints(entries), version.Era(), nil
 }
 
 // Run serves until a signal comes on stop and everything is finished.
--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -55,8 +55,10 @@
 			return []keyvalue.Entry{{Key: "one", Value: entry}}, 1, nil
 		},
 		ListStale: func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) { return nil, 1, nil },
-		Grant:     func(context.Context, time.Duration) (keyvalue.LeaseID, error) { return 1, nil },
-		Renew:     func(context.Context, keyvalue.LeaseID) error { return nil },
+		Grant: func(context.Context, time.Duration) (keyvalue.LeaseID, error) {
+			return keyvalue.LeaseID{Number: 1}, nil
+		},
+		Renew: func(context.Context, keyvalue.LeaseID) error { return nil },
 		Swap: func(context.Context, string, keyvalue.Version, []byte, keyvalue.LeaseID) (keyvalue.Version, error) {
 			return 2, nil
 		},
@@ -104,7 +106,7 @@
 	running.settings.Defaults()
 	endpoint := peridotpath.Endpoint{ID: "one", Service: "app", State: peridotpath.StateLive, Address: at[0], Slots: 5}
 	adapter := instance.Adapter{
-		Store: emptyStore(endpoint), DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints,
+		Store: emptyStore(endpoint), Eras: &keyvalue.Eras{}, DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints,
 		CompactEndpoints: func(entries []keyvalue.Entry) []keyvalue.Entry { return entries }, ReadyPath: "/ready",
 		Send: func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
 			running.calls.Add(1)
--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -23,7 +23,7 @@
 		Expect Version `json:"expect,omitempty"`
 		Value  []byte  `json:"value,omitempty"`
 		Delete bool    `json:"delete,omitempty"`
-		Lease  LeaseID `json:"lease,omitempty"`
+		Lease  LeaseID `json:"lease,omitzero"`
 		After  Version `json:"after,omitempty"`
 		WaitMS int64   `json:"wait_ms,omitempty"`
 		TTLMS  int64   `json:"ttl_ms,omitempty"`
@@ -34,8 +34,10 @@
 		Entry   Entry   `json:"entry"`
 		Entries []Entry `json:"entries,omitempty"`
 		Version Version `json:"version,omitempty"`
-		Lease   LeaseID `json:"lease,omitempty"`
+		Lease   LeaseID `json:"lease,omitzero"`
 		Error   string  `json:"error,omitempty"`
+		// Era is in every answer.
+		Era Era `json:"era,omitempty"`
 	}
 )
 
@@ -60,17 +62,20 @@
 	maxReply = 64 << 20
 )
 
-// Connect returns a Store that speaks to the service at address.
-func Connect(address netip.AddrPort) *Store {
-	client := &client{base: "http://" + address.String() + PathPrefix}
-	return &Store{
+// Connect returns a Store that speaks to the service at address, guarded by eras.
+func Connect(address netip.AddrPort, eras *Eras) *Store {
+	client := &client{base: "http://" + address.String() + PathPrefix, met: eras.Met}
+	return eras.Guard(&Store{
 		Get: client.get, List: client.list, Swap: client.swap,
 		Grant: client.grant, Renew: client.renew, Release: client.release,
 		Watch: client.watch,
-	}
+	})
 }
 
-type client struct{ base string }
+type client struct {
+	base string
+	met  func(Era)
+}
 
 func (client *client) get(ctx context.Context, key string) (Entry, error) {
 	reply, err := client.call(ctx, CallGet, Call{Key: key}, callTimeout)
@@ -93,8 +98,8 @@
 
 func (client *client) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	reply, err := client.call(ctx, CallGrant, Call{TTLMS: ttl.Milliseconds()}, callTimeout)
-	if err == nil && reply.Lease == 0 {
-		return 0, noNumber(CallGrant)
+	if err == nil && reply.Lease.None() {
+		return LeaseID{}, noNumber(CallGrant)
 	}
 	return reply.Lease, err
 }
@@ -142,7 +147,11 @@
 		return Reply{}, ErrUnavailable.Wrap(err)
 	}
 	defer response.Body.Close()
-	return decode(response)
+	reply, err := decode(response)
+	if !ErrUnavailable.Has(err) {
+		client.met(reply.Era)
+	}
+	return reply, err
 }
 
 func decode(response *http.Response) (Reply, error) {
--- a/peridotpath/keyvalue/http_test.go
+++ b/peridotpath/keyvalue/http_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return keyvalue.Connect(netip.MustParseAddrPort(server.Listener.Addr().String())), server
+	return keyvalue.Connect(netip.MustParseAddrPort(server.Listener.Addr().String()), &keyvalue.Eras{}), server
 }
 
 func TestSessionOverHTTP(t *testing.T) {
@@ -36,17 +36,17 @@
 	is.Equal(entry.Version, keyvalue.Version(0)) // does not exist
 
 	binary := []byte{0, 255, '"', '<'}
-	first, err := store.Swap(background, "a", 0, binary, 0)
+	first, err := store.Swap(background, "a", 0, binary, keyvalue.LeaseID{})
 	is.NoErr(err)
-	_, err = store.Swap(background, "a", 0, binary, 0)
+	_, err = store.Swap(background, "a", 0, binary, keyvalue.LeaseID{})
 	is.True(keyvalue.ErrConflict.Has(err))
-	second, err := store.Swap(background, "a", first, []byte{}, 0) // empty is not deleted
+	second, err := store.Swap(background, "a", first, []byte{}, keyvalue.LeaseID{}) // empty is not deleted
 	is.NoErr(err)
 	is.True(second > first)
 	entry, err = store.Get(background, "a")
 	is.NoErr(err)
 	is.Equal(entry.Version, second)
-	_, err = store.Swap(background, "a", second, bytes.Repeat([]byte{1}, keyvalue.MaxValue+1), 0)
+	_, err = store.Swap(background, "a", second, bytes.Repeat([]byte{1}, keyvalue.MaxValue+1), keyvalue.LeaseID{})
 	is.True(keyvalue.ErrInvalid.Has(err))
 
 	lease, err := store.Grant(background, time.Minute)
@@ -65,7 +65,7 @@
 	is.NoErr(err)
 	is.True(entries[0].Deleted)
 
-	gone, err := store.Swap(background, "a", second, nil, 0)
+	gone, err := store.Swap(background, "a", second, nil, keyvalue.LeaseID{})
 	is.NoErr(err)
 	is.True(gone > second)
 	entry, err = store.Get(background, "a")
@@ -110,7 +110,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			store, _ := connect(t, test.handler)
-			_, err := store.Swap(background, "a", 0, []byte("x"), 0)
+			_, err := store.Swap(background, "a", 0, []byte("x"), keyvalue.LeaseID{})
 			is.True(test.want.Has(err))
 			_, err = store.Grant(background, time.Minute)
 			is.True(test.want.Has(err))
@@ -124,7 +124,7 @@
 	is.NoErr(err)
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	is.NoErr(listener.Close())
-	_, err = keyvalue.Connect(address).Swap(background, "a", 0, []byte("x"), 0)
+	_, err = keyvalue.Connect(address, &keyvalue.Eras{}).Swap(background, "a", 0, []byte("x"), keyvalue.LeaseID{})
 	is.True(keyvalue.ErrNotSent.Has(err))
 }
 
@@ -144,6 +144,6 @@
 		<-arrived
 		cancel()
 	}()
-	_, err := store.Swap(ctx, "a", 0, []byte("x"), 0)
+	_, err := store.Swap(ctx, "a", 0, []byte("x"), keyvalue.LeaseID{})
 	is.True(keyvalue.ErrUnavailable.Has(err))
 }
--- a/peridotpath/keyvalue/memory/link.go
+++ b/peridotpath/keyvalue/memory/link.go
@@ -27,8 +27,13 @@
 
 // Link is one process's way to a Memory, with faults of its own.
 type Link struct {
+	// Eras guards the way where the service may go back; nil where it does not.
+	Eras *keyvalue.Eras
+
 	mu   sync.Mutex
 	fate func(call string) Fate
+	// era is that of the service.
+	era func() keyvalue.Era
 }
 
 // Set chooses the fate of each call from now on; nil lets all go well.
@@ -49,6 +54,15 @@
 
 // Store returns the service as seen over the link.
 func (link *Link) Store(memory *Memory) *keyvalue.Store {
+	link.era = memory.Era
+	store := link.store(memory)
+	if link.Eras != nil {
+		return link.Eras.Guard(store)
+	}
+	return store
+}
+
+func (link *Link) store(memory *Memory) *keyvalue.Store {
 	return &keyvalue.Store{
 		Get: func(ctx context.Context, key string) (keyvalue.Entry, error) {
 			return through(ctx, link, keyvalue.CallGet, func(ctx context.Context) (keyvalue.Entry, error) {
@@ -101,9 +115,13 @@
 		return nothing, keyvalue.ErrUnavailable.Wrap(ctx.Err())
 	}
 	result, err := call(ctx)
+	era := link.era()
 	if !clock.Pause(ctx, fate.AnswerDelay) || fate.Unanswered {
 		return nothing, keyvalue.ErrUnavailable.New("fault: answer lost")
 	}
+	if link.Eras != nil {
+		link.Eras.Met(era)
+	}
 	return result, err
 }
 
--- a/peridotpath/keyvalue/memory/memory.go
+++ b/peridotpath/keyvalue/memory/memory.go
@@ -15,7 +15,8 @@
 )
 
 // Memory is the service. Set the exported fields before use; the zero value
-// works and has no faults.
+// works and has no faults. Like the users' service it looks only at the numbers of
+// versions and leases that it is told, and not at the era that they are of.
 type Memory struct {
 	// Fault, when set, is asked before (applied false) and after (applied true)
 	// each call. An error it returns is what the caller gets; the write stands
@@ -27,9 +28,10 @@
 	mu      sync.Mutex
 	entries map[string]keyvalue.Entry
 	deleted map[string]keyvalue.Entry
-	leases  map[keyvalue.LeaseID]*lease
+	leases  map[uint64]*lease
 	version keyvalue.Version
-	nextID  keyvalue.LeaseID
+	nextID  uint64
+	era     keyvalue.Era
 	changed chan struct{}
 	calls   map[string]int
 }
@@ -64,7 +66,7 @@
 	if memory.entries == nil {
 		memory.entries = map[string]keyvalue.Entry{}
 		memory.deleted = map[string]keyvalue.Entry{}
-		memory.leases = map[keyvalue.LeaseID]*lease{}
+		memory.leases = map[uint64]*lease{}
 		memory.calls = map[string]int{}
 		memory.changed = make(chan struct{})
 	}
@@ -96,10 +98,10 @@
 	}
 }
 
-func (memory *Memory) dropLease(id keyvalue.LeaseID) {
+func (memory *Memory) dropLease(id uint64) {
 	delete(memory.leases, id)
 	for key, entry := range memory.entries {
-		if entry.Lease == id {
+		if entry.Lease.Number == id {
 			memory.remove(key)
 		}
 	}
@@ -121,7 +123,7 @@
 	if err := memory.begin(ctx, keyvalue.CallGet, key); err != nil {
 		return keyvalue.Entry{}, err
 	}
-	entry := memory.entries[key]
+	entry := memory.told(memory.entries[key])
 	memory.mu.Unlock()
 	if err := memory.fault(ctx, keyvalue.CallGet, key, true); err != nil {
 		return keyvalue.Entry{}, err
@@ -133,8 +135,8 @@
 	if err := memory.begin(ctx, keyvalue.CallList, prefix); err != nil {
 		return nil, 0, err
 	}
-	entries := above(memory.entries, prefix, 0)
-	version := memory.version
+	entries := memory.above(memory.entries, prefix, 0)
+	version := memory.stamp(memory.version)
 	memory.mu.Unlock()
 	if err := memory.fault(ctx, keyvalue.CallList, prefix, true); err != nil {
 		return nil, 0, err
@@ -142,11 +144,11 @@
 	return entries, version, nil
 }
 
-func above(from map[string]keyvalue.Entry, prefix string, after keyvalue.Version) []keyvalue.Entry {
+func (memory *Memory) above(from map[string]keyvalue.Entry, prefix string, after uint64) []keyvalue.Entry {
 	var entries []keyvalue.Entry
 	for key, entry := range from {
-		if strings.HasPrefix(key, prefix) && entry.Version > after {
-			entries = append(entries, entry)
+		if strings.HasPrefix(key, prefix) && entry.Version.Number() > after {
+			entries = append(entries, memory.told(entry))
 		}
 	}
 	slices.SortFunc(entries, func(a, b keyvalue.Entry) int { return cmp.Compare(a.Key, b.Key) })
@@ -157,7 +159,8 @@
 	if err := memory.begin(ctx, keyvalue.CallSwap, key); err != nil {
 		return 0, err
 	}
-	version, err := memory.swapLocked(key, expect, value, id)
+	version, err := memory.swapLocked(key, expect, value, id.Number)
+	version = memory.stamp(version)
 	memory.mu.Unlock()
 	if err != nil {
 		return 0, err
@@ -168,11 +171,11 @@
 	return version, nil
 }
 
-func (memory *Memory) swapLocked(key string, expect keyvalue.Version, value []byte, id keyvalue.LeaseID) (keyvalue.Version, error) {
+func (memory *Memory) swapLocked(key string, expect keyvalue.Version, value []byte, id uint64) (keyvalue.Version, error) {
 	if len(value) > keyvalue.MaxValue {
 		return 0, keyvalue.ErrInvalid.New("%s: value has %d bytes", key, len(value))
 	}
-	if current := memory.entries[key].Version; current != expect {
+	if current := memory.entries[key].Version; current.Number() != expect.Number() {
 		return 0, keyvalue.ErrConflict.New("%s is at version %d, not %d", key, current, expect)
 	}
 	if id != 0 && memory.leases[id] == nil {
@@ -184,18 +187,18 @@
 	}
 	memory.version++
 	delete(memory.deleted, key)
-	memory.entries[key] = keyvalue.Entry{Key: key, Value: append([]byte{}, value...), Version: memory.version, Lease: id}
+	memory.entries[key] = keyvalue.Entry{Key: key, Value: append([]byte{}, value...), Version: memory.version, Lease: keyvalue.LeaseID{Number: id}}
 	memory.wake()
 	return memory.version, nil
 }
 
 func (memory *Memory) grant(ctx context.Context, ttl time.Duration) (keyvalue.LeaseID, error) {
 	if err := memory.begin(ctx, keyvalue.CallGrant, ""); err != nil {
-		return 0, err
+		return keyvalue.LeaseID{}, err
 	}
 	memory.nextID++
-	id := memory.nextID
-	memory.leases[id] = &lease{ttl: ttl, expires: memory.now().Add(ttl)}
+	id := keyvalue.LeaseID{Era: memory.era, Number: memory.nextID}
+	memory.leases[id.Number] = &lease{ttl: ttl, expires: memory.now().Add(ttl)}
 	memory.mu.Unlock()
 	return id, memory.fault(ctx, keyvalue.CallGrant, "", true)
 }
@@ -204,13 +207,13 @@
 	if err := memory.begin(ctx, keyvalue.CallRenew, ""); err != nil {
 		return err
 	}
-	held := memory.leases[id]
+	held := memory.leases[id.Number]
 	if held != nil {
 		held.expires = memory.now().Add(held.ttl)
 	}
 	memory.mu.Unlock()
 	if held == nil {
-		return keyvalue.ErrLeaseGone.New("lease %d", id)
+		return keyvalue.ErrLeaseGone.New("lease %s", id)
 	}
 	return memory.fault(ctx, keyvalue.CallRenew, "", true)
 }
@@ -219,7 +222,7 @@
 	if err := memory.begin(ctx, keyvalue.CallRelease, ""); err != nil {
 		return err
 	}
-	memory.dropLease(id)
+	memory.dropLease(id.Number)
 	memory.mu.Unlock()
 	return memory.fault(ctx, keyvalue.CallRelease, "", true)
 }
@@ -231,8 +234,8 @@
 	ctxWait, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		entries := append(above(memory.entries, prefix, after), above(memory.deleted, prefix, after)...)
-		version, changed, lapse := memory.version, memory.changed, memory.nextLapse()
+		entries := append(memory.above(memory.entries, prefix, after.Number()), memory.above(memory.deleted, prefix, after.Number())...)
+		version, changed, lapse := memory.stamp(memory.version), memory.changed, memory.nextLapse()
 		memory.mu.Unlock()
 		if len(entries) > 0 {
 			return entries, version, memory.fault(ctx, keyvalue.CallWatch, prefix, true)
--- a/peridotpath/keyvalue/memory/memory_test.go
+++ b/peridotpath/keyvalue/memory/memory_test.go
@@ -73,7 +73,7 @@
 				platform, link := &memory.Memory{}, &memory.Link{}
 				link.Set(func(string) memory.Fate { return test.fate })
 				begin := time.Now()
-				_, err := link.Store(platform).Swap(background, "a", 0, []byte("x"), 0)
+				_, err := link.Store(platform).Swap(background, "a", 0, []byte("x"), keyvalue.LeaseID{})
 				is.Equal(time.Since(begin), test.lasts)
 				is.Equal(err == nil, test.answered)
 				is.Equal(keyvalue.ErrNotSent.Has(err), test.fate.NotSent)
--- a/peridotpath/keyvalue/memory/serve.go
+++ b/peridotpath/keyvalue/memory/serve.go
@@ -17,6 +17,7 @@
 		return
 	}
 	answer, err := memory.serve(request, strings.TrimPrefix(request.URL.Path, keyvalue.PathPrefix), call)
+	answer.Era = memory.Era()
 	reply(writer, answer, err)
 }
 
--- a/peridotpath/keyvalue/store.go
+++ b/peridotpath/keyvalue/store.go
@@ -1,23 +1,60 @@
 // Package keyvalue speaks to the platform's key-value service: compare-and-swap,
 // leases and watches. Store is the narrow interface that the rest of the system
-// stands on; Connect makes one that speaks HTTP to the service.
+// stands on; Connect makes one that speaks HTTP to the service. Eras guards it where
+// the service may come back from an older copy.
 package keyvalue
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
 )
 
-// Version is the service-wide number of the write that made an Entry. It grows
-// with each write to any key. Zero stands for "no such key".
+// Version is the service-wide number of the write that made an Entry, above it the era
+// that it belongs to, so that it grows with each write to any key, also where the service
+// goes back to an older copy. Zero stands for "no such key".
 type Version uint64
 
-// LeaseID names a lease; zero stands for none. It is no fencing number: a lease
+// numberBits is how much of a Version is the service's own number.
+const numberBits = 44
+
+// VersionOf returns the version of the service's number in an era.
+func VersionOf(era Era, number uint64) (Version, error) {
+	if number>>numberBits != 0 || uint64(era)>>(64-numberBits) != 0 {
+		return 0, ErrInvalid.New("no version holds number %d of era %d", number, era)
+	}
+	return Version(uint64(era)<<numberBits | number), nil
+}
+
+// Era returns the era of the write; zero for "no such key".
+func (version Version) Era() Era { return Era(version >> numberBits) }
+
+// Number returns the number that the service gave the write.
+func (version Version) Number() uint64 { return uint64(version) & (1<<numberBits - 1) }
+
+// LeaseID names a lease; the zero value stands for none. It is no fencing number: a lease
 // that was granted early may take its key after a later one has come and gone.
 // The Version of the write that took the key is one.
-type LeaseID uint64
+type LeaseID struct {
+	// Era is when it was granted; in a later one the service may give the number to
+	// somebody else.
+	Era    Era    `json:"era,omitempty"`
+	Number uint64 `json:"number,omitempty"`
+}
+
+// None reports whether it names no lease.
+func (lease LeaseID) None() bool { return lease == LeaseID{} }
+
+// String returns the number, with its era where there is one.
+func (lease LeaseID) String() string {
+	if lease.Era == 0 {
+		return strconv.FormatUint(lease.Number, 10)
+	}
+	return fmt.Sprintf("%d of era %d", lease.Number, lease.Era)
+}
 
 // Entry is one key with its value.
 type Entry struct {
@@ -25,7 +62,7 @@
 	Value   []byte  `json:"value"`
 	Version Version `json:"version"`
 	// Lease is the lease that the entry dies with, if any.
-	Lease LeaseID `json:"lease,omitempty"`
+	Lease LeaseID `json:"lease,omitzero"`
 	// Deleted marks a deletion in what a watch returns.
 	Deleted bool `json:"deleted,omitempty"`
 }
@@ -76,4 +113,7 @@
 	// until wait is over, and returns what changed and the version to go on
 	// from. A waiting watch counts as one call of the service.
 	Watch func(ctx context.Context, prefix string, after Version, wait time.Duration) ([]Entry, Version, error)
+	// Unbroken returns for how long the service is known to have lost nothing that it
+	// acknowledged; nil where it never does.
+	Unbroken func() time.Duration
 }
--- a/peridotpath/lease/lease.go
+++ b/peridotpath/lease/lease.go
@@ -213,10 +213,21 @@
 	// win late, after a higher one has come and gone.
 	return &tenure{
 		lease: lease, fencing: peridotpath.FencingNumber(version),
-		renewed: sent, won: holder.Clock.Read(), handedOver: released || holder.unused(ctx),
+		renewed: sent, won: holder.Clock.Read(), handedOver: holder.handedOver(ctx, released),
 	}, nil
 }
 
+// handedOver reports that nothing which was sent under the lease before can still be on
+// its way: its holder gave it back, or no order was ever given. Where the service came back
+// from a copy, both may be older than a tenure that is gone from it and whose holder does
+// not know yet.
+func (holder *Holder) handedOver(ctx context.Context, released bool) bool {
+	if holder.Store.Unbroken != nil && holder.Store.Unbroken() < (holder.Settings.TTLMS+holder.Settings.LongestOrderMS).Duration() {
+		return false
+	}
+	return released || holder.unused(ctx)
+}
+
 // unused reports that no order can be on its way since none was ever given.
 func (holder *Holder) unused(ctx context.Context) bool {
 	if !holder.WaitOut || holder.Unused == nil {
@@ -303,7 +314,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := holder.Store.Swap(ctx, holder.Key, keyvalue.Version(tenure.fencing), value, 0); err != nil {
+	if _, err := holder.Store.Swap(ctx, holder.Key, keyvalue.Version(tenure.fencing), value, keyvalue.LeaseID{}); err != nil {
 		holder.count("lease_handovers_failed_total")
 	}
 }
--- a/peridotpath/lease/lease_test.go
+++ b/peridotpath/lease/lease_test.go
@@ -17,6 +17,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/soak"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/keyvalue/memory"
 	"peridotpath.example/peridotpath/lease"
 )
@@ -485,3 +486,36 @@
 	settings.MarginMS, settings.WaitMS = settings.TTLMS, 1
 	is.Equal(len(settings.Validate("lease")), 3) // no time is left for an order either
 }
+
+// The service comes back from a copy that does not have the holder's lease, and in which it
+// looks as if no order had ever been given. Whoever wins the lease then waits until the
+// holder before knows, and its orders are over.
+func TestLeaseThatTheServiceLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		platform := &memory.Memory{}
+		guarded := func(name string) *process {
+			return start(platform, name, func(holder *lease.Holder) {
+				link := &memory.Link{Eras: &keyvalue.Eras{Now: func() time.Duration { return time.Since(began) + time.Hour }}}
+				holder.Store, holder.WaitOut = link.Store(platform), true
+				holder.Unused = func(context.Context) (bool, error) { return true, nil }
+			})
+		}
+		before := platform.Copy()
+		first := guarded("a")
+		_, number := waitHeld(is, first)
+		platform.GoBack(before)
+		third := guarded("c")
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			_, ofFirst := first.Held()
+			_, ofThird := third.Held()
+			is.True(!ofFirst || !ofThird)
+		}
+		is.NoErr(first.Close())
+		_, later := waitHeld(is, third)
+		is.True(later > number) // also though the service gives its numbers out again
+		is.NoErr(third.Close())
+	})
+}
--- a/peridotpath/order/book.go
+++ b/peridotpath/order/book.go
@@ -107,7 +107,7 @@
 		if err != nil {
 			return Desired{}, Error.Wrap(err)
 		}
-		if _, err = book.Store.Swap(ctx, book.Key, version, value, 0); err == nil {
+		if _, err = book.Store.Swap(ctx, book.Key, version, value, keyvalue.LeaseID{}); err == nil {
 			return next, nil
 		}
 		lost = err
--- a/peridotpath/peer/relay_test.go
+++ b/peridotpath/peer/relay_test.go
@@ -54,7 +54,7 @@
 // reader returns a Store with one profile and the version of its document.
 func reader(t *testing.T, kv *keyvalue.Store) (*config.Store, keyvalue.Version) {
 	t.Helper()
-	version, err := kv.Swap(t.Context(), "config/profiles", 0, profiles(t, 1, "counter"), 0)
+	version, err := kv.Swap(t.Context(), "config/profiles", 0, profiles(t, 1, "counter"), keyvalue.LeaseID{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 		go func() { ended <- source.Run(ctx) }()
 		go func() { ended <- fresh.Run(ctx) }()
 		for revision := range peridotpath.Revision(20) {
-			version, err = kv.Swap(ctx, "config/profiles", version, profiles(t, revision+2, "counter"), 0)
+			version, err = kv.Swap(ctx, "config/profiles", version, profiles(t, revision+2, "counter"), keyvalue.LeaseID{})
 			is.NoErr(err)
 			time.Sleep(time.Second)
 			is.Equal(fresh.Applied()["profiles"], revision+2)
--- a/peridotpath/readings/history.go
+++ b/peridotpath/readings/history.go
@@ -12,6 +12,8 @@
 	Entries []keyvalue.Entry
 	// Content names what was read.
 	Content uint64
+	// Era is that of the store when they were read.
+	Era keyvalue.Era
 	// Age is how long ago it was known to be the newest.
 	Age time.Duration
 }
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -72,7 +72,9 @@
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing was read yet")
 	}
-	answer := &wire.EndpointsReading{Age: clock.Micros(reading.Age), Read: true, Content: reading.Content}
+	answer := &wire.EndpointsReading{
+		Age: clock.Micros(reading.Age), Read: true, Content: reading.Content, StoreEra: uint64(reading.Era),
+	}
 	entries := reading.Entries
 	if before, kept := service.server.EndpointsOf(query.Content); kept {
 		answer.Since = query.Content
@@ -117,7 +119,7 @@
 	if err != nil {
 		return Endpoints{}, err
 	}
-	reading := Endpoints{Age: clock.FromMicros(answer.Age), Content: answer.Content}
+	reading := Endpoints{Age: clock.FromMicros(answer.Age), Content: answer.Content, Era: keyvalue.Era(answer.StoreEra)}
 	for _, entry := range answer.Entries {
 		reading.Entries = append(reading.Entries, keyvalue.Entry{Key: entry.Key, Value: entry.Value})
 	}
--- a/peridotpath/readings/routing.go
+++ b/peridotpath/readings/routing.go
@@ -1,9 +1,11 @@
 package readings
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/delta"
 	"peridotpath.example/peridotpath/keyvalue"
 )
@@ -11,7 +13,10 @@
 // Routing is the operators' routing as it was read.
 type Routing struct {
 	Version keyvalue.Version
-	Value   []byte
+	// Number is the operators' own. It goes before Version: for a moment after the store
+	// came back from a copy, it holds an earlier one than it gave out before.
+	Number peridotpath.RoutingVersion
+	Value  []byte
 	// Age is how long ago it was known to be the newest.
 	Age time.Duration
 }
@@ -28,7 +33,9 @@
 
 // Add notes a reading unless a newer one is kept.
 func (routings *Routings) Add(reading Routing) {
-	routings.kept.add(reading, routingsKept, func(last *Routing) bool { return last.Version >= reading.Version })
+	routings.kept.add(reading, routingsKept, func(last *Routing) bool {
+		return cmp.Or(cmp.Compare(last.Number, reading.Number), cmp.Compare(last.Version, reading.Version)) >= 0
+	})
 }
 
 // Last returns the newest reading; false before the first.
--- a/peridotpath/routing/fleet_test.go
+++ b/peridotpath/routing/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,7 +125,7 @@
 		// Those of a data centre stand one after the other in the fleet.
 		behind := i / dataCentres
 		fleet.followers = append(fleet.followers, &routing.Follower{
-			State: state, Key: "routing", Decode: decodeBig, Check: fleet.store.check, Log: zerolog.Nop(),
+			State: state, Key: "routing", Decode: decodeBig, Check: fleet.store.check, Eras: &keyvalue.Eras{}, Log: zerolog.Nop(),
 			Ask: func(ctx context.Context, peer netip.AddrPort, have readings.Routing) (readings.Routing, error) {
 				return fleet.ask(ctx, peer, have)
 			},
@@ -303,3 +304,61 @@
 		})
 	}
 }
+
+// The store comes back from a copy, and a hundred instances have to read it anew. All of
+// them at once would fill its link.
+func TestStoreBackFromACopy(t *testing.T) {
+	const count, dataCentres = 100, 5
+	virtual.Test(t, func(t *testing.T) {
+		fleet := newManyFollowers(count, dataCentres)
+		var era atomic.Uint64
+		began := time.Now()
+		var stores []*keyvalue.Store
+		for _, follower := range fleet.followers {
+			eras := &keyvalue.Eras{Now: func() time.Duration { return time.Hour + time.Since(began) }}
+			follower.Eras = eras
+			follower.Pace.Known = func() bool { return follower.State.Current() != nil && eras.Settled() }
+			list := func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error) {
+				version, err := keyvalue.VersionOf(keyvalue.Era(era.Load()), 3)
+				return nil, version, err
+			}
+			store := eras.Guard(&keyvalue.Store{List: list, Check: func(ctx context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error) {
+				entry, changed, err := fleet.store.check(ctx, key, keyvalue.Version(expect.Number()))
+				now := keyvalue.Era(era.Load())
+				eras.Met(now)
+				if entry.Version != 0 {
+					entry.Version, _ = keyvalue.VersionOf(now, entry.Version.Number())
+				}
+				return entry, changed, err
+			}})
+			follower.Check = store.Check
+			stores = append(stores, store)
+		}
+		fleet.store.set(3)
+		fleet.run(t, dataCentres, func() {
+			time.Sleep(5 * time.Second)
+			calls := fleet.store.called()
+			era.Store(1)
+			for _, follower := range fleet.followers {
+				// Digests tell of the era within milliseconds.
+				follower.Eras.Heard(1, 0, true)
+			}
+			for _, store := range stores {
+				// Each makes its entry anew, at its own moment.
+				time.Sleep(time.Second / count)
+				if _, _, err := store.List(t.Context(), ""); err != nil {
+					t.Error(err)
+				}
+			}
+			fleet.store.set(4)
+			time.Sleep(2 * time.Second)
+			if have := fleet.have(4); have != count {
+				t.Errorf("2 s after a change %d of %d have it", have, count)
+			}
+			// Unread, all look as often as when the store is away.
+			if calls = fleet.store.called() - calls; calls > 60 {
+				t.Errorf("%d calls to the store in 3 s, want 60 at most", calls)
+			}
+		})
+	})
+}
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
@@ -23,6 +24,8 @@
 	Key    string
 	Decode func(value []byte) (*peridotpath.Routing, error)
 	Check  func(ctx context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error)
+	// Eras are those of the store.
+	Eras *keyvalue.Eras
 	// Ask asks a peer for what it has read.
 	Ask  func(ctx context.Context, peer netip.AddrPort, have readings.Routing) (readings.Routing, error)
 	Pace clock.Pace
@@ -35,16 +38,20 @@
 
 	failed atomic.Bool
 	newer  readings.Newer
-	// read holds what was read.
+	// read holds what was put in force.
 	read readings.Routings
 
 	mutex sync.Mutex
-	// looked is the store's version at the last look, routing the version of what
-	// was read last.
-	looked  keyvalue.Version
-	routing peridotpath.RoutingVersion
+	// looked is the store's version at the last look.
+	looked keyvalue.Version
+	// proven is the newest version that was seen to be written in its era; Run's only.
+	proven keyvalue.Version
 }
 
+// errUnsettled says that the store came back from a copy, and what was found there may be
+// older than what its writer has written.
+var errUnsettled = errs.New("routing: the store has gone back, and nothing shows that the routing was written since")
+
 // farTurn is about how long it takes to fetch a change from a peer in another data
 // centre and to tell those nearby.
 const farTurn = 80 * time.Millisecond
@@ -97,12 +104,9 @@
 
 // Last returns what was read last, for peers; false before the first reading.
 func (follower *Follower) Last() (readings.Routing, bool) {
-	follower.mutex.Lock()
 	reading, read := follower.read.Last()
-	version := follower.routing
-	follower.mutex.Unlock()
 	table := follower.State.Current()
-	if !read || table == nil || table.Routing.Version != version {
+	if !read || table == nil || table.Routing.Version != reading.Number {
 		return readings.Routing{}, false
 	}
 	reading.Age = follower.State.Age()
@@ -133,7 +137,7 @@
 		peer, noted := follower.newer.Take()
 		if !noted {
 			// Woken for what another wake has brought already.
-			return asked == 0 && !follower.Pace.Due(follower.State.Age())
+			return asked == 0 && (follower.Pace.Early() || !follower.Pace.Due(follower.State.Age()))
 		}
 		if follower.askPeer(ctx, peer) {
 			return true
@@ -148,6 +152,7 @@
 	have, _ := follower.read.Last()
 	reading, err := follower.Ask(ctx, peer.Address, have)
 	if err == nil {
+		follower.Eras.Heard(reading.Version.Era(), 0, false)
 		err = follower.apply(reading.Version, reading.Value, asked-reading.Age)
 	}
 	if err != nil {
@@ -176,33 +181,51 @@
 	}
 	switch {
 	case !changed:
-		if table := follower.State.Current(); table != nil {
-			follower.State.Confirm(table.Routing.Version, asked)
-		}
-		return nil
-	case entry.Version == 0 || len(entry.Value) == 0:
+		return follower.confirm(read, asked)
+	// What changed between two looks of one era was written in it.	case entry.Version == 0 || len(entry.Value) == 0:
 		// There is none yet, or it was taken away; what is in force stays so,
 		// unconfirmed.
 		follower.mutex.Lock()
 		follower.looked = entry.Version
 		follower.mutex.Unlock()
 		return nil
+	case entry.Version.Era() == read.Era():
+		// What changed between two looks in one era was written in it.
+		follower.proven = entry.Version
+	case !follower.Eras.Proves(entry.Version):
+		if err := follower.apply(entry.Version, entry.Value, unproven); err != nil {
+			return err
+		}
+		return errUnsettled
 	}
 	return follower.apply(entry.Version, entry.Value, asked)
 }
 
-// apply puts a reading in force.
+// confirm says that what is in force was the newest at the time asked, as the store still
+// held the version that was looked at last.
+func (follower *Follower) confirm(looked keyvalue.Version, asked time.Duration) error {
+	if looked != follower.proven && !follower.Eras.Proves(looked) {
+		return errUnsettled
+	}
+	if table := follower.State.Current(); table != nil {
+		follower.State.Confirm(table.Routing.Version, asked)
+	}
+	return nil
+}
+
+// unproven is the time asked of a reading that does not show the newest.
+const unproven time.Duration = 0
+
+// apply puts a reading in force, unless something newer is.
 func (follower *Follower) apply(version keyvalue.Version, value []byte, asked time.Duration) error {
 	routing, err := follower.Decode(value)
 	if err != nil {
 		return err
 	}
 	follower.mutex.Lock()
-	if version > follower.looked {
-		follower.looked, follower.routing = version, routing.Version
-		follower.read.Add(readings.Routing{Version: version, Value: value})
-	}
+	follower.looked = max(follower.looked, version)
 	follower.mutex.Unlock()
+	follower.read.Add(readings.Routing{Version: version, Number: routing.Version, Value: value})
 	follower.State.Apply(routing, asked)
 	return nil
 }
--- a/peridotpath/routing/state_test.go
+++ b/peridotpath/routing/state_test.go
@@ -148,7 +148,7 @@
 		Now: func() time.Duration { return time.Hour + time.Since(began) }, KeyLifetime: 4500 * time.Millisecond, Log: zerolog.Nop(),
 	}
 	return &routing.Follower{
-		State: state, Key: "routing", Decode: decode, Check: store.check, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
+		State: state, Key: "routing", Decode: decode, Check: store.check, Eras: &keyvalue.Eras{}, Ask: noPeer, Confirmed: func() {}, Log: zerolog.Nop(),
 		Pace: clock.Pace{Least: time.Minute, Gap: 60 * time.Millisecond},
 	}, state
 }
@@ -201,7 +201,7 @@
 		store := &fakeStore{version: 1, routing: 1}
 		follower, state := newFollower(store)
 		follower.Ask = func(context.Context, netip.AddrPort, readings.Routing) (readings.Routing, error) {
-			return readings.Routing{Version: 2, Value: []byte{2}, Age: 300 * time.Millisecond}, nil
+			return readings.Routing{Version: 2, Number: 2, Value: []byte{2}, Age: 300 * time.Millisecond}, nil
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -215,7 +215,7 @@
 		is.Equal(state.Age(), 400*time.Millisecond) // the peer's age counts on
 		last, ok := follower.Last()
 		is.True(ok)
-		is.Equal(last, readings.Routing{Version: 2, Value: []byte{2}, Age: 400 * time.Millisecond})
+		is.Equal(last, readings.Routing{Version: 2, Number: 2, Value: []byte{2}, Age: 400 * time.Millisecond})
 		cancel()
 		is.True(errors.Is(<-ended, context.Canceled))
 	})
--- a/peridotpath/shift/demand.go
+++ b/peridotpath/shift/demand.go
@@ -104,6 +104,6 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	_, err = counter.Store.Swap(ctx, key, version, value, 0)
+	_, err = counter.Store.Swap(ctx, key, version, value, keyvalue.LeaseID{})
 	return err
 }
--- a/standin/examples_test.go
+++ b/standin/examples_test.go
@@ -95,7 +95,7 @@
 	command := &keyValueCommand{}
 	store := (&memory.Memory{Fault: command.fault}).Store()
 	write := func(key string) error {
-		_, err := store.Swap(context.Background(), key, 0, []byte("v"), 0)
+		_, err := store.Swap(context.Background(), key, 0, []byte("v"), keyvalue.LeaseID{})
 		return err
 	}
 	version := func(key string) keyvalue.Version {
--- a/standin/key_value.go
+++ b/standin/key_value.go
@@ -100,7 +100,7 @@
 		return fmt.Errorf("%s: %w", file, err)
 	}
 	for key, value := range entries {
-		if _, err := store.Swap(ctx, key, 0, value, 0); err != nil {
+		if _, err := store.Swap(ctx, key, 0, value, keyvalue.LeaseID{}); err != nil {
 			return fmt.Errorf("%s: %w", key, err)
 		}
 	}
