claim, cursor, shift: what the service lost as it went back

Cause: the ledger of claims took a bucket that came back from a copy for the newest, and granted a key that had run; the secret of cursors was made anew by whoever started next; a total that went down counted as demand.

Ruled out: to refuse keys for as long as claims are kept; to write each claim twice.

Change: each instance writes again the ends of claims that it holds and its own claims that run, spread over 2 s; for 4 s a key without a record is answered with 'come back'. The secret that is held is written where it is missing. A claim of an instance that has ended meanwhile, and that nobody else has read, is lost: docs/CLAIMS.md.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -64,7 +64,7 @@
 	// by more than the instance was gone; the number only tells runs apart.
 	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
 	daemon := &daemon{settings: settings, log: log, incarnation: incarnation, signer: &cursor.Signer{}}
-	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress, &keyvalue.Eras{Now: clock.SinceBoot, Log: daemon.log})
+	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress, &keyvalue.Eras{Now: clock.SinceBoot, Log: daemon.log, Risen: daemon.wentBack})
 	daemon.config = &config.Store{KeyValue: daemon.keyValue, Log: log}
 	daemon.engines = &engine.Client{Instance: settings.InstanceID, Incarnation: incarnation}
 	daemon.scheduler = &decide.Scheduler{Seed: uint64(incarnation)}
@@ -165,6 +165,12 @@
 	}
 }
 
+// wentBack begins what follows when the key-value service came back from an older copy.
+func (daemon *daemon) wentBack(_, _ keyvalue.Era) {
+	daemon.signer.WentBack()
+	daemon.claims.WentBack()
+}
+
 func (daemon *daemon) shareSecret(ctx context.Context) error {
 	return daemon.signer.Run(ctx, daemon.keyValue)
 }
--- a/peridotpath/claim/bucket.go
+++ b/peridotpath/claim/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -37,8 +38,15 @@
 	retryAt time.Time
 	stopped bool
 
+	// wentBack asks for the bucket to be read anew.
+	wentBack clock.Signal
+
 	// The rest belongs to run's goroutine.
 	cached *state
+	// held is the newest state that this process has read or written, of whichever era.
+	held *state
+	// lost says that the service may lack some of held.
+	lost bool
 	// contended says that another instance writes to the bucket, too.
 	contended bool
 	// seen is when this process first saw other instances' running records.
@@ -59,6 +67,7 @@
 // run commits batches until ctx ends.
 func (bucket *bucket) run(ctx context.Context) error {
 	for bucket.wait(ctx) {
+		bucket.rebuild(ctx)
 		if batch := bucket.take(); len(batch) > 0 {
 			bucket.commit(ctx, batch)
 		}
@@ -83,6 +92,9 @@
 		return false
 	case <-retry:
 	case <-bucket.wake:
+	case <-bucket.wentBack.C():
+		bucket.lost = bucket.lacksRecent()
+		return clock.Pause(ctx, rand.N(restoreSpread))
 	}
 	return ctx.Err() == nil
 }
--- a/peridotpath/claim/commit.go
+++ b/peridotpath/claim/commit.go
@@ -70,7 +70,7 @@
 		self:  author{instance: ledger.Instance, incarnation: ledger.Incarnation},
 		stamp: later.Unix(), cut: earlier.Add(-keep),
 		maxRecords: settings.MaxRecords, maxSize: int(settings.MaxBytes),
-		retryAfter: retryAfter, settled: bucket.settled, gone: ledger.gone,
+		retryAfter: retryAfter, settled: bucket.settled, gone: ledger.gone, young: bucket.young(),
 	}
 }
 
@@ -105,6 +105,9 @@
 	if bucket.cached != nil && bucket.cached.version == state.version {
 		bucket.contended = false
 	}
+	if bucket.held != nil && bucket.held.version.Era() < state.version.Era() {
+		bucket.restore(state)
+	}
 	bucket.adopt(state)
 	return nil
 }
@@ -161,6 +164,9 @@
 // adopt makes the state the newest known.
 func (bucket *bucket) adopt(state *state) {
 	bucket.cached = state
+	if !state.restored {
+		bucket.held = state
+	}
 	now := bucket.ledger.Clock.Read()
 	seen := make(map[author]clock.Instant, len(bucket.seen))
 	for _, record := range state.records {
--- a/peridotpath/claim/decide.go
+++ b/peridotpath/claim/decide.go
@@ -65,6 +65,8 @@
 	settled func(author) time.Duration
 	// gone reports that a claimer's instance has ended.
 	gone func(author) bool
+	// young is how much longer the service may lack claims that it lost as it went back.
+	young time.Duration
 }
 
 // decision is what a batch of operations makes of a state.
@@ -81,7 +83,8 @@
 // may throw the decision away and decide again on a newer state. Ends come
 // first: a claim in the same batch may need what a release frees.
 func decide(before *state, batch []*operation, rules rules) decision {
-	decision := decision{next: before.clone(), verdicts: make([]Verdict, len(batch))}
+	decision := decision{next: before.clone(), verdicts: make([]Verdict, len(batch)), changed: before.restored}
+	decision.next.restored = false
 	decision.next.expire(rules.cut)
 	for _, operation := range batch {
 		if operation.kind.ends() && decision.end(operation, rules) {
@@ -168,6 +171,11 @@
 	switch {
 	case record == nil:
 		return decision.grant(operation, rules)
+	case authorOf(record) == operation.author && rules.young > 0:
+		// The write crossed the service's return, and replaced what nobody has judged.
+		decision.next.remove(operation.key)
+		decision.changed = true
+		return Verdict{Standing: unsettled, RetryAfter: rules.young}
 	case authorOf(record) == operation.author:
 		// An earlier write whose answer was lost did take effect. Unknown, if
 		// others have judged it meanwhile, is final.
@@ -197,6 +205,10 @@
 
 func (decision *decision) grant(operation *operation, rules rules) Verdict {
 	next := decision.next
+	if rules.young > 0 {
+		decision.stale = true
+		return Verdict{Standing: unsettled, RetryAfter: rules.young}
+	}
 	refused := Verdict{Standing: full, RetryAfter: rules.retryAfter}
 	if !next.hasShare(operation.customer, rules) {
 		decision.stale = true
--- a/peridotpath/claim/ledger.go
+++ b/peridotpath/claim/ledger.go
@@ -152,8 +152,8 @@
 	defer cancel()
 	verdict, err := ledger.claim(ctx, customer, key, body)
 	if err == nil {
-		if result := verdict.Result(); result != nil && result.Code == peridotpath.CodeLedgerFull {
-			err = result
+		if verdict.Standing == full || verdict.Standing == unsettled {
+			err = verdict.Result()
 		}
 	}
 	if err != nil {
@@ -228,6 +228,7 @@
 	reasonNotRecorded reason = "claim_not_recorded"
 	reasonTooOld      reason = "claim_too_old"
 	reasonReleased    reason = "claim_released"
+	reasonWentBack    reason = "platform_went_back"
 )
 
 func platformDown(reason reason, after time.Duration) *peridotpath.Result {
--- a/peridotpath/claim/state.go
+++ b/peridotpath/claim/state.go
@@ -47,6 +47,8 @@
 	// what those take.
 	size    int
 	answers int
+	// restored says that records were added which the service has lost.
+	restored bool
 }
 
 // decode reads a bucket's value. It refuses one that was written with another
--- a/peridotpath/claim/verdict.go
+++ b/peridotpath/claim/verdict.go
@@ -30,11 +30,14 @@
 	KeyReused
 	// full says that the bucket has no room; callers get it as a Result.
 	full
+	// unsettled says that the service may have lost what it held about the key; callers get
+	// it as a Result.
+	unsettled
 )
 
 var standingNames = map[Standing]string{
 	Granted: "granted", RunningHere: "running_here", RunningElsewhere: "running_elsewhere",
-	Done: "done", Unknown: "unknown", KeyReused: "key_reused", full: "ledger_full",
+	Done: "done", Unknown: "unknown", KeyReused: "key_reused", full: "ledger_full", unsettled: "unsettled",
 }
 
 // String returns the standing's name as metrics write it.
@@ -67,7 +70,7 @@
 	Run *Run
 	// Answer may be set when Done.
 	Answer *Answer
-	// RetryAfter is set when RunningElsewhere.
+	// RetryAfter is set when RunningElsewhere, and where the caller gets a Result.
 	RetryAfter time.Duration
 }
 
@@ -83,6 +86,8 @@
 		return &peridotpath.Result{Code: peridotpath.CodeKeyReused}
 	case full:
 		return &peridotpath.Result{Code: peridotpath.CodeLedgerFull, RetryAfter: verdict.RetryAfter}
+	case unsettled:
+		return platformDown(reasonWentBack, verdict.RetryAfter)
 	case Done:
 		if verdict.Answer == nil {
 			return &peridotpath.Result{Code: peridotpath.CodeAnswerGone}
--- a/peridotpath/cursor/cursor.go
+++ b/peridotpath/cursor/cursor.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 )
 
 // Error is the class of this package's errors: the cursor is not one that this
@@ -47,7 +48,8 @@
 // Signer makes and checks cursors. All instances share one secret, which SetSecret
 // or Run gives it; until then it makes no cursors and opens none.
 type Signer struct {
-	secret atomic.Pointer[[]byte]
+	secret   atomic.Pointer[[]byte]
+	wentBack clock.Signal
 }
 
 // SetSecret sets the secret.
--- a/peridotpath/cursor/secret.go
+++ b/peridotpath/cursor/secret.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"time"
 
 	"peridotpath.example/peridotpath/clock"
@@ -16,32 +17,46 @@
 )
 
 // Run fetches the secret that all instances share from the key-value service,
-// making it if there is none, and ends when it has it or ctx ends. During an
+// making it if there is none, and again after WentBack, until ctx ends. During an
 // outage it goes on asking; streams have no cursors meanwhile.
 //
 // One that lost the race to make it reads the winner's at once: after a pause
 // the streams that begin meanwhile would have no cursors, and their callers
 // could not resume them.
 func (signer *Signer) Run(ctx context.Context, store *keyvalue.Store) error {
+	var held []byte
 	for {
-		secret, err := fetchSecret(ctx, store)
+		secret, err := fetchSecret(ctx, store, held)
 		if keyvalue.ErrConflict.Has(err) {
-			secret, err = fetchSecret(ctx, store)
+			secret, err = fetchSecret(ctx, store, held)
 		}
-		if err == nil {
-			signer.SetSecret(secret)
-			<-ctx.Done()
-			return ctx.Err()
+		if err != nil {
+			if !clock.Pause(ctx, secretRetry) {
+				return ctx.Err()
+			}
+			continue
 		}
-		if !clock.Pause(ctx, secretRetry) {
+		held = secret
+		signer.SetSecret(secret)
+		select {
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-signer.wentBack.C():
+			if !clock.Pause(ctx, mathrand.N(secretRetry)) {
+				return ctx.Err()
+			}
 		}
 	}
 }
 
-// fetchSecret reads the secret, or writes a new one if the key does not exist.
-// Of several instances that start together one swap wins; the others read it.
-func fetchSecret(ctx context.Context, store *keyvalue.Store) ([]byte, error) {
+// WentBack says that the service came back from an older copy, in which the secret may not
+// be. It never waits.
+func (signer *Signer) WentBack() { signer.wentBack.Raise() }
+
+// fetchSecret reads the secret. If the key does not exist it writes the one that is held
+// here, since cursors are signed with it, or else a new one. Of several instances that
+// start together one swap wins; the others read it.
+func fetchSecret(ctx context.Context, store *keyvalue.Store, held []byte) ([]byte, error) {
 	entry, err := store.Get(ctx, secretKey)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -49,9 +64,12 @@
 	if entry.Version != 0 {
 		return entry.Value, nil
 	}
-	secret := make([]byte, secretLength)
-	if _, err := rand.Read(secret); err != nil {
-		return nil, Error.Wrap(err)
+	secret := held
+	if secret == nil {
+		secret = make([]byte, secretLength)
+		if _, err := rand.Read(secret); err != nil {
+			return nil, Error.Wrap(err)
+		}
 	}
 	if _, err := store.Swap(ctx, secretKey, 0, secret, keyvalue.LeaseID{}); err != nil {
 		return nil, Error.Wrap(err)
--- /dev/null
+++ b/peridotpath/cursor/secret_test.go
@@ -0,0 +1,42 @@
+package cursor_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath/cursor"
+	"peridotpath.example/peridotpath/keyvalue/memory"
+)
+
+// The service comes back from a copy of before the secret was made. An instance that starts
+// then makes no other one, with which the cursors that callers hold would open nowhere.
+func TestSecretThatTheServiceLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := &memory.Memory{}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 2)
+		run := func(signer *cursor.Signer) {
+			go func() { ended <- signer.Run(ctx, service.Store()) }()
+		}
+		first, second := &cursor.Signer{}, &cursor.Signer{}
+		before := service.Copy()
+		run(first)
+		synctest.Wait()
+		text := string(cursor.At(nil, first.Token("volunteers", stream), 7))
+		service.GoBack(before)
+		first.WentBack()
+		time.Sleep(3 * time.Second)
+		run(second)
+		synctest.Wait()
+		_, _, err := second.Open("volunteers", text)
+		is.NoErr(err)
+		cancel()
+		<-ended
+		<-ended
+	})
+}
--- a/peridotpath/shift/keeper.go
+++ b/peridotpath/shift/keeper.go
@@ -71,6 +71,11 @@
 	if elapsed <= 0 {
 		return
 	}
+	if total.Prompts < demand.last.Prompts {
+		// The service came back from an older copy: what it lost says nothing of the demand.
+		demand.last, demand.sampled = total, now
+		return
+	}
 	rate := float64(total.Tokens-demand.last.Tokens) / elapsed
 	weight := min(elapsed/demandSpan.Seconds(), 1)
 	demand.perS += weight * (rate - demand.perS)
