--- a/peridotpath/cursor/secret_test.go
+++ b/peridotpath/cursor/secret_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 		_, _, err := second.Open("volunteers", text)
 		is.NoErr(err)
 		cancel()
-		<-ended
-		<-ended
+		is.True(errors.Is(<-ended, context.Canceled))
+		is.True(errors.Is(<-ended, context.Canceled))
 	})
 }
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -182,7 +182,7 @@
 	switch {
 	case !changed:
 		return follower.confirm(read, asked)
-		// What changed between two looks of one era was written in it.	case entry.Version == 0 || len(entry.Value) == 0:
+	case entry.Version == 0 || len(entry.Value) == 0:
 		// There is none yet, or it was taken away; what is in force stays so,
 		// unconfirmed.
 		follower.mutex.Lock()
--- a/peridotpath/routing/state_test.go
+++ b/peridotpath/routing/state_test.go
@@ -125,6 +125,9 @@
 	if store.version == expect {
 		return keyvalue.Entry{}, false, nil
 	}
+	if store.version == 0 {
+		return keyvalue.Entry{Key: key}, true, nil
+	}
 	return keyvalue.Entry{Key: key, Version: store.version, Value: []byte{byte(store.routing)}}, true, nil
 }
 
@@ -278,3 +281,25 @@
 		is.True(errors.Is(<-ended, context.Canceled))
 	})
 }
+
+// The routing is taken away in the store. What is in force stays, unconfirmed, and the store
+// does not count as out of reach.
+func TestRoutingThatIsTakenAway(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &fakeStore{}
+		follower, state := newFollower(store)
+		follower.Pace = clock.Pace{Least: 500 * time.Millisecond, Spread: 400 * time.Millisecond, Retry: 250 * time.Millisecond, Gap: 60 * time.Millisecond}
+		store.set(5, 2, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		store.set(0, 0, nil)
+		time.Sleep(5 * time.Second)
+		is.Equal(state.Version(), peridotpath.RoutingVersion(2))
+		is.True(!follower.Failing())
+		cancel()
+		is.True(errors.Is(<-ended, context.Canceled))
+	})
+}
