relay, instance, registry, audit: a start holds short requests for their aim at most

Ruled out: the quarantine (its requests were barred by facts that were known all the while). Change: a peer that knows the routing and the endpoints ends the wait for the list; requests wait for the routing, then for the endpoints no longer than the answer's aim; barred ones are refused first.

--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/logline"
@@ -49,8 +50,13 @@
 // Audit collects what instances logged. Add the lines of all instances, in any order.
 type Audit struct {
 	requests map[peridotpath.RequestID]*history
+	// pauses holds when each instance stood still.
+	pauses map[string][]pause
 }
 
+// pause is a time in which an instance's process did not run.
+type pause struct{ from, to time.Time }
+
 // history is what was logged of one request.
 type history struct {
 	ended  []logline.Line
@@ -59,6 +65,10 @@
 
 // Add takes a line in.
 func (audit *Audit) Add(line logline.Line) {
+	if line.Event() == "paused" {
+		audit.addPause(line)
+		return
+	}
 	id := peridotpath.RequestID(line.Pairs["request"])
 	if id == "" {
 		return
@@ -79,6 +89,42 @@
 	}
 }
 
+func (audit *Audit) addPause(line logline.Line) {
+	to, err := time.Parse(time.RFC3339Nano, line.Pairs["time"])
+	if err != nil {
+		// A line that was cut; it excuses nothing.
+		return
+	}
+	if audit.pauses == nil {
+		audit.pauses = map[string][]pause{}
+	}
+	instance := line.Pairs["instance"]
+	audit.pauses[instance] = append(audit.pauses[instance], pause{from: to.Add(-millis(line.Number("span"))), to: to})
+}
+
+func millis(number float64) time.Duration { return time.Duration(number * float64(time.Millisecond)) }
+
+// paused returns for how long of a request's time its instance stood still.
+func (audit *Audit) paused(end *logline.Line) time.Duration {
+	ended, err := time.Parse(time.RFC3339Nano, end.Pairs["time"])
+	if err != nil {
+		return 0
+	}
+	arrived := ended.Add(-millis(end.Number("took")))
+	var total time.Duration
+	for _, pause := range audit.pauses[end.Pairs["instance"]] {
+		from, to := pause.from, pause.to
+		if from.Before(arrived) {
+			from = arrived
+		}
+		if to.After(ended) {
+			to = ended
+		}
+		total += max(0, to.Sub(from))
+	}
+	return total
+}
+
 // Requests returns how many requests were seen.
 func (audit *Audit) Requests() int { return len(audit.requests) }
 
@@ -86,14 +132,14 @@
 func (audit *Audit) Findings() []Finding {
 	var findings []Finding
 	for _, id := range slices.Sorted(maps.Keys(audit.requests)) {
-		for _, fault := range audit.requests[id].faults() {
+		for _, fault := range audit.faults(audit.requests[id]) {
 			findings = append(findings, Finding{Request: id, Fault: fault, Lines: audit.requests[id].lines()})
 		}
 	}
 	return findings
 }
 
-func (history *history) faults() []Fault {
+func (audit *Audit) faults(history *history) []Fault {
 	var faults []Fault
 	note := func(fault Fault, holds bool) {
 		if holds {
@@ -107,7 +153,7 @@
 		end := &history.ended[i]
 		promised := codeOf(end).NotRun()
 		note(FaultRan, promised && mayHaveRun > 0)
-		note(FaultHeld, promised && end.Event() == "failed" && end.Number("sent") == 0 && heldTooLong(end))
+		note(FaultHeld, promised && end.Event() == "failed" && end.Number("sent") == 0 && audit.heldTooLong(end))
 		note(FaultNoReturn, promised && end.Event() == "failed" && end.Number("retry_after") == 0)
 	}
 	return faults
@@ -138,9 +184,11 @@
 	return len(history.ended) > 0 && history.ended[0].Pairs["kind"] == "once"
 }
 
-func heldTooLong(end *logline.Line) bool {
+// heldTooLong reports whether a request was held by an instance that ran all the while: one
+// that stands still can refuse nothing.
+func (audit *Audit) heldTooLong(end *logline.Line) bool {
 	aim := end.Number("aim")
-	return aim > 0 && end.Number("took") > heldAims*aim
+	return aim > 0 && millis(end.Number("took"))-audit.paused(end) > millis(heldAims*aim)
 }
 
 func codeOf(line *logline.Line) peridotpath.Code {
--- a/peridotpath/audit/audit_test.go
+++ b/peridotpath/audit/audit_test.go
@@ -88,3 +88,37 @@
 		"time=2026-01-01T00:00:02Z event=served request=save-1 kind=once code=0",
 	})
 }
+
+// An instance that was paused refuses at once when it runs again; nothing held the request
+// but the pause. A pause of another instance, or before the request, excuses nothing.
+func TestPauseIsNoHolding(t *testing.T) {
+	const refused = "time=2026-01-01T00:00:10Z event=failed instance=a request=r kind=stream aim=300 took=4000 sent=0 code=2004 retry_after=300"
+	tests := map[string]struct {
+		lines []string
+		want  []audit.Fault
+	}{
+		"paused":                    {[]string{"time=2026-01-01T00:00:09.9Z event=paused instance=a span=3400", refused}, nil},
+		"the line comes later":      {[]string{refused, "time=2026-01-01T00:00:09.9Z event=paused instance=a span=3400"}, nil},
+		"two pauses":                {[]string{"time=2026-01-01T00:00:08Z event=paused instance=a span=1900", refused, "time=2026-01-01T00:00:10Z event=paused instance=a span=1800"}, nil},
+		"held after a pause":        {[]string{"time=2026-01-01T00:00:09.2Z event=paused instance=a span=3400", refused}, []audit.Fault{audit.FaultHeld}},
+		"paused before it came":     {[]string{"time=2026-01-01T00:00:06Z event=paused instance=a span=3400", refused}, []audit.Fault{audit.FaultHeld}},
+		"another instance's pause":  {[]string{"time=2026-01-01T00:00:09.9Z event=paused instance=b span=3400", refused}, []audit.Fault{audit.FaultHeld}},
+		"a pause that was cut away": {[]string{"event=paused instance=a span=3400", refused}, []audit.Fault{audit.FaultHeld}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var logs audit.Audit
+			for _, text := range test.lines {
+				line, _ := logline.Parse(text)
+				logs.Add(line)
+			}
+			var have []audit.Fault
+			for _, finding := range logs.Findings() {
+				have = append(have, finding.Fault)
+			}
+			if fmt.Sprint(have) != fmt.Sprint(test.want) {
+				t.Errorf("have %v, want %v", have, test.want)
+			}
+		})
+	}
+}
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -39,9 +39,10 @@
 	wanted clock.Signal
 	// lapsed asks for a new entry, as the store may have lost this one.
 	lapsed clock.Signal
-	// first is closed once the others were read, or could not be.
+	// first is closed once the others were read, or could not be, or one was heard.
 	first     chan struct{}
 	firstOnce sync.Once
+	closeOnce sync.Once
 	failed    atomic.Bool
 }
 
@@ -81,8 +82,9 @@
 	Era keyvalue.Era `json:"era,omitempty"`
 }
 
-// AfterFirst returns a task that begins once the others were read, or could not
-// be: what an instance that starts does first depends on who else is there.
+// AfterFirst returns a task that begins once the others were read, or could not be, or
+// PeerReady was called: what an instance that starts does first depends on who else is
+// there.
 func (registry *Registry) AfterFirst(run func(context.Context) error) func(context.Context) error {
 	first := registry.firstRead()
 	return func(ctx context.Context) error {
@@ -100,6 +102,16 @@
 	return registry.first
 }
 
+// PeerReady says that another instance has what this one needs. Where the store is silent,
+// an instance that starts would wait for it in vain before it asks that one.
+func (registry *Registry) PeerReady() { registry.begin() }
+
+// begin lets the tasks of AfterFirst begin.
+func (registry *Registry) begin() {
+	first := registry.firstRead()
+	registry.closeOnce.Do(func() { close(first) })
+}
+
 // Run keeps the entry and the list until ctx ends.
 //
 // After a loss of all instances their entries are still there, and each has to know
@@ -111,7 +123,7 @@
 	if err == nil && registry.others == 0 {
 		wait = registry.startTogether(ctx)
 	}
-	close(registry.firstRead())
+	registry.begin()
 	for registry.rest(ctx, wait) {
 		wait = registry.next(ctx, registry.round(ctx))
 	}
--- a/peridotpath/gossip/registry_test.go
+++ b/peridotpath/gossip/registry_test.go
@@ -241,3 +241,33 @@
 		is.Equal(lists.total(), 3)
 	})
 }
+
+// The store is silent when an instance starts, and its peers know all that it needs. It asked
+// nobody for more than a second, until the store's list of them was given up.
+func TestPeerIsAskedWhileTheStoreIsSilent(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &keyvalue.Store{
+			ListStale: func(ctx context.Context, _ string) ([]keyvalue.Entry, keyvalue.Version, error) {
+				<-ctx.Done()
+				return nil, 0, ctx.Err()
+			},
+		}
+		one := newListed(1, store)
+		ended, began, asked := make(chan error, 2), time.Now(), make(chan time.Duration, 1)
+		task := one.registry.AfterFirst(func(context.Context) error {
+			asked <- time.Since(began)
+			return nil
+		})
+		go func() { ended <- one.registry.Run(ctx) }()
+		go func() { ended <- task(ctx) }()
+		time.Sleep(30 * time.Millisecond)
+		one.registry.PeerReady()
+		one.registry.PeerReady()
+		is.Equal(<-asked, 30*time.Millisecond)
+		is.NoErr(<-ended)
+		cancel()
+		is.True(errors.Is(<-ended, context.Canceled))
+	})
+}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -140,12 +140,12 @@
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
 		Reserve: adapter.Reserve, Release: adapter.Release, MaxHold: settings.MaxHold, Log: log,
 	}
-	instance.start = &start{Known: instance.knows, Failing: instance.failing, over: make(chan struct{})}
+	instance.start = newStart(instance.routed, instance.knows, instance.failing)
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
-		Keeper: instance.keeper, Quarantine: instance.quarantine, Throttle: instance.throttle, Stall: settings.Stall, Started: instance.start.over,
+		Keeper: instance.keeper, Quarantine: instance.quarantine, Throttle: instance.throttle, Stall: settings.Stall, Routed: instance.start.routed, Started: instance.start.over,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: instance.count,
@@ -174,10 +174,11 @@
 	return !instance.stopping.Load() && instance.knows() && instance.routing.Age() < instance.Settings.KeyLifetime-readyMargin
 }
 
+// routed reports whether there is a routing.
+func (instance *Instance) routed() bool { return instance.routing.Current() != nil }
+
 // knows reports whether there is a routing and endpoints.
-func (instance *Instance) knows() bool {
-	return instance.routing.Current() != nil && instance.directory.Current() != nil
-}
+func (instance *Instance) knows() bool { return instance.routed() && instance.directory.Current() != nil }
 
 // failing reports whether the store cannot be read.
 func (instance *Instance) failing() bool {
@@ -255,6 +256,9 @@
 // heard takes in what a peer has read of the store.
 func (instance *Instance) heard(peer readings.Peer, fresh gossip.Freshness, asked time.Duration) {
 	instance.Adapter.Eras.Heard(fresh.Era, fresh.EraAge, fresh.EraDated)
+	if fresh.RoutingVersion > 0 && fresh.Endpoints != 0 {
+		instance.registry.PeerReady()
+	}
 	instance.routes.HearPeer(peer, fresh.RoutingVersion, asked-fresh.RoutingAge)
 	instance.endpoints.HearPeer(peer, fresh.Endpoints, asked-fresh.EndpointsAge)
 }
@@ -268,6 +272,7 @@
 		{"routing", instance.registry.AfterFirst(instance.routes.Run)},
 		{"endpoints", instance.registry.AfterFirst(instance.endpoints.Run)},
 		{"reservations", instance.keeper.Run},
+		{"pauses", (&pauses{Now: clock.SinceBoot, Log: instance.Log}).Run},
 	}
 }
 
--- a/peridotpath/instance/start.go
+++ b/peridotpath/instance/start.go
@@ -10,10 +10,15 @@
 // start is the time from the start of an instance until it knows what it needs to
 // serve. Set the exported fields before Run.
 type start struct {
-	// Known reports whether all of it is known, Failing that it will not be soon.
-	Known, Failing func() bool
+	// Routed reports whether the routing is known, Known whether all is, Failing that it
+	// will not be soon.
+	Routed, Known, Failing func() bool
 
-	over chan struct{}
+	routed, over chan struct{}
+}
+
+func newStart(routed, known, failing func() bool) *start {
+	return &start{Routed: routed, Known: known, Failing: failing, routed: make(chan struct{}), over: make(chan struct{})}
 }
 
 const (
@@ -27,7 +32,13 @@
 // Run ends the start when it is over, and waits for ctx's end.
 func (start *start) Run(ctx context.Context) error {
 	began := time.Now()
-	for !start.Known() && !start.Failing() && time.Since(began) < startLimit && clock.Pause(ctx, startPoll) {
+	pending := func() bool {
+		return !start.Failing() && time.Since(began) < startLimit && clock.Pause(ctx, startPoll)
+	}
+	for !start.Routed() && pending() {
+	}
+	close(start.routed)
+	for !start.Known() && pending() {
 	}
 	close(start.over)
 	<-ctx.Done()
--- a/peridotpath/instance/start_test.go
+++ b/peridotpath/instance/start_test.go
@@ -30,7 +30,7 @@
 				after := func(span time.Duration) func() bool {
 					return func() bool { return time.Since(began) >= span }
 				}
-				start := start{Known: after(test.known), Failing: after(test.failing), over: make(chan struct{})}
+				start := newStart(after(0), after(test.known), after(test.failing))
 				ctx, cancel := context.WithCancel(t.Context())
 				ended := make(chan error, 1)
 				go func() { ended <- start.Run(ctx) }()
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -106,6 +106,11 @@
 // run makes attempts until one ends the request.
 func (exchange *exchange) run(ctx context.Context) {
 	exchange.relay.Budget.Note(exchange.service, time.Now())
+	if result := exchange.barred(); result != nil {
+		exchange.fail(*result)
+		return
+	}
+	exchange.awaitEndpoints(ctx)
 	for {
 		if result := exchange.awaitTrial(ctx); result != nil {
 			exchange.fail(*result)
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -38,9 +38,9 @@
 	Throttle *throttle.Throttle
 	// Served bounds the log lines of requests that went well.
 	Served *telemetry.Sampler
-	// Started is closed once the instance knows what it needs to serve, or that it will
-	// not soon; nil for one that does.
-	Started <-chan struct{}
+	// Routed is closed once the instance knows its routing, Started once it knows all that
+	// it needs to serve, both once it will not soon; nil for one that does.
+	Routed, Started <-chan struct{}
 	// Stall is how long an engine's work stands still when an engine that it
 	// depends on is gone; after that it goes on or is cut off by itself.
 	Stall time.Duration
@@ -63,7 +63,7 @@
 
 // Serve answers the request through caller. It returns when the answer is out.
 func (relay *Relay) Serve(ctx context.Context, request *Request, caller *Caller) {
-	relay.awaitStart(ctx, request)
+	relay.awaitRouting(ctx, request)
 	exchange, refusal := relay.admit(request, caller)
 	if refusal != nil {
 		telemetry.Result(refusal.Code)
--- a/peridotpath/relay/start_test.go
+++ b/peridotpath/relay/start_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/routing"
@@ -39,7 +40,7 @@
 				fixture := newFixture(script.send, nil, testEndpoint(0))
 				fixture.relay.Routing = &routing.State{Now: fixture.routing.Now, KeyLifetime: time.Hour, Log: zerolog.Nop()}
 				started := make(chan struct{})
-				fixture.relay.Started = started
+				fixture.relay.Routed, fixture.relay.Started = started, started
 				over := time.AfterFunc(test.over, func() {
 					if test.known == test.over {
 						fixture.relay.Routing.Apply(testRouting(nil), fixture.relay.Routing.Now())
@@ -59,3 +60,60 @@
 		})
 	}
 }
+
+// bar notes three endpoints that ended under the request, some time ago.
+func (fixture *fixture) bar(target string) {
+	content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, target, nil)
+	for endpoint := range peridotpath.EndpointKey(3) {
+		fixture.relay.Quarantine.Ended(content, endpoint+1, time.Now())
+		time.Sleep(time.Second)
+	}
+}
+
+// An instance starts and hears its peers' routing, but nobody tells it the endpoints. A short
+// request is refused while its caller can still be served in time elsewhere; one that is
+// barred waits for nothing.
+func TestRequestWhileEndpointsAreUnknown(t *testing.T) {
+	tests := map[string]struct {
+		route  string
+		comes  time.Duration
+		barred bool
+		want   peridotpath.Code
+		took   time.Duration
+	}{
+		"short, in vain":    {route: "look", comes: time.Hour, want: peridotpath.CodeNoEndpoint, took: 300 * time.Millisecond},
+		"short, in time":    {route: "look", comes: 200 * time.Millisecond, took: 200 * time.Millisecond},
+		"with a longer aim": {route: "long", comes: time.Hour, want: peridotpath.CodeNoEndpoint, took: 1500 * time.Millisecond},
+		"barred":            {route: "look", comes: time.Hour, barred: true, want: peridotpath.CodeQuarantined},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				script := &script{steps: []step{answer(http.StatusOK, "done", nil)}}
+				fixture := newFixture(script.send, nil, testEndpoint(0))
+				routed, started := make(chan struct{}), make(chan struct{})
+				close(routed)
+				fixture.relay.Routed, fixture.relay.Started = routed, started
+				endpoints := fixture.relay.Endpoints
+				known := time.Now().Add(test.comes)
+				fixture.relay.Endpoints = func() *directory.Snapshot {
+					if time.Now().Before(known) {
+						return nil
+					}
+					return endpoints()
+				}
+				fixture.relay.AllEndpoints = fixture.relay.Endpoints
+				over := time.AfterFunc(test.comes, func() { close(started) })
+				defer over.Stop()
+				if test.barred {
+					fixture.bar("/" + test.route + "/x")
+				}
+				began := time.Now()
+				outcome := fixture.ask(t.Context(), test.route, nil)
+				is.Equal(outcome.result.Code, test.want)
+				is.Equal(time.Since(began), test.took)
+			})
+		})
+	}
+}
--- a/peridotpath/relay/suspect.go
+++ b/peridotpath/relay/suspect.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// barred refuses a request that was barred while it waited.
+// barred refuses a request that is barred, also one that was barred while it waited.
 func (exchange *exchange) barred() *peridotpath.Result {
 	decider := exchange.relay.Quarantine
 	if decider.Empty() {
