--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -45,6 +45,7 @@
 type Snapshot struct {
 	byService map[peridotpath.Service][]Member
 	byID      map[peridotpath.EndpointID]*peridotpath.Endpoint
+	byKey     map[peridotpath.EndpointKey]*peridotpath.Endpoint
 }
 
 // Of returns the endpoints of a service that take new requests.
@@ -55,10 +56,18 @@
 	return snapshot.byService[service]
 }
 
+// Find returns the endpoint of that key; nil where there is none.
+func (snapshot *Snapshot) Find(key peridotpath.EndpointKey) *peridotpath.Endpoint {
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.byKey[key]
+}
+
 // Narrow returns the endpoints for which keep holds. A service of which none is
 // kept keeps all.
 func (snapshot *Snapshot) Narrow(keep func(key peridotpath.EndpointKey, ofService int) bool) *Snapshot {
-	narrow := &Snapshot{byService: map[peridotpath.Service][]Member{}, byID: snapshot.byID}
+	narrow := &Snapshot{byService: map[peridotpath.Service][]Member{}, byID: snapshot.byID, byKey: snapshot.byKey}
 	for service, members := range snapshot.byService {
 		var kept []Member
 		for _, member := range members {
@@ -212,6 +221,7 @@
 	snapshot := &Snapshot{
 		byService: map[peridotpath.Service][]Member{},
 		byID:      map[peridotpath.EndpointID]*peridotpath.Endpoint{},
+		byKey:     map[peridotpath.EndpointKey]*peridotpath.Endpoint{},
 	}
 	for i := range endpoints {
 		if endpoints[i].State == peridotpath.StateLive && !gone(endpoints[i].Key()) {
@@ -224,6 +234,7 @@
 func (snapshot *Snapshot) add(endpoint *peridotpath.Endpoint) {
 	snapshot.byID[endpoint.ID] = endpoint
 	member := Member{Endpoint: endpoint, Key: endpoint.Key()}
+	snapshot.byKey[member.Key] = endpoint
 	snapshot.byService[endpoint.Service] = append(snapshot.byService[endpoint.Service], member)
 }
 
--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -39,8 +39,11 @@
 	// KindSent: an instance, the detail, has sent as many requests to an endpoint with a
 	// limit, the subject, as the value says.
 	KindSent Kind = 6
+	// KindPace: an engine, the detail, takes as many times as long as published for its
+	// work as the value says.
+	KindPace Kind = 7
 
-	kinds = 7
+	kinds = 8
 )
 
 // rule is how facts of a kind are kept.
@@ -71,6 +74,8 @@
 	// Endpoints name their limits in each answer; once in a while is news enough.
 	KindLimit: {name: "limit", keep: time.Minute, most: 1024, same: 5 * time.Second, lasting: true},
 	KindSent:  {name: "sent", keep: 20 * time.Second, most: 4096, same: onWay},
+	// Slow engines are asked again each second; one that nobody asks any more is forgotten.
+	KindPace: {name: "pace", keep: 3 * time.Second, most: 4096, same: onWay},
 }
 
 // String returns the kind's name as logs and metrics write it.
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -19,6 +19,7 @@
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/pace"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/readings"
@@ -44,8 +45,9 @@
 	CompactEndpoints func(entries []keyvalue.Entry) []keyvalue.Entry
 	// Send sends a call to an endpoint.
 	Send relay.Sender
-	// Check asks an engine whether it is there.
+	// Check asks an engine whether it is there, Pace how slow it is.
 	Check relay.Checker
+	Pace  func(ctx context.Context, endpoint *peridotpath.Endpoint) (pace.Pace, error)
 	// Reserve and Release are the orders that a reservation.Keeper gives.
 	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
 	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
@@ -107,6 +109,7 @@
 	facts       *facts.Table
 	quarantine  *quarantine.Quarantine
 	throttle    *throttle.Throttle
+	paces       *pace.Watch
 	relay       *relay.Relay
 	gossip      *gossip.Gossip
 	registry    *gossip.Registry
@@ -140,12 +143,14 @@
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
 		Reserve: adapter.Reserve, Release: adapter.Release, MaxHold: settings.MaxHold, Log: log,
 	}
+	instance.paces = &pace.Watch{Facts: instance.facts, Ask: adapter.Pace, Find: instance.findEndpoint, Mine: instance.looksAfter, Log: log}
+	instance.book.Paces = instance.slowEngines
 	instance.start = newStart(instance.routed, instance.knows, instance.failing)
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.near, AllEndpoints: instance.directory.Current, Book: instance.book, Send: adapter.Send, Check: adapter.Check,
 		Served: &telemetry.Sampler{PerSecond: servedLines},
-		Keeper: instance.keeper, Quarantine: instance.quarantine, Throttle: instance.throttle, Stall: settings.Stall, Routed: instance.start.routed, Started: instance.start.over,
+		Keeper: instance.keeper, Quarantine: instance.quarantine, Throttle: instance.throttle, Doubt: instance.paces.Doubt, Stall: settings.Stall, Routed: instance.start.routed, Started: instance.start.over,
 		Budget: &relay.Budget{
 			Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow,
 			Instances: instance.count,
@@ -185,6 +190,26 @@
 	return instance.registry.Failing() || instance.routes.Failing() || instance.endpoints.Failing()
 }
 
+// looksAfter reports whether this instance asks a slow engine again.
+func (instance *Instance) looksAfter(endpoint peridotpath.EndpointKey) bool {
+	return instance.book.Chosen(instance.Settings.InstanceID, endpoint)
+}
+
+// slowEngines returns the engines that are known to be slow.
+func (instance *Instance) slowEngines(now time.Time) map[peridotpath.EndpointKey]float64 {
+	paces := instance.paces.Slow(now)
+	slow := make(map[peridotpath.EndpointKey]float64, len(paces))
+	for key, pace := range paces {
+		slow[key] = float64(pace)
+	}
+	return slow
+}
+
+// findEndpoint returns the endpoint of that key; nil where it is not in use.
+func (instance *Instance) findEndpoint(key peridotpath.EndpointKey) *peridotpath.Endpoint {
+	return instance.directory.Current().Find(key)
+}
+
 // task is one background task.
 type task struct {
 	name string
@@ -272,6 +297,7 @@
 		{"routing", instance.registry.AfterFirst(instance.routes.Run)},
 		{"endpoints", instance.registry.AfterFirst(instance.endpoints.Run)},
 		{"reservations", instance.keeper.Run},
+		{"pace", instance.paces.Run},
 		{"pauses", (&pauses{Now: clock.SinceBoot, Log: instance.Log}).Run},
 	}
 }
--- a/peridotpath/placement/book.go
+++ b/peridotpath/placement/book.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotpath.example/peridotpath"
 )
 
@@ -46,6 +49,8 @@
 type Book struct {
 	// Changed, when set, is called after each change of this instance's requests.
 	Changed func()
+	// Paces, when set, returns the engines that are known to be slow, and how much.
+	Paces func(now time.Time) map[peridotpath.EndpointKey]float64
 
 	mutex sync.Mutex
 	// began is when this instance first looked at its load.
@@ -98,6 +103,14 @@
 	book.changed()
 }
 
+// Waits reports whether one of this instance's requests still waits for its first event.
+func (book *Book) Waits(number FlightNumber) bool {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	flight := book.own[number]
+	return flight != nil && !flight.Writing
+}
+
 // End notes that a request has ended or was given up.
 func (book *Book) End(number FlightNumber) {
 	book.mutex.Lock()
@@ -181,6 +194,24 @@
 	}
 }
 
+// Chosen reports whether this instance is the one among those that live which looks after
+// an endpoint. For a moment after a change of who lives there may be two, or none.
+func (book *Book) Chosen(self peridotpath.InstanceID, endpoint peridotpath.EndpointKey) bool {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	own := drawOf(self, endpoint)
+	for id := range book.peers {
+		if drawOf(id, endpoint) < own {
+			return false
+		}
+	}
+	return true
+}
+
+func drawOf(instance peridotpath.InstanceID, endpoint peridotpath.EndpointKey) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %d", instance, endpoint))
+}
+
 // Peers returns how many peers have been heard lately.
 func (book *Book) Peers(now time.Time) int {
 	book.mutex.Lock()
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -114,6 +114,11 @@
 	cost float64
 }
 
+// delay is how much longer than others the engine takes for a reading of that span.
+func (option *option) delay(span time.Duration) time.Duration {
+	return time.Duration((option.load.Slow - 1) * float64(span))
+}
+
 // PlanPrompt chooses the engines for a prompt: those where the loss is least
 // that it and those already there will have by being late. It returns false
 // where no engine can take it before the caller stops waiting.
@@ -171,7 +176,7 @@
 	readers := make([]*option, len(options))
 	for i := range options {
 		option := &options[i]
-		option.cost = option.ready.Seconds() + harm(option, whole/3) + overtaken(option, whole/3)
+		option.cost = option.ready.Seconds() + option.delay(whole/3).Seconds() + harm(option, whole/3) + overtaken(option, whole/3)
 		if option.Suspect {
 			option.cost += suspectCost
 		}
@@ -187,7 +192,7 @@
 	worth := Value(work.Prompt)
 	against := make(map[*option]float64, len(readers))
 	for _, reader := range readers {
-		first := work.Waited + reader.ready + whole/3
+		first := work.Waited + reader.ready + whole/3 + reader.delay(whole/3)
 		against[reader] = harm(reader, whole/3) + worth*(lateness(first, work.AnswerAim)+pauseRisk(work, reader)+placeLoss(work, reader))
 	}
 	writers := slices.Clone(readers)
@@ -209,8 +214,8 @@
 	trust := view.trust()
 	for _, candidate := range candidates {
 		load := view.At(candidate.Key)
-		pass := model.Pass(load.Writers, load.Context)
-		ready := time.Duration(float64(load.Backlog)*load.Slow) + pass/2
+		pass := load.slowed(model.Pass(load.Writers, load.Context))
+		ready := load.slowed(load.Backlog) + pass/2
 		options = append(options, option{
 			Candidate: candidate, load: load, slots: model.Rates.BatchSize, pass: pass, ready: ready,
 			chance: rand.Float64(), trust: trust,
@@ -274,7 +279,7 @@
 		steps := math.Ceil(float64(work.Prompt) / float64(1+len(helpers)) / float64(model.Rates.Chunk))
 		reading += time.Duration(steps * float64(writer.pass) / float64(model.Rates.StepsPerPass))
 	}
-	first := ready + reading + model.Pass(writer.load.Writers+1, writer.load.Context+work.Prompt)
+	first := ready + reading + writer.load.slowed(model.Pass(writer.load.Writers+1, writer.load.Context+work.Prompt))
 	first += writer.slotWait(model, work)
 	plan := Plan{Writer: writer.Endpoint, Reading: reading, FirstEvent: first, Ready: ready, Harm: harmed}
 	worth := Value(work.Prompt)
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -48,6 +48,11 @@
 	own bool
 }
 
+// slowed returns how long the endpoint takes for what others do in that span.
+func (load *Load) slowed(span time.Duration) time.Duration {
+	return time.Duration(float64(span) * load.Slow)
+}
+
 // Taken counts the requests that are at the endpoint.
 func (load *Load) Taken() int { return load.Writers + load.Waiting }
 
@@ -98,6 +103,11 @@
 	for key, slow := range book.slow {
 		view.load(key).Slow = slow
 	}
+	if book.Paces != nil {
+		for key, pace := range book.Paces(now) {
+			view.load(key).Slow = pace
+		}
+	}
 	for _, load := range view.loads {
 		load.queue(now)
 	}
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -53,6 +53,9 @@
 	defer relay.Keeper.End(tickets)
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
+	if doubt := exchange.watchPace(); doubt != nil {
+		defer doubt.Stop()
+	}
 	if exchange.givesUp() || len(tickets) > 0 {
 		liveness := exchange.watchLiveness(ctx, cancel)
 		defer liveness.Close()
@@ -161,6 +164,27 @@
 	return &stallWatch{timer: time.AfterFunc(first, func() { cancel(errStalled) }), span: span}
 }
 
+const (
+	// doubtFactor and doubtMargin are when a first event is overdue, in times of what was
+	// predicted and beyond.
+	doubtFactor = 1.5
+	doubtMargin = 150 * time.Millisecond
+)
+
+// watchPace has the engines asked for their pace if the first event is overdue.
+func (exchange *exchange) watchPace() *time.Timer {
+	if exchange.relay.Doubt == nil || exchange.spec.Engine == nil {
+		return nil
+	}
+	plan, flight := exchange.plan, exchange.flight
+	overdue := time.Duration(doubtFactor*float64(plan.FirstEvent)) + doubtMargin
+	return time.AfterFunc(overdue, func() {
+		if exchange.relay.Book.Waits(flight) {
+			exchange.relay.Doubt(append([]*peridotpath.Endpoint{plan.Writer}, plan.Helpers...)...)
+		}
+	})
+}
+
 // givesUp reports whether a stream whose events stop may be given up here, since
 // it may go on elsewhere.
 func (exchange *exchange) givesUp() bool {
--- a/peridotpath/relay/engine_test.go
+++ b/peridotpath/relay/engine_test.go
@@ -11,6 +11,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/pace"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/relay"
 )
@@ -39,6 +40,8 @@
 	parts []*fakePart
 	jobs  []*fakeJob
 	awake chan struct{}
+	// slow is how many times as long as published it takes; zero for once.
+	slow float64
 }
 
 type fakePart struct {
@@ -165,9 +168,28 @@
 			}
 		}
 	}
+	if engine.slow > 0 {
+		span = time.Duration(float64(span) * engine.slow)
+	}
 	return span
 }
 
+// setSlow makes the first engines slow.
+func (engines *fakeEngines) setSlow(count int, slow float64) {
+	engines.mutex.Lock()
+	defer engines.mutex.Unlock()
+	for i := range count {
+		engines.engines[testEndpoint(i).ID].slow = slow
+	}
+}
+
+// pace is what an engine says of itself.
+func (engines *fakeEngines) pace(_ context.Context, endpoint *peridotpath.Endpoint) (pace.Pace, error) {
+	engines.mutex.Lock()
+	defer engines.mutex.Unlock()
+	return pace.Pace(max(engines.engines[endpoint.ID].slow, 1)), nil
+}
+
 func (engine *fakeEngine) writers() (int, peridotpath.Tokens) {
 	count, context := 0, peridotpath.Tokens(0)
 	kept := engine.jobs[:0]
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -34,6 +34,8 @@
 	Keeper                  *reservation.Keeper
 	// Quarantine keeps requests off the endpoints that end what runs them.
 	Quarantine *quarantine.Quarantine
+	// Doubt, when set, is told of engines at which a first event is overdue.
+	Doubt func(endpoints ...*peridotpath.Endpoint)
 	// Throttle keeps endpoints to what they have named.
 	Throttle *throttle.Throttle
 	// Served bounds the log lines of requests that went well.
