--- a/peridotpath/pace/pace.go
+++ b/peridotpath/pace/pace.go
@@ -181,4 +181,3 @@
 	binary.BigEndian.PutUint64(subject[:], uint64(key))
 	return subject
 }
-
--- /dev/null
+++ b/peridotpath/relay/candidates.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"time"
+
+	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/placement"
+)
+
+// candidates returns the endpoints that may take the request.
+func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
+	exchange.limited = 0
+	members := exchange.relay.Endpoints().Of(exchange.service)
+	exchange.engines = len(members)
+	candidates := exchange.candidatesOf(members, now)
+	if len(candidates) == 0 {
+		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), now)
+	}
+	return candidates
+}
+
+func (exchange *exchange) candidatesOf(members []directory.Member, now time.Time) []placement.Candidate {
+	candidates := make([]placement.Candidate, 0, len(members))
+	suspects := exchange.relay.Book.Suspects(now)
+	withinLimit := exchange.limits(now)
+	for _, member := range members {
+		if exchange.avoid[member.Key] || !withinLimit(member.Key) {
+			continue
+		}
+		candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, Suspect: suspects[member.Key]})
+	}
+	return candidates
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
+
 	"time"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
-	"peridotpath.example/peridotpath/telemetry"
 )
 
 // exchange is one request on its way through the attempts.
@@ -31,20 +29,8 @@
 	priority int
 	deadline time.Time
 
-	// tries counts attempts, sent those that reached an endpoint.
-	tries, sent int
-	// mayHaveRun says that an attempt was sent and not promised not to have run.
-	mayHaveRun bool
-	avoid      map[peridotpath.EndpointKey]bool
-	// begun says that the answer's stream has begun, afterEvent which event the
-	// caller has, events how many.
-	begun      bool
-	afterEvent string
-	events     int
-	// lastEvent is when the last event went out, longestPause the longest time
-	// between two.
-	lastEvent    time.Time
-	longestPause time.Duration
+	attempts
+	progress
 
 	// suspected is when the request first asked whether it is; attempts wait no longer for
 	// that together than one of them may.
@@ -62,43 +48,34 @@
 	// limited is how long it is until the first of the endpoints takes a request that
 	// were passed over for their limits; zero where none was.
 	limited time.Duration
-	// fault names the endpoint that a refusal blamed.
+}
+
+// attempts is what the attempts so far say about the next one.
+type attempts struct {
+	// tries counts attempts, sent those that reached an endpoint.
+	tries, sent int
+	// mayHaveRun says that an attempt was sent and not promised not to have run.
+	mayHaveRun bool
+	// avoid holds the endpoints of failed attempts, fault names the one that a refusal
+	// blamed, last is what an endpoint's own failure answered.
+	avoid map[peridotpath.EndpointKey]bool
 	fault string
 	last  *failedAnswer
 }
 
-// failedAnswer is an endpoint's own failure, kept to be handed on if no other
-// endpoint does better.
-type failedAnswer struct {
-	answer *Answer
-	body   []byte
+// progress is how far the answer has come at the caller.
+type progress struct {
+	// begun says that the answer's stream has begun, afterEvent which event the
+	// caller has, events how many.
+	begun      bool
+	afterEvent string
+	events     int
+	// lastEvent is when the last event went out, longestPause the longest time
+	// between two.
+	lastEvent    time.Time
+	longestPause time.Duration
 }
 
-// outcome is how one attempt ended.
-type outcome int
-
-const (
-	outcomeDone outcome = iota
-	// outcomeUnsent: no byte reached the endpoint.
-	outcomeUnsent
-	// outcomeRefused: the endpoint promises not to have run the request.
-	outcomeRefused
-	// outcomeElsewhere: another endpoint has the address now.
-	outcomeElsewhere
-	// outcomeFailed: the request may have run.
-	outcomeFailed
-	// outcomeNoMemory: the memory that the request needs could not be reserved.
-	outcomeNoMemory
-	// outcomeErrored: the endpoint ran it and answered with a failure of its own.
-	outcomeErrored
-	// outcomeBroken: the connection broke off; the request may have run.
-	outcomeBroken
-)
-
-var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored", "broken"}
-
-func (outcome outcome) String() string { return outcomeNames[outcome] }
-
 // maxTries bounds the attempts of one request, those included that reached no
 // endpoint: each such one costs up to the time limit of a connection.
 const maxTries = 5
@@ -233,31 +210,6 @@
 	return max(silence-now.Sub(exchange.request.Arrived), 1)
 }
 
-// candidates returns the endpoints that may take the request.
-func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
-	exchange.limited = 0
-	members := exchange.relay.Endpoints().Of(exchange.service)
-	exchange.engines = len(members)
-	candidates := exchange.candidatesOf(members, now)
-	if len(candidates) == 0 {
-		candidates = exchange.candidatesOf(exchange.relay.AllEndpoints().Of(exchange.service), now)
-	}
-	return candidates
-}
-
-func (exchange *exchange) candidatesOf(members []directory.Member, now time.Time) []placement.Candidate {
-	candidates := make([]placement.Candidate, 0, len(members))
-	suspects := exchange.relay.Book.Suspects(now)
-	withinLimit := exchange.limits(now)
-	for _, member := range members {
-		if exchange.avoid[member.Key] || !withinLimit(member.Key) {
-			continue
-		}
-		candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, Suspect: suspects[member.Key]})
-	}
-	return candidates
-}
-
 // fingerprint names the request's content. It is taken when it is first asked for.
 func (exchange *exchange) fingerprint() peridotpath.Fingerprint {
 	if !exchange.hasContent {
@@ -276,106 +228,6 @@
 	return &peridotpath.Result{Code: code, RetryAfter: retryAfter}
 }
 
-// note draws what an attempt's failure says of its endpoint.
-func (exchange *exchange) note(ctx context.Context, outcome outcome, err error) {
-	telemetry.Attempt(outcome.String())
-	gone := outcome == outcomeBroken && exchange.relay.departed(ctx, exchange.plan.Writer)
-	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
-		Str("endpoint", string(exchange.plan.Writer.ID)).Int("try", exchange.tries).Bool("endpoint_gone", gone).
-		Stringer("outcome", outcome).Int("events", exchange.events).Err(err).Msg("attempt_failed")
-	if outcome == outcomeNoMemory {
-		// The writer has nothing to do with it, and nothing was sent.
-		exchange.tries--
-		return
-	}
-	now, key := time.Now(), exchange.plan.Writer.Key()
-	if gone {
-		exchange.noteEnd(now)
-	}
-	switch outcome {
-	case outcomeRefused:
-		exchange.sent++
-		exchange.noteRefusal(key, now)
-	case outcomeErrored:
-		exchange.sent++
-		exchange.mayHaveRun = true
-		exchange.noteSurvival()
-	case outcomeFailed, outcomeBroken:
-		exchange.sent++
-		exchange.mayHaveRun = true
-		exchange.relay.Book.Failed(key, now)
-	case outcomeUnsent, outcomeElsewhere:
-		exchange.relay.Book.Failed(key, now)
-	}
-	if exchange.avoid == nil {
-		exchange.avoid = map[peridotpath.EndpointKey]bool{}
-	}
-	exchange.avoid[key] = true
-}
-
-// noteRefusal notes who is to blame for a refusal: the endpoint, which is full,
-// or a helper that it could not reach.
-func (exchange *exchange) noteRefusal(key peridotpath.EndpointKey, now time.Time) {
-	for _, helper := range exchange.plan.Helpers {
-		if exchange.fault != "" && (exchange.fault == string(helper.ID) || exchange.fault == helper.Address.String()) {
-			exchange.relay.Book.Failed(helper.Key(), now)
-			return
-		}
-	}
-	exchange.relay.Book.Full(key, now)
-}
-
-// ended reports why the request has no time or no caller left.
-func (exchange *exchange) ended(ctx context.Context) *peridotpath.Result {
-	switch {
-	case ctx.Err() == nil:
-		return nil
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		if !exchange.mayHaveRun {
-			return &peridotpath.Result{Code: peridotpath.CodeCannotFinish, RetryAfter: shortReturn}
-		}
-		return &peridotpath.Result{Code: peridotpath.CodeDeadline}
-	default:
-		return &peridotpath.Result{Code: peridotpath.CodeCallerGone}
-	}
-}
-
-// again decides whether another attempt may follow; it returns the result that
-// ends the request where none may.
-func (exchange *exchange) again(outcome outcome) *peridotpath.Result {
-	if outcome == outcomeNoMemory {
-		return nil
-	}
-	final := exchange.finalResult(outcome)
-	if exchange.mayHaveRun && !exchange.route.Repeatable() {
-		return final
-	}
-	if exchange.tries >= maxTries || exchange.sent >= max(exchange.route.MaxAttempts, 1) {
-		return final
-	}
-	// What never reached an endpoint adds nothing to the load of the others.
-	if exchange.sent > 0 || outcome == outcomeElsewhere {
-		if !exchange.relay.Budget.Spend(exchange.service, time.Now()) {
-			telemetry.BudgetSpent()
-			return final
-		}
-	}
-	return nil
-}
-
-func (exchange *exchange) finalResult(outcome outcome) *peridotpath.Result {
-	switch {
-	case exchange.begun:
-		return &peridotpath.Result{Code: peridotpath.CodeStreamCut}
-	case exchange.mayHaveRun:
-		return &peridotpath.Result{Code: peridotpath.CodeEndpointFailed}
-	default:
-		return &peridotpath.Result{
-			Code: peridotpath.CodeEndpointRefused, RetryAfter: max(exchange.retryAfter, shortReturn), Detail: outcome.String(),
-		}
-	}
-}
-
 // fail ends the request without a success.
 func (exchange *exchange) fail(result peridotpath.Result) {
 	exchange.count(result.Code)
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -90,7 +90,8 @@
 	if route == nil {
 		return nil, relay.unknown(peridotpath.CodeNotFound)
 	}
-	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, afterEvent: request.AfterEvent, priority: route.Priority}
+	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, priority: route.Priority}
+	exchange.afterEvent = request.AfterEvent
 	if table.NeedsKey(route) {
 		holder, known := table.Holder(request.Key)
 		if !known {
