--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -183,7 +183,9 @@
 func (instance *Instance) routed() bool { return instance.routing.Current() != nil }
 
 // knows reports whether there is a routing and endpoints.
-func (instance *Instance) knows() bool { return instance.routed() && instance.directory.Current() != nil }
+func (instance *Instance) knows() bool {
+	return instance.routed() && instance.directory.Current() != nil
+}
 
 // failing reports whether the store cannot be read.
 func (instance *Instance) failing() bool {
