--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -84,6 +85,13 @@
 // Subject is what a fact is about.
 type Subject [16]byte
 
+// SubjectOf is the subject of facts about an endpoint.
+func SubjectOf(endpoint peridotpath.EndpointKey) Subject {
+	var subject Subject
+	binary.BigEndian.PutUint64(subject[:], uint64(endpoint))
+	return subject
+}
+
 // Fact is one thing that an instance saw.
 type Fact struct {
 	Kind    Kind
--- a/peridotpath/pace/pace.go
+++ b/peridotpath/pace/pace.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"maps"
 	"sync"
 	"time"
@@ -134,7 +133,7 @@
 
 // due reports whether nobody has asked the engine for a while, and notes that it is asked.
 func (watch *Watch) due(key peridotpath.EndpointKey, now time.Time) bool {
-	if fact, known := watch.Facts.Get(facts.KindPace, subjectOf(key), uint64(key), now); known && now.Sub(fact.At) < askAgain {
+	if fact, known := watch.Facts.Get(facts.KindPace, facts.SubjectOf(key), uint64(key), now); known && now.Sub(fact.At) < askAgain {
 		return false
 	}
 	watch.mutex.Lock()
@@ -170,14 +169,8 @@
 	}
 	now, key := time.Now(), endpoint.Key()
 	before := watch.Slow(now)[key]
-	watch.Facts.Learn(facts.Fact{Kind: facts.KindPace, Subject: subjectOf(key), Detail: uint64(key), Value: float64(pace), At: now})
+	watch.Facts.Learn(facts.Fact{Kind: facts.KindPace, Subject: facts.SubjectOf(key), Detail: uint64(key), Value: float64(pace), At: now})
 	if (before >= slowLeast) != (pace >= slowLeast) {
 		watch.Log.Info().Str("endpoint", string(endpoint.ID)).Float64("pace", float64(pace)).Float64("before", float64(before)).Msg("pace_changed")
 	}
 }
-
-func subjectOf(key peridotpath.EndpointKey) facts.Subject {
-	var subject facts.Subject
-	binary.BigEndian.PutUint64(subject[:], uint64(key))
-	return subject
-}
--- a/peridotpath/throttle/throttle.go
+++ b/peridotpath/throttle/throttle.go
@@ -8,7 +8,6 @@
 package throttle
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -63,12 +62,6 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s/%d", instance, incarnation))
 }
 
-func subjectOf(endpoint peridotpath.EndpointKey) facts.Subject {
-	var subject facts.Subject
-	binary.BigEndian.PutUint64(subject[:], uint64(endpoint))
-	return subject
-}
-
 // Named notes that an endpoint named its limit.
 func (throttle *Throttle) Named(endpoint *peridotpath.Endpoint, limit peridotpath.Rate, now time.Time) {
 	before, known := throttle.limit(endpoint.Key(), now)
@@ -84,7 +77,7 @@
 	if throttle.Idle() {
 		return
 	}
-	named, known := throttle.Facts.Get(facts.KindLimit, subjectOf(endpoint.Key()), 0, now)
+	named, known := throttle.Facts.Get(facts.KindLimit, facts.SubjectOf(endpoint.Key()), 0, now)
 	if !known || peridotpath.Rate(named.Value) >= noLimit || !sent.After(named.At) {
 		return
 	}
@@ -94,13 +87,13 @@
 
 func (throttle *Throttle) tell(endpoint peridotpath.EndpointKey, limit peridotpath.Rate, now time.Time) {
 	throttle.Facts.Learn(facts.Fact{
-		Kind: facts.KindLimit, Subject: subjectOf(endpoint), Value: float64(limit), At: now, From: throttle.Instance,
+		Kind: facts.KindLimit, Subject: facts.SubjectOf(endpoint), Value: float64(limit), At: now, From: throttle.Instance,
 	})
 }
 
 // limit returns what an endpoint takes, if it has said so.
 func (throttle *Throttle) limit(endpoint peridotpath.EndpointKey, now time.Time) (peridotpath.Rate, bool) {
-	fact, known := throttle.Facts.Get(facts.KindLimit, subjectOf(endpoint), 0, now)
+	fact, known := throttle.Facts.Get(facts.KindLimit, facts.SubjectOf(endpoint), 0, now)
 	limit := peridotpath.Rate(fact.Value)
 	return limit, known && limit < noLimit
 }
@@ -142,7 +135,7 @@
 		bucket.level--
 		bucket.own++
 		throttle.Facts.Learn(facts.Fact{
-			Kind: facts.KindSent, Subject: subjectOf(endpoint), Detail: throttle.Sender, Value: bucket.own, At: now, From: throttle.Instance,
+			Kind: facts.KindSent, Subject: facts.SubjectOf(endpoint), Detail: throttle.Sender, Value: bucket.own, At: now, From: throttle.Instance,
 		})
 	}
 	return true
@@ -166,7 +159,7 @@
 	known.rate = max(limit, leastRate)
 	known.level += now.Sub(known.at).Seconds() * float64(known.rate)
 	known.at = now
-	for _, sent := range throttle.Facts.About(facts.KindSent, subjectOf(endpoint), now) {
+	for _, sent := range throttle.Facts.About(facts.KindSent, facts.SubjectOf(endpoint), now) {
 		if sent.Detail != throttle.Sender {
 			known.hear(&sent)
 		}
