--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -116,7 +116,7 @@
 
 // delay is how much longer than others the engine takes for a reading of that span.
 func (option *option) delay(span time.Duration) time.Duration {
-	return time.Duration((option.load.Slow - 1) * float64(span))
+	return time.Duration((option.load.Pace - 1) * float64(span))
 }
 
 // PlanPrompt chooses the engines for a prompt: those where the loss is least
@@ -215,7 +215,7 @@
 	for _, candidate := range candidates {
 		load := view.At(candidate.Key)
 		pass := load.slowed(model.Pass(load.Writers, load.Context))
-		ready := load.slowed(load.Backlog) + pass/2
+		ready := time.Duration(float64(load.Backlog)*load.Slow) + pass/2
 		options = append(options, option{
 			Candidate: candidate, load: load, slots: model.Rates.BatchSize, pass: pass, ready: ready,
 			chance: rand.Float64(), trust: trust,
--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -23,8 +23,9 @@
 	Waiting int
 	// Memory is what requests hold or will hold there.
 	Memory peridotpath.Tokens
-	// Slow is by how much its readings are longer than predicted; 1 or more.
-	Slow float64
+	// Slow is by how much its readings are longer than predicted; 1 or more. Pace is how
+	// much slower than published the endpoint says that it is; 1 where it does not.
+	Slow, Pace float64
 
 	// ages is how long ago each of those was sent that are being written.
 	ages   []time.Duration
@@ -50,7 +51,7 @@
 
 // slowed returns how long the endpoint takes for what others do in that span.
 func (load *Load) slowed(span time.Duration) time.Duration {
-	return time.Duration(float64(span) * load.Slow)
+	return time.Duration(float64(span) * load.Pace)
 }
 
 // Taken counts the requests that are at the endpoint.
@@ -105,7 +106,8 @@
 	}
 	if book.Paces != nil {
 		for key, pace := range book.Paces(now) {
-			view.load(key).Slow = pace
+			load := view.load(key)
+			load.Slow, load.Pace = pace, pace
 		}
 	}
 	for _, load := range view.loads {
@@ -131,7 +133,7 @@
 	total := time.Duration(0)
 	for i := range candidates {
 		if load := view.loads[candidates[i].Key]; load != nil {
-			total += load.slowed(load.Backlog)
+			total += time.Duration(float64(load.Backlog) * load.Slow)
 		}
 	}
 	return total
@@ -142,13 +144,13 @@
 	if load := view.loads[key]; load != nil {
 		return load
 	}
-	return &Load{Slow: 1}
+	return &Load{Slow: 1, Pace: 1}
 }
 
 func (view *View) load(key peridotpath.EndpointKey) *Load {
 	load := view.loads[key]
 	if load == nil {
-		load = &Load{Slow: 1}
+		load = &Load{Slow: 1, Pace: 1}
 		view.loads[key] = load
 	}
 	return load
