--- a/peridotpath/placement/view.go
+++ b/peridotpath/placement/view.go
@@ -128,17 +128,6 @@
 // All returns the endpoints that have any load.
 func (view View) All() iter.Seq2[peridotpath.EndpointKey, *Load] { return maps.All(view.loads) }
 
-// Outstanding returns how long the candidates take together for what they still read.
-func (view View) Outstanding(candidates []Candidate) time.Duration {
-	total := time.Duration(0)
-	for i := range candidates {
-		if load := view.loads[candidates[i].Key]; load != nil {
-			total += time.Duration(float64(load.Backlog) * load.Slow)
-		}
-	}
-	return total
-}
-
 // At returns the load of an endpoint, also of one that has none.
 func (view View) At(key peridotpath.EndpointKey) *Load {
 	if load := view.loads[key]; load != nil {
--- a/peridotpath/relay/turn.go
+++ b/peridotpath/relay/turn.go
@@ -68,9 +68,8 @@
 		}
 		ahead, before := book.Ahead(wait, exchange.relay.Instance, now)
 		work := exchange.work(now)
-		view := book.View(now)
 		share := spreadShare * float64(len(candidates))
-		soonest := time.Duration(float64(view.Outstanding(candidates)+before+reading) / share)
+		soonest := time.Duration(float64(before+reading) / share)
 		if last := work.LastStart(); soonest > last {
 			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortReturn, soonest-last))
 		}
@@ -80,7 +79,7 @@
 		}
 		blocked := false
 		if ahead == 0 {
-			plan, found := placement.PlanPrompt(model, work, candidates, view)
+			plan, found := placement.PlanPrompt(model, work, candidates, book.View(now))
 			if found && worthwhile(plan, work) && exchange.begin(plan, now) {
 				telemetry.TurnWait(work.Waited)
 				return nil
