--- a/Makefile
+++ b/Makefile
@@ -48,9 +48,9 @@
 RUNS ?= 10
 SEED ?= 0
 SPAN ?= 20s
-soak: ## RUNS runs of real instances that are disturbed from outside, for SPAN each; SEED=N to begin with one
+soak: ## RUNS runs of real instances that are disturbed from outside, for SPAN each; SEED=N to begin with one, BACK=-back for a store that goes back
 	@mkdir -p bin && go build -o bin/peridotd ./peridotd && go build -o bin/soak ./soak
-	@bin/soak -peridotd bin/peridotd -seed $(SEED) -runs $(RUNS) -for $(SPAN)
+	@bin/soak -peridotd bin/peridotd -seed $(SEED) -runs $(RUNS) -for $(SPAN) $(BACK)
 
 generate: ## writes the code of the .proto files anew (needs buf, protoc-gen-go, protoc-gen-twirp)
 	@PATH="$(GOBIN):$$PATH" buf generate
