--- a/peridotpath/gossip/registry_test.go
+++ b/peridotpath/gossip/registry_test.go
@@ -253,6 +253,10 @@
 				<-ctx.Done()
 				return nil, 0, ctx.Err()
 			},
+			Grant: func(ctx context.Context, _ time.Duration) (keyvalue.LeaseID, error) {
+				<-ctx.Done()
+				return keyvalue.LeaseID{}, ctx.Err()
+			},
 		}
 		one := newListed(1, store)
 		ended, began, asked := make(chan error, 2), time.Now(), make(chan time.Duration, 1)
