pace: what is not slow is told to nobody

Only a pace that is slow, or was, is a fact now; an instance asks an engine once a second at most, as before.

--- a/peridotpath/pace/pace.go
+++ b/peridotpath/pace/pace.go
@@ -169,6 +169,10 @@
 	}
 	now, key := time.Now(), endpoint.Key()
 	before := watch.Slow(now)[key]
+	if before < slowLeast && pace < slowLeast {
+		// Nobody took it for slow, and everything told is a datagram to everybody.
+		return
+	}
 	watch.Facts.Learn(facts.Fact{Kind: facts.KindPace, Subject: facts.SubjectOf(key), Detail: uint64(key), Value: float64(pace), At: now})
 	if (before >= slowLeast) != (pace >= slowLeast) {
 		watch.Log.Info().Str("endpoint", string(endpoint.ID)).Float64("pace", float64(pace)).Float64("before", float64(before)).Msg("pace_changed")
--- a/peridotpath/pace/pace_test.go
+++ b/peridotpath/pace/pace_test.go
@@ -87,6 +87,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		is.Equal(watch.Slow(time.Now()), map[peridotpath.EndpointKey]pace.Pace{endpoint(1).Key(): 3.6})
+		is.Equal(len(watch.Facts.All(facts.KindPace, time.Now())), 1) // what is not slow is no news
 		for number := range 3 { // engine-2 answers nothing
 			is.Equal(engines.count(endpoint(number).ID), 1)
 		}
