--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"time"
 
 	"peridotpath.example/peridotpath"
