--- a/peridotpath/pace/pace_test.go
+++ b/peridotpath/pace/pace_test.go
@@ -88,7 +88,7 @@
 		}
 		is.Equal(watch.Slow(time.Now()), map[peridotpath.EndpointKey]pace.Pace{endpoint(1).Key(): 3.6})
 		is.Equal(len(watch.Facts.All(facts.KindPace, time.Now())), 1) // what is not slow is no news
-		for number := range 3 { // engine-2 answers nothing
+		for number := range 3 {                                       // engine-2 answers nothing
 			is.Equal(engines.count(endpoint(number).ID), 1)
 		}
 		time.Sleep(5 * time.Second)
