relay: log what endpoints announce of themselves and what is sent there nevertheless

The adapter reads Server-Leaving and the Retry-After of a 503 from every answer, also from those to orders and reports; package availability holds them; the lines endpoint_leaving, endpoint_backoff and sent_despite and the metrics peridotpath_endpoints_leaving_total, peridotpath_endpoint_backoffs_total and peridotpath_sent_despite_total show them. endpoint_joined names the incarnation.

Placement does not use any of it yet: what is sent where is as before.

--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/instance"
 	"peridotpath.example/peridotpath/keyvalue"
@@ -74,12 +75,14 @@
 		return err
 	}
 	eras := &keyvalue.EraTracker{Now: clock.SinceBoot, Log: log}
+	control := &platform.ControlClient{}
 	adapter := instance.Adapter{
 		Store: platform.ConnectStore(settings.StoreAddress, eras), Eras: eras,
 		RoutingKey: platform.RoutingKey, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.EndpointPrefix, DecodeEndpoints: platform.DecodeEndpoints,
 		CompactEndpoints: platform.CompactEndpoints,
-		Send:             platform.Send, Check: platform.ProbeEndpoint, FetchSlowdown: platform.FetchSlowdown, Reserve: platform.Reserve, Release: platform.Release, ReadyPath: platform.ReadyPath,
+		Send:             platform.Send, Check: control.ProbeEndpoint, FetchSlowdown: control.FetchSlowdown, Reserve: control.Reserve, Release: control.Release, ReadyPath: platform.ReadyPath,
+		SetAnnouncementHandler: func(handler availability.Handler) { control.OnAnnouncement = handler },
 		Ingress: func(callers instance.IngressDependencies) http.Handler {
 			return &platform.Ingress{Dependencies: callers}
 		},
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -280,7 +280,7 @@
 func (directory *Directory) recordChanges(before, after *Snapshot, at time.Duration) {
 	for id, endpoint := range after.byID {
 		if previous := before.byID[id]; previous == nil || previous.Incarnation != endpoint.Incarnation {
-			directory.Log.Info().Str("endpoint", string(id)).Str("service", string(endpoint.Service)).
+			directory.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(endpoint.Incarnation)).Str("service", string(endpoint.Service)).
 				Stringer("address", endpoint.Address).Msg("endpoint_joined")
 		}
 	}
--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -1,6 +1,6 @@
 // Package facts stores observations that one instance makes and every instance needs:
-// endpoint crashes, quarantined requests, rate limits, request counts and engine
-// slowdowns. Each fact has a timestamp, a source and a time to live. Instances gossip new
+// endpoint crashes, quarantined requests, rate limits, request counts, engine slowdowns
+// and endpoints that leave. Each fact has a timestamp, a source and a time to live. Instances gossip new
 // facts, so that all of them decide by the same data.
 //
 // It matters for events of which each instance sees only a part: a request that crashes its
@@ -45,8 +45,10 @@
 	// KindSlowdown: the slowdown of an engine (detail); the value is the ratio of its
 	// processing time to the published one.
 	KindSlowdown Kind = 7
+	// KindLeaving: an endpoint (subject) announced that it is leaving the fleet.
+	KindLeaving Kind = 8
 
-	kindCount = 8
+	kindCount = 9
 )
 
 // policy sets how facts of a kind are stored and gossiped.
@@ -81,6 +83,10 @@
 	KindRequestsSent: {name: "sent", ttl: 20 * time.Second, maxStored: 4096, ageTolerance: maxNetworkDelay},
 	// Slow engines are probed every second; the fact expires when probing stops.
 	KindSlowdown: {name: "pace", ttl: 3 * time.Second, maxStored: 4096, ageTolerance: maxNetworkDelay},
+	// Receivers remember the endpoint for longer; the fact lasts for those that start or
+	// resume later. The wide tolerance keeps instances that learn it at once from all
+	// gossiping it.
+	KindLeaving: {name: "leaving", ttl: 2 * time.Minute, maxStored: 1024, ageTolerance: 2 * time.Minute, isResent: true},
 }
 
 // String returns the name of the kind in logs and metrics.
@@ -96,6 +102,11 @@
 	return subject
 }
 
+// Endpoint returns the endpoint of a subject that EndpointSubject returned.
+func (subject Subject) Endpoint() peridotpath.EndpointKey {
+	return peridotpath.EndpointKey(binary.BigEndian.Uint64(subject[:]))
+}
+
 // Fact is one observation.
 type Fact struct {
 	Kind    Kind
@@ -137,6 +148,8 @@
 type Table struct {
 	// OnChange, when set, is called when there are new facts to send.
 	OnChange func()
+	// OnReceive, when set, is called with each new fact of a peer.
+	OnReceive func(fact Fact)
 
 	mutex sync.Mutex
 	facts map[key]*entry
@@ -171,8 +184,12 @@
 func (table *Table) Receive(received []Fact, forward bool) {
 	hasNew := false
 	for _, fact := range received {
-		if fact.Kind > 0 && fact.Kind < kindCount {
-			hasNew = table.merge(fact, forward) || hasNew
+		if fact.Kind == 0 || fact.Kind >= kindCount || !table.merge(fact, forward) {
+			continue
+		}
+		hasNew = true
+		if table.OnReceive != nil {
+			table.OnReceive(fact)
 		}
 	}
 	if hasNew && forward && table.OnChange != nil {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
@@ -54,6 +55,9 @@
 	// calls them.
 	Reserve func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error)
 	Release func(ctx context.Context, endpoint *peridotpath.Endpoint, id string) error
+	// SetAnnouncementHandler, when set, sets the function that receives what endpoints announce
+	// in their answers to Check, FetchSlowdown, Reserve and Release.
+	SetAnnouncementHandler func(availability.Handler)
 	// Ingress returns the handler of requests from callers.
 	Ingress func(IngressDependencies) http.Handler
 	// ReadyPath is the path of the load balancer's readiness check.
@@ -87,6 +91,9 @@
 	// servedLogLinesPerSecond bounds the log lines of successful requests, which take
 	// processor time.
 	servedLogLinesPerSecond = 50
+	// despiteLogLinesPerSecond bounds the log lines of requests that are sent to an endpoint
+	// although it announced that it takes none.
+	despiteLogLinesPerSecond = 20
 	// keyExpiryMargin is how much earlier than required a revoked key expires here. It
 	// covers the time between the last clock check and the request reaching the endpoint.
 	keyExpiryMargin = 500 * time.Millisecond
@@ -113,6 +120,7 @@
 	facts               *facts.Table
 	quarantine          *quarantine.Quarantine
 	throttle            *throttle.Throttle
+	availability        *availability.Tracker
 	prober              *pace.Prober
 	relay               *relay.Relay
 	gossip              *gossip.Gossip
@@ -143,6 +151,11 @@
 	instance.throttle = &throttle.Throttle{
 		Instance: settings.InstanceID, SenderID: throttle.SenderID(settings.InstanceID, instance.incarnation), Facts: instance.facts, Log: log,
 	}
+	instance.availability = &availability.Tracker{Instance: settings.InstanceID, Facts: instance.facts, FindEndpoint: instance.findEndpoint, Log: log}
+	instance.facts.OnReceive = instance.availability.ReceiveFact
+	if adapter.SetAnnouncementHandler != nil {
+		adapter.SetAnnouncementHandler(instance.availability.Record)
+	}
 	instance.reservations = &reservation.Manager{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
 		Reserve: adapter.Reserve, Release: adapter.Release, MaxTTL: settings.MaxHold, Log: log,
@@ -153,8 +166,8 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: adapter.Send, Check: adapter.Check,
-		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond},
-		Reservations:  instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle,
+		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
+		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
 		RoutingReady: instance.startup.routingReady, StartDone: instance.startup.finished,
 		RetryBudget: &relay.RetryBudget{
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -63,6 +63,7 @@
 		defer probe.Close()
 		watch.probe = probe
 	}
+	exchange.logSendsDespiteAnnouncement(time.Now())
 	answer, err := relay.Send(ctx, exchange.newCall(now, reservations))
 	if err != nil {
 		if outbound.ErrNotSent.Has(err) {
@@ -72,6 +73,7 @@
 	}
 	defer answer.Body.Close()
 	exchange.recordRateLimit(answer)
+	exchange.recordAnnouncement(answer)
 	switch {
 	case answer.Misdirected:
 		return outcomeMisdirected, nil
--- /dev/null
+++ b/peridotpath/relay/availability.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// recordAnnouncement records what the answer announces about its endpoint.
+func (exchange *exchange) recordAnnouncement(answer *Answer) {
+	if !answer.isFromEndpoint() {
+		return
+	}
+	carrier := availability.Carrier{Exchange: "request", Request: exchange.request.ID, Status: answer.Status}
+	exchange.relay.Availability.Record(exchange.plan.Primary, answer.Announcement, carrier, time.Now())
+}
+
+// logSendsDespiteAnnouncement logs and counts the endpoints of the plan that have announced
+// that they take no requests and are sent this one nevertheless.
+func (exchange *exchange) logSendsDespiteAnnouncement(now time.Time) {
+	exchange.logSendDespiteAnnouncement(exchange.plan.Primary, "primary", now)
+	for _, helper := range exchange.plan.Helpers {
+		exchange.logSendDespiteAnnouncement(helper, "helper", now)
+	}
+}
+
+func (exchange *exchange) logSendDespiteAnnouncement(endpoint *peridotpath.Endpoint, role string, now time.Time) {
+	state := exchange.relay.Availability.Check(endpoint.Key(), now)
+	if state.TakesRequests() {
+		return
+	}
+	announced := "backoff"
+	if state.Leaving {
+		announced = "leaving"
+	}
+	telemetry.CountSendDespiteAnnouncement(announced)
+	if !exchange.relay.DespiteSampler.Allow(now) {
+		return
+	}
+	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Str("endpoint", string(endpoint.ID)).
+		Uint64("incarnation", uint64(endpoint.Incarnation)).Str("role", role).Str("announced", announced).
+		Dur("age", now.Sub(state.AnnouncedAt)).Dur("backoff", state.Backoff).Dur("placed", now.Sub(exchange.placedAt)).
+		Int("try", exchange.attemptCount).Bool("resumed", exchange.lastEventID != "").
+		Dur("held", now.Sub(exchange.request.ArrivedAt)).Msg("sent_despite")
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -40,8 +40,10 @@
 	// its endpoint.
 	survivalRecorded bool
 
-	plan             placement.Plan
-	inFlight         placement.InFlightNumber
+	plan     placement.Plan
+	inFlight placement.InFlightNumber
+	// placedAt is when the plan was made.
+	placedAt         time.Time
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
 	retryAfter       time.Duration
@@ -175,7 +177,7 @@
 	if !exchange.takeRateLimits(&plan, now) {
 		return false
 	}
-	exchange.plan = plan
+	exchange.plan, exchange.placedAt = plan, now
 	exchange.inFlight = exchange.relay.LoadTracker.AddInFlight(plan.InFlight(exchange.placementWork(now), now))
 	return true
 }
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/placement"
@@ -79,6 +80,8 @@
 func newFixture(send relay.Sender, engine *peridotpath.EngineRates, endpoints ...peridotpath.Endpoint) *fixture {
 	fixture := &fixture{directory: &directory.Directory{Log: zerolog.Nop()}, loadTracker: &placement.LoadTracker{}, began: time.Now()}
 	fixture.clock, fixture.facts = time.Hour, &facts.Table{}
+	tracker := &availability.Tracker{Instance: "edge-1", Facts: fixture.facts, Log: zerolog.Nop()}
+	fixture.facts.OnReceive = tracker.ReceiveFact
 	quarantined := &quarantine.Quarantine{Instance: "edge-1", Facts: fixture.facts, Log: zerolog.Nop()}
 	fixture.routing = &routing.State{
 		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
@@ -92,6 +95,8 @@
 		Throttle:        &throttle.Throttle{SenderID: rand.Uint64(), Facts: fixture.facts, Log: zerolog.Nop()},
 		Check:           func(context.Context, *peridotpath.Endpoint) error { return nil },
 		ServedSampler:   &telemetry.LogSampler{PerSecond: 10},
+		DespiteSampler:  &telemetry.LogSampler{PerSecond: 10},
+		Availability:    tracker,
 		RetryBudget:     &relay.RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, Instances: func() int { return 1 }},
 		EngineStallTime: 1500 * time.Millisecond,
 		Reservations: &reservation.Manager{
--- a/peridotpath/relay/rate_limit.go
+++ b/peridotpath/relay/rate_limit.go
@@ -11,8 +11,7 @@
 func (exchange *exchange) recordRateLimit(answer *Answer) {
 	primary, now := exchange.plan.Primary, time.Now()
 	switch {
-	case answer.Misdirected || !answer.NotRun && !answer.MatchesRequest:
-		// Another endpoint gave the answer.
+	case !answer.isFromEndpoint():
 	case answer.RateLimit != nil:
 		exchange.relay.Throttle.RecordLimit(primary, *answer.RateLimit, now)
 	case answer.HasNoRateLimit:
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
@@ -39,8 +40,13 @@
 	OnOverdueFirstEvent func(endpoints ...*peridotpath.Endpoint)
 	// Throttle enforces the rate limits that endpoints announce.
 	Throttle *throttle.Throttle
+	// Availability holds what endpoints announce about taking requests.
+	Availability *availability.Tracker
 	// ServedSampler samples the log lines of successful requests.
 	ServedSampler *telemetry.LogSampler
+	// DespiteSampler samples the log lines of requests that are sent to an endpoint although
+	// it announced that it takes none.
+	DespiteSampler *telemetry.LogSampler
 	// RoutingReady is closed once the instance has its routing, StartDone once it has all
 	// data that it needs to serve. Both are also closed when the start times out. They
 	// are nil where requests need not wait for a start.
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
 )
 
 // Request is one request of a caller, with its whole body.
@@ -89,6 +90,14 @@
 	// RetryAfter is the delay after which the endpoint would accept the request; zero
 	// if not declared.
 	RetryAfter time.Duration
+	// Announcement is what the answer says about the endpoint's taking requests.
+	Announcement availability.Announcement
+}
+
+// isFromEndpoint reports whether the endpoint itself gave the answer, as opposed to another
+// one at its address.
+func (answer *Answer) isFromEndpoint() bool {
+	return !answer.Misdirected && (answer.NotRun || answer.MatchesRequest)
 }
 
 // Caller receives the answer. One of Refuse, Answer and Begin is called first, once.
--- a/peridotpath/telemetry/facts.go
+++ b/peridotpath/telemetry/facts.go
@@ -22,3 +22,20 @@
 func CountDroppedFact(kind string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_facts_forgotten_total{kind=%q}", kind)).Inc()
 }
+
+var backoffsAnnounced = metrics.NewCounter("peridotpath_endpoint_backoffs_total")
+
+// CountLeavingAnnouncement counts an endpoint that announced that it leaves, by how this
+// instance learned it: from an answer or from a peer.
+func CountLeavingAnnouncement(source string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_endpoints_leaving_total{source=%q}", source)).Inc()
+}
+
+// CountBackoffAnnouncement counts an answer that set or extended the backoff of an endpoint.
+func CountBackoffAnnouncement() { backoffsAnnounced.Inc() }
+
+// CountSendDespiteAnnouncement counts a request that was sent to an endpoint that had
+// announced that it takes none: "leaving" or "backoff".
+func CountSendDespiteAnnouncement(announced string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_sent_despite_total{announced=%q}", announced)).Inc()
+}
