--- a/peridotpath/relay/fatal_test.go
+++ b/peridotpath/relay/fatal_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -31,8 +32,12 @@
 	at    time.Duration
 	route string
 	body  string
+	// prompt is the number of prompt tokens; zero selects defaultPrompt.
+	prompt peridotpath.Tokens
 }
 
+const defaultPrompt peridotpath.Tokens = 2000
+
 // withPoisson adds the arrivals of a Poisson process, with bodies by request number.
 func (workload workload) withPoisson(random *rand.Rand, route string, from, until time.Duration, perSecond float64, body func(i int) string) workload {
 	for i, arrival := range poisson(random, from, until, perSecond, func(at time.Duration) arrival { return arrival{at: at} }) {
@@ -45,11 +50,17 @@
 
 func sameBody(body string) func(int) string { return func(int) string { return body } }
 
-// runRequests sends a workload to random instances and returns each caller's outcome.
+// runRequests sends a workload to random instances before crashing endpoints and returns
+// each caller's outcome.
 func runRequests(crashing *crashingEndpoints, fleet *fleet, random *rand.Rand, load workload) []*outcome {
 	for _, fixture := range fleet.relays {
 		fixture.relay.Check = crashing.check
 	}
+	return sendWorkload(fleet, random, load)
+}
+
+// sendWorkload sends a workload to random instances and returns each caller's outcome.
+func sendWorkload(fleet *fleet, random *rand.Rand, load workload) []*outcome {
 	outcomes := make([]*outcome, len(load))
 	began := time.Now()
 	var all sync.WaitGroup
@@ -59,7 +70,7 @@
 			time.Sleep(timed.at - time.Since(began))
 			outcomes[i] = fixture.send(context.Background(), timed.route, func(request *relay.Request) {
 				request.ID, request.Body = peridotpath.RequestID(fmt.Sprint("r", i)), []byte(timed.body)
-				request.PromptTokens, request.MaxAnswerTokens = 2000, 400
+				request.PromptTokens, request.MaxAnswerTokens = cmp.Or(timed.prompt, defaultPrompt), 400
 			})
 		})
 	}
