relay: an endpoint that says it leaves gets no more requests

Placement passes over an endpoint that has said so, whatever the list says, until the list shows another incarnation; peers learn it as a fact, since leaving concerns all instances. A route that is split avoids a service that only leaves. Where all endpoints leave, the caller is told at once: 503, code 3009, with a time to return.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -53,6 +53,9 @@
 		return outcomeNoMemory, err
 	}
 	defer relay.Reservations.ReleaseAsync(reservations)
+	if !exchange.planTakesRequests(time.Now()) {
+		return outcomeWithdrawn, nil
+	}
 	watch := exchange.watchStall(cancel)
 	defer watch.Stop()
 	if overdueTimer := exchange.watchFirstEvent(); overdueTimer != nil {
--- a/peridotpath/relay/availability.go
+++ b/peridotpath/relay/availability.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/availability"
+	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -17,6 +19,36 @@
 	exchange.relay.Availability.Record(exchange.plan.Primary, answer.Announcement, carrier, time.Now())
 }
 
+// takesRequests reports whether the endpoint takes requests by what it has announced. If not,
+// it records why the endpoint is skipped.
+func (exchange *exchange) takesRequests(key peridotpath.EndpointKey, now time.Time) bool {
+	state := exchange.relay.Availability.Check(key, now)
+	if state.Leaving {
+		exchange.skipped.leaving = true
+		return false
+	}
+	return true
+}
+
+// planTakesRequests reports whether all endpoints of the plan still take requests. An answer
+// to another request or to a reservation may have announced the contrary since.
+func (exchange *exchange) planTakesRequests(now time.Time) bool {
+	for _, endpoint := range append([]*peridotpath.Endpoint{exchange.plan.Primary}, exchange.plan.Helpers...) {
+		if !exchange.takesRequests(endpoint.Key(), now) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasTaker reports whether one of the endpoints takes requests by what it has announced.
+func (relay *Relay) hasTaker(members []directory.Member, now time.Time) bool {
+	return slices.ContainsFunc(members, func(member directory.Member) bool {
+		state := relay.Availability.Check(member.Key, now)
+		return !state.Leaving
+	})
+}
+
 // logSendsDespiteAnnouncement logs and counts the endpoints of the plan that have announced
 // that they take no requests and are sent this one nevertheless.
 func (exchange *exchange) logSendsDespiteAnnouncement(now time.Time) {
--- /dev/null
+++ b/peridotpath/relay/availability_paths_test.go
@@ -0,0 +1,226 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/availability"
+	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/relay"
+)
+
+// announcements are those after which an endpoint takes no requests.
+var announcements = map[string]availability.Announcement{
+	"leaving": {Leaving: true},
+}
+
+// record records that an endpoint of the fixture has announced something.
+func (fixture *fixture) record(number int, announced availability.Announcement) {
+	endpoint := testEndpoint(number)
+	fixture.relay.Availability.Record(&endpoint, announced, availability.Carrier{}, time.Now())
+}
+
+// calledEndpoints returns the endpoints of the calls, helpers included.
+func (script *script) calledEndpoints() []peridotpath.EndpointID {
+	var ids []peridotpath.EndpointID
+	for i := range script.calls {
+		ids = append(ids, script.calls[i].Endpoint.ID)
+		for _, helper := range script.calls[i].Helpers {
+			ids = append(ids, helper.Endpoint.ID)
+		}
+	}
+	return ids
+}
+
+// Whichever way a request takes to an endpoint, it must avoid those that take none.
+func TestEveryAttemptAvoidsUnavailableEndpoint(t *testing.T) {
+	tests := []struct {
+		name, route string
+		steps       []step
+		change      func(*fixture, *relay.Request)
+	}{
+		{"first attempt", "save", []step{answer(200, "done", nil)}, nil},
+		{"first attempt without a key", "open", []step{answer(200, "done", nil)}, func(_ *fixture, request *relay.Request) { request.Key = "" }},
+		{"retry after a refusal", "save", []step{refusedCall(), answer(200, "done", nil)}, nil},
+		{"retry after an error", "look", []step{answer(500, "bad", nil), answer(200, "done", nil)}, nil},
+		{"retry after a lost answer", "look", []step{lostAnswer(), answer(200, "done", nil)}, nil},
+		{"retry after a failed connection", "save", []step{unsentCall(), answer(200, "done", nil)}, nil},
+		{"stream that resumes", "short", []step{cutAnswer(events12), answer(200, events34, nil)}, nil},
+		{"stream that the caller resumes", "short", []step{answer(200, events34, nil)}, func(_ *fixture, request *relay.Request) { request.LastEventID = "2" }},
+		{"prompt that several engines read", "long", []step{answer(200, events12, nil)}, func(_ *fixture, request *relay.Request) {
+			request.PromptTokens, request.MaxAnswerTokens = 200_000, 400
+		}},
+		{"prompt larger than an engine", "long", []step{answer(200, events12, nil)}, func(_ *fixture, request *relay.Request) {
+			request.PromptTokens, request.MaxAnswerTokens = 500_000, 400
+		}},
+		{"quarantine trial", "look", []step{answer(200, "done", nil)}, func(fixture *fixture, _ *relay.Request) {
+			content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, "/look/x", nil)
+			for _, number := range []int{7, 8} {
+				endpoint := testEndpoint(number)
+				fixture.relay.Quarantine.RecordCrash(content, endpoint.Key(), time.Now())
+			}
+		}},
+	}
+	for kind, announced := range announcements {
+		for _, test := range tests {
+			t.Run(kind+"/"+test.name, func(t *testing.T) {
+				for range 10 {
+					is := is.New(t)
+					script := &script{steps: test.steps}
+					rates := &testRates
+					if test.route != "short" && test.route != "long" {
+						rates = nil
+					}
+					fixture := newFixture(script.send, rates, testEndpoint(1), testEndpoint(2), testEndpoint(3), testEndpoint(4), testEndpoint(5))
+					fixture.record(1, announced)
+					fixture.record(3, announced)
+					outcome := fixture.send(t.Context(), test.route, func(request *relay.Request) {
+						if test.change != nil {
+							test.change(fixture, request)
+						}
+					})
+					is.Equal(outcome.status, http.StatusOK)
+					is.Equal(len(script.calls), len(test.steps))
+					called := script.calledEndpoints()
+					is.True(!slices.Contains(called, "i-1") && !slices.Contains(called, "i-3"))
+				}
+			})
+		}
+	}
+}
+
+// A helper announces in its answer to the reservation of memory that it takes no requests. The
+// prompt must go to other engines, without a failed attempt.
+func TestPromptIsPlacedAnewWhenHelperBecomesUnavailable(t *testing.T) {
+	for kind, announced := range announcements {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			script := &script{steps: []step{answer(200, events12, nil)}}
+			var endpoints []peridotpath.Endpoint
+			for number := range 6 {
+				endpoints = append(endpoints, testEndpoint(number))
+			}
+			fixture := newFixture(script.send, &testRates, endpoints...)
+			var announcer *peridotpath.Endpoint
+			fixture.relay.Reservations.Reserve = func(_ context.Context, endpoint *peridotpath.Endpoint, _ string, _ peridotpath.Tokens, _ time.Duration) (bool, error) {
+				if announcer == nil {
+					announcer = endpoint
+					fixture.relay.Availability.Record(endpoint, announced, availability.Carrier{Exchange: "reserve"}, time.Now())
+				}
+				return true, nil
+			}
+			outcome := fixture.send(t.Context(), "long", func(request *relay.Request) {
+				request.PromptTokens, request.MaxAnswerTokens = 500_000, 400
+			})
+			is.Equal(outcome.status, http.StatusOK)
+			is.True(announcer != nil)
+			is.Equal(len(script.calls), 1)
+			is.True(!slices.Contains(script.calledEndpoints(), announcer.ID))
+		})
+	}
+}
+
+// The store's list, or one from a peer, still shows an endpoint that has announced that it
+// leaves. It must stay unused until the list shows that it has started again.
+func TestLeavingEndpointIsUsedAgainAfterItsRestart(t *testing.T) {
+	is := is.New(t)
+	script := &script{steps: []step{answer(200, "done", nil)}}
+	endpoint := testEndpoint(1)
+	fixture := newFixture(script.send, nil, endpoint)
+	fixture.record(1, availability.Announcement{Leaving: true})
+	for range 3 {
+		fixture.directory.Apply([]peridotpath.Endpoint{endpoint}, fixture.routing.Now())
+		outcome := fixture.send(t.Context(), "save", nil)
+		is.Equal(outcome.result.Code, peridotpath.CodeUnavailable)
+		is.True(outcome.result.RetryAfter > 0)
+	}
+	endpoint.Incarnation++
+	fixture.directory.Apply([]peridotpath.Endpoint{endpoint}, fixture.routing.Now())
+	is.Equal(fixture.send(t.Context(), "save", nil).status, http.StatusOK)
+}
+
+// Another instance has heard that an endpoint leaves. This one must not send to it either.
+func TestLeavingOfPeerIsKept(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture((&script{}).send, nil, testEndpoint(1))
+	endpoint := testEndpoint(1)
+	fixture.facts.Receive([]facts.Fact{{Kind: facts.KindLeaving, Subject: facts.EndpointSubject(endpoint.Key()), Value: 1, ObservedAt: time.Now()}}, false)
+	is.Equal(fixture.send(t.Context(), "save", nil).result.Code, peridotpath.CodeUnavailable)
+}
+
+// An answer of another endpoint at the address, or to another request, must not take an
+// endpoint out of use.
+func TestAnnouncementOfAnotherEndpointIsIgnored(t *testing.T) {
+	for name, foreign := range map[string]func(*relay.Answer){
+		"misdirected":     func(answer *relay.Answer) { answer.Misdirected, answer.NotRun = true, true },
+		"another request": func(answer *relay.Answer) { answer.MatchesRequest = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			announce := func(answer *relay.Answer) {
+				foreign(answer)
+				answer.Announcement = availability.Announcement{Leaving: true, Backoff: time.Minute}
+			}
+			script := &script{steps: []step{answer(421, "", announce)}}
+			fixture := newFixture(script.send, nil, testEndpoint(1))
+			fixture.send(t.Context(), "save", nil)
+			endpoint := testEndpoint(1)
+			state := fixture.relay.Availability.Check(endpoint.Key(), time.Now())
+			is.True(state.TakesRequests())
+		})
+	}
+}
+
+// All endpoints of this cell take no requests. Those of other cells must take the load.
+func TestOtherCellsTakeTheLoadOfUnavailableEndpoints(t *testing.T) {
+	for kind, announced := range announcements {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			script := &script{steps: []step{answer(200, "done", nil)}}
+			fixture := newFixture(script.send, nil, testEndpoint(1), testEndpoint(2))
+			first := testEndpoint(1)
+			fixture.relay.Endpoints = func() *directory.Snapshot {
+				return fixture.directory.Current().Filter(func(key peridotpath.EndpointKey, _ int) bool { return key == first.Key() })
+			}
+			fixture.record(1, announced)
+			is.Equal(fixture.send(t.Context(), "save", nil).status, http.StatusOK)
+			is.Equal(script.calledEndpoints(), []peridotpath.EndpointID{"i-2"})
+		})
+	}
+}
+
+// A route is split between two services, and all endpoints of one take no requests. The other
+// service must get all requests.
+func TestSplitRouteAvoidsUnavailableService(t *testing.T) {
+	for kind, announced := range announcements {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			const requests = 20
+			var steps []step
+			for range requests {
+				steps = append(steps, answer(200, "done", nil))
+			}
+			script := &script{steps: steps}
+			other := testEndpoint(2)
+			other.Service = "other"
+			fixture := newFixture(script.send, nil, testEndpoint(1), other)
+			table := testRouting(nil)
+			table.Version++
+			for i := range table.Routes {
+				table.Routes[i].Backends = []peridotpath.Backend{{Service: "llm", Weight: 1}, {Service: "other", Weight: 1}}
+			}
+			fixture.routing.Apply(table, fixture.routing.Now())
+			fixture.record(1, announced)
+			for range requests {
+				is.Equal(fixture.send(t.Context(), "save", nil).status, http.StatusOK)
+			}
+		})
+	}
+}
--- a/peridotpath/relay/candidates.go
+++ b/peridotpath/relay/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/placement"
 )
@@ -10,7 +11,7 @@
 // candidates returns the endpoints that are eligible for the request. Fallback endpoints
 // are included only if no preferred one is eligible.
 func (exchange *exchange) candidates(now time.Time) []placement.Candidate {
-	exchange.rateLimitWait = 0
+	exchange.skipped = skippedEndpoints{}
 	members := exchange.relay.Endpoints().ForService(exchange.service)
 	exchange.engineCount = len(members)
 	candidates := exchange.filterCandidates(members, now)
@@ -25,10 +26,39 @@
 	ejected := exchange.relay.LoadTracker.EjectedEndpoints(now)
 	withinLimit := exchange.rateLimitFilter(now)
 	for _, member := range members {
-		if exchange.excluded[member.Key] || !withinLimit(member.Key) {
-			continue
+		switch {
+		case !exchange.takesRequests(member.Key, now), !withinLimit(member.Key):
+		case exchange.excluded[member.Key]:
+			exchange.skipped.tried = true
+		default:
+			candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, IsEjected: ejected[member.Key]})
 		}
-		candidates = append(candidates, placement.Candidate{Endpoint: member.Endpoint, Key: member.Key, IsEjected: ejected[member.Key]})
 	}
 	return candidates
 }
+
+// skippedEndpoints is why the last placement skipped endpoints.
+type skippedEndpoints struct {
+	// tried reports that an endpoint was skipped only because this request has failed there.
+	tried bool
+	// leaving reports that an endpoint was skipped because it is leaving.
+	leaving bool
+	// limitWait is the shortest wait until an endpoint that was skipped for its rate limit
+	// takes a request; zero if none was.
+	limitWait time.Duration
+}
+
+// noEndpointRefusal returns the refusal of a request that no endpoint is eligible for. Its
+// Retry-After is when the first endpoint takes another request of the caller.
+func (exchange *exchange) noEndpointRefusal() *peridotpath.Result {
+	skipped := &exchange.skipped
+	switch {
+	case skipped.tried:
+		return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
+	case skipped.limitWait > 0:
+		return exchange.refusal(peridotpath.CodeLimited, max(shortRetryAfter, skipped.limitWait))
+	case skipped.leaving:
+		return exchange.refusal(peridotpath.CodeUnavailable, replacementRetryAfter)
+	}
+	return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -47,9 +47,7 @@
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
 	retryAfter       time.Duration
-	// rateLimitWait is the shortest wait until an endpoint that was skipped for its rate
-	// limit accepts a request; zero if none was skipped.
-	rateLimitWait time.Duration
+	skipped          skippedEndpoints
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -35,12 +35,21 @@
 	outcomeErrored
 	// outcomeBroken: the connection failed; the request may have run.
 	outcomeBroken
+	// outcomeWithdrawn: an endpoint of the plan announced before the request was sent that it
+	// takes none.
+	outcomeWithdrawn
 )
 
-var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored", "broken"}
+var outcomeNames = [...]string{"done", "unsent", "refused", "elsewhere", "failed", "no_memory", "errored", "broken", "withdrawn"}
 
 func (outcome outcome) String() string { return outcomeNames[outcome] }
 
+// isUnattempted reports whether nothing was sent to the primary. Such an attempt is made again
+// at other endpoints and does not count.
+func (outcome outcome) isUnattempted() bool {
+	return outcome == outcomeNoMemory || outcome == outcomeWithdrawn
+}
+
 // recordFailure logs a failed attempt and updates the state of its endpoint.
 func (exchange *exchange) recordFailure(ctx context.Context, outcome outcome, err error) {
 	telemetry.CountFailedAttempt(outcome.String())
@@ -48,8 +57,8 @@
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
 		Stringer("outcome", outcome).Int("events", exchange.eventCount).Err(err).Msg("attempt_failed")
-	if outcome == outcomeNoMemory {
-		// No request was sent, and the primary did not cause the failure.
+	if outcome.isUnattempted() {
+		// No request was sent, and the primary did not fail.
 		exchange.attemptCount--
 		return
 	}
@@ -109,7 +118,7 @@
 // checkRetry returns nil if another attempt may follow, else the result that ends the
 // request.
 func (exchange *exchange) checkRetry(outcome outcome) *peridotpath.Result {
-	if outcome == outcomeNoMemory {
+	if outcome.isUnattempted() {
 		return nil
 	}
 	final := exchange.finalResult(outcome)
--- a/peridotpath/relay/rate_limit.go
+++ b/peridotpath/relay/rate_limit.go
@@ -30,21 +30,13 @@
 	unreported := exchange.relay.LoadTracker.Snapshot(now).UnreportedRequests()
 	return func(key peridotpath.EndpointKey) bool {
 		wait := throttle.TimeUntilAllowed(key, unreported, now)
-		if wait > 0 && (exchange.rateLimitWait == 0 || wait < exchange.rateLimitWait) {
-			exchange.rateLimitWait = wait
+		if limitWait := &exchange.skipped.limitWait; wait > 0 && (*limitWait == 0 || wait < *limitWait) {
+			*limitWait = wait
 		}
 		return wait == 0
 	}
 }
 
-// noEndpointRefusal returns the refusal of a request that no endpoint is eligible for.
-func (exchange *exchange) noEndpointRefusal() *peridotpath.Result {
-	if exchange.rateLimitWait > 0 {
-		return exchange.refusal(peridotpath.CodeLimited, max(shortRetryAfter, exchange.rateLimitWait))
-	}
-	return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
-}
-
 // takeRateLimits counts the plan against its endpoints' rate limits, and reports whether they
 // admit it.
 func (exchange *exchange) takeRateLimits(plan *placement.Plan, now time.Time) bool {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -71,6 +71,9 @@
 	// longRetryAfter is the retry delay for a refusal that lasts until the store is
 	// reachable.
 	longRetryAfter = time.Second
+	// replacementRetryAfter is the retry delay while all endpoints of a service leave: those
+	// that replace them mostly register within seconds.
+	replacementRetryAfter = 2 * time.Second
 )
 
 // Serve answers the request through caller and returns when the answer is complete.
@@ -153,12 +156,12 @@
 }
 
 // pickService picks one of the route's services at random by weight, among those that
-// have an endpoint; the first one where none has.
+// have an endpoint that takes requests; the first one where none has.
 func (relay *Relay) pickService(route *peridotpath.Route) peridotpath.Service {
-	snapshot := relay.Endpoints()
+	snapshot, now := relay.Endpoints(), time.Now()
 	total := 0
 	for _, backend := range route.Backends {
-		if len(snapshot.ForService(backend.Service)) > 0 {
+		if relay.hasTaker(snapshot.ForService(backend.Service), now) {
 			total += backend.Weight
 		}
 	}
@@ -167,7 +170,7 @@
 	}
 	pick := rand.IntN(total)
 	for _, backend := range route.Backends {
-		if len(snapshot.ForService(backend.Service)) == 0 {
+		if !relay.hasTaker(snapshot.ForService(backend.Service), now) {
 			continue
 		}
 		if pick < backend.Weight {
