relay: an endpoint that asks for rest gets it

Cause: the Retry-After of an endpoint's 503 set only when the caller may return; the endpoint itself counted as full for 200 ms, whatever it had asked for.

Placement passes over the endpoint until then, on all the ways on which it passes over one that leaves; then it is used like any other. A caller whose attempts were all refused is told to return soon where another endpoint takes requests, and not after the last one's rest.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -81,7 +81,7 @@
 	case answer.Misdirected:
 		return outcomeMisdirected, nil
 	case answer.NotRun:
-		exchange.retryAfter, exchange.blamedHelper = answer.RetryAfter, answer.BlamedHelper
+		exchange.blamedHelper = answer.BlamedHelper
 		return outcomeRefused, nil
 	case !answer.MatchesRequest:
 		return outcomeFailed, errAnswerMismatch
--- a/peridotpath/relay/availability.go
+++ b/peridotpath/relay/availability.go
@@ -23,11 +23,15 @@
 // it records why the endpoint is skipped.
 func (exchange *exchange) takesRequests(key peridotpath.EndpointKey, now time.Time) bool {
 	state := exchange.relay.Availability.Check(key, now)
-	if state.Leaving {
+	switch {
+	case state.Leaving:
 		exchange.skipped.leaving = true
-		return false
+	case state.Backoff > 0:
+		exchange.skipped.backoffWait.record(state.Backoff)
+	default:
+		return true
 	}
-	return true
+	return false
 }
 
 // planTakesRequests reports whether all endpoints of the plan still take requests. An answer
@@ -45,7 +49,7 @@
 func (relay *Relay) hasTaker(members []directory.Member, now time.Time) bool {
 	return slices.ContainsFunc(members, func(member directory.Member) bool {
 		state := relay.Availability.Check(member.Key, now)
-		return !state.Leaving
+		return state.TakesRequests()
 	})
 }
 
--- a/peridotpath/relay/availability_paths_test.go
+++ b/peridotpath/relay/availability_paths_test.go
@@ -19,6 +19,7 @@
 // announcements are those after which an endpoint takes no requests.
 var announcements = map[string]availability.Announcement{
 	"leaving": {Leaving: true},
+	"backoff": {Backoff: 3 * time.Second},
 }
 
 // record records that an endpoint of the fixture has announced something.
@@ -224,3 +225,31 @@
 		})
 	}
 }
+
+// Every endpoint that a request may try turns it away and asks for rest. Its caller must be told
+// to return as soon as another endpoint takes requests, and not after the last one's backoff.
+func TestRefusedCallerReturnsWhenAnEndpointTakesRequests(t *testing.T) {
+	refuse := func(backoff time.Duration) step {
+		return answer(503, "", func(answer *relay.Answer) {
+			answer.NotRun, answer.Announcement = true, availability.Announcement{Backoff: backoff}
+		})
+	}
+	for _, test := range []struct {
+		name      string
+		endpoints []peridotpath.Endpoint
+		shortest  time.Duration
+		longest   time.Duration
+	}{
+		{name: "another one takes requests", endpoints: []peridotpath.Endpoint{testEndpoint(1), testEndpoint(2), testEndpoint(3)}, shortest: 1, longest: time.Second / 2},
+		{name: "all ask for rest", endpoints: []peridotpath.Endpoint{testEndpoint(1), testEndpoint(2)}, shortest: 1900 * time.Millisecond, longest: 2 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			script := &script{steps: []step{refuse(2 * time.Second), refuse(5 * time.Second)}}
+			fixture := newFixture(script.send, nil, test.endpoints...)
+			outcome := fixture.send(t.Context(), "save", nil)
+			is.Equal(outcome.status, http.StatusServiceUnavailable)
+			is.True(outcome.result.RetryAfter >= test.shortest && outcome.result.RetryAfter <= test.longest)
+		})
+	}
+}
--- a/peridotpath/relay/availability_test.go
+++ b/peridotpath/relay/availability_test.go
@@ -61,7 +61,7 @@
 		}
 		answer := &relay.Answer{Status: http.StatusOK, Header: http.Header{}, MatchesRequest: true, HasNoRateLimit: true, Announcement: announced}
 		if announced.Backoff > 0 {
-			answer.Status, answer.NotRun, answer.RetryAfter = http.StatusServiceUnavailable, true, announced.Backoff
+			answer.Status, answer.NotRun = http.StatusServiceUnavailable, true
 			answer.Body = io.NopCloser(strings.NewReader(""))
 			return answer, nil
 		}
--- a/peridotpath/relay/candidates.go
+++ b/peridotpath/relay/candidates.go
@@ -45,7 +45,24 @@
 	leaving bool
 	// limitWait is the shortest wait until an endpoint that was skipped for its rate limit
 	// takes a request; zero if none was.
-	limitWait time.Duration
+	limitWait shortestWait
+	// backoffWait is the shortest wait until an endpoint that was skipped for its backoff
+	// takes a request; zero if none was.
+	backoffWait shortestWait
+}
+
+// shortestWait is the shortest of the recorded waits; zero if there is none.
+type shortestWait time.Duration
+
+func (shortest *shortestWait) record(wait time.Duration) {
+	if *shortest == 0 || wait < time.Duration(*shortest) {
+		*shortest = shortestWait(wait)
+	}
+}
+
+// retryAfter returns the delay after which a caller should return.
+func (shortest *shortestWait) retryAfter() time.Duration {
+	return max(shortRetryAfter, time.Duration(*shortest))
 }
 
 // noEndpointRefusal returns the refusal of a request that no endpoint is eligible for. Its
@@ -55,10 +72,21 @@
 	switch {
 	case skipped.tried:
 		return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
+	case skipped.backoffWait > 0 && (skipped.limitWait == 0 || skipped.backoffWait < skipped.limitWait):
+		return exchange.refusal(peridotpath.CodeUnavailable, skipped.backoffWait.retryAfter())
 	case skipped.limitWait > 0:
-		return exchange.refusal(peridotpath.CodeLimited, max(shortRetryAfter, skipped.limitWait))
+		return exchange.refusal(peridotpath.CodeLimited, skipped.limitWait.retryAfter())
 	case skipped.leaving:
 		return exchange.refusal(peridotpath.CodeUnavailable, replacementRetryAfter)
 	}
 	return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
 }
+
+// refusedRetryAfter returns the delay after which the caller of a request that was refused may
+// return: a short one if another endpoint takes its requests, else when the first one does.
+func (exchange *exchange) refusedRetryAfter(now time.Time) time.Duration {
+	if len(exchange.candidates(now)) > 0 {
+		return shortRetryAfter
+	}
+	return exchange.noEndpointRefusal().RetryAfter
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -46,7 +46,6 @@
 	placedAt         time.Time
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
-	retryAfter       time.Duration
 	skipped          skippedEndpoints
 }
 
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -147,7 +147,7 @@
 		return &peridotpath.Result{Code: peridotpath.CodeEndpointFailed}
 	default:
 		return &peridotpath.Result{
-			Code: peridotpath.CodeEndpointRefused, RetryAfter: max(exchange.retryAfter, shortRetryAfter), Detail: outcome.String(),
+			Code: peridotpath.CodeEndpointRefused, RetryAfter: exchange.refusedRetryAfter(time.Now()), Detail: outcome.String(),
 		}
 	}
 }
--- a/peridotpath/relay/rate_limit.go
+++ b/peridotpath/relay/rate_limit.go
@@ -30,8 +30,8 @@
 	unreported := exchange.relay.LoadTracker.Snapshot(now).UnreportedRequests()
 	return func(key peridotpath.EndpointKey) bool {
 		wait := throttle.TimeUntilAllowed(key, unreported, now)
-		if limitWait := &exchange.skipped.limitWait; wait > 0 && (*limitWait == 0 || wait < *limitWait) {
-			*limitWait = wait
+		if wait > 0 {
+			exchange.skipped.limitWait.record(wait)
 		}
 		return wait == 0
 	}
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -160,8 +160,10 @@
 func (relay *Relay) pickService(route *peridotpath.Route) peridotpath.Service {
 	snapshot, now := relay.Endpoints(), time.Now()
 	total := 0
+	var eligible []peridotpath.Backend
 	for _, backend := range route.Backends {
 		if relay.hasTaker(snapshot.ForService(backend.Service), now) {
+			eligible = append(eligible, backend)
 			total += backend.Weight
 		}
 	}
@@ -169,10 +171,7 @@
 		return route.Backends[0].Service
 	}
 	pick := rand.IntN(total)
-	for _, backend := range route.Backends {
-		if !relay.hasTaker(snapshot.ForService(backend.Service), now) {
-			continue
-		}
+	for _, backend := range eligible {
 		if pick < backend.Weight {
 			return backend.Service
 		}
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -87,9 +87,6 @@
 	// an invalid one; HasNoRateLimit reports that it carries none.
 	RateLimit      *peridotpath.Rate
 	HasNoRateLimit bool
-	// RetryAfter is the delay after which the endpoint would accept the request; zero
-	// if not declared.
-	RetryAfter time.Duration
 	// Announcement is what the answer says about the endpoint's taking requests.
 	Announcement availability.Announcement
 }
