audit: find requests sent to endpoints that leave or have asked for rest

A new start of the endpoint (another incarnation) or of the instance ends an announcement. attempt_failed says how long the attempt took and waited, so that its send has a time. Lines of what went well are a sample: under load the audit sees a part of the sends.

--- a/peridotctl/audit.go
+++ b/peridotctl/audit.go
@@ -14,8 +14,10 @@
   Goes through log files for requests that were not dealt with as callers were
   promised: told not to have run though they may have, sent twice though they
   may run once, ended twice, refused long after they could have been, refused
-  without a time to return. Prints the lines of the first ones and fails if
-  there is any. Reads log files, asks no instance.
+  without a time to return. Also finds requests that were sent to an endpoint
+  later than 2 s after it had said that it leaves, or, after two others, within
+  the time for which it had asked for rest. Prints the lines of the first ones
+  and fails if there is any. Reads log files, asks no instance.
 
 `
 
--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -32,9 +32,15 @@
 	FaultRefusedTooLate
 	// FaultNoRetryAfter means that a refusal has no Retry-After.
 	FaultNoRetryAfter
+	// FaultSentToLeaving means that the request was sent to an endpoint although it arrived
+	// later than maxDrainTime after the instance had learned that the endpoint leaves.
+	FaultSentToLeaving
+	// FaultSentDuringBackoff means that the request was sent to an endpoint that had asked the
+	// instance for a backoff, after maxDuringBackoff others.
+	FaultSentDuringBackoff
 )
 
-var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time"}
+var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff"}
 
 func (fault Fault) String() string { return faultNames[fault] }
 
@@ -55,6 +61,10 @@
 	requests map[peridotpath.RequestID]*history
 	// pauses holds the process pauses of each instance.
 	pauses map[string][]pause
+	// announcements holds what endpoints announced to each instance and got from it, and
+	// starts the starts of the instances' processes.
+	announcements map[path]*announcements
+	starts        []instanceStart
 }
 
 // pause is an interval in which an instance's process did not run.
@@ -72,6 +82,9 @@
 		audit.addPause(line)
 		return
 	}
+	if audit.addAnnouncement(line) {
+		return
+	}
 	id := peridotpath.RequestID(line.Pairs["request"])
 	if id == "" {
 		return
@@ -90,6 +103,7 @@
 	case "attempt_failed":
 		entry.failedAttempts = append(entry.failedAttempts, line)
 	}
+	audit.addSend(&line)
 }
 
 func (audit *Audit) addPause(line logline.Line) {
@@ -141,6 +155,8 @@
 			findings = append(findings, Finding{Request: id, Fault: fault, Lines: audit.requests[id].lines()})
 		}
 	}
+	findings = append(findings, audit.announcementFindings()...)
+	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Request, b.Request) })
 	return findings
 }
 
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -56,6 +56,7 @@
 	crashed := outcome == outcomeBroken && exchange.relay.hasCrashed(ctx, exchange.plan.Primary)
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
+		Dur("took", time.Since(exchange.request.ArrivedAt)).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).
 		Stringer("outcome", outcome).Int("events", exchange.eventCount).Err(err).Msg("attempt_failed")
 	if outcome.isUnattempted() {
 		// No request was sent, and the primary did not fail.
