soak, standin: endpoints that say that they leave or want rest

Neither the stand-in nor the soak had an endpoint that says in its answers that it leaves, or turns requests away with a time. says_leaving marks the answers of an endpoint for 6 s and more while its entry stays as it is, then starts it again; sheds turns requests away with a Retry-After, also with values that are no time.

--- a/soak/check.go
+++ b/soak/check.go
@@ -27,9 +27,15 @@
 	crashes         map[string][]time.Time
 	quarantinedRuns map[string]int
 	limits          map[peridotpath.EndpointID]*limitedEndpoint
-	violations      []string
-	requests        int
-	served          int
+	// toldLeaving is when an instance first passed on an answer of an endpoint that says that
+	// it leaves, and backoffs are the backoffs that endpoints asked of instances.
+	toldLeaving map[sender]time.Time
+	backoffs    map[sender]*askedBackoff
+	// saysLeaving holds the endpoints that say now that they leave.
+	saysLeaving map[peridotpath.EndpointID]bool
+	violations  []string
+	requests    int
+	served      int
 }
 
 type endpointRun struct {
@@ -48,7 +54,8 @@
 func newChecker() *checker {
 	return &checker{
 		runs: map[peridotpath.RequestID][]endpointRun{}, revokedAt: map[peridotpath.APIKey]time.Time{},
-		crashes: map[string][]time.Time{}, quarantinedRuns: map[string]int{}, limits: map[peridotpath.EndpointID]*limitedEndpoint{}, leavingSince: map[peridotpath.EndpointID]time.Time{}, sentRequests: map[peridotpath.RequestID]sentRequest{},
+		crashes: map[string][]time.Time{}, quarantinedRuns: map[string]int{}, limits: map[peridotpath.EndpointID]*limitedEndpoint{},
+		toldLeaving: map[sender]time.Time{}, backoffs: map[sender]*askedBackoff{}, saysLeaving: map[peridotpath.EndpointID]bool{}, leavingSince: map[peridotpath.EndpointID]time.Time{}, sentRequests: map[peridotpath.RequestID]sentRequest{},
 	}
 }
 
@@ -99,6 +106,22 @@
 	}
 }
 
+// recordArrival checks a request that reaches an endpoint and its helpers, executed or not.
+func (checker *checker) recordArrival(endpoint *endpoint, arrival standin.Arrival, helpers []*endpoint) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	sent, now := checker.sentRequests[arrival.RequestID], time.Now()
+	if sent.Instance == nil {
+		return
+	}
+	checker.recordLimitedArrival(endpoint.ID, &sent, now)
+	checker.recordArrivalDespiteAnnouncement(endpoint, &sent, now)
+	for _, helper := range helpers {
+		checker.recordArrivalDespiteAnnouncement(helper, &sent, now)
+	}
+	checker.recordBackoff(endpoint.ID, &sent, arrival.Backoff, now)
+}
+
 // recordReply checks the reply to a request; reply is nil if there was none.
 func (checker *checker) recordReply(id peridotpath.RequestID, reply *standin.Reply) {
 	checker.mutex.Lock()
@@ -113,6 +136,7 @@
 	if reply == nil {
 		return
 	}
+	checker.recordAnnouncement(&sent, reply)
 	if reply.NotRun() {
 		if sent.Route == standin.RouteNonIdempotent && len(checker.runs[id]) > 0 {
 			checker.addViolation("%s was told %d and ran", id, reply.Status)
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -90,16 +90,22 @@
 		if ctx.Err() != nil {
 			return
 		}
-		endpoint.mutex.Lock()
-		endpoint.down, endpoint.startedAt = false, time.Now()
-		endpoint.mutex.Unlock()
-		if err := endpoint.proxy.start(); err != nil {
-			panic(err)
-		}
-		fleet.publishEndpoint(endpoint)
+		fleet.startEndpoint(endpoint)
 	})
 }
 
+// startEndpoint starts an endpoint that is down, under its ID with a new start time.
+func (fleet *fleet) startEndpoint(endpoint *endpoint) {
+	fleet.checker.forgetAnnouncements(endpoint.ID)
+	endpoint.mutex.Lock()
+	endpoint.down, endpoint.startedAt = false, time.Now()
+	endpoint.mutex.Unlock()
+	if err := endpoint.proxy.start(); err != nil {
+		panic(err)
+	}
+	fleet.publishEndpoint(endpoint)
+}
+
 func (endpoint *endpoint) isDown() bool {
 	endpoint.mutex.Lock()
 	defer endpoint.mutex.Unlock()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -150,7 +151,9 @@
 		},
 		IsFatal:   func(execution standin.Execution) bool { return isFatal(execution.Body) },
 		Terminate: func() { fleet.crashEndpoint(ctx, endpoint) },
-		OnArrival: func(request peridotpath.RequestID) { fleet.checker.recordArrival(id, request) },
+		OnArrival: func(arrival standin.Arrival) {
+			fleet.checker.recordArrival(endpoint, arrival, fleet.endpointsAt(arrival.Helpers))
+		},
 	}
 	target, err := fleet.serve(ctx, endpoint.Endpoint)
 	if err != nil {
@@ -162,6 +165,17 @@
 	return err
 }
 
+// endpointsAt returns the endpoints at the addresses.
+func (fleet *fleet) endpointsAt(addresses []string) []*endpoint {
+	var found []*endpoint
+	for _, endpoint := range fleet.endpoints {
+		if slices.Contains(addresses, endpoint.address.String()) {
+			found = append(found, endpoint)
+		}
+	}
+	return found
+}
+
 func (fleet *fleet) addInstance(ctx context.Context, id peridotpath.InstanceID, binary, folder string) error {
 	first, err := findFreePorts(7)
 	if err != nil {
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -48,13 +48,11 @@
 	}
 }
 
-// recordArrival checks the rate at which a limited endpoint receives requests from
-// settled instances.
-func (checker *checker) recordArrival(endpoint peridotpath.EndpointID, id peridotpath.RequestID) {
-	checker.mutex.Lock()
-	defer checker.mutex.Unlock()
-	limited, sent, now := checker.limits[endpoint], checker.sentRequests[id], time.Now()
-	if limited == nil || sent.Instance == nil || now.Sub(limited.announcedAt) < settleTime+schedulingSlack || !sent.Instance.hasSettled(now) {
+// recordLimitedArrival checks the rate at which a limited endpoint receives requests from
+// settled instances. The caller holds the mutex.
+func (checker *checker) recordLimitedArrival(endpoint peridotpath.EndpointID, sent *sentRequest, now time.Time) {
+	limited := checker.limits[endpoint]
+	if limited == nil || now.Sub(limited.announcedAt) < settleTime+schedulingSlack || !sent.Instance.hasSettled(now) {
 		return
 	}
 	limited.arrivals = append(limited.arrivals, now)
--- a/soak/main.go
+++ b/soak/main.go
@@ -25,7 +25,7 @@
 	"peridotpath.example/peridotpath/logline"
 )
 
-const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-back] [-folder DIR]
+const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-back] [-announce=false] [-folder DIR]
   Each run has a seed, which decides what is disturbed and when; how the
   processes take turns is no part of it. With -back the store comes back from older
   copies, too. Prints each run's seed and what was
@@ -41,6 +41,7 @@
 	seeds := flag.String("seeds", "", "seeds to run, separated by commas")
 	runs := flag.Int("runs", 1, "how many runs")
 	span := flag.Duration("for", 20*time.Second, "how long each run disturbs")
+	announce := flag.Bool("announce", true, "lets endpoints say that they leave or want rest; false plays older seeds as they were")
 	back := flag.Bool("back", false, "lets the store come back from older copies")
 	folder := flag.String("folder", "", "where logs go; else a new temporary folder")
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
@@ -59,7 +60,7 @@
 	defer stop()
 	failed := 0
 	for _, seed := range list {
-		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back}, os.Stdout)
+		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back, announces: *announce}, os.Stdout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
@@ -114,6 +115,8 @@
 	faultTime      time.Duration
 	// restoresStore adds restores of the store from older copies to the faults.
 	restoresStore bool
+	// announces adds endpoints that say that they leave or want rest to the faults.
+	announces bool
 }
 
 // soak makes one run and returns the violations that it found.
@@ -149,7 +152,10 @@
 	faultKinds := faults
 	if options.restoresStore {
 		fleet.runInBackground(func() { fleet.keepSnapshots(ctx) })
-		faultKinds = append(slices.Clone(faults), restoreFault, restoreFault)
+		faultKinds = append(slices.Clone(faultKinds), restoreFault, restoreFault)
+	}
+	if options.announces {
+		faultKinds = append(slices.Clone(faultKinds), announcementFaults...)
 	}
 	fleet.injectFaults(faultCtx, faultKinds, random, func(name string) { faultNames = append(faultNames, name) })
 	stopFaults()
--- a/soak/process.go
+++ b/soak/process.go
@@ -146,6 +146,13 @@
 	return now.Sub(instance.disturbedUntil) > settleTime
 }
 
+// hasSettledSince reports whether the process has been undisturbed since the time.
+func (instance *instance) hasSettledSince(since time.Time) bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	return instance.disturbedUntil.Before(since)
+}
+
 // isAlive reports whether the process is running.
 func (instance *instance) isAlive() bool {
 	instance.mutex.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -39,7 +39,9 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	link     link
-	conns    map[net.Conn]bool
+	// disturbedUntil is when the link was last disturbed; in the future while it is.
+	disturbedUntil time.Time
+	conns          map[net.Conn]bool
 }
 
 // listen starts the proxy on a free port, which it reuses after stop.
@@ -101,7 +103,10 @@
 func (proxy *proxy) setLink(link link) {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
-	proxy.link = link
+	proxy.link, proxy.disturbedUntil = link, time.Now()
+	if link != linkHealthy {
+		proxy.disturbedUntil = time.Now().Add(time.Hour)
+	}
 	if link == linkReset {
 		for conn := range proxy.conns {
 			reset(conn)
@@ -109,6 +114,13 @@
 	}
 }
 
+// hasSettledSince reports whether the link has been undisturbed since the time.
+func (proxy *proxy) hasSettledSince(since time.Time) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.disturbedUntil.Before(since)
+}
+
 func (proxy *proxy) currentLink() link {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,17 +28,26 @@
 // the port ranges of two instances overlap.
 var seeds = []uint64{1, 102, 8002, 9102}
 
+// announcingSeeds are those of runs with endpoints that say that they leave or want rest.
+var announcingSeeds = []uint64{39, 40}
+
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
 	binary := buildPeridotd(t)
-	for _, seed := range seeds {
-		violations, err := soak(t.Context(), options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second}, t.Output())
+	play := func(options options) {
+		violations, err := soak(t.Context(), options, t.Output())
 		is.NoErr(err)
 		for _, violation := range violations {
-			t.Errorf("seed %d: %s", seed, violation)
+			t.Errorf("seed %d: %s", options.seed, violation)
 		}
 	}
+	for _, seed := range seeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second})
+	}
+	for _, seed := range announcingSeeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true})
+	}
 }
 
 // buildPeridotd builds the program under test and returns its path.
