availability: requests read announcements without a lock or an allocation

Leaving endpoints and backoffs are one immutable state that is replaced, instead of a sync.Map whose keys are boxed at each look-up; nothing is looked up while no endpoint has announced anything. What is remembered of leaving endpoints is bounded at 4,096.

--- a/peridotpath/availability/availability.go
+++ b/peridotpath/availability/availability.go
@@ -10,6 +10,7 @@
 package availability
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +29,9 @@
 	// minLoggedExtension is the least time by which an answer must extend a running backoff to
 	// be logged: one that sheds load answers many requests at once.
 	minLoggedExtension = 100 * time.Millisecond
-	// maxLeaving bounds the leaving endpoints that are remembered. It exceeds the number of
-	// endpoints of a fleet; beyond it, those that left first are forgotten.
-	maxLeaving = 16_384
+	// maxLeaving bounds the leaving endpoints that are remembered. Those that said so first are
+	// forgotten first: they have long left.
+	maxLeaving = 4096
 )
 
 // Announcement is what one answer of an endpoint says about taking requests.
@@ -61,14 +62,18 @@
 	FindEndpoint func(endpoint peridotpath.EndpointKey) *peridotpath.Endpoint
 	Log          zerolog.Logger
 
-	// leavingSince maps the keys of endpoints that announced that they leave to the times of
-	// the announcements. An entry is never changed: another incarnation has another key.
-	leavingSince sync.Map
-	// backoffs is replaced and never changed, so that requests read it without a lock.
-	backoffs atomic.Pointer[map[peridotpath.EndpointKey]backoff]
-	// mutex serialises changes.
-	mutex        sync.Mutex
-	leavingCount int
+	// current is replaced and never changed, so that requests read it without a lock.
+	current atomic.Pointer[state]
+	// mutex serialises replacements of current.
+	mutex sync.Mutex
+}
+
+// state is an immutable set of announcements.
+type state struct {
+	// leavingSince holds the times at which endpoints announced that they leave. An entry never
+	// ends: another incarnation of the endpoint has another key.
+	leavingSince map[peridotpath.EndpointKey]time.Time
+	backoffs     map[peridotpath.EndpointKey]backoff
 }
 
 // backoff is the time for which an endpoint wants no requests.
@@ -126,27 +131,30 @@
 func (tracker *Tracker) addLeaving(key peridotpath.EndpointKey, since time.Time) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if _, known := tracker.leavingSince.LoadOrStore(key, since); known {
+	before := tracker.snapshot()
+	if _, known := before.leavingSince[key]; known {
 		return false
 	}
-	if tracker.leavingCount++; tracker.leavingCount > maxLeaving {
-		tracker.forgetOldestLeaving()
+	leavingSince := map[peridotpath.EndpointKey]time.Time{key: since}
+	maps.Copy(leavingSince, before.leavingSince)
+	if len(leavingSince) > maxLeaving {
+		delete(leavingSince, oldestOf(leavingSince))
+		telemetry.CountDroppedFact(facts.KindLeaving.String())
 	}
+	tracker.current.Store(&state{leavingSince: leavingSince, backoffs: before.backoffs})
 	return true
 }
 
-func (tracker *Tracker) forgetOldestLeaving() {
-	var oldest any
+// oldestOf returns the endpoint that has been leaving for longest.
+func oldestOf(leavingSince map[peridotpath.EndpointKey]time.Time) peridotpath.EndpointKey {
+	var oldest peridotpath.EndpointKey
 	var oldestSince time.Time
-	tracker.leavingSince.Range(func(key, since any) bool {
-		if oldest == nil || since.(time.Time).Before(oldestSince) {
-			oldest, oldestSince = key, since.(time.Time)
+	for key, since := range leavingSince {
+		if oldestSince.IsZero() || since.Before(oldestSince) {
+			oldest, oldestSince = key, since
 		}
-		return true
-	})
-	tracker.leavingSince.Delete(oldest)
-	tracker.leavingCount--
-	telemetry.CountDroppedFact(facts.KindLeaving.String())
+	}
+	return oldest
 }
 
 // recordBackoff extends an endpoint's backoff. A later answer never shortens it: answers may
@@ -154,18 +162,18 @@
 func (tracker *Tracker) recordBackoff(endpoint *peridotpath.Endpoint, span time.Duration, carrier Carrier, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	before, key := tracker.currentBackoffs(), endpoint.Key()
-	previous, until := before[key], now.Add(min(span, maxBackoff))
+	before, key := tracker.snapshot(), endpoint.Key()
+	previous, until := before.backoffs[key], now.Add(min(span, maxBackoff))
 	if !until.After(previous.until) {
 		return
 	}
 	backoffs := map[peridotpath.EndpointKey]backoff{key: {announcedAt: now, until: until}}
-	for otherKey, other := range before {
+	for otherKey, other := range before.backoffs {
 		if otherKey != key && other.until.After(now) {
 			backoffs[otherKey] = other
 		}
 	}
-	tracker.backoffs.Store(&backoffs)
+	tracker.current.Store(&state{leavingSince: before.leavingSince, backoffs: backoffs})
 	telemetry.CountBackoffAnnouncement()
 	if until.Sub(previous.until) >= minLoggedExtension {
 		tracker.Log.Info().Str("endpoint", string(endpoint.ID)).Uint64("incarnation", uint64(endpoint.Incarnation)).Str("by", carrier.Exchange).
@@ -173,14 +181,18 @@
 	}
 }
 
-// currentBackoffs returns the stored backoffs, which may have ended.
-func (tracker *Tracker) currentBackoffs() map[peridotpath.EndpointKey]backoff {
-	if current := tracker.backoffs.Load(); current != nil {
-		return *current
+// snapshot returns the current announcements; backoffs in it may have ended.
+func (tracker *Tracker) snapshot() *state {
+	if current := tracker.current.Load(); current != nil {
+		return current
 	}
-	return nil
+	return &state{}
 }
 
+// IsEmpty reports whether no endpoint has announced anything. It is cheap enough for every
+// attempt.
+func (tracker *Tracker) IsEmpty() bool { return tracker.current.Load() == nil }
+
 // Availability is whether an endpoint takes requests, by its announcements.
 type Availability struct {
 	// Leaving reports that the endpoint is leaving. It ends only with another incarnation.
@@ -198,10 +210,11 @@
 
 // Check returns whether an endpoint takes requests at the time now.
 func (tracker *Tracker) Check(key peridotpath.EndpointKey, now time.Time) Availability {
-	if since, leaving := tracker.leavingSince.Load(key); leaving {
-		return Availability{Leaving: true, AnnouncedAt: since.(time.Time)}
+	current := tracker.snapshot()
+	if since, leaving := current.leavingSince[key]; leaving {
+		return Availability{Leaving: true, AnnouncedAt: since}
 	}
-	if asked, found := tracker.currentBackoffs()[key]; found && asked.until.After(now) {
+	if asked, found := current.backoffs[key]; found && asked.until.After(now) {
 		return Availability{Backoff: asked.until.Sub(now), AnnouncedAt: asked.announcedAt}
 	}
 	return Availability{}
--- a/peridotpath/relay/availability.go
+++ b/peridotpath/relay/availability.go
@@ -37,6 +37,9 @@
 // planTakesRequests reports whether all endpoints of the plan still take requests. An answer
 // to another request or to a reservation may have announced the contrary since.
 func (exchange *exchange) planTakesRequests(now time.Time) bool {
+	if exchange.relay.Availability.IsEmpty() {
+		return true
+	}
 	for _, endpoint := range append([]*peridotpath.Endpoint{exchange.plan.Primary}, exchange.plan.Helpers...) {
 		if !exchange.takesRequests(endpoint.Key(), now) {
 			return false
@@ -56,6 +59,9 @@
 // logSendsDespiteAnnouncement logs and counts the endpoints of the plan that have announced
 // that they take no requests and are sent this one nevertheless.
 func (exchange *exchange) logSendsDespiteAnnouncement(now time.Time) {
+	if exchange.relay.Availability.IsEmpty() {
+		return
+	}
 	exchange.logSendDespiteAnnouncement(exchange.plan.Primary, "primary", now)
 	for _, helper := range exchange.plan.Helpers {
 		exchange.logSendDespiteAnnouncement(helper, "helper", now)
