decide, dispatch: endpoints of peridotd serve that ask for rest get it

The same fault in peridotd serve: the Retry-After of an engine or plain service that refuses work was read by nobody. An endpoint that refused was asked again until three failures in a row ejected it, whatever it had asked for; that it leaves was kept already.

The refusal carries the time now, the scheduler keeps work away from the endpoint for so long, a minute at most, and never shorter for an answer that overtook. A new incarnation has asked for nothing. Where all endpoints have asked, work is refused at once (3009) with the time until the first takes work. One decoder of Retry-After serves both adapters.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -72,7 +72,7 @@
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
-		SendPlain: (&service.Client{}).Send, OnEndpointDraining: daemon.fleet.view.RecordRefusal,
+		SendPlain: (&service.Client{}).Send, OnEndpointDraining: daemon.fleet.view.RecordRefusal, OnEndpointBackoff: daemon.scheduler.BackOff,
 	}
 	daemon.claims = &claim.Ledger{
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
--- a/peridotpath/decide/admit.go
+++ b/peridotpath/decide/admit.go
@@ -114,6 +114,8 @@
 		return peridotpath.CodeNoEndpoint
 	case reasons&(obstacleBacklog|obstacleNoFreeKV) != 0:
 		return peridotpath.CodeOK
+	case reasons&obstacleBackoff != 0:
+		return peridotpath.CodeUnavailable
 	case reasons&obstacleDeadline != 0:
 		return peridotpath.CodeCannotFinish
 	case reasons&obstacleEjected != 0:
@@ -179,8 +181,11 @@
 // is held.
 func (scheduler *Scheduler) refuseQueued(at int64, group *group, work *Work, code peridotpath.Code) Decision {
 	work.customer.activeCount.Add(-1)
-	if code == peridotpath.CodeNoMemory {
+	switch code {
+	case peridotpath.CodeNoMemory:
 		return refuse(work, code, 0)
+	case peridotpath.CodeUnavailable:
+		return refuse(work, code, group.earliestBackoffEnd(at))
 	}
 	chance := scheduler.random.Float64()
 	if !scheduler.isEnabled(MechanismRetrySchedule) {
--- a/peridotpath/decide/group.go
+++ b/peridotpath/decide/group.go
@@ -54,6 +54,18 @@
 	peridotpath.Long:   30 * time.Second,
 }
 
+// earliestBackoffEnd returns the time until the first endpoint that wants no work for a time
+// takes work again; zero if there is none.
+func (group *group) earliestBackoffEnd(at int64) time.Duration {
+	var earliest int64
+	for _, member := range group.pools.Load().all {
+		if until := member.health.backoffUntil.Load(); until > at && (earliest == 0 || until < earliest) {
+			earliest = until
+		}
+	}
+	return time.Duration(max(earliest-at, 0))
+}
+
 func newGroup(service peridotpath.Service) *group {
 	group := &group{service: service}
 	for class := range classCount {
--- a/peridotpath/decide/health.go
+++ b/peridotpath/decide/health.go
@@ -20,6 +20,9 @@
 	// probe a minute.
 	minEjection = 3 * time.Second
 	maxEjection = time.Minute
+	// maxBackoff caps the time for which an endpoint can ask to get no work, so that an absurd
+	// value does not take it out of use.
+	maxBackoff = time.Minute
 	// maxEjectedShare is the maximum share of a service's endpoints that may be
 	// ejected. Beyond it the endpoints are probably not the cause of the
 	// failures, and the remaining ones would receive more than twice their load
@@ -62,6 +65,8 @@
 // writes under the lock.
 type health struct {
 	ejectedUntil atomic.Int64
+	// backoffUntil is the end of the time for which the endpoint wants no work.
+	backoffUntil atomic.Int64
 	isProbing    atomic.Bool
 	logSlowness  atomicFloat // natural logarithm of the slowness factor, zero or more
 	decodeRate   atomicFloat // observed tokens per second and request, zero if unknown
@@ -165,5 +170,13 @@
 	}
 }
 
+// backOff extends the time for which the endpoint wants no work. A later refusal never shortens
+// it: refusals may overtake each other.
+func (health *health) backOff(until int64) {
+	health.mu.Lock()
+	defer health.mu.Unlock()
+	health.backoffUntil.Store(max(until, health.backoffUntil.Load()))
+}
+
 // isEjected reports whether the endpoint is ejected or being probed.
 func (health *health) isEjected() bool { return health.ejectedUntil.Load() != 0 }
--- a/peridotpath/decide/place.go
+++ b/peridotpath/decide/place.go
@@ -68,6 +68,7 @@
 	obstacleNoFreeKV                      // too little KV memory is free
 	obstacleBacklog                       // the backlog limit is reached
 	obstacleDeadline                      // the deadline would be missed
+	obstacleBackoff                       // the endpoint wants no work for a time
 )
 
 // candidate is a member with the predicted cost of the work on it.
@@ -122,6 +123,10 @@
 // consider replaces best if member is a better candidate, or adds to reasons the
 // obstacle by which member cannot take the work.
 func (scheduler *Scheduler) consider(at int64, work *Work, member *member, cachedTokens int64, best *candidate, reasons *obstacle) {
+	if at < member.health.backoffUntil.Load() {
+		*reasons |= obstacleBackoff
+		return
+	}
 	next := candidate{member: member, uncachedTokens: max(int64(work.PromptTokens)-cachedTokens, 0)}
 	if scheduler.isEnabled(MechanismEjection) {
 		usable, probe := member.health.canTake(at, work)
--- a/peridotpath/decide/scheduler.go
+++ b/peridotpath/decide/scheduler.go
@@ -99,6 +99,10 @@
 	fresh := &member{Endpoint: endpoint}
 	if old != nil {
 		fresh.state = old.state
+		if old.Incarnation != endpoint.Incarnation {
+			// The backoff was asked for by the process before.
+			fresh.health.backoffUntil.Store(0)
+		}
 	} else {
 		fresh.state = &state{}
 		fresh.retryBudget.setInitial(initialEndpointRetries)
@@ -141,6 +145,14 @@
 	}
 }
 
+// BackOff keeps new work away from an endpoint that wants none for a time.
+func (scheduler *Scheduler) BackOff(now time.Time, id peridotpath.EndpointID, delay time.Duration) {
+	scheduler.once.Do(scheduler.initialise)
+	if member := (*scheduler.members.Load())[id]; member != nil {
+		member.health.backOff(now.Add(min(delay, maxBackoff)).UnixNano())
+	}
+}
+
 // Submit admits new work and places, queues or refuses it.
 func (scheduler *Scheduler) Submit(now time.Time, work *Work) Decision {
 	scheduler.once.Do(scheduler.initialise)
@@ -222,7 +234,11 @@
 		case reasons&(obstacleBacklog|obstacleNoFreeKV|obstacleEjected) == 0:
 			group.queues[class].remove(work)
 			scheduler.countDequeued(group, work)
-			decisions = append(decisions, scheduler.refuseQueued(at, group, work, peridotpath.CodeCannotFinish))
+			code := peridotpath.CodeCannotFinish
+			if reasons&obstacleBackoff != 0 {
+				code = peridotpath.CodeUnavailable
+			}
+			decisions = append(decisions, scheduler.refuseQueued(at, group, work, code))
 		default:
 			return decisions
 		}
--- a/peridotpath/decide/view.go
+++ b/peridotpath/decide/view.go
@@ -65,7 +65,7 @@
 
 var obstacleNames = map[obstacle]string{
 	obstacleTooSmall: "too little memory in all", obstacleEjected: "ejected", obstacleNoFreeKV: "no memory free now",
-	obstacleBacklog: "enough work ahead", obstacleDeadline: "would finish after the deadline",
+	obstacleBackoff: "wants no work now", obstacleBacklog: "enough work ahead", obstacleDeadline: "would finish after the deadline",
 }
 
 // Explain returns the decision that the work would get now, without side effects
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -8,6 +8,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/telemetry"
 )
@@ -45,6 +46,7 @@
 // that came before the response headers.
 func (dispatcher *Dispatcher) classifySendError(ctx context.Context, work *decide.Work, endpoint peridotpath.EndpointID, err error) attempt {
 	dispatcher.reportDraining(endpoint, err)
+	dispatcher.reportBackoff(endpoint, err)
 	notReached := engine.ErrNotConnected.Has(err) || service.ErrUnreached.Has(err)
 	refused := engine.ErrRefused.Has(err) || service.ErrRefused.Has(err)
 	detail := err.Error()
@@ -71,6 +73,15 @@
 	}
 }
 
+// reportBackoff keeps work away from an endpoint that wants none for a time.
+func (dispatcher *Dispatcher) reportBackoff(endpoint peridotpath.EndpointID, err error) {
+	var backoff *outbound.BackoffError
+	if errors.As(err, &backoff) && dispatcher.OnEndpointBackoff != nil {
+		dispatcher.Log.Info().Str("event", "endpoint_backoff").Str("endpoint", string(endpoint)).Dur("retry_after", backoff.Delay).Send()
+		dispatcher.OnEndpointBackoff(time.Now(), endpoint, backoff.Delay)
+	}
+}
+
 func failureResult(code peridotpath.Code, detail string) *peridotpath.Result {
 	return &peridotpath.Result{Code: code, RetryAfter: defaultRetryAfter, Detail: detail}
 }
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -68,6 +68,9 @@
 	// OnEndpointDraining, when set, is called for an endpoint that reports that it is
 	// shutting down.
 	OnEndpointDraining func(now time.Time, endpoint peridotpath.EndpointID)
+	// OnEndpointBackoff, when set, is called for an endpoint that refuses work and wants none
+	// for a time.
+	OnEndpointBackoff func(now time.Time, endpoint peridotpath.EndpointID, delay time.Duration)
 	// ResumeWindow is how long a stream stays resumable after its caller disconnected.
 	ResumeWindow time.Duration
 
--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -113,7 +113,11 @@
 	case response.StatusCode == http.StatusBadRequest || response.StatusCode == http.StatusUnprocessableEntity:
 		class = &ErrBadRequest
 	}
-	return class.New("status %d: %s", response.StatusCode, text)
+	refusal := class.New("status %d: %s", response.StatusCode, text)
+	if class == &ErrRefused {
+		return outbound.WithBackoff(response, refusal)
+	}
+	return refusal
 }
 
 // Resume attaches a reader to a stream that the engine still holds, and returns the
--- a/peridotpath/service/service.go
+++ b/peridotpath/service/service.go
@@ -116,5 +116,5 @@
 	if notRun == NotRunLeaving {
 		return nil, ErrRefused.Wrap(ErrLeaving.New("status %d", response.StatusCode))
 	}
-	return nil, ErrRefused.New("status %d", response.StatusCode)
+	return nil, outbound.WithBackoff(response, ErrRefused.New("status %d", response.StatusCode))
 }
