--- a/peridotpath/audit/announcements_test.go
+++ b/peridotpath/audit/announcements_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"peridotpath.example/peridotpath/audit"
-	"peridotpath.example/peridotpath/logline"
 )
 
 // An endpoint announces that it leaves, or asks an instance for a backoff, and that instance goes
@@ -58,24 +57,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var logs audit.Audit
-			for _, text := range test.lines {
-				line, ok := logline.Parse(text)
-				if !ok {
-					t.Fatalf("not a log line: %s", text)
-				}
-				logs.AddLine(line)
-			}
-			var have []audit.Fault
-			for _, finding := range logs.Findings() {
-				have = append(have, finding.Fault)
+			for _, finding := range checkFaults(t, test.lines, test.want) {
 				if len(finding.Lines) < 2 {
 					t.Errorf("%s: the lines %q do not prove it", finding.Request, finding.Lines)
 				}
 			}
-			if fmt.Sprint(have) != fmt.Sprint(test.want) {
-				t.Errorf("have %v, want %v", have, test.want)
-			}
 		})
 	}
 }
--- a/peridotpath/audit/audit_test.go
+++ b/peridotpath/audit/audit_test.go
@@ -11,6 +11,28 @@
 	"peridotpath.example/peridotpath/logline"
 )
 
+// checkFaults checks the faults that the log lines show, and returns the findings.
+func checkFaults(t *testing.T, lines []string, want []audit.Fault) []audit.Finding {
+	t.Helper()
+	var logs audit.Audit
+	for _, text := range lines {
+		line, ok := logline.Parse(text)
+		if !ok {
+			t.Fatalf("not a log line: %s", text)
+		}
+		logs.AddLine(line)
+	}
+	findings := logs.Findings()
+	var have []audit.Fault
+	for _, finding := range findings {
+		have = append(have, finding.Fault)
+	}
+	if fmt.Sprint(have) != fmt.Sprint(want) {
+		t.Errorf("have %v, want %v", have, want)
+	}
+	return findings
+}
+
 func TestFaults(t *testing.T) {
 	const (
 		failedAttempt  = "event=attempt_failed request=r outcome=failed try=1"
@@ -46,21 +68,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var logs audit.Audit
-			for _, text := range test.lines {
-				line, ok := logline.Parse(text)
-				if !ok {
-					t.Fatalf("not a log line: %s", text)
-				}
-				logs.AddLine(line)
-			}
-			var have []audit.Fault
-			for _, finding := range logs.Findings() {
-				have = append(have, finding.Fault)
-			}
-			if fmt.Sprint(have) != fmt.Sprint(test.want) {
-				t.Errorf("have %v, want %v", have, test.want)
-			}
+			checkFaults(t, test.lines, test.want)
 		})
 	}
 }
@@ -108,18 +116,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var logs audit.Audit
-			for _, text := range test.lines {
-				line, _ := logline.Parse(text)
-				logs.AddLine(line)
-			}
-			var have []audit.Fault
-			for _, finding := range logs.Findings() {
-				have = append(have, finding.Fault)
-			}
-			if fmt.Sprint(have) != fmt.Sprint(test.want) {
-				t.Errorf("have %v, want %v", have, test.want)
-			}
+			checkFaults(t, test.lines, test.want)
 		})
 	}
 }
--- a/soak/announce.go
+++ b/soak/announce.go
@@ -48,20 +48,13 @@
 	}
 }
 
-// restartEndpoint restarts an endpoint under its ID with a new start time.
+// restartEndpoint restarts an endpoint under its ID with a new start time, unless it has crashed
+// and starts again by itself.
 func (fleet *fleet) restartEndpoint(endpoint *endpoint) {
-	endpoint.mutex.Lock()
-	if endpoint.down {
-		// It has crashed and starts again by itself.
-		endpoint.mutex.Unlock()
-		return
+	if endpoint.takeDown() {
+		time.Sleep(leavingDowntime)
+		fleet.startEndpoint(endpoint)
 	}
-	endpoint.down = true
-	endpoint.mutex.Unlock()
-	endpoint.proxy.stop()
-	endpoint.DiscardState()
-	time.Sleep(leavingDowntime)
-	fleet.startEndpoint(endpoint)
 }
 
 // shedLoad makes a random endpoint turn all requests away and ask for a backoff until end is
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -70,15 +70,9 @@
 // crashEndpoint takes an endpoint down and restarts it later under the same ID with a new
 // start time. Its store entry expires if the downtime exceeds entryTTL.
 func (fleet *fleet) crashEndpoint(ctx context.Context, endpoint *endpoint) {
-	endpoint.mutex.Lock()
-	if endpoint.down {
-		endpoint.mutex.Unlock()
+	if !endpoint.takeDown() {
 		return
 	}
-	endpoint.down = true
-	endpoint.mutex.Unlock()
-	endpoint.proxy.stop()
-	endpoint.DiscardState()
 	downtime := minDowntime + time.Duration(rand.Int64N(int64(downtimeSpread)))
 	fleet.runInBackground(func() {
 		sleep(ctx, min(downtime, entryTTL))
@@ -94,6 +88,20 @@
 	})
 }
 
+// takeDown stops an endpoint and discards its state; false if it was down already.
+func (endpoint *endpoint) takeDown() bool {
+	endpoint.mutex.Lock()
+	wasDown := endpoint.down
+	endpoint.down = true
+	endpoint.mutex.Unlock()
+	if wasDown {
+		return false
+	}
+	endpoint.proxy.stop()
+	endpoint.DiscardState()
+	return true
+}
+
 // startEndpoint starts an endpoint that is down, under its ID with a new start time.
 func (fleet *fleet) startEndpoint(endpoint *endpoint) {
 	fleet.checker.forgetAnnouncements(endpoint.ID)
