audit: lines of the same millisecond do not prove the order of a send and a start

Trace: the endpoint started again and joined at 47.149; the request was served at 47.155 after 6.075 ms, so that it arrived at 47.1489 by the lines, whose times are cut to milliseconds, and in truth within the millisecond after the join. The case is allowed; the audit now takes an end as early as the lines allow.

--- a/peridotpath/audit/announcements.go
+++ b/peridotpath/audit/announcements.go
@@ -18,6 +18,8 @@
 	// maxDuringBackoff the number of requests that may be sent in the rest of it.
 	backoffGrace     = 500 * time.Millisecond
 	maxDuringBackoff = 2
+	// logResolution is the resolution of the time of a log line.
+	logResolution = time.Millisecond
 )
 
 // path is an instance as the sender to an endpoint.
@@ -126,8 +128,8 @@
 	return slices.CompactFunc(findings, func(a, b Finding) bool { return a.Request == b.Request && a.Fault == b.Fault })
 }
 
-// endOf returns when an announcement ends by a new start of the endpoint or of the instance;
-// zero if it does not.
+// endOf returns when an announcement ends by a new start of the endpoint or of the instance, at
+// the earliest that the resolution of the lines allows; zero if it does not end.
 func (announcements *announcements) endOf(index int, starts []instanceStart, instance string) time.Time {
 	announced := &announcements.lines[index]
 	var end time.Time
@@ -142,6 +144,9 @@
 			end = start.at
 		}
 	}
+	if !end.IsZero() {
+		end = end.Add(-logResolution)
+	}
 	return end
 }
 
--- a/peridotpath/audit/announcements_test.go
+++ b/peridotpath/audit/announcements_test.go
@@ -41,6 +41,13 @@
 		"leaving, started again": {
 			[]string{leaving, at(11) + " event=endpoint_joined instance=a endpoint=app-1 incarnation=8", served(13, "a", "app-1", "r1")}, nil,
 		},
+		// The lines' times are cut to milliseconds: the request may have come after the start.
+		"leaving, started again in the same millisecond": {
+			[]string{leaving, at(13.149) + " event=endpoint_joined instance=a endpoint=app-1 incarnation=8", at(13.155) + " event=served instance=a endpoint=app-1 request=r1 took=6.07471 waited=0.037211 code=0"}, nil,
+		},
+		"leaving, started again two milliseconds later": {
+			[]string{leaving, at(13.151) + " event=endpoint_joined instance=a endpoint=app-1 incarnation=8", at(13.155) + " event=served instance=a endpoint=app-1 request=r1 took=6.07471 waited=0.037211 code=0"}, toLeaving,
+		},
 		"leaving, listed again": {
 			[]string{leaving, at(11) + " event=endpoint_joined instance=a endpoint=app-1 incarnation=7", served(13, "a", "app-1", "r1")}, toLeaving,
 		},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,8 +28,12 @@
 // the port ranges of two instances overlap.
 var seeds = []uint64{1, 102, 8002, 9102}
 
-// announcingSeeds are those of runs with endpoints that say that they leave or want rest.
-var announcingSeeds = []uint64{39, 40}
+// announcingSeeds are those of runs with endpoints that say that they leave or want rest. One
+// exposed a fault:
+//
+// 39215: the audit takes a request that comes in the millisecond in which an endpoint starts again
+// for one that was sent to the endpoint before.
+var announcingSeeds = []uint64{39, 40, 39215}
 
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
