--- a/peridotpath/audit/announcements.go
+++ b/peridotpath/audit/announcements.go
@@ -25,7 +25,7 @@
 // path is an instance as the sender to an endpoint.
 type path struct{ instance, endpoint string }
 
-// announcements are what an endpoint announced to one instance, and what that sent to it.
+// announcements are what an endpoint announced to one instance, and what the instance sent to it.
 type announcements struct {
 	lines []announcement
 	sends []send
@@ -85,7 +85,7 @@
 // unsentOutcomes are those of attempts that reached no endpoint.
 var unsentOutcomes = []string{"unsent", "no_memory", "withdrawn"}
 
-// addSend adds the attempt that a request's line tells of.
+// addSend adds the attempt of a request's line, if it reached an endpoint.
 func (audit *Audit) addSend(line *logline.Line) {
 	isAttempt := line.Event() == "served" || line.Event() == "attempt_failed" && !slices.Contains(unsentOutcomes, line.Pairs["outcome"])
 	loggedAt, ok := timeOf(line)
@@ -99,9 +99,9 @@
 	})
 }
 
+// timeOf returns the time of a line; false for a line that is truncated and has none.
 func timeOf(line *logline.Line) (time.Time, bool) {
 	at, err := time.Parse(time.RFC3339Nano, line.Pairs["time"])
-	// A line that is truncated has no time.
 	return at, err == nil
 }
 
@@ -113,12 +113,12 @@
 		slices.SortStableFunc(on.lines, func(a, b announcement) int { return a.at.Compare(b.at) })
 		slices.SortStableFunc(on.sends, func(a, b send) int { return a.sentAt.Compare(b.sentAt) })
 		for i := range on.lines {
-			ends := on.endOf(i, audit.starts, path.instance)
+			end := on.endOf(i, audit.starts, path.instance)
 			switch on.lines[i].line.Event() {
 			case "endpoint_leaving":
-				findings = append(findings, audit.sentToLeaving(on, &on.lines[i], ends)...)
+				findings = append(findings, audit.sentToLeaving(on, &on.lines[i], end)...)
 			case "endpoint_backoff":
-				findings = append(findings, audit.sentDuringBackoff(on, &on.lines[i], ends)...)
+				findings = append(findings, audit.sentDuringBackoff(on, &on.lines[i], end)...)
 			}
 		}
 	}
--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -1,7 +1,7 @@
 // Package facts stores observations that one instance makes and every instance needs:
 // endpoint crashes, quarantined requests, rate limits, request counts, engine slowdowns
-// and endpoints that leave. Each fact has a timestamp, a source and a time to live. Instances gossip new
-// facts, so that all of them decide by the same data.
+// and endpoints that leave. Each fact has a timestamp, a source and a time to live.
+// Instances gossip new facts, so that all of them decide by the same data.
 //
 // It matters for events of which each instance sees only a part: a request that crashes its
 // endpoint and reaches a different instance at each retry, or an endpoint that reports
@@ -83,9 +83,9 @@
 	KindRequestsSent: {name: "sent", ttl: 20 * time.Second, maxStored: 4096, ageTolerance: maxNetworkDelay},
 	// Slow engines are probed every second; the fact expires when probing stops.
 	KindSlowdown: {name: "pace", ttl: 3 * time.Second, maxStored: 4096, ageTolerance: maxNetworkDelay},
-	// Receivers remember the endpoint for longer; the fact lasts for those that start or
-	// resume later. The wide tolerance keeps instances that learn it at once from all
-	// gossiping it.
+	// Receivers remember the endpoint for longer; the fact lasts for instances that start or
+	// resume later. An endpoint tells many instances at about the same time that it leaves;
+	// the wide tolerance keeps them from all gossiping it.
 	KindLeaving: {name: "leaving", ttl: 2 * time.Minute, maxStored: 1024, ageTolerance: 2 * time.Minute, isResent: true},
 }
 
--- a/peridotpath/relay/candidates.go
+++ b/peridotpath/relay/candidates.go
@@ -37,7 +37,7 @@
 	return candidates
 }
 
-// skippedEndpoints is why the last placement skipped endpoints.
+// skippedEndpoints is why a placement skipped endpoints.
 type skippedEndpoints struct {
 	// tried reports that an endpoint was skipped only because this request has failed there.
 	tried bool
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -46,7 +46,8 @@
 	placedAt         time.Time
 	sentAt           time.Time
 	timeToFirstEvent time.Duration
-	skipped          skippedEndpoints
+	// skipped is why the last placement skipped endpoints.
+	skipped skippedEndpoints
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
