directory, relay: no request goes to a data centre that operators drain

Callers saw nothing of it, operators did: nothing read op/evacuate/, so that requests went on reaching the endpoints of a data centre that was to be emptied, until its endpoints were gone.

The drains are read with the list of endpoints, as one reading with one age: peers confirm, fetch and order it as they do the list, so that a drain and its end spread without a call of each instance and never out of order, and hold while the store is away. After a restore of the store from an older copy a drain goes on until the order can have been repeated. Where a service has nothing else left callers are told at once (503, code 3009, Retry-After 2 s). Drains are read only where the settings bound them, one call more with each reading of the list.

An entry under servers/ also says whether the endpoint is cold; the countdown is not told, or each heartbeat of a cold endpoint would be a change of the list.

--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -81,7 +81,8 @@
 		RoutingKey: platform.RoutingKey, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.EndpointPrefix, DecodeEndpoints: platform.DecodeEndpoints,
 		CompactEndpoints: platform.CompactEndpoints,
-		Send:             platform.Send, Check: control.ProbeEndpoint, FetchSlowdown: control.FetchSlowdown, Reserve: control.Reserve, Release: control.Release, ReadyPath: platform.ReadyPath,
+		DrainPrefix:      platform.DrainPrefix, DecodeDrains: platform.DecodeDrains,
+		Send: platform.Send, Check: control.ProbeEndpoint, FetchSlowdown: control.FetchSlowdown, Reserve: control.Reserve, Release: control.Release, ReadyPath: platform.ReadyPath,
 		SetAnnouncementHandler: func(handler availability.Handler) { control.OnAnnouncement = handler },
 		Ingress: func(callers instance.IngressDependencies) http.Handler {
 			return &platform.Ingress{Dependencies: callers}
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -1,6 +1,6 @@
 // Package directory holds the endpoints that may receive requests: those that are
 // registered as live in the platform's store. Endpoints that are leaving or have left are
-// excluded.
+// excluded, and so are those of a data centre that operators drain.
 //
 // It matters when the store is unreachable for a while or is restored from an older copy.
 // Entries then expire although their endpoints run, or reappear although their endpoints
@@ -49,11 +49,25 @@
 	Key peridotpath.EndpointKey
 }
 
+// Listing is one read of the platform's store.
+type Listing struct {
+	Endpoints []peridotpath.Endpoint
+	// Drained holds the data centres whose endpoints receive no new requests until the
+	// operators take the drain back.
+	Drained []peridotpath.DataCentre
+}
+
 // Snapshot is an immutable set of the endpoints in use.
 type Snapshot struct {
 	byService map[peridotpath.Service][]Member
 	byID      map[peridotpath.EndpointID]*peridotpath.Endpoint
 	byKey     map[peridotpath.EndpointKey]*peridotpath.Endpoint
+	// drained holds the drained data centres, drainedServices the services that have live
+	// endpoints there.
+	drained         map[peridotpath.DataCentre]bool
+	drainedServices map[peridotpath.Service]bool
+	// hasCold reports whether an endpoint in use is cold.
+	hasCold bool
 }
 
 // ForService returns the endpoints of a service that accept new requests.
@@ -72,11 +86,29 @@
 	return snapshot.byKey[key]
 }
 
+// HasDrained reports whether live endpoints of a service are excluded because their data
+// centre is drained.
+func (snapshot *Snapshot) HasDrained(service peridotpath.Service) bool {
+	return snapshot != nil && snapshot.drainedServices[service]
+}
+
+// DrainedCount returns the number of drained data centres.
+func (snapshot *Snapshot) DrainedCount() int {
+	if snapshot == nil {
+		return 0
+	}
+	return len(snapshot.drained)
+}
+
+// HasCold reports whether an endpoint in use is cold. It is cheap enough for every request.
+func (snapshot *Snapshot) HasCold() bool { return snapshot != nil && snapshot.hasCold }
+
 // Filter returns a snapshot with the endpoints for which keep returns true. A service of
 // which no endpoint would be kept retains all of its endpoints. ByKey still finds every
 // endpoint.
 func (snapshot *Snapshot) Filter(keep func(key peridotpath.EndpointKey, serviceSize int) bool) *Snapshot {
-	filtered := &Snapshot{byService: map[peridotpath.Service][]Member{}, byID: snapshot.byID, byKey: snapshot.byKey}
+	filtered := *snapshot
+	filtered.byService = map[peridotpath.Service][]Member{}
 	for service, members := range snapshot.byService {
 		var kept []Member
 		for _, member := range members {
@@ -89,7 +121,7 @@
 		}
 		filtered.byService[service] = kept
 	}
-	return filtered
+	return &filtered
 }
 
 // Directory tracks the endpoints in use. Set the exported fields before use.
@@ -181,15 +213,17 @@
 func (directory *Directory) Current() *Snapshot { return directory.current.Load() }
 
 // Apply applies a complete read of the store that began at the given time.
-func (directory *Directory) Apply(endpoints []peridotpath.Endpoint, at time.Duration) {
+func (directory *Directory) Apply(listing Listing, at time.Duration) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.recordStoreReadable(at)
 	directory.confirmedAt = max(directory.confirmedAt, at)
 	directory.exceptionEndsAt = 0
-	directory.contentHash = hashContent(endpoints)
-	before := directory.current.Load()
-	snapshot := newSnapshot(endpoints, func(key peridotpath.EndpointKey) bool { return directory.hasDeparted(key, at) })
+	directory.contentHash = listing.hash()
+	before, endpoints := directory.current.Load(), listing.Endpoints
+	drained := directory.drainedDataCentres(before, listing.Drained, at)
+	snapshot := newSnapshot(endpoints, drained, func(key peridotpath.EndpointKey) bool { return directory.hasDeparted(key, at) })
+	directory.logDrains(before, snapshot)
 	if before != nil {
 		directory.keepMissing(before, snapshot, endpoints, at)
 		directory.recordChanges(before, snapshot, at)
@@ -213,6 +247,45 @@
 	return true
 }
 
+// drainedDataCentres returns the drained data centres after a read that lists some.
+//
+// An older copy of the store may lack a drain that was ordered since. Until
+// restoredEntryTimeout after a restore, a data centre that was drained before it stays
+// drained, or its endpoints would receive requests for as long as it takes to repeat the order.
+func (directory *Directory) drainedDataCentres(before *Snapshot, listed []peridotpath.DataCentre, at time.Duration) map[peridotpath.DataCentre]bool {
+	drained := map[peridotpath.DataCentre]bool{}
+	for _, dataCentre := range listed {
+		drained[dataCentre] = true
+	}
+	if before == nil || directory.storeRestoredAt == 0 || at-directory.storeRestoredAt > restoredEntryTimeout {
+		return drained
+	}
+	for dataCentre := range before.drained {
+		if !drained[dataCentre] {
+			drained[dataCentre] = true
+			directory.addException(directory.storeRestoredAt + restoredEntryTimeout)
+		}
+	}
+	return drained
+}
+
+// logDrains logs the data centres whose drain began or ended.
+func (directory *Directory) logDrains(before, after *Snapshot) {
+	if before == nil {
+		before = &Snapshot{}
+	}
+	for dataCentre := range after.drained {
+		if !before.drained[dataCentre] {
+			directory.Log.Info().Str("data_centre", string(dataCentre)).Msg("data_centre_drained")
+		}
+	}
+	for dataCentre := range before.drained {
+		if !after.drained[dataCentre] {
+			directory.Log.Info().Str("data_centre", string(dataCentre)).Msg("data_centre_undrained")
+		}
+	}
+}
+
 // addException records that the endpoints in use differ from the last read until the given
 // time.
 func (directory *Directory) addException(until time.Duration) {
@@ -221,27 +294,37 @@
 	}
 }
 
-// hashContent returns a hash of the endpoints that does not depend on their order.
-func hashContent(endpoints []peridotpath.Endpoint) uint64 {
-	sum := uint64(len(endpoints)) + 1
-	for i := range endpoints {
-		endpoint := &endpoints[i]
-		entry := fmt.Sprintf("%d %s %s %s", endpoint.Key(), endpoint.Address, endpoint.State, endpoint.Service)
+// hash returns a hash of the listing that does not depend on its order.
+func (listing *Listing) hash() uint64 {
+	sum := uint64(len(listing.Endpoints)) + 1
+	for i := range listing.Endpoints {
+		endpoint := &listing.Endpoints[i]
+		entry := fmt.Sprintf("%d %s %s %s %t", endpoint.Key(), endpoint.Address, endpoint.State, endpoint.Service, endpoint.Cold)
 		sum += xxhash.Sum64String(entry)
 	}
+	for _, dataCentre := range listing.Drained {
+		sum += xxhash.Sum64String("drained " + string(dataCentre))
+	}
 	return sum
 }
 
-// newSnapshot returns a snapshot of the live endpoints that are not excluded.
-func newSnapshot(endpoints []peridotpath.Endpoint, excluded func(peridotpath.EndpointKey) bool) *Snapshot {
+// newSnapshot returns a snapshot of the live endpoints that are neither excluded nor in a
+// drained data centre.
+func newSnapshot(endpoints []peridotpath.Endpoint, drained map[peridotpath.DataCentre]bool, excluded func(peridotpath.EndpointKey) bool) *Snapshot {
 	snapshot := &Snapshot{
 		byService: map[peridotpath.Service][]Member{},
 		byID:      map[peridotpath.EndpointID]*peridotpath.Endpoint{},
 		byKey:     map[peridotpath.EndpointKey]*peridotpath.Endpoint{},
+		drained:   drained, drainedServices: map[peridotpath.Service]bool{},
 	}
 	for i := range endpoints {
-		if endpoints[i].State == peridotpath.StateLive && !excluded(endpoints[i].Key()) {
-			snapshot.add(&endpoints[i])
+		endpoint := &endpoints[i]
+		switch {
+		case endpoint.State != peridotpath.StateLive, excluded(endpoint.Key()):
+		case drained[endpoint.DataCentre]:
+			snapshot.drainedServices[endpoint.Service] = true
+		default:
+			snapshot.add(endpoint)
 		}
 	}
 	return snapshot
@@ -249,6 +332,7 @@
 
 func (snapshot *Snapshot) add(endpoint *peridotpath.Endpoint) {
 	snapshot.byID[endpoint.ID] = endpoint
+	snapshot.hasCold = snapshot.hasCold || endpoint.Cold
 	member := Member{Endpoint: endpoint, Key: endpoint.Key()}
 	snapshot.byKey[member.Key] = endpoint
 	snapshot.byService[endpoint.Service] = append(snapshot.byService[endpoint.Service], member)
@@ -269,7 +353,7 @@
 	}
 	for id, endpoint := range before.byID {
 		// The address may belong to another endpoint by now.
-		if !listed[id] && !addresses[endpoint.Address.String()] {
+		if !listed[id] && !addresses[endpoint.Address.String()] && !snapshot.drained[endpoint.DataCentre] {
 			snapshot.add(endpoint)
 			directory.addException(directory.storeRecoveredAt + recoveryGrace)
 		}
@@ -284,10 +368,11 @@
 				Stringer("address", endpoint.Address).Msg("endpoint_joined")
 		}
 	}
-	for id := range before.byID {
-		if after.byID[id] == nil {
+	for id, endpoint := range before.byID {
+		// A drained endpoint has not departed: it is used again when the drain ends.
+		if after.byID[id] == nil && !after.drained[endpoint.DataCentre] {
 			directory.Log.Info().Str("endpoint", string(id)).Msg("endpoint_left")
-			directory.recordDeparture(before.byID[id].Key(), at)
+			directory.recordDeparture(endpoint.Key(), at)
 		}
 	}
 }
--- a/peridotpath/directory/directory_test.go
+++ b/peridotpath/directory/directory_test.go
@@ -40,12 +40,12 @@
 	is := is.New(t)
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	one, two := endpoint("one", 1), endpoint("two", 2)
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute)
 	is.Equal(len(ids(dir)), 2)
 	two.State = peridotpath.StateLeaving
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute+time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute+time.Second)
 	is.Equal(ids(dir), []string{"one"})
-	dir.Apply([]peridotpath.Endpoint{one}, time.Minute+2*time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one}}, time.Minute+2*time.Second)
 	is.Equal(ids(dir), []string{"one"})
 }
 
@@ -56,13 +56,13 @@
 	is := is.New(t)
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	one, two := endpoint("one", 1), endpoint("two", 2)
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute)
 	recoveredAt := time.Minute + 10*time.Second
-	dir.Apply([]peridotpath.Endpoint{one}, recoveredAt)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one}}, recoveredAt)
 	is.Equal(ids(dir), []string{"one", "two"})
 	is.Equal(dir.OverdueBy(recoveredAt+2*time.Second), time.Duration(0))
 	is.True(dir.OverdueBy(recoveredAt+2300*time.Millisecond) > 0)
-	dir.Apply([]peridotpath.Endpoint{one}, recoveredAt+2300*time.Millisecond)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one}}, recoveredAt+2300*time.Millisecond)
 	is.Equal(ids(dir), []string{"one"})
 	is.Equal(dir.OverdueBy(recoveredAt+time.Minute), time.Duration(0))
 }
@@ -74,11 +74,11 @@
 	is := is.New(t)
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	one, two := endpoint("one", 1), endpoint("two", 2)
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute)
 	for second := range time.Duration(10) {
 		dir.MarkStoreReadable(time.Minute + second*time.Second)
 	}
-	dir.Apply([]peridotpath.Endpoint{one}, time.Minute+10*time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one}}, time.Minute+10*time.Second)
 	is.Equal(ids(dir), []string{"one"})
 }
 
@@ -88,9 +88,9 @@
 	is := is.New(t)
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	one, two := endpoint("one", 1), endpoint("two", 2)
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute)
 	three := endpoint("three", 2)
-	dir.Apply([]peridotpath.Endpoint{one, three}, time.Minute+10*time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, three}}, time.Minute+10*time.Second)
 	is.Equal(ids(dir), []string{"one", "three"})
 }
 
@@ -100,9 +100,9 @@
 	after.Incarnation = 2
 	is.True(before.Key() != after.Key())
 	dir := &directory.Directory{Log: zerolog.Nop()}
-	dir.Apply([]peridotpath.Endpoint{before}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{before}}, time.Minute)
 	is.Equal(dir.Current().ForService("llm")[0].Key, before.Key())
-	dir.Apply([]peridotpath.Endpoint{after}, time.Minute+time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{after}}, time.Minute+time.Second)
 	is.Equal(dir.Current().ForService("llm")[0].Key, after.Key())
 }
 
@@ -130,11 +130,11 @@
 				defer mutex.Unlock()
 				return slices.Clone(list), 0, failure
 			},
-			Decode: func(entries []keyvalue.Entry) []peridotpath.Endpoint {
+			Decode: func(entries []keyvalue.Entry) directory.Listing {
 				endpoints := map[string]peridotpath.Endpoint{"one": one, "two": two}
-				var decoded []peridotpath.Endpoint
+				var decoded directory.Listing
 				for _, entry := range entries {
-					decoded = append(decoded, endpoints[entry.Key])
+					decoded.Endpoints = append(decoded.Endpoints, endpoints[entry.Key])
 				}
 				return decoded
 			},
--- a/peridotpath/directory/era_test.go
+++ b/peridotpath/directory/era_test.go
@@ -28,24 +28,24 @@
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	stays, left, leaving, joined := endpoint("stays", 1), endpoint("left", 2), endpoint("leaving", 3), endpoint("joined", 4)
 	inCopy := []peridotpath.Endpoint{stays, left, leaving}
-	dir.Apply(inCopy, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: inCopy}, time.Minute)
 	leaving.State = peridotpath.StateLeaving
-	dir.Apply([]peridotpath.Endpoint{stays, leaving, joined}, time.Minute+time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{stays, leaving, joined}}, time.Minute+time.Second)
 	is.Equal(ids(dir), []string{"stays", "joined"})
 
 	restoredAt := time.Minute + 4*time.Second
 	dir.MarkStoreReadable(restoredAt - time.Second)
 	dir.MarkStoreRestored(restoredAt)
-	dir.Apply(inCopy, restoredAt+100*time.Millisecond)
+	dir.Apply(directory.Listing{Endpoints: inCopy}, restoredAt+100*time.Millisecond)
 	is.Equal(ids(dir), []string{"stays", "joined"})
 	// Both exceptions end, at different times, and each makes a read overdue.
 	is.Equal(dir.OverdueBy(restoredAt+2*time.Second), time.Duration(0))
 	is.True(dir.OverdueBy(restoredAt+2300*time.Millisecond) > 0)
-	dir.Apply(inCopy, restoredAt+2300*time.Millisecond)
+	dir.Apply(directory.Listing{Endpoints: inCopy}, restoredAt+2300*time.Millisecond)
 	is.Equal(ids(dir), []string{"stays"})
 	is.Equal(dir.OverdueBy(restoredAt+7*time.Second), time.Duration(0))
 	is.True(dir.OverdueBy(restoredAt+9*time.Second) > 0)
-	dir.Apply(inCopy, restoredAt+9*time.Second)
+	dir.Apply(directory.Listing{Endpoints: inCopy}, restoredAt+9*time.Second)
 	is.Equal(ids(dir), []string{"stays", "left", "leaving"})
 }
 
@@ -54,12 +54,12 @@
 	is := is.New(t)
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	one, two := endpoint("one", 1), endpoint("two", 2)
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute)
 	dir.MarkStoreRestored(time.Minute)
 	dir.MarkStoreReadable(time.Minute + time.Second)
-	dir.Apply([]peridotpath.Endpoint{one}, time.Minute+3*time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one}}, time.Minute+3*time.Second)
 	is.Equal(ids(dir), []string{"one"})
-	dir.Apply([]peridotpath.Endpoint{one, two}, time.Minute+4*time.Second)
+	dir.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{one, two}}, time.Minute+4*time.Second)
 	is.Equal(ids(dir), []string{"one", "two"})
 }
 
@@ -118,12 +118,12 @@
 					}
 					return snapshot, nil
 				},
-				Decode: func(entries []keyvalue.Entry) []peridotpath.Endpoint {
-					var endpoints []peridotpath.Endpoint
+				Decode: func(entries []keyvalue.Entry) directory.Listing {
+					var listing directory.Listing
 					for _, entry := range entries {
-						endpoints = append(endpoints, endpointsByName[entry.Key])
+						listing.Endpoints = append(listing.Endpoints, endpointsByName[entry.Key])
 					}
-					return endpoints
+					return listing
 				},
 				Schedule: clock.PollSchedule{
 					MinAge: 900 * time.Millisecond, MaxDelay: 800 * time.Millisecond, RetryDelay: 250 * time.Millisecond, MinInterval: 60 * time.Millisecond,
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/readings"
@@ -18,10 +17,10 @@
 // Follower keeps a Directory up to date with the store. Set the exported fields before Run.
 type Follower struct {
 	Directory *Directory
-	// List reads the entries of all endpoints and returns them with the era of the store
-	// they belong to. Decode decodes them.
+	// List reads the entries of all endpoints and of the drained data centres, and returns
+	// them with the era of the store they belong to. Decode decodes them.
 	List   func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error)
-	Decode func(entries []keyvalue.Entry) []peridotpath.Endpoint
+	Decode func(entries []keyvalue.Entry) Listing
 	// FetchFromPeer fetches a peer's snapshot of the endpoints; have is the one held here.
 	FetchFromPeer func(ctx context.Context, peer netip.AddrPort, have readings.EndpointsSnapshot) (readings.EndpointsSnapshot, error)
 	// Eras holds the eras of the store.
--- a/peridotpath/directory/machine_test.go
+++ b/peridotpath/directory/machine_test.go
@@ -121,7 +121,7 @@
 			machine.lastRead[endpoint.ID] = endpoint.State
 		}
 	}
-	machine.directory.Apply(entries, machine.now)
+	machine.directory.Apply(directory.Listing{Endpoints: entries}, machine.now)
 	machine.checkEndpoints()
 }
 
--- a/peridotpath/endpoint.go
+++ b/peridotpath/endpoint.go
@@ -41,6 +41,9 @@
 	// Slots is the number of requests that the endpoint runs concurrently; zero where
 	// unknown.
 	Slots int `json:"slots,omitempty"`
+	// Cold is set while the endpoint has recently started and tolerates only the cold rate of
+	// its service.
+	Cold bool `json:"cold,omitempty"`
 	// ChecksFencing is set where the engine rejects calls with a stale fencing token.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 }
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -45,6 +45,10 @@
 	EndpointPrefix   string
 	DecodeEndpoints  func(entries []keyvalue.Entry) []peridotpath.Endpoint
 	CompactEndpoints func(entries []keyvalue.Entry) []keyvalue.Entry
+	// DrainPrefix is the key prefix under which operators drain data centres; DecodeDrains
+	// decodes the data centres. It is read where Settings.DrainTime is set.
+	DrainPrefix  string
+	DecodeDrains func(entries []keyvalue.Entry) []peridotpath.DataCentre
 	// Send sends a call to an endpoint.
 	Send relay.Sender
 	// Check probes whether an engine is alive.
@@ -184,12 +188,13 @@
 // setGauges registers the gauges of the metrics.
 func (instance *Instance) setGauges() {
 	telemetry.SetGauges(&telemetry.Gauges{
-		RoutingAge:     func() float64 { return instance.routing.Age().Seconds() },
-		EndpointsAge:   func() float64 { return instance.endpointFollower.Age().Seconds() },
-		RoutingVersion: func() float64 { return float64(instance.routing.Version()) },
-		Peers:          func() float64 { return float64(instance.loads.LivePeerCount(time.Now())) },
-		Reservations:   func() float64 { return float64(instance.reservations.ActiveCount()) },
-		ActiveRequests: func() float64 { return float64(instance.activeRequests.Load()) },
+		RoutingAge:         func() float64 { return instance.routing.Age().Seconds() },
+		EndpointsAge:       func() float64 { return instance.endpointFollower.Age().Seconds() },
+		RoutingVersion:     func() float64 { return float64(instance.routing.Version()) },
+		DrainedDataCentres: func() float64 { return float64(instance.directory.Current().DrainedCount()) },
+		Peers:              func() float64 { return float64(instance.loads.LivePeerCount(time.Now())) },
+		Reservations:       func() float64 { return float64(instance.reservations.ActiveCount()) },
+		ActiveRequests:     func() float64 { return float64(instance.activeRequests.Load()) },
 	})
 }
 
@@ -267,7 +272,7 @@
 		),
 	}
 	instance.endpointFollower = &directory.Follower{
-		Directory: instance.directory, List: instance.listEndpoints, Decode: adapter.DecodeEndpoints, Now: clock.SinceBoot,
+		Directory: instance.directory, List: instance.listEndpoints, Decode: instance.decodeListing, Now: clock.SinceBoot,
 		Eras: adapter.Eras, FetchFromPeer: readings.FetchEndpoints, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
 		Schedule: instance.pollSchedule(func() bool { return instance.directory.Current() != nil }, instance.directory.ContentHash),
 	}
@@ -329,13 +334,35 @@
 	}
 }
 
-// listEndpoints reads the entries of the endpoints from the store.
+// listEndpoints reads the entries of the endpoints and the drains of data centres from the
+// store. They are one reading with one age, so that peers confirm and fetch both at once.
 func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
-	entries, version, err := instance.Adapter.Store.List(ctx, instance.Adapter.EndpointPrefix)
+	adapter := &instance.Adapter
+	entries, version, err := adapter.Store.List(ctx, adapter.EndpointPrefix)
 	if err != nil {
 		return nil, 0, err
 	}
-	return instance.Adapter.CompactEndpoints(entries), version.Era(), nil
+	entries = adapter.CompactEndpoints(entries)
+	if instance.Settings.DrainTime == 0 {
+		return entries, version.Era(), nil
+	}
+	drains, drainVersion, err := adapter.Store.List(ctx, adapter.DrainPrefix)
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case drainVersion.Era() != version.Era():
+		return nil, 0, keyvalue.ErrUnavailable.New("store era changed from %d to %d between lists", version.Era(), drainVersion.Era())
+	}
+	return append(entries, drains...), version.Era(), nil
+}
+
+// decodeListing decodes the entries that listEndpoints has read.
+func (instance *Instance) decodeListing(entries []keyvalue.Entry) directory.Listing {
+	listing := directory.Listing{Endpoints: instance.Adapter.DecodeEndpoints(entries)}
+	if instance.Settings.DrainTime > 0 {
+		listing.Drained = instance.Adapter.DecodeDrains(entries)
+	}
+	return listing
 }
 
 // Run serves requests until a signal arrives on stop, and then shuts down.
--- a/peridotpath/instance/settings.go
+++ b/peridotpath/instance/settings.go
@@ -46,6 +46,9 @@
 	// MaxPropagationDelay is the time within which a change of the routing or of the endpoints
 	// must be active.
 	MaxPropagationDelay time.Duration
+	// DrainTime is the time within which a drain of a data centre must be active; zero where
+	// operators drain none.
+	DrainTime time.Duration
 	// StallTime is how long an engine's work stalls when another engine that it depends on is
 	// unreachable.
 	StallTime time.Duration
@@ -98,6 +101,7 @@
 	faults.Range("retry_slack", int64(settings.RetrySlack), 0, 1_000_000)
 	faults.Range("max_hold_ms", settings.MaxHold.Milliseconds(), 100, 3_600_000)
 	faults.Range("change_within_ms", settings.MaxPropagationDelay.Milliseconds(), 500, 600_000)
+	faults.Range("drain_ms", settings.DrainTime.Milliseconds(), 0, 600_000)
 	faults.Range("stall_ms", settings.StallTime.Milliseconds(), 10, 60_000)
 	if settings.RetryRatio < 0 || settings.RetryRatio > 1 {
 		faults.Add("retry_ratio", "is %v, must be from 0 to 1", settings.RetryRatio)
--- a/peridotpath/relay/availability.go
+++ b/peridotpath/relay/availability.go
@@ -34,14 +34,14 @@
 	return false
 }
 
-// planTakesRequests reports whether all endpoints of the plan still take requests. An answer
-// to another request or to a reservation may have announced the contrary since.
+// planTakesRequests reports whether all endpoints of the plan still take requests. Since the
+// plan was made, an answer to another request or to a reservation may have announced the
+// contrary, or a new list may lack an endpoint, as when its data centre is drained.
 func (exchange *exchange) planTakesRequests(now time.Time) bool {
-	if exchange.relay.Availability.IsEmpty() {
-		return true
-	}
+	listed := exchange.relay.AllEndpoints()
 	for _, endpoint := range append([]*peridotpath.Endpoint{exchange.plan.Primary}, exchange.plan.Helpers...) {
-		if !exchange.takesRequests(endpoint.Key(), now) {
+		key := endpoint.Key()
+		if listed.ByKey(key) == nil || !exchange.takesRequests(key, now) {
 			return false
 		}
 	}
--- a/peridotpath/relay/availability_paths_test.go
+++ b/peridotpath/relay/availability_paths_test.go
@@ -23,6 +23,36 @@
 	"backoff": {Backoff: 3 * time.Second},
 }
 
+// A withdrawal is what keeps requests from endpoints that are listed as live.
+type withdrawal struct {
+	name string
+	// apply withdraws the endpoints with these numbers, of the fixture's endpoints.
+	apply func(fixture *fixture, endpoints []peridotpath.Endpoint, numbers ...int)
+}
+
+// withdrawals are announcements of the endpoints themselves, and the drain of their data centre.
+func withdrawals() []withdrawal {
+	drain := withdrawal{"drained", func(fixture *fixture, endpoints []peridotpath.Endpoint, numbers ...int) {
+		listing := directory.Listing{Drained: []peridotpath.DataCentre{"drained"}}
+		for _, endpoint := range endpoints {
+			if slices.ContainsFunc(numbers, func(number int) bool { return testEndpoint(number).ID == endpoint.ID }) {
+				endpoint.DataCentre = "drained"
+			}
+			listing.Endpoints = append(listing.Endpoints, endpoint)
+		}
+		fixture.directory.Apply(listing, fixture.routing.Now())
+	}}
+	all := []withdrawal{drain}
+	for name, announced := range announcements {
+		all = append(all, withdrawal{name, func(fixture *fixture, _ []peridotpath.Endpoint, numbers ...int) {
+			for _, number := range numbers {
+				fixture.record(number, announced)
+			}
+		}})
+	}
+	return all
+}
+
 // record records that an endpoint of the fixture has announced something.
 func (fixture *fixture) record(number int, announced availability.Announcement) {
 	endpoint := testEndpoint(number)
@@ -70,9 +100,9 @@
 			}
 		}},
 	}
-	for kind, announced := range announcements {
+	for _, withdrawal := range withdrawals() {
 		for _, test := range tests {
-			t.Run(kind+"/"+test.name, func(t *testing.T) {
+			t.Run(withdrawal.name+"/"+test.name, func(t *testing.T) {
 				for range 10 {
 					is := is.New(t)
 					script := &script{steps: test.steps}
@@ -80,9 +110,9 @@
 					if test.route != "short" && test.route != "long" {
 						rates = nil
 					}
-					fixture := newFixture(script.send, rates, testEndpoint(1), testEndpoint(2), testEndpoint(3), testEndpoint(4), testEndpoint(5))
-					fixture.record(1, announced)
-					fixture.record(3, announced)
+					endpoints := []peridotpath.Endpoint{testEndpoint(1), testEndpoint(2), testEndpoint(3), testEndpoint(4), testEndpoint(5)}
+					fixture := newFixture(script.send, rates, endpoints...)
+					withdrawal.apply(fixture, endpoints, 1, 3)
 					outcome := fixture.send(t.Context(), test.route, func(request *relay.Request) {
 						if test.change != nil {
 							test.change(fixture, request)
@@ -98,11 +128,11 @@
 	}
 }
 
-// A helper announces in its answer to the reservation of memory that it takes no requests. The
-// prompt must go to other engines, without a failed attempt.
+// While memory is reserved at a helper, it announces that it takes no requests, or its data
+// centre is drained. The prompt must go to other engines, without a failed attempt.
 func TestPromptIsPlacedAnewWhenHelperBecomesUnavailable(t *testing.T) {
-	for kind, announced := range announcements {
-		t.Run(kind, func(t *testing.T) {
+	for _, withdrawal := range withdrawals() {
+		t.Run(withdrawal.name, func(t *testing.T) {
 			is := is.New(t)
 			script := &script{steps: []step{answer(200, events12, nil)}}
 			var endpoints []peridotpath.Endpoint
@@ -114,7 +144,8 @@
 			fixture.relay.Reservations.Reserve = func(_ context.Context, endpoint *peridotpath.Endpoint, _ string, _ peridotpath.Tokens, _ time.Duration) (bool, error) {
 				if announcer == nil {
 					announcer = endpoint
-					fixture.relay.Availability.Record(endpoint, announced, availability.Carrier{Exchange: "reserve"}, time.Now())
+					number := slices.IndexFunc(endpoints, func(other peridotpath.Endpoint) bool { return other.ID == endpoint.ID })
+					withdrawal.apply(fixture, endpoints, number)
 				}
 				return true, nil
 			}
@@ -129,6 +160,33 @@
 	}
 }
 
+// All data centres are drained: callers must be told at once, and when to return, instead of
+// waiting until their deadline.
+func TestRequestIsRefusedAtOnceWhenAllIsDrained(t *testing.T) {
+	for _, route := range []string{"short", "long", "look", "save"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			script := &script{}
+			endpoints := []peridotpath.Endpoint{testEndpoint(1), testEndpoint(2)}
+			rates := &testRates
+			if route == "look" || route == "save" {
+				rates = nil
+			}
+			fixture := newFixture(script.send, rates, endpoints...)
+			withdrawals()[0].apply(fixture, endpoints, 1, 2)
+			outcome := fixture.send(t.Context(), route, func(request *relay.Request) {
+				if rates != nil {
+					request.PromptTokens, request.MaxAnswerTokens = 200_000, 400
+				}
+			})
+			is.Equal(outcome.result.Code, peridotpath.CodeUnavailable)
+			is.True(outcome.result.RetryAfter >= time.Second)
+			is.True(outcome.took < 100*time.Millisecond)
+			is.Equal(len(script.calls), 0)
+		})
+	}
+}
+
 // The store's list, or one from a peer, still shows an endpoint that has announced that it
 // leaves. It must stay unused until the list shows that it has started again.
 func TestLeavingEndpointIsUsedAgainAfterItsRestart(t *testing.T) {
@@ -138,13 +196,13 @@
 	fixture := newFixture(script.send, nil, endpoint)
 	fixture.record(1, availability.Announcement{Leaving: true})
 	for range 3 {
-		fixture.directory.Apply([]peridotpath.Endpoint{endpoint}, fixture.routing.Now())
+		fixture.directory.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{endpoint}}, fixture.routing.Now())
 		outcome := fixture.send(t.Context(), "save", nil)
 		is.Equal(outcome.result.Code, peridotpath.CodeUnavailable)
 		is.True(outcome.result.RetryAfter > 0)
 	}
 	endpoint.Incarnation++
-	fixture.directory.Apply([]peridotpath.Endpoint{endpoint}, fixture.routing.Now())
+	fixture.directory.Apply(directory.Listing{Endpoints: []peridotpath.Endpoint{endpoint}}, fixture.routing.Now())
 	is.Equal(fixture.send(t.Context(), "save", nil).status, http.StatusOK)
 }
 
--- a/peridotpath/relay/candidates.go
+++ b/peridotpath/relay/candidates.go
@@ -76,7 +76,7 @@
 		return exchange.refusal(peridotpath.CodeUnavailable, skipped.backoffWait.retryAfter())
 	case skipped.limitWait > 0:
 		return exchange.refusal(peridotpath.CodeLimited, skipped.limitWait.retryAfter())
-	case skipped.leaving:
+	case skipped.leaving, exchange.relay.AllEndpoints().HasDrained(exchange.service):
 		return exchange.refusal(peridotpath.CodeUnavailable, replacementRetryAfter)
 	}
 	return exchange.refusal(peridotpath.CodeNoEndpoint, shortRetryAfter)
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -88,7 +88,7 @@
 		KeyLifetime: time.Hour, Log: zerolog.Nop(),
 	}
 	fixture.routing.Apply(testRouting(engine), fixture.routing.Now())
-	fixture.directory.Apply(endpoints, fixture.routing.Now())
+	fixture.directory.Apply(directory.Listing{Endpoints: endpoints}, fixture.routing.Now())
 	fixture.relay = &relay.Relay{
 		Instance: "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.routing,
 		Endpoints: fixture.directory.Current, AllEndpoints: fixture.directory.Current, LoadTracker: fixture.loadTracker, Send: send, Quarantine: quarantined,
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -71,8 +71,8 @@
 	// longRetryAfter is the retry delay for a refusal that lasts until the store is
 	// reachable.
 	longRetryAfter = time.Second
-	// replacementRetryAfter is the retry delay while all endpoints of a service leave: those
-	// that replace them mostly register within seconds.
+	// replacementRetryAfter is the retry delay while all endpoints of a service leave or are
+	// drained: those that replace them mostly register within seconds.
 	replacementRetryAfter = 2 * time.Second
 )
 
--- a/peridotpath/relay/relay_test.go
+++ b/peridotpath/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/relay"
@@ -212,7 +213,7 @@
 		// The key may have been revoked since the routing was last confirmed.
 		{"key, routing too old", "save", func(fixture *fixture, _ *relay.Request) { fixture.clock += 2 * time.Hour }, peridotpath.CodePlatformDown},
 		{"no endpoint", "save", func(fixture *fixture, _ *relay.Request) {
-			fixture.directory.Apply(nil, fixture.routing.Now())
+			fixture.directory.Apply(directory.Listing{}, fixture.routing.Now())
 		}, peridotpath.CodeNoEndpoint},
 	}
 	for _, test := range tests {
--- a/peridotpath/telemetry/relay.go
+++ b/peridotpath/telemetry/relay.go
@@ -61,6 +61,7 @@
 type Gauges struct {
 	RoutingAge, EndpointsAge func() float64
 	RoutingVersion           func() float64
+	DrainedDataCentres       func() float64
 	Peers, Reservations      func() float64
 	ActiveRequests           func() float64
 }
@@ -70,6 +71,7 @@
 		"peridotpath_routing_age_seconds":   func(set *Gauges) func() float64 { return set.RoutingAge },
 		"peridotpath_endpoints_age_seconds": func(set *Gauges) func() float64 { return set.EndpointsAge },
 		"peridotpath_routing_version":       func(set *Gauges) func() float64 { return set.RoutingVersion },
+		"peridotpath_data_centres_drained":  func(set *Gauges) func() float64 { return set.DrainedDataCentres },
 		"peridotpath_peers":                 func(set *Gauges) func() float64 { return set.Peers },
 		"peridotpath_reservations_held":     func(set *Gauges) func() float64 { return set.Reservations },
 		"peridotpath_requests_active":       func(set *Gauges) func() float64 { return set.ActiveRequests },
