throttle: all instances together keep to the cold rate of an endpoint

An endpoint is cold for some seconds after its start, or when a data centre returns, and crashes at a rate well above the one that its service publishes for that time.

The throttle, which already shares an announced limit between all instances by facts, takes the cold rate as a limit while the list shows the endpoint as cold. It is told from the list, which endpoints renew each heartbeat; no call of the store or of the endpoint is made for it.

An endpoint with tokens for a request and for all that others may send meanwhile admits it: before, the chance was 1/(1+contenders) however many tokens were left, and contenders are counted over the whole fleet, so that a cold endpoint got a sixth of its rate while the fleet was busy elsewhere (TestFullBucketAdmitsRequestAmongContenders, fails without).

The soak drains data centres, one or all, and makes endpoints cold. TestColdEndpointsReceiveTheirColdRate: never over 1.5 x rate + 5 in a second, at least nine tenths of the rate where there is demand.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -153,7 +153,8 @@
 	instance.facts = &facts.Table{}
 	instance.quarantine = &quarantine.Quarantine{Instance: settings.InstanceID, Facts: instance.facts, Log: log}
 	instance.throttle = &throttle.Throttle{
-		Instance: settings.InstanceID, SenderID: throttle.SenderID(settings.InstanceID, instance.incarnation), Facts: instance.facts, Log: log,
+		Instance: settings.InstanceID, SenderID: throttle.SenderID(settings.InstanceID, instance.incarnation), Facts: instance.facts,
+		HasCold: func() bool { return instance.directory.Current().HasCold() }, ColdRate: instance.coldRate, Log: log,
 	}
 	instance.availability = &availability.Tracker{Instance: settings.InstanceID, Facts: instance.facts, FindEndpoint: instance.findEndpoint, Log: log}
 	instance.facts.OnReceive = instance.availability.ReceiveFact
@@ -233,6 +234,17 @@
 	return slow
 }
 
+// coldRate returns the request rate that a cold endpoint tolerates; false for an endpoint that
+// is not cold, or whose service publishes no such rate.
+func (instance *Instance) coldRate(key peridotpath.EndpointKey) (peridotpath.Rate, bool) {
+	endpoint, table := instance.findEndpoint(key), instance.routing.Current()
+	if endpoint == nil || !endpoint.Cold || table == nil {
+		return 0, false
+	}
+	rate := table.ServiceSpec(endpoint.Service).ColdRate
+	return rate, rate > 0
+}
+
 // findEndpoint returns the endpoint with the key; nil if it is not in use.
 func (instance *Instance) findEndpoint(key peridotpath.EndpointKey) *peridotpath.Endpoint {
 	return instance.directory.Current().ByKey(key)
--- a/peridotpath/route.go
+++ b/peridotpath/route.go
@@ -88,6 +88,9 @@
 // ServiceSpec is the routing configuration of one service.
 type ServiceSpec struct {
 	Name Service
+	// ColdRate is the request rate that a cold endpoint tolerates, of all instances together;
+	// zero where none is published.
+	ColdRate Rate
 	// Engine is nil for a plain service.
 	Engine *EngineRates
 }
--- a/peridotpath/throttle/throttle.go
+++ b/peridotpath/throttle/throttle.go
@@ -6,6 +6,10 @@
 // would be unused at instances without traffic. Each instance therefore keeps a token
 // bucket for the endpoint's whole limit, gossips how many requests it has sent, and deducts
 // what the others have sent.
+//
+// It matters as well for the endpoints of a data centre that return together: each of them is
+// cold, is empty and so attracts all instances at once, and crashes at a rate well above the
+// one that its service publishes for cold endpoints.
 package throttle
 
 import (
@@ -41,6 +45,10 @@
 	// SenderID identifies this start of the instance.
 	SenderID uint64
 	Facts    *facts.Table
+	// HasCold reports whether any endpoint is cold; nil where none ever is. ColdRate returns
+	// the rate that an endpoint tolerates while it is cold; false for one that is not.
+	HasCold  func() bool
+	ColdRate func(endpoint peridotpath.EndpointKey) (peridotpath.Rate, bool)
 	Log      zerolog.Logger
 
 	mutex   sync.Mutex
@@ -67,7 +75,7 @@
 
 // RecordLimit records the limit that an endpoint reported in a response.
 func (throttle *Throttle) RecordLimit(endpoint *peridotpath.Endpoint, limit peridotpath.Rate, now time.Time) {
-	before, found := throttle.limit(endpoint.Key(), now)
+	before, found := throttle.announcedLimit(endpoint.Key(), now)
 	if !found || before != limit {
 		throttle.Log.Info().Str("endpoint", string(endpoint.ID)).Float64("limit", float64(limit)).Float64("before", float64(before)).Msg("limit_changed")
 	}
@@ -77,7 +85,7 @@
 // RecordNoLimit records a response without a limit. It ends the endpoint's limit, unless
 // the request was sent before the limit was reported.
 func (throttle *Throttle) RecordNoLimit(endpoint *peridotpath.Endpoint, sentAt, now time.Time) {
-	if throttle.HasNoLimits() {
+	if !throttle.Facts.Has(facts.KindRateLimit) {
 		return
 	}
 	reported, found := throttle.Facts.Get(facts.KindRateLimit, facts.EndpointSubject(endpoint.Key()), 0, now)
@@ -94,20 +102,38 @@
 	})
 }
 
-// limit returns an endpoint's limit; false if it has none.
+// limit returns an endpoint's limit: the lower one of what it announced and what it tolerates
+// while it is cold; false if it has none.
 func (throttle *Throttle) limit(endpoint peridotpath.EndpointKey, now time.Time) (peridotpath.Rate, bool) {
+	limit, found := throttle.announcedLimit(endpoint, now)
+	if !throttle.hasCold() {
+		return limit, found
+	}
+	coldRate, cold := throttle.ColdRate(endpoint)
+	if cold && (!found || coldRate < limit) {
+		return coldRate, true
+	}
+	return limit, found
+}
+
+func (throttle *Throttle) hasCold() bool { return throttle.HasCold != nil && throttle.HasCold() }
+
+// announcedLimit returns the limit that an endpoint announced; false if it announced none.
+func (throttle *Throttle) announcedLimit(endpoint peridotpath.EndpointKey, now time.Time) (peridotpath.Rate, bool) {
 	fact, found := throttle.Facts.Get(facts.KindRateLimit, facts.EndpointSubject(endpoint), 0, now)
 	limit := peridotpath.Rate(fact.Value)
 	return limit, found && limit < noLimit
 }
 
-// HasNoLimits reports whether no limit of any endpoint is stored.
-func (throttle *Throttle) HasNoLimits() bool { return !throttle.Facts.Has(facts.KindRateLimit) }
+// HasNoLimits reports whether no endpoint has a limit. It is cheap enough for every request.
+func (throttle *Throttle) HasNoLimits() bool {
+	return !throttle.Facts.Has(facts.KindRateLimit) && !throttle.hasCold()
+}
 
 // TimeUntilAllowed returns the time until a request may be sent to an endpoint; zero if one
 // may be sent now. contenders is the estimated number of competing requests at other
-// instances that have not been gossiped yet. Where a token is left, the request is admitted
-// with a probability of 1/(1+contenders).
+// instances that have not been gossiped yet. Where fewer tokens are left than the request and
+// its contenders need, it is admitted with a probability of tokens/(1+contenders).
 func (throttle *Throttle) TimeUntilAllowed(endpoint peridotpath.EndpointKey, contenders float64, now time.Time) time.Duration {
 	throttle.mutex.Lock()
 	defer throttle.mutex.Unlock()
@@ -117,7 +143,7 @@
 		return 0
 	case bucket.tokens < 1:
 		return time.Duration((1 - bucket.tokens) / float64(bucket.rate) * float64(time.Second))
-	case rand.Float64()*(1+contenders) > 1:
+	case rand.Float64()*(1+contenders) > bucket.tokens:
 		return time.Duration(float64(time.Second) / float64(bucket.rate))
 	}
 	return 0
--- a/peridotpath/throttle/throttle_test.go
+++ b/peridotpath/throttle/throttle_test.go
@@ -17,9 +17,11 @@
 
 // fleet is a set of instances with a manual clock that exchange facts in gossip.
 type fleet struct {
-	now       time.Time
-	tables    []*facts.Table
-	throttles []*throttle.Throttle
+	now time.Time
+	// contenders is the number of requests that peers send before an instance hears of them.
+	contenders float64
+	tables     []*facts.Table
+	throttles  []*throttle.Throttle
 }
 
 func newFleet(count int) *fleet {
@@ -48,7 +50,7 @@
 // was sent.
 func (fleet *fleet) trySend(instance int) bool {
 	sender := fleet.throttles[instance]
-	return sender.TimeUntilAllowed(limitedEndpoint.Key(), 0, fleet.now) == 0 && sender.TakeTokens([]peridotpath.EndpointKey{limitedEndpoint.Key()}, fleet.now)
+	return sender.TimeUntilAllowed(limitedEndpoint.Key(), fleet.contenders, fleet.now) == 0 && sender.TakeTokens([]peridotpath.EndpointKey{limitedEndpoint.Key()}, fleet.now)
 }
 
 // sendFor lets every instance try to send every 50 ms, and returns the number of requests
@@ -197,3 +199,66 @@
 	fleet.now = fleet.now.Add(2 * time.Minute)
 	is.Equal(fleet.throttles[0].TimeUntilAllowed(limitedEndpoint.Key(), 0, fleet.now), time.Duration(0))
 }
+
+// A data centre's endpoints return cold, and all instances want to use each of them. In no second
+// may an endpoint receive more than its cold rate by half and five, or it crashes; where there is
+// demand it must receive nine tenths of the rate.
+func TestColdEndpointsReceiveTheirColdRate(t *testing.T) {
+	for _, rate := range []peridotpath.Rate{14, 3} {
+		is := is.New(t)
+		const instances, span, step, lag = 20, 6 * time.Second, 10 * time.Millisecond, 30 * time.Millisecond
+		fleet := newFleet(instances)
+		fleet.contenders = float64(instances * lag / step)
+		for _, sender := range fleet.throttles {
+			sender.HasCold = func() bool { return true }
+			sender.ColdRate = func(endpoint peridotpath.EndpointKey) (peridotpath.Rate, bool) {
+				return rate, endpoint == limitedEndpoint.Key()
+			}
+		}
+		var sentAt []time.Time
+		began := fleet.now
+		for fleet.now.Sub(began) < span {
+			fleet.now = fleet.now.Add(step)
+			// Several instances send before any of them hears of the others.
+			for i := range instances {
+				if fleet.trySend(i) {
+					sentAt = append(sentAt, fleet.now)
+				}
+			}
+			if fleet.now.Sub(began)%lag == 0 {
+				fleet.gossip()
+			}
+		}
+		for i, first := range sentAt {
+			within := 0
+			for _, other := range sentAt[i:] {
+				if other.Sub(first) < time.Second {
+					within++
+				}
+			}
+			if most := int(1.5*float64(rate)) + 5; first.Sub(began) > time.Second && within > most {
+				t.Errorf("rate %v: %d requests in a second at %s, want %d at most", rate, within, first.Sub(began), most)
+			}
+		}
+		is.True(float64(len(sentAt)) >= 0.9*float64(rate)*span.Seconds())
+		is.True(fleet.throttles[0].TimeUntilAllowed((&peridotpath.Endpoint{ID: "i-8"}).Key(), 0, fleet.now) == 0) // not cold
+	}
+}
+
+// A cold endpoint gets few requests while the fleet is busy elsewhere. With tokens for the request
+// and all its contenders it must be admitted, or most of the cold rate goes unused.
+func TestFullBucketAdmitsRequestAmongContenders(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(1)
+	fleet.contenders = 5
+	fleet.throttles[0].HasCold = func() bool { return true }
+	fleet.throttles[0].ColdRate = func(peridotpath.EndpointKey) (peridotpath.Rate, bool) { return 14, true }
+	admitted := 0
+	for range 100 {
+		fleet.now = fleet.now.Add(200 * time.Millisecond)
+		if fleet.trySend(0) {
+			admitted++
+		}
+	}
+	is.True(admitted >= 95)
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,9 +33,13 @@
 	backoffs    map[sender]*askedBackoff
 	// saysLeaving holds the endpoints that say now that they leave.
 	saysLeaving map[peridotpath.EndpointID]bool
-	violations  []string
-	requests    int
-	served      int
+	// drainedSince is when the store acknowledged the drain of a data centre; zero for none.
+	drainedSince map[peridotpath.DataCentre]time.Time
+	cold         map[peridotpath.EndpointID]*coldEndpoint
+	store        *standin.Store
+	violations   []string
+	requests     int
+	served       int
 }
 
 type endpointRun struct {
@@ -51,8 +55,9 @@
 	SentAt   time.Time
 }
 
-func newChecker() *checker {
+func newChecker(store *standin.Store) *checker {
 	return &checker{
+		store: store, drainedSince: map[peridotpath.DataCentre]time.Time{}, cold: map[peridotpath.EndpointID]*coldEndpoint{},
 		runs: map[peridotpath.RequestID][]endpointRun{}, revokedAt: map[peridotpath.APIKey]time.Time{},
 		crashes: map[string][]time.Time{}, quarantinedRuns: map[string]int{}, limits: map[peridotpath.EndpointID]*limitedEndpoint{},
 		toldLeaving: map[sender]time.Time{}, backoffs: map[sender]*askedBackoff{}, saysLeaving: map[peridotpath.EndpointID]bool{}, leavingSince: map[peridotpath.EndpointID]time.Time{}, sentRequests: map[peridotpath.RequestID]sentRequest{},
@@ -116,7 +121,10 @@
 	}
 	checker.recordLimitedArrival(endpoint.ID, &sent, now)
 	checker.recordArrivalDespiteAnnouncement(endpoint, &sent, now)
+	checker.recordArrivalWhileDrained(endpoint, &sent)
+	checker.recordColdArrival(endpoint, &sent, now)
 	for _, helper := range helpers {
+		checker.recordArrivalWhileDrained(helper, &sent)
 		checker.recordArrivalDespiteAnnouncement(helper, &sent, now)
 	}
 	checker.recordBackoff(endpoint.ID, &sent, arrival.Backoff, now)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -174,6 +174,8 @@
 		return "process"
 	case "store_back":
 		return "store"
+	case "drain_all":
+		return "drain"
 	}
 	return name
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,10 +74,12 @@
 	down bool
 }
 
-// buildFleet starts a fleet. Its instances run the binary, with settings and logs in folder.
-func buildFleet(ctx context.Context, binary, folder string) (*fleet, error) {
+// buildFleet starts a fleet, with endpoints in each of the data centres in turn. Its instances run
+// the binary, with settings and logs in folder.
+func buildFleet(ctx context.Context, binary, folder string, dataCentres []peridotpath.DataCentre) (*fleet, error) {
+	store := &standin.Store{}
 	fleet := &fleet{
-		checker: newChecker(), store: &standin.Store{}, routingVersion: 1,
+		checker: newChecker(store), store: store, routingVersion: 1,
 		keys: map[peridotpath.CustomerID][]peridotpath.APIKey{},
 	}
 	for _, customer := range customers {
@@ -94,7 +96,7 @@
 		if i >= engineCount {
 			service = plainService
 		}
-		if err := fleet.addEndpoint(ctx, peridotpath.EndpointID(fmt.Sprintf("i-%d", i)), service); err != nil {
+		if err := fleet.addEndpoint(ctx, peridotpath.EndpointID(fmt.Sprintf("i-%d", i)), service, dataCentres[i%len(dataCentres)]); err != nil {
 			return nil, err
 		}
 	}
@@ -139,10 +141,10 @@
 	return proxy, proxy.address, nil
 }
 
-func (fleet *fleet) addEndpoint(ctx context.Context, id peridotpath.EndpointID, service peridotpath.Service) error {
+func (fleet *fleet) addEndpoint(ctx context.Context, id peridotpath.EndpointID, service peridotpath.Service, dataCentre peridotpath.DataCentre) error {
 	endpoint := &endpoint{startedAt: time.Now()}
 	endpoint.Endpoint = &standin.Endpoint{
-		ID: id, Service: service, Slots: 16,
+		ID: id, Service: service, DataCentre: dataCentre, Slots: 16,
 		OnExecution: func(execution standin.Execution) { fleet.checker.recordRun(id, execution) },
 		ShouldAbortStream: func() bool {
 			endpoint.mutex.Lock()
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -22,7 +22,7 @@
 func TestRestoredStoreReusesNumbers(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
-	fleet, err := buildFleet(ctx, buildPeridotd(t), t.TempDir())
+	fleet, err := buildFleet(ctx, buildPeridotd(t), t.TempDir(), dataCentres[:1])
 	is.NoErr(err)
 	defer fleet.close(cancel)
 	is.True(fleet.eventually(startTimeout, fleet.allReady))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,9 @@
 // for one that was sent to the endpoint before.
 var announcingSeeds = []uint64{39, 40, 39215}
 
+// drainingSeeds are those of runs in which data centres are drained and endpoints are cold.
+var drainingSeeds = []uint64{43, 44, 45}
+
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
@@ -52,6 +55,9 @@
 	for _, seed := range announcingSeeds {
 		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true})
 	}
+	for _, seed := range drainingSeeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true})
+	}
 }
 
 // buildPeridotd builds the program under test and returns its path.
