keyvalue, platform, peridotctl: an account of the calls to the store by what they are made for

Every call, each page of a list, is counted by purpose (registration, list of instances, routing, endpoints, drains) and kind, in metrics and in a store_calls line every five seconds in which some were made; `peridotctl calls` sums the lines of many instances and says what was asked at a start.

Tests: TestAccountSeparatesPurposesAndKinds, the session of `peridotctl calls`. No behaviour changes.

--- a/peridotctl/session_test.go
+++ b/peridotctl/session_test.go
@@ -175,7 +175,7 @@
 			"trace --id r1 testdata/instances.log", "trace --id none testdata/instances.log", "trace testdata/instances.log",
 			"why testdata/instances.log", "why --top 1 testdata/instances.log testdata/instances.log", "why", "why testdata/none.log",
 			"losses testdata/losses.log", "losses --window 1s --top 1 testdata/losses.log", "losses testdata/instances.log", "losses", "losses --top 0 x",
-			"audit testdata/losses.log", "audit --top 1 testdata/wrong.log", "audit", "audit testdata/none.log",
+			"calls testdata/calls.log", "calls", "audit testdata/losses.log", "audit --top 1 testdata/wrong.log", "audit", "audit testdata/none.log",
 		}},
 		{name: "help", lines: []string{
 			"", "help", "help exit-codes", "help changes", "help outages", "help files", "help profile", "help endpoint drain",
--- a/peridotd/relay.go
+++ b/peridotd/relay.go
@@ -75,9 +75,9 @@
 		return err
 	}
 	eras := &keyvalue.EraTracker{Now: clock.SinceBoot, Log: log}
-	control := &platform.ControlClient{}
+	account, control := &keyvalue.Account{}, &platform.ControlClient{}
 	adapter := instance.Adapter{
-		Store: platform.ConnectStore(settings.StoreAddress, eras), Eras: eras,
+		Store: platform.ConnectStore(settings.StoreAddress, eras, account), Account: account, Eras: eras,
 		RoutingKey: platform.RoutingKey, DecodeRouting: platform.DecodeRouting,
 		EndpointPrefix: platform.EndpointPrefix, DecodeEndpoints: platform.DecodeEndpoints,
 		CompactEndpoints: platform.CompactEndpoints,
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -227,7 +227,7 @@
 
 // refreshPeers reads all entries and sets the peers.
 func (registry *Registry) refreshPeers(ctx context.Context, read func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error)) error {
-	entries, _, err := read(ctx, RegistryPrefix)
+	entries, _, err := read(keyvalue.WithPurpose(ctx, keyvalue.PurposeInstances), RegistryPrefix)
 	if err != nil {
 		return err
 	}
@@ -254,6 +254,7 @@
 // the entry was replaced only because the store was restored from an older copy: the other
 // instances are listed already.
 func (registry *Registry) renewOrRegister(ctx context.Context) error {
+	ctx = keyvalue.WithPurpose(ctx, keyvalue.PurposeRegistration)
 	before := registry.lease
 	if !before.IsUnset() {
 		err := registry.Store.Renew(ctx, before)
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -34,6 +34,8 @@
 // Adapter is the interface of an instance to the platform it runs on.
 type Adapter struct {
 	Store *keyvalue.Store
+	// Account counts the calls to Store.
+	Account *keyvalue.Account
 	// Eras tracks the eras of Store and rejects calls that span two of them. An era is the
 	// epoch of the store, which changes when it is restored from an older copy.
 	Eras *keyvalue.EraTracker
@@ -342,6 +344,7 @@
 		{"endpoints", instance.registry.AfterFirstList(instance.endpointFollower.Run)},
 		{"reservations", instance.reservations.Run},
 		{"pace", instance.prober.Run},
+		{"calls", (&callLogger{Account: instance.Adapter.Account, Log: instance.Log}).Run},
 		{"pauses", (&pauseDetector{Now: clock.SinceBoot, Log: instance.Log}).Run},
 	}
 }
@@ -350,7 +353,7 @@
 // store. They are one reading with one age, so that peers confirm and fetch both at once.
 func (instance *Instance) listEndpoints(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
 	adapter := &instance.Adapter
-	entries, version, err := adapter.Store.List(ctx, adapter.EndpointPrefix)
+	entries, version, err := adapter.Store.List(keyvalue.WithPurpose(ctx, keyvalue.PurposeEndpoints), adapter.EndpointPrefix)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -358,7 +361,7 @@
 	if instance.Settings.DrainTime == 0 {
 		return entries, version.Era(), nil
 	}
-	drains, drainVersion, err := adapter.Store.List(ctx, adapter.DrainPrefix)
+	drains, drainVersion, err := adapter.Store.List(keyvalue.WithPurpose(ctx, keyvalue.PurposeDrains), adapter.DrainPrefix)
 	switch {
 	case err != nil:
 		return nil, 0, err
--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -107,7 +107,7 @@
 	running.settings.Defaults()
 	endpoint := peridotpath.Endpoint{ID: "one", Service: "app", State: peridotpath.StateLive, Address: addresses[0], Slots: 5}
 	adapter := instance.Adapter{
-		Store: staticStore(endpoint), Eras: &keyvalue.EraTracker{}, DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints,
+		Store: staticStore(endpoint), Account: &keyvalue.Account{}, Eras: &keyvalue.EraTracker{}, DecodeRouting: decodeRouting, DecodeEndpoints: decodeEndpoints,
 		CompactEndpoints: func(entries []keyvalue.Entry) []keyvalue.Entry { return entries }, ReadyPath: "/ready",
 		Send: func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
 			running.calls.Add(1)
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -176,7 +176,7 @@
 	readVersion := follower.lastReadVersion
 	follower.mutex.Unlock()
 	sentAt := follower.State.Now()
-	entry, changed, err := follower.GetIfChanged(ctx, follower.Key, readVersion)
+	entry, changed, err := follower.GetIfChanged(keyvalue.WithPurpose(ctx, keyvalue.PurposeRouting), follower.Key, readVersion)
 	if err != nil {
 		return err
 	}
