gossip: one instance registers a group, so that calls of a start no longer grow with the fleet

An instance joins a registrar of its data centre, over TCP, which lists its group in one entry and hands its own list on. It becomes a registrar where none is listed, or none accepts it for three rounds (full at 128, without power, cut off); one that was a registrar before its restart resumes. A join is answered once the entry is written and the list was read after it, so that of two that join two registrars the later one finds the other, as before. At a first start instances look again after a delay of 3 s at most whose density grows with its square: few are early and become registrars, the others find them in a stale list. Nothing rests on the list: instances that it lacks are heard by their digests as before, and no call is made while the store is down but by registrars.

Weighed: a list that peers alone tell, with the store only as the way in (each member's death has to be told to all cells); one reader for each data centre with an entry of each (two calls a start); seeds of the settings (given only to roles that serve another interface, and may be stale).

Changed checks: the fake list of TestListIsReadWhenCellCountDiffers held one address 200 times, which is one instance; the soak's checks that each instance has an entry, or just one, ask now that it is registered, or registered once, by whichever entry.

--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -112,8 +112,13 @@
 
 // Peer is the location of an instance.
 type Peer struct {
-	Address    netip.AddrPort
-	DataCentre peridotpath.DataCentre
+	// Address is the one for gossip, and SnapshotPort the port of the same machine at which other
+	// instances fetch snapshots and join its group; zero where unknown.
+	Address      netip.AddrPort
+	SnapshotPort uint16
+	DataCentre   peridotpath.DataCentre
+	// IsRegistrar reports whether the instance has an entry of its own in the store.
+	IsRegistrar bool
 }
 
 type peer struct {
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -17,25 +19,44 @@
 	"peridotpath.example/peridotpath/keyvalue"
 )
 
-// Registry registers this instance's address in the store and reads those of the others.
-// Set the exported fields before Run.
+// Registry registers this instance in the store and reads which others are registered. Set the
+// exported fields before Run.
+//
+// An instance joins the group of a registrar of its data centre, which registers the group in one
+// entry and hands its list of instances on. It becomes a registrar itself only where no other has
+// room, so that the calls to the store grow with the number of groups. What an instance tells and
+// hears does not depend on its registrar: a list that lacks it only keeps those that start later
+// from telling it of themselves first.
 type Registry struct {
 	Store       *keyvalue.Store
 	Instance    peridotpath.InstanceID
 	Incarnation peridotpath.Incarnation
 	Address     netip.AddrPort
 	DataCentre  peridotpath.DataCentre
+	// SnapshotPort is the port of RegistrarHandler at this instance.
+	SnapshotPort uint16
+	// Join asks a registrar to register this instance, such as JoinThrough; nil where each
+	// instance registers itself.
+	Join func(ctx context.Context, registrar Peer, request JoinRequest) (JoinReply, error)
 	// SetPeers is called with the registered instances after each list.
 	SetPeers func([]Peer)
 	// Eras holds the eras of the store.
 	Eras *keyvalue.EraTracker
 	Log  zerolog.Logger
 
-	lease keyvalue.LeaseID
-	// listedAt is when the list of instances was last read, zero if a read is due now.
-	// listedCount is the number of instances in the list.
-	listedAt    time.Time
-	listedCount int
+	entry entry
+	// group is what this instance registers as a registrar.
+	group group
+	// list is the last list of instances, and listedAt when it was read, zero if a read is due
+	// now.
+	list     InstanceList
+	listedAt time.Time
+	// registrar is the registrar that registers this instance; the zero value if none does.
+	// failedJoins counts the rounds since then in which none has answered.
+	registrar   netip.AddrPort
+	failedJoins int
+	// refusedAt holds when registrars last did not answer or did not accept this instance.
+	refusedAt map[netip.AddrPort]time.Time
 	// listRequested requests a list before it is due.
 	listRequested clock.Signal
 	// reregisterRequested requests a new entry, since the store may have lost the current
@@ -49,26 +70,46 @@
 	storeFailed     atomic.Bool
 }
 
-// RegistryPrefix is the key prefix under which instances register. An instance uses
-// a new key at each start, so that it need not take over the entry of its earlier start,
-// which expires with the lease of that start.
-const RegistryPrefix = "peridotpath/instances/"
+// entry is the own entry of a registrar; its zero value is none.
+type entry struct {
+	lease   keyvalue.LeaseID
+	key     string
+	version keyvalue.Version
+	// renewedAt is when the lease was last known to be valid.
+	renewedAt time.Time
+}
+
+// errUnregistered means that no registrar has answered yet; the store has not failed.
+var errUnregistered = errors.New("no registrar has answered")
 
 const (
 	// registrationTTL is how long an entry outlives its instance, renewalInterval how often
-	// it is renewed. A renewal costs the store a tenth of a call.
+	// it is renewed, and how often members join again. A renewal costs the store a tenth of a
+	// call.
 	registrationTTL = 20 * time.Second
 	renewalInterval = 6 * time.Second
-	// storeRetryPause is the pause after the store was unreachable.
+	// storeRetryPause is the pause after the store was unreachable, and the mean one after no
+	// registrar has answered.
 	storeRetryPause = 1500 * time.Millisecond
 	// gatherDelay is how long an instance that finds no others waits before it lists again,
 	// to find those that start at the same moment.
 	gatherDelay = 500 * time.Millisecond
-	// listIntervalPerInstance is multiplied by the number of instances to give the time
-	// between two lists by the same instance. Each list holds an entry for every instance,
-	// so that with a fixed interval the volume would grow with the square of the fleet's
-	// size.
-	listIntervalPerInstance = 250 * time.Millisecond
+	// firstStartSpread bounds the delay of an instance that finds no others before it looks for
+	// a registrar again. Few have a short delay: they become registrars, which the others find in
+	// a stale list.
+	firstStartSpread = 3 * time.Second
+	// maxRegistrarsTried bounds the registrars that are asked in a round, and maxFailedJoins the
+	// rounds without an answer until an instance registers itself: after a power loss of all
+	// instances the registrars may start later than their members.
+	maxRegistrarsTried = 3
+	maxFailedJoins     = 3
+	// refusalMemory is how long a registrar that has not accepted this instance is not asked
+	// again. Several that wait for one without power would all register themselves meanwhile.
+	refusalMemory = time.Second
+	// listIntervalPerRegistrar is multiplied by the number of registrars to give the time
+	// between two lists by the same one. With a fixed interval, the lists of all of them would
+	// grow with their number.
+	listIntervalPerRegistrar = 250 * time.Millisecond
 	// reregisterSpreadPerInstance is multiplied by the number of instances to give the span
 	// over which the fleet registers again after the store was restored from an older copy,
 	// minReregisterSpread the lower bound of that span.
@@ -79,14 +120,6 @@
 	requestedListJitter = time.Second
 )
 
-// registration is the value of a registry entry.
-type registration struct {
-	Address    netip.AddrPort         `json:"address"`
-	DataCentre peridotpath.DataCentre `json:"data_centre"`
-	// Era is the era of the store when the entry was written.
-	Era keyvalue.Era `json:"era,omitempty"`
-}
-
 // AfterFirstList returns a task that starts once the list of instances was read, reading it
 // failed, or MarkPeerReady was called: the first reads of a starting instance depend on which
 // peers exist.
@@ -120,7 +153,7 @@
 	registry.peersReadyClose.Do(func() { close(ready) })
 }
 
-// Run maintains the entry and the list of instances until ctx ends.
+// Run keeps this instance registered and the list of instances up to date until ctx ends.
 //
 // After a power loss of all instances their entries are still in the store. The list is
 // read first, so that each instance has its peers before it reads anything else, and fetches
@@ -129,8 +162,8 @@
 	err := registry.refreshPeers(ctx, registry.Store.ListStale)
 	registry.recordOutcome(ctx, err)
 	wait := time.Duration(0)
-	if err == nil && registry.listedCount == 0 {
-		wait = registry.registerAndGather(ctx)
+	if err == nil && len(registry.list.Peers) == 0 {
+		wait = registry.startFirst(ctx)
 	}
 	registry.signalPeersReady()
 	for registry.waitForRound(ctx, wait) {
@@ -139,12 +172,16 @@
 	return ctx.Err()
 }
 
-// registerAndGather registers this instance, waits for others that start at the same moment
-// to register as well, and lists them. It returns the time until the next round.
+// startFirst registers an instance that finds no others and returns the time until the next
+// round.
 //
 // It matters when hundreds of instances start for the first time at once: each of them
-// would find no peers and fetch everything from the store by itself.
-func (registry *Registry) registerAndGather(ctx context.Context) time.Duration {
+// would find no peers, register by itself, and fetch everything from the store.
+func (registry *Registry) startFirst(ctx context.Context) time.Duration {
+	if registry.Join != nil {
+		clock.SleepContext(ctx, time.Duration(math.Cbrt(rand.Float64())*float64(firstStartSpread)))
+		return registry.finishRound(ctx, registry.runRound(ctx))
+	}
 	err := registry.renewOrRegister(ctx)
 	if err == nil && clock.SleepContext(ctx, gatherDelay) {
 		err = registry.refreshPeers(ctx, registry.Store.List)
@@ -155,7 +192,10 @@
 // finishRound records the outcome of a round and returns the time until the next one.
 func (registry *Registry) finishRound(ctx context.Context, err error) time.Duration {
 	registry.recordOutcome(ctx, err)
-	if err != nil {
+	switch {
+	case errors.Is(err, errUnregistered):
+		return storeRetryPause/2 + rand.N(storeRetryPause)
+	case err != nil:
 		return storeRetryPause
 	}
 	return renewalInterval
@@ -169,9 +209,9 @@
 // RequestList requests a list soon, as a peer reports another number of cells. It never blocks.
 func (registry *Registry) RequestList() { registry.listRequested.Raise() }
 
-// waitForRound waits for the given time until the next round, and lists the instances if a
-// list is requested meanwhile. It returns true early if a new entry is requested, and false
-// if ctx ended first.
+// waitForRound waits for the given time until the next round, and updates the list of instances if
+// that is requested meanwhile. It returns true early if a new entry is requested or members wait to
+// be listed, and false if ctx ended first.
 func (registry *Registry) waitForRound(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -181,20 +221,41 @@
 			return false
 		case <-timer.C:
 			return true
+		case <-registry.group.joined.C():
+			return clock.SleepContext(ctx, joinBatchDelay)
 		case <-registry.reregisterRequested.C():
-			spread := max(minReregisterSpread, time.Duration(registry.listedCount)*reregisterSpreadPerInstance)
+			if !registry.isRegistrar() {
+				continue
+			}
+			spread := max(minReregisterSpread, time.Duration(len(registry.list.Peers))*reregisterSpreadPerInstance)
 			return clock.SleepContext(ctx, rand.N(spread))
 		case <-registry.listRequested.C():
 		}
-		if registry.lease.IsUnset() || time.Since(registry.listedAt) < renewalInterval {
+		if !registry.isRegistered() || time.Since(registry.listedAt) < renewalInterval {
 			// The next round lists them, or they were listed a moment ago.
 			continue
 		}
 		if !clock.SleepContext(ctx, rand.N(requestedListJitter)) {
 			return false
 		}
-		registry.recordOutcome(ctx, registry.refreshPeers(ctx, registry.Store.List))
+		registry.recordOutcome(ctx, registry.updateList(ctx))
+	}
+}
+
+// updateList reads the list of instances, or receives it from the registrar.
+func (registry *Registry) updateList(ctx context.Context) error {
+	if registry.isRegistrar() {
+		return registry.refreshPeers(ctx, registry.Store.List)
 	}
+	return registry.join(ctx)
+}
+
+// isRegistrar reports whether this instance has an entry of its own.
+func (registry *Registry) isRegistrar() bool { return !registry.entry.lease.IsUnset() }
+
+// isRegistered reports whether this instance has an entry of its own or is the member of a group.
+func (registry *Registry) isRegistered() bool {
+	return registry.isRegistrar() || registry.registrar.IsValid()
 }
 
 // IsFailing reports whether the last access to the store failed.
@@ -202,80 +263,259 @@
 
 // recordOutcome records whether an access to the store failed, and logs its error.
 func (registry *Registry) recordOutcome(ctx context.Context, err error) {
-	registry.storeFailed.Store(err != nil)
-	if err != nil && ctx.Err() == nil {
+	storeFailed := err != nil && !errors.Is(err, errUnregistered)
+	registry.storeFailed.Store(storeFailed)
+	if storeFailed && ctx.Err() == nil {
 		registry.Log.Warn().Err(err).Msg("registry_unreachable")
 	}
 }
 
-// runRound renews or creates the entry, and lists the instances if a list is due.
+// runRound keeps this instance registered, by an entry of its own or in a group.
 func (registry *Registry) runRound(ctx context.Context) error {
+	if registry.Join != nil && !registry.isRegistrar() && !registry.wasRegistrar() {
+		return registry.join(ctx)
+	}
+	return registry.maintainEntry(ctx)
+}
+
+// wasRegistrar reports whether an earlier start of this instance was a registrar and may still be
+// listed as one. Its members join it again, so it resumes.
+func (registry *Registry) wasRegistrar() bool { return registry.list.contains(registry.Address, true) }
+
+// maintainEntry renews or creates the own entry, brings the members in it up to date, and lists
+// the instances if a list is due.
+func (registry *Registry) maintainEntry(ctx context.Context) error {
 	if err := registry.renewOrRegister(ctx); err != nil {
+		if time.Since(registry.entry.renewedAt) > registrationTTL {
+			// Members are not listed any more and must find another registrar.
+			registry.group.close()
+		}
 		return err
 	}
+	if members, changed := registry.group.current(time.Now()); changed {
+		return registry.writeMembers(ctx, members)
+	}
 	switch {
 	case registry.listedAt.IsZero():
 		// Of two instances that start at the same moment, the one that registers later
 		// finds the other in a consistent list and sends it a digest. In a stale list
 		// neither would find the other.
 		return registry.refreshPeers(ctx, registry.Store.List)
-	case time.Since(registry.listedAt) >= time.Duration(registry.listedCount)*listIntervalPerInstance:
+	case time.Since(registry.listedAt) >= time.Duration(registry.registrarCount())*listIntervalPerRegistrar:
 		return registry.refreshPeers(ctx, registry.Store.ListStale)
 	}
 	return nil
 }
 
-// refreshPeers reads all entries and sets the peers.
-func (registry *Registry) refreshPeers(ctx context.Context, read func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error)) error {
-	entries, _, err := read(keyvalue.WithPurpose(ctx, keyvalue.PurposeInstances), RegistryPrefix)
+func (registry *Registry) registrarCount() int {
+	count := 0
+	for _, peer := range registry.list.Peers {
+		if peer.IsRegistrar {
+			count++
+		}
+	}
+	return count
+}
+
+// writeMembers writes the members into the own entry, lists the instances and answers the members
+// that wait for it.
+func (registry *Registry) writeMembers(ctx context.Context, members []Peer) error {
+	value, err := registry.entryValue(registry.entry.lease, members)
+	if err != nil {
+		return err
+	}
+	version, err := registry.Store.Swap(keyvalue.WithPurpose(ctx, keyvalue.PurposeRegistration), registry.entry.key, registry.entry.version, value, registry.entry.lease)
+	if keyvalue.ErrConflict.Has(err) || keyvalue.ErrLeaseExpired.Has(err) {
+		// An earlier write whose answer was lost was applied, or the entry has expired. A new
+		// entry takes its place.
+		registry.entry.lease = keyvalue.LeaseID{}
+	}
 	if err != nil {
 		return err
 	}
-	peers := make([]Peer, 0, len(entries))
-	for _, entry := range entries {
-		var registration registration
-		if err := json.Unmarshal(entry.Value, &registration); err != nil {
-			registry.Log.Warn().Err(err).Str("key", entry.Key).Msg("registration_unread")
+	registry.entry.version = version
+	if err := registry.refreshPeers(ctx, registry.Store.List); err != nil {
+		return err
+	}
+	registry.group.markListed(members)
+	return nil
+}
+
+// entryValue returns the value of the own entry under a lease.
+func (registry *Registry) entryValue(lease keyvalue.LeaseID, members []Peer) ([]byte, error) {
+	registered := registration{Address: registry.Address, DataCentre: registry.DataCentre, SnapshotPort: registry.SnapshotPort, Era: lease.Era}
+	for _, peer := range members {
+		registered.Members = append(registered.Members, member{Address: peer.Address, SnapshotPort: peer.SnapshotPort})
+	}
+	value, err := json.Marshal(registered)
+	return value, Error.Wrap(err)
+}
+
+// joinResult is the outcome of asking registrars.
+type joinResult int
+
+const (
+	// joinAccepted: one has registered this instance.
+	joinAccepted joinResult = iota
+	// joinNone: none is listed.
+	joinNone
+	// joinRefused: none has answered, registers others now and has room.
+	joinRefused
+)
+
+// join joins the group of a registrar, or stays in it. Where none of the data centre is listed, or
+// none accepts this instance for several rounds, this instance becomes one.
+func (registry *Registry) join(ctx context.Context) error {
+	result := registry.askRegistrars(ctx)
+	if result == joinNone {
+		if err := registry.refreshPeers(ctx, registry.Store.ListStale); err != nil {
+			return err
+		}
+		result = registry.askRegistrars(ctx)
+	}
+	switch result {
+	case joinAccepted:
+		return nil
+	case joinRefused:
+		registry.registrar = netip.AddrPort{}
+		if registry.failedJoins++; registry.failedJoins < maxFailedJoins {
+			if err := registry.refreshPeers(ctx, registry.Store.ListStale); err != nil {
+				return err
+			}
+			return errUnregistered
+		}
+	}
+	// A consistent list has the registrars of the last moments, so that few become one at once.
+	if err := registry.refreshPeers(ctx, registry.Store.List); err != nil {
+		return err
+	}
+	if registry.askRegistrars(ctx) == joinAccepted {
+		return nil
+	}
+	return registry.maintainEntry(ctx)
+}
+
+// askRegistrars asks the listed registrars of the data centre, first the one that registers this
+// instance already.
+func (registry *Registry) askRegistrars(ctx context.Context) joinResult {
+	candidates := registry.list.registrarsOf(registry.DataCentre, registry.Address)
+	for i, candidate := range candidates {
+		if candidate.Address == registry.registrar {
+			candidates[0], candidates[i] = candidates[i], candidates[0]
+		}
+	}
+	if len(candidates) == 0 {
+		return joinNone
+	}
+	asked := 0
+	for _, candidate := range candidates {
+		if refusedAt, refused := registry.refusedAt[candidate.Address]; refused && time.Since(refusedAt) < refusalMemory {
 			continue
 		}
-		peers = append(peers, Peer{Address: registration.Address, DataCentre: registration.DataCentre})
-		if registration.Era < registry.Eras.Current() {
-			// Entries expire within seconds, so one of an earlier era shows that the current
-			// era began recently.
-			registry.Eras.AssumeRecentRestore()
+		if registry.askRegistrar(ctx, candidate) {
+			return joinAccepted
+		}
+		if registry.refusedAt == nil {
+			registry.refusedAt = map[netip.AddrPort]time.Time{}
 		}
+		registry.refusedAt[candidate.Address] = time.Now()
+		if asked++; asked == maxRegistrarsTried {
+			break
+		}
+	}
+	return joinRefused
+}
+
+// askRegistrar reports whether a registrar registers this instance.
+func (registry *Registry) askRegistrar(ctx context.Context, registrar Peer) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	self := Peer{Address: registry.Address, DataCentre: registry.DataCentre, SnapshotPort: registry.SnapshotPort}
+	reply, err := registry.Join(ctx, registrar, JoinRequest{Instance: self, Content: registry.list.Content})
+	if err != nil || !reply.Accepted {
+		registry.Log.Info().Err(err).Stringer("registrar", registrar.Address).Bool("full", reply.Full).Msg("group_not_joined")
+		return false
+	}
+	if registry.registrar != registrar.Address {
+		registry.Log.Info().Stringer("registrar", registrar.Address).Stringer("before", registry.registrar).Msg("group_joined")
+	}
+	registry.registrar, registry.failedJoins, registry.refusedAt = registrar.Address, 0, nil
+	registry.listedAt = time.Now()
+	if reply.List.Peers != nil {
+		registry.setList(reply.List)
+	}
+	return true
+}
+
+// refreshPeers reads all entries and sets the peers.
+func (registry *Registry) refreshPeers(ctx context.Context, read func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error)) error {
+	entries, _, err := read(keyvalue.WithPurpose(ctx, keyvalue.PurposeInstances), RegistryPrefix)
+	if err != nil {
+		return err
+	}
+	list, oldestEra := decodeRegistrations(entries, registry.Log)
+	if len(list.Peers) > 0 && oldestEra < registry.Eras.Current() {
+		// Entries expire within seconds, so one of an earlier era shows that the current
+		// era began recently.
+		registry.Eras.AssumeRecentRestore()
 	}
-	registry.listedAt, registry.listedCount = time.Now(), len(peers)
-	registry.SetPeers(peers)
+	// A stale list may lack members that were written since.
+	members, _ := registry.group.current(time.Now())
+	registry.listedAt = time.Now()
+	registry.setList(newInstanceList(append(list.Peers, members...)))
 	return nil
 }
 
+// setList applies a list of instances.
+func (registry *Registry) setList(list InstanceList) {
+	registry.list = list
+	registry.group.setList(list)
+	registry.SetPeers(list.Peers)
+}
+
+// HandleJoin registers an instance of this data centre that asks for it, if this one is a
+// registrar.
+func (registry *Registry) HandleJoin(ctx context.Context, request JoinRequest) JoinReply {
+	if request.Instance.DataCentre != registry.DataCentre {
+		return JoinReply{}
+	}
+	return registry.group.join(ctx, request, time.Now())
+}
+
 // renewOrRegister renews the entry, or creates one. A new entry makes a list due, unless
 // the entry was replaced only because the store was restored from an older copy: the other
 // instances are listed already.
 func (registry *Registry) renewOrRegister(ctx context.Context) error {
 	ctx = keyvalue.WithPurpose(ctx, keyvalue.PurposeRegistration)
-	before := registry.lease
+	before := registry.entry.lease
 	if !before.IsUnset() {
 		err := registry.Store.Renew(ctx, before)
 		if !keyvalue.ErrLeaseExpired.Has(err) {
+			if err == nil {
+				registry.entry.renewedAt = time.Now()
+			}
 			return err
 		}
-		registry.lease = keyvalue.LeaseID{}
+		registry.entry.lease = keyvalue.LeaseID{}
 	}
 	lease, err := registry.Store.Grant(ctx, registrationTTL)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(registration{Address: registry.Address, DataCentre: registry.DataCentre, Era: lease.Era})
+	members, _ := registry.group.current(time.Now())
+	value, err := registry.entryValue(lease, members)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	key := fmt.Sprintf("%s%s/%d-%d-%d", RegistryPrefix, registry.Instance, registry.Incarnation, lease.Era, lease.Number)
-	if _, err := registry.Store.Swap(ctx, key, 0, value, lease); err != nil {
+	version, err := registry.Store.Swap(ctx, key, 0, value, lease)
+	if err != nil {
 		return err
 	}
-	registry.lease = lease
+	registry.entry = entry{lease: lease, key: key, version: version, renewedAt: time.Now()}
+	registry.registrar, registry.failedJoins, registry.refusedAt = netip.AddrPort{}, 0, nil
+	registry.group.open()
+	registry.Log.Info().Str("key", key).Int("members", len(members)).Int("instances", len(registry.list.Peers)).Msg("entry_written")
 	if before.IsUnset() || before.Era == lease.Era {
 		registry.listedAt = time.Time{}
 	}
--- a/peridotpath/gossip/registry_test.go
+++ b/peridotpath/gossip/registry_test.go
@@ -222,7 +222,8 @@
 		is := is.New(t)
 		store := &laggingStore{}
 		for i := range 200 {
-			store.entries = append(store.entries, keyvalue.Entry{Key: "k", Value: []byte(`{"address":"10.0.1.1:9","data_centre":"a"}`)})
+			value := fmt.Appendf(nil, `{"address":"10.0.1.%d:9","data_centre":"a"}`, i+1)
+			store.entries = append(store.entries, keyvalue.Entry{Key: "k", Value: value})
 			store.createdAt = append(store.createdAt, time.Now().Add(-time.Duration(i)*time.Hour))
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -273,7 +273,7 @@
 	instance.facts.OnChange = instance.gossip.RequestDigest
 	instance.registry = &gossip.Registry{
 		Store: adapter.Store, Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
-		DataCentre: settings.DataCentre, SetPeers: instance.gossip.SetPeers, Eras: adapter.Eras, Log: instance.Log,
+		DataCentre: settings.DataCentre, SnapshotPort: settings.SnapshotAddress.Port(), Join: gossip.JoinThrough, SetPeers: instance.gossip.SetPeers, Eras: adapter.Eras, Log: instance.Log,
 	}
 	instance.gossip.OnCellCountMismatch = instance.registry.RequestList
 	instance.routingFollower = &routing.Follower{
--- a/peridotpath/instance/listen.go
+++ b/peridotpath/instance/listen.go
@@ -9,6 +9,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/caller"
+	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/readings"
 	"peridotpath.example/peridotpath/telemetry"
@@ -49,6 +50,7 @@
 		Name: "readings", Address: settings.SnapshotAddress, MaxHeaderBytes: maxHeaderBytes,
 		Routes: []rest.Route{
 			{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
+			{Method: http.MethodPost, Path: gossip.RegistrarPathPrefix + "/:service/:method", Handler: gossip.RegistrarHandler(instance.registry).ServeHTTP},
 		},
 	}
 	instance.metricsListener = &inbound.Listener{
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -67,17 +69,44 @@
 // registrationTimeout bounds the time in which an instance registers again.
 const registrationTimeout = 10 * time.Second
 
-// checkRegistered checks that every instance has a registry entry in the store.
+// registryEntry is the value of an entry in the instances' registry.
+type registryEntry struct {
+	Address netip.AddrPort `json:"address"`
+	Members []struct {
+		Address netip.AddrPort `json:"address"`
+	} `json:"members"`
+}
+
+// registrationCounts returns how often each address is registered, by an entry of its own or as
+// a member.
+func (fleet *fleet) registrationCounts() map[netip.AddrPort]int {
+	counts := map[netip.AddrPort]int{}
+	for _, value := range fleet.store.Values(gossip.RegistryPrefix) {
+		var entry registryEntry
+		if err := json.Unmarshal(value, &entry); err != nil {
+			// An entry that cannot be read registers nobody, which the callers report.
+			continue
+		}
+		counts[entry.Address]++
+		for _, member := range entry.Members {
+			counts[member.Address]++
+		}
+	}
+	return counts
+}
+
+// checkRegistered checks that every instance is registered in the store.
 func (fleet *fleet) checkRegistered() {
 	allRegistered := func() bool {
+		counts := fleet.registrationCounts()
 		return !slices.ContainsFunc(fleet.instances, func(instance *instance) bool {
-			return len(fleet.store.Keys(gossip.RegistryPrefix+string(instance.ID)+"/")) == 0
+			return counts[loopback(instance.FirstPeerPort)] == 0
 		})
 	}
 	if !fleet.eventually(registrationTimeout, allRegistered) {
 		fleet.checker.mutex.Lock()
 		defer fleet.checker.mutex.Unlock()
-		fleet.checker.addViolation("not all instances have an entry: %v", fleet.store.Keys(gossip.RegistryPrefix))
+		fleet.checker.addViolation("not all instances are registered: %v of %v", fleet.registrationCounts(), fleet.store.Keys(gossip.RegistryPrefix))
 	}
 }
 
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/platform/standin"
 )
 
@@ -60,12 +59,14 @@
 			t.Errorf("%s: a key that was revoked %v ago is served", instance.ID, standin.MaxRevocationDelay+schedulingSlack)
 		}
 	}
-	// The entries of the copy expire; the remaining entries belong to live instances.
+	// The entries of the copy expire; the remaining entries are those of live instances, which
+	// register each of them once.
 	time.Sleep(20 * time.Second)
+	counts := fleet.registrationCounts()
+	is.Equal(len(counts), len(fleet.instances))
 	for _, instance := range fleet.instances {
-		prefix := gossip.RegistryPrefix + string(instance.ID) + "/"
-		if len(fleet.store.Keys(prefix)) != 1 {
-			t.Errorf("%s has the entries %v, want one", instance.ID, fleet.store.Keys(prefix))
+		if count := counts[loopback(instance.FirstPeerPort)]; count != 1 {
+			t.Errorf("%s is registered %d times, want once", instance.ID, count)
 		}
 	}
 }
