relay: an instance whose share of the retry budget is less than one retry retries by chance

Cause: each instance has half of its share of the slack, 0.5 x 1,040 / 986 = 0.53 of a retry, and a fifth of its own one or two requests in ten seconds, together less than one, which was rounded down: from about 700 instances on nobody ever retried, whatever the fleet's budget.

An instance whose share is less than one retry takes one with that probability, one draw in each window, so that the fleet keeps its mean and asking again does not raise the chance. From one retry on nothing changes. TestLargeFleetUsesItsRetryBudget at 50, 986 and 2,000 instances: none retried at 986 before; now at least 0.4 of the slack and never more than the bound.

--- a/peridotpath/relay/budget.go
+++ b/peridotpath/relay/budget.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	Window time.Duration
 	// Instances returns the number of instances that share the slack.
 	Instances func() int
+	// Random returns a number from 0 to 1; nil for that of math/rand.
+	Random func() float64
 
 	mutex     sync.Mutex
 	histories map[peridotpath.Service]*retryHistory
@@ -26,6 +29,9 @@
 // retryHistory holds the times of a service's requests and retries, oldest first.
 type retryHistory struct {
 	requests, retries []time.Time
+	// draw decides until drawnUntil whether the fraction of a retry that is left counts as one.
+	draw       float64
+	drawnUntil time.Time
 }
 
 // usableSlackShare is the fraction that an instance uses of its share of the slack. The
@@ -51,13 +57,35 @@
 	history.requests = dropBefore(history.requests, start)
 	history.retries = dropBefore(history.retries, start)
 	allowed := budget.Ratio*float64(len(history.requests)) + usableSlackShare*float64(budget.Slack)/float64(instances)
-	if float64(len(history.retries)+1) > allowed {
+	needed := 1.0
+	if allowed < 1 {
+		needed = budget.drawFor(history, now)
+	}
+	if float64(len(history.retries))+needed > allowed {
 		return false
 	}
 	history.retries = append(history.retries, now)
 	return true
 }
 
+// drawFor returns which share of a retry must be left for one to be taken, from 0 to 1.
+//
+// In a large fleet an instance's share is less than one retry. Rounded down, no instance would
+// ever retry, whatever the fleet's budget; rounded up, all of them together would exceed it. An
+// instance therefore takes a retry with the probability of its share, and keeps to the draw for a
+// window, so that asking again does not raise the chance.
+func (budget *RetryBudget) drawFor(history *retryHistory, now time.Time) float64 {
+	if now.Before(history.drawnUntil) {
+		return history.draw
+	}
+	random := budget.Random
+	if random == nil {
+		random = rand.Float64
+	}
+	history.draw, history.drawnUntil = random(), now.Add(budget.Window)
+	return history.draw
+}
+
 func (budget *RetryBudget) historyOf(service peridotpath.Service) *retryHistory {
 	if budget.histories == nil {
 		budget.histories = map[peridotpath.Service]*retryHistory{}
--- a/peridotpath/relay/relay_test.go
+++ b/peridotpath/relay/relay_test.go
@@ -403,3 +403,25 @@
 		}
 	}
 }
+
+// Hundreds of instances share the slack, so that the share of each is less than one retry. Each
+// wants one at the same moment, again and again. Rounded down, none of them would ever retry;
+// all together they must use most of what they may, and stay within the bound.
+func TestLargeFleetUsesItsRetryBudget(t *testing.T) {
+	const slack = 1040
+	for _, instances := range []int{50, 986, 2000} {
+		is := is.New(t)
+		now, retries := time.Now(), 0
+		for range instances {
+			budget := &relay.RetryBudget{Ratio: 0.2, Slack: slack, Window: 10 * time.Second, Instances: func() int { return instances }}
+			budget.RecordRequest("llm", now)
+			for second := range 9 {
+				if budget.TakeRetry("llm", now.Add(time.Duration(second)*time.Second)) {
+					retries++
+				}
+			}
+		}
+		is.True(retries <= slack+instances/5)
+		is.True(retries >= min(slack, 9*instances)*4/10)
+	}
+}
