gossip, routing, directory: one cell reads the store, the others ask it

On the whole fleet there are sixteen cells, which hear nothing of each other's readings, so that each polled the store for the routing and the endpoints as often as a fleet of one cell does.

By a hash of what it would replace one cell reads first; the others begin a step later and first fetch from an instance of that cell, as a difference, with its age. A reading that is as old as their own, a peer that does not answer within 150 ms, or none at all make them read the store themselves, within the time that held before. A peer that has the same content answers without a comparison, and it is confirmed without being applied.

--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -23,6 +23,9 @@
 	Decode func(entries []keyvalue.Entry) Listing
 	// FetchFromPeer fetches a peer's snapshot of the endpoints; have is the one held here.
 	FetchFromPeer func(ctx context.Context, peer netip.AddrPort, have readings.EndpointsSnapshot) (readings.EndpointsSnapshot, error)
+	// ReadingPeer returns a peer of the cell that reads the successor of this content from the
+	// store first; false for this instance's own cell. It is nil in a fleet of one cell.
+	ReadingPeer func(content uint64) (readings.Peer, bool)
 	// Eras holds the eras of the store.
 	Eras *keyvalue.EraTracker
 	// Now returns the time since boot, which advances while the machine is suspended.
@@ -45,7 +48,7 @@
 // in use: endpoints keep running while the store is unreachable.
 func (follower *Follower) Run(ctx context.Context) error {
 	for follower.Schedule.WaitUntilDue(ctx, follower.effectiveAge) {
-		if follower.readFromPeer(ctx) {
+		if follower.readFromPeer(ctx) || follower.readFromOtherCell(ctx) {
 			continue
 		}
 		startedAt := follower.Now()
@@ -139,6 +142,31 @@
 		// The snapshot that caused this wake-up was fetched after an earlier wake-up.
 		return !follower.Schedule.IsDue(follower.effectiveAge())
 	}
+	return follower.fetchFromPeer(ctx, peer)
+}
+
+// readFromOtherCell fetches the snapshot of the cell that reads the store first. It reports whether
+// that cell has read it recently, so that this one need not.
+func (follower *Follower) readFromOtherCell(ctx context.Context) bool {
+	if follower.ReadingPeer == nil {
+		return false
+	}
+	peer, ok := follower.ReadingPeer(follower.Directory.ContentHash())
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readings.OtherCellTimeout)
+	defer cancel()
+	if !follower.fetchFromPeer(ctx, peer) || follower.Schedule.IsDue(follower.effectiveAge()) {
+		return false
+	}
+	follower.OnConfirmed()
+	return true
+}
+
+// fetchFromPeer fetches the snapshot of a peer. It reports whether that snapshot, or one as new, was
+// applied.
+func (follower *Follower) fetchFromPeer(ctx context.Context, peer readings.Peer) bool {
 	startedAt := follower.Now()
 	have, _ := follower.history.Newest()
 	snapshot, err := follower.FetchFromPeer(ctx, peer.Address, have)
@@ -152,7 +180,12 @@
 		follower.Log.Info().Err(err).Stringer("peer", peer.Address).Msg("peer_not_read")
 		return false
 	}
-	if startedAt-snapshot.Age <= follower.Directory.ConfirmedAt() {
+	confirmedAt := startedAt - snapshot.Age
+	switch {
+	case confirmedAt <= follower.Directory.ConfirmedAt():
+		return true
+	case snapshot.ContentHash != 0 && snapshot.ContentHash == have.ContentHash:
+		follower.confirmContent(have.ContentHash, confirmedAt)
 		return true
 	}
 	follower.apply(snapshot.Entries, snapshot.Era, startedAt-snapshot.Age)
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -129,8 +129,10 @@
 	// microseconds.
 	clockMicros uint64
 	receivedAt  time.Time
-	// registered reports whether the peer is listed in the registry.
-	registered bool
+	// registered reports whether the peer is listed in the registry, and snapshotPort is its port
+	// for snapshots by the list; zero where unknown.
+	registered   bool
+	snapshotPort uint16
 }
 
 // RequestDigest requests a digest soon. It never blocks.
@@ -147,7 +149,7 @@
 	for _, listed := range peers {
 		if listed.Address != gossip.Address {
 			peer := gossip.findOrAddPeer(listed.Address)
-			peer.registered, peer.dataCentre = true, listed.DataCentre
+			peer.registered, peer.dataCentre, peer.snapshotPort = true, listed.DataCentre, listed.SnapshotPort
 		}
 	}
 	if len(gossip.peers) > before {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -280,6 +280,9 @@
 		State: instance.routing, Key: adapter.RoutingKey, Decode: adapter.DecodeRouting, GetIfChanged: adapter.Store.GetIfChanged,
 		Eras: adapter.Eras, FetchFromPeer: readings.FetchRouting, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
 		FetchPosition: func(version peridotpath.RoutingVersion) int { return instance.gossip.Rank(uint64(version)) },
+		ReadingPeer: func(version peridotpath.RoutingVersion) (readings.Peer, bool) {
+			return instance.gossip.ReadingPeer(uint64(version))
+		},
 		Schedule: instance.pollSchedule(
 			func() bool { return instance.routing.Current() != nil && adapter.Eras.HasSettled() },
 			func() uint64 { return uint64(instance.routing.Version()) },
@@ -287,7 +290,7 @@
 	}
 	instance.endpointFollower = &directory.Follower{
 		Directory: instance.directory, List: instance.listEndpoints, Decode: instance.decodeListing, Now: clock.SinceBoot,
-		Eras: adapter.Eras, FetchFromPeer: readings.FetchEndpoints, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
+		Eras: adapter.Eras, FetchFromPeer: readings.FetchEndpoints, ReadingPeer: instance.gossip.ReadingPeer, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
 		Schedule: instance.pollSchedule(func() bool { return instance.directory.Current() != nil }, instance.directory.ContentHash),
 	}
 }
@@ -300,7 +303,7 @@
 	return clock.PollSchedule{
 		MinAge: time.Duration(minPollAgeShare * limit), MaxDelay: time.Duration(pollSpreadShare * limit), RetryDelay: pollRetryPause, MinInterval: minPollGap,
 		PeerCount: func() int { return instance.loads.LivePeerCount(time.Now()) },
-		HasData:   hasSnapshot, PrecedingPeers: func() int { return min(instance.gossip.Rank(content()), maxPollRank) },
+		HasData:   hasSnapshot, PrecedingPeers: func() int { return min(instance.gossip.PollRank(content()), maxPollRank) },
 	}
 }
 
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -27,6 +27,10 @@
 // fetchTimeout bounds one call to a peer; after it, the store is read.
 const fetchTimeout = 400 * time.Millisecond
 
+// OtherCellTimeout bounds a call to a peer of another cell, of which it is not known whether it
+// lives.
+const OtherCellTimeout = 150 * time.Millisecond
+
 // maxRoutingBytes bounds an unpacked routing. It is a multiple of what the store accepts.
 const maxRoutingBytes = 8 << 20
 
@@ -80,6 +84,10 @@
 	response := &wire.EndpointsReading{
 		Age: clock.Micros(snapshot.Age), Read: true, Content: snapshot.ContentHash, StoreEra: uint64(snapshot.Era),
 	}
+	if query.Content == snapshot.ContentHash {
+		response.Since = query.Content
+		return response, nil
+	}
 	entries := snapshot.Entries
 	if base, isKept := service.server.EndpointsByHash(query.Content); isKept {
 		response.Since = query.Content
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -29,7 +29,10 @@
 	Eras *keyvalue.EraTracker
 	// FetchFromPeer fetches a peer's newest routing, as a delta to have.
 	FetchFromPeer func(ctx context.Context, peer netip.AddrPort, have readings.RoutingSnapshot) (readings.RoutingSnapshot, error)
-	Schedule      clock.PollSchedule
+	// ReadingPeer returns a peer of the cell that reads this version's successor from the store
+	// first; false for this instance's own cell. It is nil in a fleet of one cell.
+	ReadingPeer func(version peridotpath.RoutingVersion) (readings.Peer, bool)
+	Schedule    clock.PollSchedule
 	// FetchPosition returns this instance's position in the order in which the instances of its
 	// data centre fetch that version from a peer in another one.
 	FetchPosition func(version peridotpath.RoutingVersion) int
@@ -67,7 +70,7 @@
 // does not confirm that nothing has changed.
 func (follower *Follower) Run(ctx context.Context) error {
 	for follower.Schedule.WaitUntilDue(ctx, follower.State.Age) {
-		if follower.fetchFromPeers(ctx) {
+		if follower.fetchFromPeers(ctx) || follower.fetchFromOtherCell(ctx) {
 			continue
 		}
 		err := follower.readStore(ctx)
@@ -150,6 +153,25 @@
 	return false
 }
 
+// fetchFromOtherCell fetches the routing from the cell that reads the store first. It reports whether
+// that cell has read it recently, so that this one need not.
+func (follower *Follower) fetchFromOtherCell(ctx context.Context) bool {
+	if follower.ReadingPeer == nil {
+		return false
+	}
+	peer, ok := follower.ReadingPeer(follower.State.Version())
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, readings.OtherCellTimeout)
+	defer cancel()
+	if !follower.fetchFromPeer(ctx, peer) || follower.Schedule.IsDue(follower.State.Age()) {
+		return false
+	}
+	follower.OnConfirmed()
+	return true
+}
+
 // fetchFromPeer fetches the routing from one peer, and reports whether it succeeded.
 func (follower *Follower) fetchFromPeer(ctx context.Context, peer readings.Peer) bool {
 	sentAt := follower.State.Now()
@@ -157,7 +179,7 @@
 	snapshot, err := follower.FetchFromPeer(ctx, peer.Address, have)
 	if err == nil {
 		follower.Eras.ObservePeer(snapshot.Version.Era(), 0, false)
-		err = follower.apply(snapshot.Version, snapshot.Value, sentAt-snapshot.Age)
+		err = follower.applyFromPeer(have, snapshot, sentAt-snapshot.Age)
 	}
 	if err != nil {
 		follower.Log.Info().Err(err).Stringer("peer", peer.Address).Bool("near", peer.InSameDataCentre).Msg("peer_not_read")
@@ -169,6 +191,16 @@
 	return true
 }
 
+// applyFromPeer applies a peer's routing, or confirms the one that this instance has if it is the
+// same.
+func (follower *Follower) applyFromPeer(have, snapshot readings.RoutingSnapshot, confirmedAt time.Duration) error {
+	if table := follower.State.Current(); table != nil && snapshot.Version == have.Version && table.Routing.Version == have.RoutingVersion {
+		follower.State.Confirm(have.RoutingVersion, confirmedAt)
+		return nil
+	}
+	return follower.apply(snapshot.Version, snapshot.Value, confirmedAt)
+}
+
 // readStore reads the store once. The confirmation counts from before the read was sent: a
 // reply covers no change made after it was sent, however long it was in transit.
 func (follower *Follower) readStore(ctx context.Context) error {
