--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -46,7 +46,7 @@
 	CodeNoMemory        Code = 3006 // no endpoint or group of endpoints has KV cache for the prompt
 	CodeQuarantined     Code = 3007 // endpoints terminated while they ran this request
 	CodeLimited         Code = 3008 // every remaining endpoint is at the limit it reported
-	CodeUnavailable     Code = 3009 // every remaining endpoint announced that it takes no requests
+	CodeUnavailable     Code = 3009 // every remaining endpoint announced that it takes no requests, or is drained
 
 	CodeDeadline       Code = 4001
 	CodeOutcomeUnknown Code = 4002 // may have run; must not be retried
