--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -344,12 +344,11 @@
 	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
 	peer.receivedAt = now
 	peer.clockMicros = digest.Sent
-	cellCount := gossip.cells.latestCount()
+	cellCount, inSameDataCentre := gossip.cells.latestCount(), peer.dataCentre == gossip.DataCentre
 	gossip.mutex.Unlock()
 	if cellCount != 0 && digest.Cells != 0 && int(digest.Cells) != cellCount {
 		gossip.OnCellCountMismatch()
 	}
-	inSameDataCentre := peer.dataCentre == gossip.DataCentre
 	echoMicros, mustForward := digest.Echo, digest.HandOn
 	gossip.Loads.ApplyPeerReport(decodeReport(digest, now), now)
 	if mustForward {
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -70,15 +68,6 @@
 	storeFailed     atomic.Bool
 }
 
-// entry is the own entry of a registrar; its zero value is none.
-type entry struct {
-	lease   keyvalue.LeaseID
-	key     string
-	version keyvalue.Version
-	// renewedAt is when the lease was last known to be valid.
-	renewedAt time.Time
-}
-
 // errUnregistered means that no registrar has answered yet; the store has not failed.
 var errUnregistered = errors.New("no registrar has answered")
 
@@ -282,171 +271,6 @@
 // listed as one. Its members join it again, so it resumes.
 func (registry *Registry) wasRegistrar() bool { return registry.list.contains(registry.Address, true) }
 
-// maintainEntry renews or creates the own entry, brings the members in it up to date, and lists
-// the instances if a list is due.
-func (registry *Registry) maintainEntry(ctx context.Context) error {
-	if err := registry.renewOrRegister(ctx); err != nil {
-		if time.Since(registry.entry.renewedAt) > registrationTTL {
-			// Members are not listed any more and must find another registrar.
-			registry.group.close()
-		}
-		return err
-	}
-	if members, changed := registry.group.current(time.Now()); changed {
-		return registry.writeMembers(ctx, members)
-	}
-	switch {
-	case registry.listedAt.IsZero():
-		// Of two instances that start at the same moment, the one that registers later
-		// finds the other in a consistent list and sends it a digest. In a stale list
-		// neither would find the other.
-		return registry.refreshPeers(ctx, registry.Store.List)
-	case time.Since(registry.listedAt) >= time.Duration(registry.registrarCount())*listIntervalPerRegistrar:
-		return registry.refreshPeers(ctx, registry.Store.ListStale)
-	}
-	return nil
-}
-
-func (registry *Registry) registrarCount() int {
-	count := 0
-	for _, peer := range registry.list.Peers {
-		if peer.IsRegistrar {
-			count++
-		}
-	}
-	return count
-}
-
-// writeMembers writes the members into the own entry, lists the instances and answers the members
-// that wait for it.
-func (registry *Registry) writeMembers(ctx context.Context, members []Peer) error {
-	value, err := registry.entryValue(registry.entry.lease, members)
-	if err != nil {
-		return err
-	}
-	version, err := registry.Store.Swap(keyvalue.WithPurpose(ctx, keyvalue.PurposeRegistration), registry.entry.key, registry.entry.version, value, registry.entry.lease)
-	if keyvalue.ErrConflict.Has(err) || keyvalue.ErrLeaseExpired.Has(err) {
-		// An earlier write whose answer was lost was applied, or the entry has expired. A new
-		// entry takes its place.
-		registry.entry.lease = keyvalue.LeaseID{}
-	}
-	if err != nil {
-		return err
-	}
-	registry.entry.version = version
-	if err := registry.refreshPeers(ctx, registry.Store.List); err != nil {
-		return err
-	}
-	registry.group.markListed(members)
-	return nil
-}
-
-// entryValue returns the value of the own entry under a lease.
-func (registry *Registry) entryValue(lease keyvalue.LeaseID, members []Peer) ([]byte, error) {
-	registered := registration{Address: registry.Address, DataCentre: registry.DataCentre, SnapshotPort: registry.SnapshotPort, Era: lease.Era}
-	for _, peer := range members {
-		registered.Members = append(registered.Members, member{Address: peer.Address, SnapshotPort: peer.SnapshotPort})
-	}
-	value, err := json.Marshal(registered)
-	return value, Error.Wrap(err)
-}
-
-// joinResult is the outcome of asking registrars.
-type joinResult int
-
-const (
-	// joinAccepted: one has registered this instance.
-	joinAccepted joinResult = iota
-	// joinNone: none is listed.
-	joinNone
-	// joinRefused: none has answered, registers others now and has room.
-	joinRefused
-)
-
-// join joins the group of a registrar, or stays in it. Where none of the data centre is listed, or
-// none accepts this instance for several rounds, this instance becomes one.
-func (registry *Registry) join(ctx context.Context) error {
-	result := registry.askRegistrars(ctx)
-	if result == joinNone {
-		if err := registry.refreshPeers(ctx, registry.Store.ListStale); err != nil {
-			return err
-		}
-		result = registry.askRegistrars(ctx)
-	}
-	switch result {
-	case joinAccepted:
-		return nil
-	case joinRefused:
-		registry.registrar = netip.AddrPort{}
-		if registry.failedJoins++; registry.failedJoins < maxFailedJoins {
-			if err := registry.refreshPeers(ctx, registry.Store.ListStale); err != nil {
-				return err
-			}
-			return errUnregistered
-		}
-	}
-	// A consistent list has the registrars of the last moments, so that few become one at once.
-	if err := registry.refreshPeers(ctx, registry.Store.List); err != nil {
-		return err
-	}
-	if registry.askRegistrars(ctx) == joinAccepted {
-		return nil
-	}
-	return registry.maintainEntry(ctx)
-}
-
-// askRegistrars asks the listed registrars of the data centre, first the one that registers this
-// instance already.
-func (registry *Registry) askRegistrars(ctx context.Context) joinResult {
-	candidates := registry.list.registrarsOf(registry.DataCentre, registry.Address)
-	for i, candidate := range candidates {
-		if candidate.Address == registry.registrar {
-			candidates[0], candidates[i] = candidates[i], candidates[0]
-		}
-	}
-	if len(candidates) == 0 {
-		return joinNone
-	}
-	asked := 0
-	for _, candidate := range candidates {
-		if refusedAt, refused := registry.refusedAt[candidate.Address]; refused && time.Since(refusedAt) < refusalMemory {
-			continue
-		}
-		if registry.askRegistrar(ctx, candidate) {
-			return joinAccepted
-		}
-		if registry.refusedAt == nil {
-			registry.refusedAt = map[netip.AddrPort]time.Time{}
-		}
-		registry.refusedAt[candidate.Address] = time.Now()
-		if asked++; asked == maxRegistrarsTried {
-			break
-		}
-	}
-	return joinRefused
-}
-
-// askRegistrar reports whether a registrar registers this instance.
-func (registry *Registry) askRegistrar(ctx context.Context, registrar Peer) bool {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	self := Peer{Address: registry.Address, DataCentre: registry.DataCentre, SnapshotPort: registry.SnapshotPort}
-	reply, err := registry.Join(ctx, registrar, JoinRequest{Instance: self, Content: registry.list.Content})
-	if err != nil || !reply.Accepted {
-		registry.Log.Info().Err(err).Stringer("registrar", registrar.Address).Bool("full", reply.Full).Msg("group_not_joined")
-		return false
-	}
-	if registry.registrar != registrar.Address {
-		registry.Log.Info().Stringer("registrar", registrar.Address).Stringer("before", registry.registrar).Msg("group_joined")
-	}
-	registry.registrar, registry.failedJoins, registry.refusedAt = registrar.Address, 0, nil
-	registry.listedAt = time.Now()
-	if reply.List.Peers != nil {
-		registry.setList(reply.List)
-	}
-	return true
-}
-
 // refreshPeers reads all entries and sets the peers.
 func (registry *Registry) refreshPeers(ctx context.Context, read func(context.Context, string) ([]keyvalue.Entry, keyvalue.Version, error)) error {
 	entries, _, err := read(keyvalue.WithPurpose(ctx, keyvalue.PurposeInstances), RegistryPrefix)
@@ -481,43 +305,3 @@
 	}
 	return registry.group.join(ctx, request, time.Now())
 }
-
-// renewOrRegister renews the entry, or creates one. A new entry makes a list due, unless
-// the entry was replaced only because the store was restored from an older copy: the other
-// instances are listed already.
-func (registry *Registry) renewOrRegister(ctx context.Context) error {
-	ctx = keyvalue.WithPurpose(ctx, keyvalue.PurposeRegistration)
-	before := registry.entry.lease
-	if !before.IsUnset() {
-		err := registry.Store.Renew(ctx, before)
-		if !keyvalue.ErrLeaseExpired.Has(err) {
-			if err == nil {
-				registry.entry.renewedAt = time.Now()
-			}
-			return err
-		}
-		registry.entry.lease = keyvalue.LeaseID{}
-	}
-	lease, err := registry.Store.Grant(ctx, registrationTTL)
-	if err != nil {
-		return err
-	}
-	members, _ := registry.group.current(time.Now())
-	value, err := registry.entryValue(lease, members)
-	if err != nil {
-		return err
-	}
-	key := fmt.Sprintf("%s%s/%d-%d-%d", RegistryPrefix, registry.Instance, registry.Incarnation, lease.Era, lease.Number)
-	version, err := registry.Store.Swap(ctx, key, 0, value, lease)
-	if err != nil {
-		return err
-	}
-	registry.entry = entry{lease: lease, key: key, version: version, renewedAt: time.Now()}
-	registry.registrar, registry.failedJoins, registry.refusedAt = netip.AddrPort{}, 0, nil
-	registry.group.open()
-	registry.Log.Info().Str("key", key).Int("members", len(members)).Int("instances", len(registry.list.Peers)).Msg("entry_written")
-	if before.IsUnset() || before.Era == lease.Era {
-		registry.listedAt = time.Time{}
-	}
-	return nil
-}
--- a/peridotpath/keyvalue/era.go
+++ b/peridotpath/keyvalue/era.go
@@ -187,7 +187,7 @@
 func (eraTracker *EraTracker) Guard(service *Store) *Store {
 	guard := &guard{eras: eraTracker, service: service}
 	store := &Store{
-		Get: guard.get, Swap: guard.swap, Grant: guard.grant, Renew: guard.renew, Release: guard.release,
+		Get: guard.get, Swap: guard.swap, Grant: service.Grant, Renew: guard.renew, Release: guard.release,
 		List: guard.list, TimeSinceDataLoss: eraTracker.TimeSinceDataLoss,
 	}
 	if service.ListStale != nil {
@@ -231,19 +231,20 @@
 }
 
 func (guard *guard) list(ctx context.Context, prefix string) ([]Entry, Version, error) {
-	entries, version, err := guard.service.List(ctx, prefix)
+	entries, version, err := guard.listBy(ctx, guard.service.List, prefix)
 	if err == nil {
-		err = guard.checkEra(version)
-	}
-	if err != nil {
-		return nil, 0, err
+		guard.eras.recordRead(version)
 	}
-	guard.eras.recordRead(version)
-	return entries, version, nil
+	return entries, version, err
 }
 
 func (guard *guard) listStale(ctx context.Context, prefix string) ([]Entry, Version, error) {
-	entries, version, err := guard.service.ListStale(ctx, prefix)
+	return guard.listBy(ctx, guard.service.ListStale, prefix)
+}
+
+// listBy lists by one of the service's calls, and rejects a list of another era.
+func (guard *guard) listBy(ctx context.Context, list func(context.Context, string) ([]Entry, Version, error), prefix string) ([]Entry, Version, error) {
+	entries, version, err := list(ctx, prefix)
 	if err == nil {
 		err = guard.checkEra(version)
 	}
@@ -325,10 +326,6 @@
 	return ErrUnavailable.New("%s: expected version %d of era %d, written in era %d", key, expect.Number(), expect.Era(), version.Era())
 }
 
-func (guard *guard) grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	return guard.service.Grant(ctx, ttl)
-}
-
 // renew rejects a lease of another era: its number may belong to another client's lease.
 func (guard *guard) renew(ctx context.Context, lease LeaseID) error {
 	if lease.Era != guard.eras.Current() {
--- a/peridotpath/keyvalue/http.go
+++ b/peridotpath/keyvalue/http.go
@@ -57,7 +57,8 @@
 const (
 	// callTimeout bounds one call; a watch adds it to its own wait.
 	callTimeout = 3 * time.Second
-	// maxReplyBytes bounds one response body: a list of about sixty values of maximum size.
+	// maxReplyBytes bounds one response body: a list of about forty-five values of maximum size,
+	// which base64 enlarges by a third.
 	maxReplyBytes = 64 << 20
 )
 
