audit: requests that were sent into a data centre that the instance knew to be drained

peridotctl audit and the soak find what goes to endpoints that leave or rest, and said nothing of drains. endpoint_joined names the data centre; a request that arrives more than 2 s after data_centre_drained of its instance, and is sent to an endpoint there before data_centre_undrained or a new start, is a finding (sent_to_drained).

--- a/peridotctl/audit.go
+++ b/peridotctl/audit.go
@@ -16,7 +16,8 @@
   may run once, ended twice, refused long after they could have been, refused
   without a time to return. Also finds requests that were sent to an endpoint
   later than 2 s after it had said that it leaves, or, after two others, within
-  the time for which it had asked for rest. Prints the lines of the first ones
+  the time for which it had asked for rest, or into a data centre later than 2 s
+  after the instance had learnt that it is drained. Prints the lines of the first ones
   and fails if there is any. Reads log files, asks no instance.
 
 `
--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -38,9 +38,12 @@
 	// FaultSentDuringBackoff means that the request was sent to an endpoint that had asked the
 	// instance for a backoff, after maxDuringBackoff others.
 	FaultSentDuringBackoff
+	// FaultSentToDrained means that the request was sent to an endpoint although it arrived
+	// more than maxDrainTime after the instance had learned that its data centre is drained.
+	FaultSentToDrained
 )
 
-var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff"}
+var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff", "sent_to_drained"}
 
 func (fault Fault) String() string { return faultNames[fault] }
 
@@ -65,6 +68,10 @@
 	// starts the starts of the instances' processes.
 	announcements map[path]*announcements
 	starts        []instanceStart
+	// drains holds what each instance knew of drained data centres, and dataCentres the data
+	// centre of each endpoint.
+	drains      map[string][]drain
+	dataCentres map[string]string
 }
 
 // pause is an interval in which an instance's process did not run.
@@ -82,7 +89,7 @@
 		audit.addPause(line)
 		return
 	}
-	if audit.addAnnouncement(line) {
+	if audit.addDrain(line) || audit.addAnnouncement(line) {
 		return
 	}
 	id := peridotpath.RequestID(line.Pairs["request"])
@@ -156,6 +163,7 @@
 		}
 	}
 	findings = append(findings, audit.announcementFindings()...)
+	findings = append(findings, audit.drainFindings()...)
 	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Request, b.Request) })
 	return findings
 }
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -312,7 +312,7 @@
 	for id, endpoint := range after.byID {
 		if previous := before.byID[id]; previous == nil || previous.Incarnation != endpoint.Incarnation {
 			directory.Log.Info().Str("endpoint", string(id)).Uint64("incarnation", uint64(endpoint.Incarnation)).Str("service", string(endpoint.Service)).
-				Stringer("address", endpoint.Address).Msg("endpoint_joined")
+				Str("data_centre", string(endpoint.DataCentre)).Stringer("address", endpoint.Address).Msg("endpoint_joined")
 		}
 	}
 	for id, endpoint := range before.byID {
