gossip: the lists of a first start are not taken for the fleet; peers that are heard count for cells

Cause: registrars answered members at once, with the list of that moment. Instances that were given a list of a few dozen took the fleet for one cell, and sent their digests to all that they knew or heard; a list was replaced after six seconds only. What was said of nearly a thousand then went to nearly a thousand, four times a second.

At a first start no list is used until all have registered, 3.5 s after the start; registrars read it half a second before their members ask for it. Members ask again after 1, 2 and 4 s. The number of cells follows the peers that are listed or heard, so that a list that falls short for any other reason cannot do the same. An instance that restarts asks the registrar that still lists it.

--- a/peridotpath/gossip/cells_test.go
+++ b/peridotpath/gossip/cells_test.go
@@ -6,8 +6,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath/cell"
+	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/gossip/wire"
+	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/readings"
 )
 
 // While the fleet grows from two cells to four, instances that have read the new number
@@ -50,3 +55,21 @@
 	is.Equal(membership.EndpointCell(), four)
 	is.Equal(membership.gossipCell, two)
 }
+
+// The list of instances falls far short of a fleet of which hundreds are heard. If only the listed
+// ones counted, the fleet would be one cell, in which all send their digests to all.
+func TestCellsCountPeersThatAreHeard(t *testing.T) {
+	is := is.New(t)
+	gossip := &Gossip{Address: netip.MustParseAddrPort("10.0.0.1:1"), DataCentre: "a", Log: zerolog.Nop()}
+	gossip.SetPeers([]Peer{{Address: netip.MustParseAddrPort("10.0.0.2:1"), DataCentre: "a"}})
+	is.Equal(gossip.cells.latestCount(), 1)
+	gossip.Facts, gossip.Loads = &facts.Table{}, &placement.LoadTracker{}
+	gossip.OnPeerFreshness = func(readings.Peer, Freshness, time.Duration) {}
+	gossip.OnCellCountMismatch = func() {}
+	gossip.Clock = func() time.Duration { return time.Hour }
+	for number := range 300 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}), 1)
+		gossip.handleDigest(nil, &wire.Digest{Instance: address.String(), Address: address.String(), DataCentre: "b"}, time.Now())
+	}
+	is.Equal(gossip.cells.latestCount(), 4)
+}
--- a/peridotpath/gossip/enrol.go
+++ b/peridotpath/gossip/enrol.go
@@ -51,11 +51,11 @@
 }
 
 // askRegistrars asks the listed registrars of the data centre, first the one that registers this
-// instance already.
+// instance already: it need not write for it.
 func (registry *Registry) askRegistrars(ctx context.Context) joinResult {
 	candidates := registry.list.registrarsOf(registry.DataCentre, registry.Address)
 	for i, candidate := range candidates {
-		if candidate.Address == registry.registrar {
+		if candidate.Address == registry.registrar || !registry.registrar.IsValid() && candidate.Address == registry.registrarBefore {
 			candidates[0], candidates[i] = candidates[i], candidates[0]
 		}
 	}
--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -157,13 +157,22 @@
 		// snapshot that it needs.
 		gossip.RequestDigest()
 	}
-	fleetSize := 1
+	gossip.updateCells()
+}
+
+// updateCells divides the fleet into cells by the number of peers. The caller holds the mutex.
+//
+// Peers that are heard and not listed count, too: if the list falls short of the fleet, the fleet
+// would otherwise seem to be fewer cells, in which every instance sends its digests to hundreds.
+func (gossip *Gossip) updateCells() {
+	now, fleetSize := time.Now(), 1
 	for _, peer := range gossip.peers {
-		if peer.registered {
+		isHeard := peer.instance != "" && now.Sub(peer.receivedAt) < forgetPeerAfter
+		if peer.registered || isHeard {
 			fleetSize++
 		}
 	}
-	if gossip.cells.update(cell.Of(gossip.Address, fleetSize), time.Now()) {
+	if gossip.cells.update(cell.Of(gossip.Address, fleetSize), now) {
 		gossip.Log.Info().Int("instances", fleetSize).Int("cells", gossip.cells.latestCell.Count()).Msg("cells_changed")
 	}
 }
@@ -333,7 +342,11 @@
 		return
 	}
 	gossip.mutex.Lock()
+	before := len(gossip.peers)
 	peer := gossip.findOrAddPeer(from)
+	if len(gossip.peers) > before && gossip.cells.latestCount() > 0 {
+		gossip.updateCells()
+	}
 	if peer.instance != peridotpath.InstanceID(digest.Instance) || peer.incarnation != peridotpath.Incarnation(digest.Incarnation) {
 		peer.instance, peer.incarnation = peridotpath.InstanceID(digest.Instance), peridotpath.Incarnation(digest.Incarnation)
 		gossip.Log.Info().Str("peer", digest.Instance).Stringer("address", from).Msg("peer_heard")
--- a/peridotpath/gossip/registration.go
+++ b/peridotpath/gossip/registration.go
@@ -94,6 +94,23 @@
 	return found
 }
 
+// registrarOf returns the address of the registrar in whose entry an instance is a member; the zero
+// value for none.
+func registrarOf(entries []keyvalue.Entry, member netip.AddrPort) netip.AddrPort {
+	for _, entry := range entries {
+		var registration registration
+		if json.Unmarshal(entry.Value, &registration) != nil {
+			continue
+		}
+		for _, listed := range registration.Members {
+			if listed.Address == member {
+				return registration.Address
+			}
+		}
+	}
+	return netip.AddrPort{}
+}
+
 // decodeRegistrations decodes the entries of the registry into a list and returns the oldest
 // era in them. It skips entries that cannot be decoded.
 func decodeRegistrations(entries []keyvalue.Entry, log zerolog.Logger) (list InstanceList, oldest keyvalue.Era) {
--- a/peridotpath/gossip/registry.go
+++ b/peridotpath/gossip/registry.go
@@ -53,8 +53,15 @@
 	// failedJoins counts the rounds since then in which none has answered.
 	registrar   netip.AddrPort
 	failedJoins int
+	// registrarBefore is the registrar by whose entry this instance is still listed, from an
+	// earlier start; the zero value for none.
+	registrarBefore netip.AddrPort
 	// refusedAt holds when registrars last did not answer or did not accept this instance.
 	refusedAt map[netip.AddrPort]time.Time
+	// isGathering holds lists back from SetPeers while a first start of all goes on, and
+	// nextInterval is the time to the next round: short at first, since lists are incomplete then.
+	isGathering  bool
+	nextInterval time.Duration
 	// listRequested requests a list before it is due.
 	listRequested clock.Signal
 	// reregisterRequested requests a new entry, since the store may have lost the current
@@ -85,8 +92,14 @@
 	gatherDelay = 500 * time.Millisecond
 	// firstStartSpread bounds the delay of an instance that finds no others before it looks for
 	// a registrar again. Few have a short delay: they become registrars, which the others find in
-	// a stale list.
-	firstStartSpread = 3 * time.Second
+	// a stale list. After firstStartTime all are listed; registrars read that list a little
+	// earlier than their members ask for it.
+	firstStartSpread = 2 * time.Second
+	firstStartTime   = 3500 * time.Millisecond
+	firstListLead    = 500 * time.Millisecond
+	// firstInterval is the time between a member's first two rounds. It doubles up to
+	// renewalInterval.
+	firstInterval = time.Second
 	// maxRegistrarsTried bounds the registrars that are asked in a round, and maxFailedJoins the
 	// rounds without an answer until an instance registers itself: after a power loss of all
 	// instances the registrars may start later than their members.
@@ -165,11 +178,27 @@
 // round.
 //
 // It matters when hundreds of instances start for the first time at once: each of them
-// would find no peers, register by itself, and fetch everything from the store.
+// would find no peers, register by itself, and fetch everything from the store. Nor may they take
+// the lists of that time for the whole fleet: it would seem to be one cell, in which all of them
+// send their digests to all.
 func (registry *Registry) startFirst(ctx context.Context) time.Duration {
 	if registry.Join != nil {
+		endsAt := time.Now().Add(firstStartTime)
+		registry.isGathering = true
 		clock.SleepContext(ctx, time.Duration(math.Cbrt(rand.Float64())*float64(firstStartSpread)))
-		return registry.finishRound(ctx, registry.runRound(ctx))
+		err := registry.runRound(ctx)
+		registry.recordOutcome(ctx, err)
+		if registry.isRegistrar() {
+			endsAt = endsAt.Add(-firstListLead)
+			err = registry.serveMembers(ctx, endsAt)
+		}
+		clock.SleepContext(ctx, time.Until(endsAt))
+		registry.isGathering = false
+		if err == nil {
+			err = registry.updateList(ctx)
+		}
+		registry.SetPeers(registry.list.Peers)
+		return registry.finishRound(ctx, err)
 	}
 	err := registry.renewOrRegister(ctx)
 	if err == nil && clock.SleepContext(ctx, gatherDelay) {
@@ -178,6 +207,25 @@
 	return registry.finishRound(ctx, err)
 }
 
+// serveMembers lists the members that join until the given time.
+func (registry *Registry) serveMembers(ctx context.Context, until time.Time) error {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return nil
+		case <-registry.group.joined.C():
+			clock.SleepContext(ctx, joinBatchDelay)
+			if err := registry.maintainEntry(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // finishRound records the outcome of a round and returns the time until the next one.
 func (registry *Registry) finishRound(ctx context.Context, err error) time.Duration {
 	registry.recordOutcome(ctx, err)
@@ -187,7 +235,11 @@
 	case err != nil:
 		return storeRetryPause
 	}
-	return renewalInterval
+	if registry.isRegistrar() {
+		return renewalInterval
+	}
+	registry.nextInterval = min(max(2*registry.nextInterval, firstInterval), renewalInterval)
+	return registry.nextInterval
 }
 
 // RequestReregistration requests a new entry soon, after a random delay that spreads the
@@ -278,6 +330,9 @@
 		return err
 	}
 	list, oldestEra := decodeRegistrations(entries, registry.Log)
+	if !registry.isRegistered() {
+		registry.registrarBefore = registrarOf(entries, registry.Address)
+	}
 	if len(list.Peers) > 0 && oldestEra < registry.Eras.Current() {
 		// Entries expire within seconds, so one of an earlier era shows that the current
 		// era began recently.
@@ -294,7 +349,9 @@
 func (registry *Registry) setList(list InstanceList) {
 	registry.list = list
 	registry.group.setList(list)
-	registry.SetPeers(list.Peers)
+	if !registry.isGathering {
+		registry.SetPeers(list.Peers)
+	}
 }
 
 // HandleJoin registers an instance of this data centre that asks for it, if this one is a
