directory: a list of endpoints crosses into a data centre once

Instances that start hear of the list from other data centres as soon as one there has it, and each of them fetched it whole from there, at once; a routing has crossed once for long.

The instances of a data centre fetch from another one in the order that routings have, 80 ms apart, so that the first has it and tells the others before they ask. TestListCrossesDataCentresOnce: ten instances fetched it ten times, now twice at most.

--- a/peridotpath/directory/cells_test.go
+++ b/peridotpath/directory/cells_test.go
@@ -148,3 +148,70 @@
 		}
 	}
 }
+
+// All instances of a second data centre start, and hear from the first one that it has the list. One
+// of them must fetch it from there and the others from it: the list of a large fleet is long, and
+// traffic between data centres is metered.
+func TestListCrossesDataCentresOnce(t *testing.T) {
+	const count = 20 // even numbers are in one data centre, odd ones in the other
+	virtual.Test(t, func(t *testing.T) {
+		startedAt, entries := time.Now(), []keyvalue.Entry{{Key: "one"}}
+		now := func() time.Duration { return time.Hour + time.Since(startedAt) }
+		one := endpoint("one", 1)
+		var mutex sync.Mutex
+		crossings := 0
+		var followers []*directory.Follower
+		send := func(from int) {
+			content, at := followers[from].Directory.ContentHash(), followers[from].Directory.ConfirmedAt()
+			for to := range followers {
+				if to != from {
+					followers[to].UpdateFromPeer(readings.Peer{Address: peerAddress(from), InSameDataCentre: to%2 == from%2}, content, at)
+				}
+			}
+		}
+		for i := range count {
+			followers = append(followers, &directory.Follower{
+				Directory: &directory.Directory{Log: zerolog.Nop()}, Now: now, Log: zerolog.Nop(), Eras: &keyvalue.EraTracker{},
+				List: func(context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
+					if i > 0 {
+						return nil, 0, errors.New("store unreachable")
+					}
+					return entries, 0, nil
+				},
+				FetchPosition: func(uint64) int { return i / 2 },
+				OnConfirmed:   func() { time.AfterFunc(5*time.Millisecond, func() { send(i) }) },
+				FetchFromPeer: func(_ context.Context, peer netip.AddrPort, _ readings.EndpointsSnapshot) (readings.EndpointsSnapshot, error) {
+					from := int(peer.Addr().As4()[3])
+					if from%2 != i%2 {
+						mutex.Lock()
+						crossings++
+						mutex.Unlock()
+					}
+					time.Sleep(20 * time.Millisecond)
+					snapshot, _ := followers[from].Newest()
+					return snapshot, nil
+				},
+				Decode: func([]keyvalue.Entry) directory.Listing {
+					return directory.Listing{Endpoints: []peridotpath.Endpoint{one}}
+				},
+				Schedule: clock.PollSchedule{MinAge: time.Second, MaxDelay: time.Second, RetryDelay: 5 * time.Second},
+			})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		for _, follower := range followers {
+			all.Go(func() { _ = follower.Run(ctx) })
+		}
+		time.Sleep(900 * time.Millisecond)
+		for i, follower := range followers {
+			if len(ids(follower.Directory)) != 1 {
+				t.Errorf("%d has no list", i)
+			}
+		}
+		cancel()
+		all.Wait()
+		if crossings > 2 {
+			t.Errorf("the list was fetched from the other data centre %d times, want 2 at most", crossings)
+		}
+	})
+}
--- a/peridotpath/directory/follower.go
+++ b/peridotpath/directory/follower.go
@@ -26,12 +26,16 @@
 	// ReadingPeer returns a peer of the cell that reads the successor of this content from the
 	// store first; false for this instance's own cell. It is nil in a fleet of one cell.
 	ReadingPeer func(content uint64) (readings.Peer, bool)
+	// FetchPosition returns this instance's position in the order in which the instances of its
+	// data centre fetch that content from a peer in another one; nil where none comes before it.
+	FetchPosition func(content uint64) int
 	// Eras holds the eras of the store.
 	Eras *keyvalue.EraTracker
 	// Now returns the time since boot, which advances while the machine is suspended.
 	Now      func() time.Duration
 	Schedule clock.PollSchedule
-	// OnConfirmed is called after each successful read of the store.
+	// OnConfirmed is called after each successful read of the store, and of a peer whose snapshot
+	// nearby ones may not have.
 	OnConfirmed func()
 	Log         zerolog.Logger
 
@@ -107,6 +111,10 @@
 // UpdateFromPeer applies the content hash of a peer's snapshot, which was the newest at the
 // time confirmedAt. It confirms the snapshot held here, or wakes the follower to fetch a newer
 // one.
+//
+// If the peer is in another data centre, one instance of the local data centre fetches the
+// snapshot first, and the next one only if no nearby peer has it after RemoteFetchDelay. Otherwise
+// every instance that starts would fetch the whole list across the data centres.
 func (follower *Follower) UpdateFromPeer(peer readings.Peer, content uint64, confirmedAt time.Duration) {
 	if content == 0 {
 		return
@@ -117,7 +125,11 @@
 		follower.confirmContent(content, confirmedAt)
 	case confirmedAt > follower.Directory.ConfirmedAt(), follower.Directory.ContentHash() == 0:
 		follower.newerPeers.Set(peer)
-		follower.Schedule.Wake()
+		if peer.InSameDataCentre || follower.FetchPosition == nil {
+			follower.Schedule.Wake()
+		} else {
+			time.AfterFunc(time.Duration(follower.FetchPosition(content))*readings.RemoteFetchDelay, follower.Schedule.Wake)
+		}
 	}
 }
 
@@ -188,7 +200,10 @@
 		follower.confirmContent(have.ContentHash, confirmedAt)
 		return true
 	}
-	follower.apply(snapshot.Entries, snapshot.Era, startedAt-snapshot.Age)
+	follower.apply(snapshot.Entries, snapshot.Era, confirmedAt)
+	if !peer.InSameDataCentre {
+		follower.OnConfirmed()
+	}
 	return true
 }
 
--- a/peridotpath/instance/followers.go
+++ b/peridotpath/instance/followers.go
@@ -62,7 +62,7 @@
 	}
 	instance.endpointFollower = &directory.Follower{
 		Directory: instance.directory, List: instance.listEndpoints, Decode: instance.decodeListing, Now: clock.SinceBoot,
-		Eras: adapter.Eras, FetchFromPeer: readings.FetchEndpoints, ReadingPeer: instance.gossip.ReadingPeer, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
+		Eras: adapter.Eras, FetchFromPeer: readings.FetchEndpoints, ReadingPeer: instance.gossip.ReadingPeer, FetchPosition: instance.gossip.Rank, OnConfirmed: instance.gossip.RequestDigest, Log: instance.Log,
 		Schedule: instance.pollSchedule(func() bool { return instance.directory.Current() != nil }, instance.directory.ContentHash),
 	}
 }
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -27,6 +27,10 @@
 // fetchTimeout bounds one call to a peer; after it, the store is read.
 const fetchTimeout = 400 * time.Millisecond
 
+// RemoteFetchDelay is about the time to fetch a change from a peer in another data centre and to
+// gossip it within this one.
+const RemoteFetchDelay = 80 * time.Millisecond
+
 // OtherCellTimeout bounds a call to a peer of another cell, of which it is not known whether it
 // lives.
 const OtherCellTimeout = 150 * time.Millisecond
--- a/peridotpath/routing/follower.go
+++ b/peridotpath/routing/follower.go
@@ -58,10 +58,6 @@
 // be older than the one last written.
 var errStoreNotSettled = errs.New("routing: store was restored from an older copy and its routing is not known to have been written since")
 
-// remoteFetchDelay is about the time to fetch a change from a peer in another data centre and to
-// gossip it within this one.
-const remoteFetchDelay = 80 * time.Millisecond
-
 // Run reads the store whenever the routing has not been confirmed for the interval of
 // Schedule, until ctx ends. Confirmations by peers postpone the read, so that all instances
 // together read little more often than a single one would.
@@ -91,7 +87,7 @@
 // the peer as the source of a newer one.
 //
 // If the peer is in another data centre, one instance of the local data centre fetches the
-// version first, and the next one only if no nearby peer has it after remoteFetchDelay: with
+// version first, and the next one only if no nearby peer has it after RemoteFetchDelay: with
 // simultaneous requests of all instances, the link of the peer that read the version first
 // would be saturated for seconds.
 func (follower *Follower) UpdateFromPeer(peer readings.Peer, version peridotpath.RoutingVersion, confirmedAt time.Duration) {
@@ -104,7 +100,7 @@
 		if peer.InSameDataCentre {
 			follower.Schedule.Wake()
 		} else {
-			time.AfterFunc(time.Duration(follower.FetchPosition(version))*remoteFetchDelay, follower.Schedule.Wake)
+			time.AfterFunc(time.Duration(follower.FetchPosition(version))*readings.RemoteFetchDelay, follower.Schedule.Wake)
 		}
 	}
 }
