directory: the test of cells cuts one off without a race

TestCellsShareReadingsOfStore changed a function that the followers read; found by the race detector in repeated runs of the test, not in the product. The cell that is cut off is an atomic number now; what is checked is the same.

--- a/peridotpath/directory/cells_test.go
+++ b/peridotpath/directory/cells_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,13 +25,14 @@
 type cellFleet struct {
 	followerFleet
 	cellCount int
-	// isCut reports whether a follower cannot reach the store.
-	isCut func(number int) bool
+	// cutCell is the cell that cannot reach the store; -1 for none.
+	cutCell atomic.Int64
 }
 
 // newCellFleet returns a fleet of instances with their numbers modulo the number of cells as cells.
 func newCellFleet(cellCount, perCell int) *cellFleet {
-	fleet := &cellFleet{cellCount: cellCount, isCut: func(int) bool { return false }}
+	fleet := &cellFleet{cellCount: cellCount}
+	fleet.cutCell.Store(-1)
 	fleet.entries = []keyvalue.Entry{{Key: "one"}}
 	one, startedAt := endpoint("one", 1), time.Now()
 	for i := range cellCount * perCell {
@@ -38,7 +40,7 @@
 			Directory: &directory.Directory{Log: zerolog.Nop()}, Now: func() time.Duration { return time.Hour + time.Since(startedAt) },
 			Log: zerolog.Nop(), Eras: &keyvalue.EraTracker{},
 			List: func(ctx context.Context) ([]keyvalue.Entry, keyvalue.Era, error) {
-				if fleet.isCut(i) {
+				if int64(i%cellCount) == fleet.cutCell.Load() {
 					return nil, 0, errors.New("store unreachable")
 				}
 				return fleet.list(ctx)
@@ -113,10 +115,7 @@
 					}
 					time.Sleep(8 * time.Second)
 					if isReaderCut && cellCount > 1 {
-						fleet.mutex.Lock()
-						first := int(fleet.followers[0].Directory.ContentHash() % uint64(cellCount))
-						fleet.isCut = func(number int) bool { return number%cellCount == first }
-						fleet.mutex.Unlock()
+						fleet.cutCell.Store(int64(fleet.followers[0].Directory.ContentHash() % uint64(cellCount)))
 					}
 					fleet.mutex.Lock()
 					fleet.listCount = 0
