outbound, instance: how dials end, and why an instance is not ready

Neither logs nor metrics of the incident tell an endpoint that is down from a link that is cut, a refused dial from one that hangs, or whether an instance was ready and why. peridotpath_dial_seconds{result} counts dials by how they end and how long they take; readiness_changed names the reason and how long the answer before lasted. Connections of an instance on a loopback address leave from that address, so that stand-ins on one machine can cut off one instance and not an endpoint. No decision is changed.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -20,6 +20,7 @@
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/pace"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
@@ -88,10 +89,6 @@
 	// keyExpiryMargin is how much earlier than required a revoked key expires here. It
 	// covers the time between the last clock check and the request reaching the endpoint.
 	keyExpiryMargin = 500 * time.Millisecond
-	// readinessMargin is how long before keys expire the instance reports not ready. The
-	// load balancer, which checks each second, moves callers to other instances within that
-	// time.
-	readinessMargin = 1500 * time.Millisecond
 	// memoryLimitShare is the share of the process memory that is set as the soft limit of
 	// the garbage collector. The rest is for stacks, buffers and kernel memory.
 	memoryLimitShare = 0.7
@@ -120,6 +117,7 @@
 	endpointFollower    *directory.Follower
 	startup             *startup
 	cachedCellEndpoints atomic.Pointer[cellSnapshot]
+	readiness           readiness
 	activeRequests      atomic.Int64
 	stopping            atomic.Bool
 	// closing reports that no further request is accepted.
@@ -132,6 +130,7 @@
 
 // New assembles an instance without starting it.
 func New(settings *Settings, adapter Adapter, log zerolog.Logger) *Instance {
+	outbound.SetSource(settings.CallerAddress.Addr())
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
 	instance := &Instance{Settings: settings, Adapter: adapter, Log: log, incarnation: peridotpath.Incarnation(time.Now().UnixNano())}
 	instance.routing = &routing.State{Now: clock.SinceBoot, KeyLifetime: settings.KeyLifetime - keyExpiryMargin, Log: log}
@@ -186,12 +185,6 @@
 	})
 }
 
-// isReady reports whether the instance accepts new callers: it has endpoints and a routing
-// that was recently known to be the newest, and is not shutting down.
-func (instance *Instance) isReady() bool {
-	return !instance.stopping.Load() && instance.hasRoutingAndEndpoints() && instance.routing.Age() < instance.Settings.KeyLifetime-readinessMargin
-}
-
 // hasRouting reports whether a routing was read.
 func (instance *Instance) hasRouting() bool { return instance.routing.Current() != nil }
 
--- a/peridotpath/instance/listen.go
+++ b/peridotpath/instance/listen.go
@@ -84,12 +84,3 @@
 		handler.ServeHTTP(writer, request)
 	})
 }
-
-// handleReady answers a readiness check.
-func (instance *Instance) handleReady(writer http.ResponseWriter, _ *http.Request) {
-	if instance.isReady() {
-		writer.WriteHeader(http.StatusOK)
-		return
-	}
-	writer.WriteHeader(http.StatusServiceUnavailable)
-}
--- /dev/null
+++ b/peridotpath/instance/readiness.go
@@ -0,0 +1,72 @@
+package instance
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// readinessMargin is how long before keys expire the instance reports not ready. The load
+// balancer, which checks each second, moves callers to other instances within that time.
+const readinessMargin = 1500 * time.Millisecond
+
+// unreadyReason is why the instance accepts no new callers; empty while it does.
+type unreadyReason string
+
+const (
+	unreadyStopping   unreadyReason = "stopping"
+	unreadyNoRouting  unreadyReason = "no_routing"
+	unreadyNoEndpoint unreadyReason = "no_endpoints"
+	unreadyKeysExpire unreadyReason = "keys_expire"
+)
+
+// readiness is the last answer to the load balancer.
+type readiness struct {
+	mutex     sync.Mutex
+	isKnown   bool
+	reason    unreadyReason
+	changedAt time.Time
+}
+
+// unreadyReason returns why the instance accepts no new callers. It does if it has endpoints and
+// a routing that was recently known to be the newest, and is not shutting down.
+func (instance *Instance) unreadyReason() unreadyReason {
+	switch {
+	case instance.stopping.Load():
+		return unreadyStopping
+	case !instance.hasRouting():
+		return unreadyNoRouting
+	case !instance.hasRoutingAndEndpoints():
+		return unreadyNoEndpoint
+	case instance.routing.Age() >= instance.Settings.KeyLifetime-readinessMargin:
+		return unreadyKeysExpire
+	}
+	return ""
+}
+
+// handleReady answers a readiness check.
+func (instance *Instance) handleReady(writer http.ResponseWriter, _ *http.Request) {
+	reason := instance.unreadyReason()
+	instance.logReadiness(reason, time.Now())
+	if reason == "" {
+		writer.WriteHeader(http.StatusOK)
+		return
+	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// logReadiness logs an answer that differs from the last one.
+func (instance *Instance) logReadiness(reason unreadyReason, now time.Time) {
+	readiness := &instance.readiness
+	readiness.mutex.Lock()
+	defer readiness.mutex.Unlock()
+	if readiness.isKnown && reason == readiness.reason {
+		return
+	}
+	event := instance.Log.Info().Bool("ready", reason == "").Str("reason", string(reason))
+	if readiness.isKnown {
+		event = event.Dur("lasted", now.Sub(readiness.changedAt))
+	}
+	event.Msg("readiness_changed")
+	readiness.isKnown, readiness.reason, readiness.changedAt = true, reason, now
+}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -4,7 +4,6 @@
 package outbound
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -76,9 +75,8 @@
 // another server.
 func configureClient() {
 	logx.Disable()
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	http.DefaultClient.Transport = &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            DialDirect,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
