soak: a failing test of instances that are cut off from all endpoints

What callers saw: at instances whose links to all endpoints were cut none or few requests were served. Three real instances, each on a loopback address of its own, by which the endpoints' proxies cut off one or two of them: connections hang, are reset, or only new ones are.

--- /dev/null
+++ b/soak/cut_off.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/platform/standin"
+)
+
+// cutOffLinks are the ways in which an instance is cut off from all endpoints.
+var cutOffLinks = map[string]link{"hang": linkBlackhole, "reset": linkReset, "new ones reset": linkNewReset}
+
+// cutOffFaults are added to faults by options.cutsOff.
+var cutOffFaults = []fault{
+	{"cut_off", func(fleet *fleet, random *rand.Rand) func() {
+		states := []link{linkBlackhole, linkReset, linkNewReset, linkOneWay}
+		return fleet.cutOff(states[random.IntN(len(states))], random.Perm(len(fleet.instances))[:1+random.IntN(len(fleet.instances))]...)
+	}},
+	{"cut_off_again_and_again", func(fleet *fleet, random *rand.Rand) func() {
+		return fleet.cutOffRepeatedly(random.IntN(len(fleet.instances)))
+	}},
+}
+
+// cutOff cuts instances off from all endpoints until end is called. They still reach each other,
+// the store and the clients.
+func (fleet *fleet) cutOff(state link, instances ...int) (end func()) {
+	fleet.setInstanceLinks(state, instances)
+	return func() { fleet.setInstanceLinks(linkHealthy, instances) }
+}
+
+// cutOffRepeatedly cuts an instance off for a second of every three until end is called.
+func (fleet *fleet) cutOffRepeatedly(number int) (end func()) {
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			endCut := fleet.cutOff(linkBlackhole, number)
+			time.Sleep(time.Second)
+			endCut()
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Second):
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-stopped
+	}
+}
+
+func (fleet *fleet) setInstanceLinks(state link, instances []int) {
+	for _, endpoint := range fleet.endpoints {
+		for _, number := range instances {
+			endpoint.proxy.setSourceLink(instanceAddress(number), state)
+		}
+	}
+}
+
+const (
+	// triesPerSecond is the rate of the first tries that steadyLoad sends to each instance.
+	triesPerSecond = 40
+	// steadyTimeout is how long its clients wait. It is shorter than a cut, so that a request that
+	// is held until the end of the cut counts as not served.
+	steadyTimeout = 1500 * time.Millisecond
+)
+
+// try is a first try of a request at an instance.
+type try struct {
+	instance int
+	sentAt   time.Time
+	served   bool
+	status   int
+}
+
+// steadyLoad sends requests of all kinds to each instance at a constant rate and records how they
+// ended. None is tried again.
+type steadyLoad struct {
+	mutex   sync.Mutex
+	tries   []try
+	running sync.WaitGroup
+}
+
+// run sends requests until ctx ends, and waits for those under way.
+func (load *steadyLoad) run(ctx context.Context, fleet *fleet) {
+	ticker := time.NewTicker(time.Second / triesPerSecond)
+	defer ticker.Stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}
+	defer client.CloseIdleConnections()
+	for count := 0; ; count++ {
+		select {
+		case <-ctx.Done():
+			load.running.Wait()
+			return
+		case <-ticker.C:
+			for number := range fleet.instances {
+				load.running.Go(func() { load.send(fleet, client, number, count) })
+			}
+		}
+	}
+}
+
+func (load *steadyLoad) send(fleet *fleet, client *http.Client, number, count int) {
+	id := peridotpath.RequestID(fmt.Sprintf("steady%d-%d", number, count))
+	request := standin.Request{ID: id, Key: customerKey(customers[0], 1), Body: "of " + string(id), ClientTimeout: steadyTimeout}
+	switch count % 3 {
+	case 0:
+		request.Route = standin.RouteNonIdempotent
+	case 1:
+		request.Route = standin.RouteIdempotent
+	default:
+		request.Route, request.PromptTokens = standin.RouteStream, peridotpath.Tokens(100+count%4000)
+	}
+	instance, sentAt := fleet.instances[number], time.Now()
+	fleet.checker.recordSent(sentRequest{Request: request, Customer: customers[0], Instance: instance, SentAt: sentAt})
+	ctx, cancel := context.WithTimeout(context.Background(), steadyTimeout)
+	defer cancel()
+	reply, err := standin.Send(ctx, client, instance.IngressAddress, request)
+	if err != nil {
+		reply = nil
+	}
+	fleet.checker.recordReply(id, reply)
+	result := try{instance: number, sentAt: sentAt}
+	if reply != nil {
+		result.served, result.status = reply.Status == http.StatusOK && reply.IsComplete, reply.Status
+	}
+	load.mutex.Lock()
+	defer load.mutex.Unlock()
+	load.tries = append(load.tries, result)
+}
+
+// servedShare returns how many of the tries in a span at the instances were served, as a share,
+// and their number.
+func (load *steadyLoad) servedShare(from, to time.Time, isCounted func(instance int) bool) (share float64, total int) {
+	load.mutex.Lock()
+	defer load.mutex.Unlock()
+	served := 0
+	for _, try := range load.tries {
+		if isCounted(try.instance) && !try.sentAt.Before(from) && try.sentAt.Before(to) {
+			total++
+			if try.served {
+				served++
+			}
+		}
+	}
+	return float64(served) / float64(max(total, 1)), total
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -183,18 +183,25 @@
 	if err != nil {
 		return err
 	}
+	address := instanceAddress(len(fleet.instances))
 	storeProxy, storeProxyAddress, err := fleet.openProxy(ctx, fleet.storeAddress)
 	if err != nil {
 		return err
 	}
 	instance := &instance{
-		ID: id, Binary: binary, Folder: folder, IngressAddress: loopback(first), ReadinessAddress: loopback(first + 1), FirstPeerPort: first + 2, StoreProxy: storeProxy,
+		ID: id, Binary: binary, Folder: folder, IngressAddress: netip.AddrPortFrom(address, first), ReadinessAddress: netip.AddrPortFrom(address, first+1), FirstPeerPort: first + 2, StoreProxy: storeProxy,
 	}
 	fleet.instances = append(fleet.instances, instance)
 	fleet.storeProxyAddresses = append(fleet.storeProxyAddresses, storeProxyAddress)
 	return instance.start(storeProxyAddress)
 }
 
+// instanceAddress returns the loopback address of an instance, by which the endpoints' proxies
+// tell the instances apart.
+func instanceAddress(number int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)})
+}
+
 // publishEndpoint writes an endpoint's entry to the store.
 func (fleet *fleet) publishEndpoint(endpoint *endpoint) {
 	endpoint.mutex.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,6 +24,8 @@
 	linkOneWay
 	// linkReset resets open and new connections.
 	linkReset
+	// linkNewReset resets new connections; open ones go on.
+	linkNewReset
 )
 
 const (
@@ -39,6 +41,9 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	link     link
+	// sourceLinks are the links of single clients, by the address that they connect from; others
+	// have link.
+	sourceLinks map[netip.Addr]link
 	// disturbedUntil is when the link was last disturbed; in the future while it is.
 	disturbedUntil time.Time
 	conns          map[net.Conn]bool
@@ -121,12 +126,39 @@
 	return proxy.disturbedUntil.Before(since)
 }
 
-func (proxy *proxy) currentLink() link {
+// setSourceLink changes the link of one client; linkReset also resets its open connections.
+func (proxy *proxy) setSourceLink(source netip.Addr, state link) {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
+	if proxy.sourceLinks == nil {
+		proxy.sourceLinks = map[netip.Addr]link{}
+	}
+	proxy.sourceLinks[source] = state
+	if state != linkReset {
+		return
+	}
+	for conn := range proxy.conns {
+		if sourceOf(conn) == source {
+			reset(conn)
+		}
+	}
+}
+
+// currentLink returns the state of the link of the client with an address.
+func (proxy *proxy) currentLink(source netip.Addr) link {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	if proxy.link == linkHealthy {
+		return proxy.sourceLinks[source]
+	}
 	return proxy.link
 }
 
+// sourceOf returns the address from which a connection was opened.
+func sourceOf(conn net.Conn) netip.Addr {
+	return netip.MustParseAddrPort(conn.RemoteAddr().String()).Addr()
+}
+
 func (proxy *proxy) trackConn(conn net.Conn, isOpen bool) {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
@@ -146,7 +178,8 @@
 }
 
 func (proxy *proxy) handle(ctx context.Context, conn net.Conn) {
-	if proxy.currentLink() == linkReset {
+	source := sourceOf(conn)
+	if link := proxy.currentLink(source); link == linkReset || link == linkNewReset {
 		reset(conn)
 		return
 	}
@@ -163,19 +196,19 @@
 		defer proxy.trackConn(end, false)
 	}
 	ended := make(chan struct{}, 2)
-	go func() { proxy.forward(ctx, upstream, conn, false); ended <- struct{}{} }()
-	go func() { proxy.forward(ctx, conn, upstream, true); ended <- struct{}{} }()
+	go func() { proxy.forward(ctx, upstream, conn, source, false); ended <- struct{}{} }()
+	go func() { proxy.forward(ctx, conn, upstream, source, true); ended <- struct{}{} }()
 	<-ended
 	<-ended
 }
 
-// forward copies data from one connection to the other, subject to the state of the link.
-// toClient is true for the direction to the client.
-func (proxy *proxy) forward(ctx context.Context, to, from net.Conn, toClient bool) {
+// forward copies data from one connection to the other, subject to the state of the link of
+// the client at source. toClient is true for the direction to the client.
+func (proxy *proxy) forward(ctx context.Context, to, from net.Conn, source netip.Addr, toClient bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := from.Read(buffer)
-		if !proxy.awaitLink(ctx, toClient) {
+		if !proxy.awaitLink(ctx, source, toClient) {
 			return
 		}
 		if count > 0 {
@@ -200,9 +233,9 @@
 // awaitLink delays data by the state of the link: by linkDelay if the link is slow, and for
 // as long as the link forwards nothing in the direction of the data. toClient is true for
 // data to the client. It returns false if ctx has ended.
-func (proxy *proxy) awaitLink(ctx context.Context, toClient bool) bool {
+func (proxy *proxy) awaitLink(ctx context.Context, source netip.Addr, toClient bool) bool {
 	for {
-		switch now := proxy.currentLink(); {
+		switch now := proxy.currentLink(source); {
 		case now == linkSlow:
 			time.Sleep(linkDelay)
 			return ctx.Err() == nil
