outbound: a connection that was opened for a cancelled request is not used

What callers see: after a cut of the link a request is sent on a connection that was opened before it, is lost, and may have run. Cause: requests that ask for a connection of their own went through a transport that keeps connections; one whose dial ended after its request was given up stayed idle for up to 90 s, and the next request to the endpoint got it. Change: such requests go through a transport that keeps none. A request's context may say how its connection is opened, and hears which way it took; nothing uses that yet.

--- a/peridotpath/outbound/dial.go
+++ b/peridotpath/outbound/dial.go
@@ -12,6 +12,54 @@
 	"peridotpath.example/peridotpath/telemetry"
 )
 
+// Dial opens a connection to an address, which is an IP address with a port.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+type (
+	dialKey  struct{}
+	routeKey struct{}
+)
+
+// WithDial returns a context whose requests open their connections by dial in place of
+// DialDirect.
+func WithDial(ctx context.Context, dial Dial) context.Context {
+	return context.WithValue(ctx, dialKey{}, dial)
+}
+
+// Route is the way that the connection of a request takes. It may be used by several goroutines.
+type Route struct {
+	peer atomic.Pointer[netip.AddrPort]
+}
+
+// WithRoute returns a context whose requests record in the route how they are sent.
+func WithRoute(ctx context.Context) (context.Context, *Route) {
+	route := &Route{}
+	return context.WithValue(ctx, routeKey{}, route), route
+}
+
+// RecordPeer records that the connection of a request with the context leads through a peer.
+func RecordPeer(ctx context.Context, peer netip.AddrPort) {
+	if route, ok := ctx.Value(routeKey{}).(*Route); ok {
+		route.peer.Store(&peer)
+	}
+}
+
+// Peer returns the peer that the connection leads through; false if it leads through none.
+func (route *Route) Peer() (netip.AddrPort, bool) {
+	if peer := route.peer.Load(); peer != nil {
+		return *peer, true
+	}
+	return netip.AddrPort{}, false
+}
+
+// dial opens a connection in the way that the request's context asks for.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if dial, ok := ctx.Value(dialKey{}).(Dial); ok {
+		return dial(ctx, network, address)
+	}
+	return DialDirect(ctx, network, address)
+}
+
 // source is the local address of connections; nil leaves it to the kernel.
 var source atomic.Pointer[net.TCPAddr]
 
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -68,22 +68,44 @@
 // Do sends the request.
 func (Doer) Do(request *http.Request) (*http.Response, error) { return Do(request) }
 
-// configureClient configures the default client, which httpc uses. The default transport
-// keeps only two idle connections per host, so that nearly each request to a busy endpoint
-// needs a new one, and it obeys proxy variables, although addresses are IP addresses from
-// the settings. Redirects are not followed: an endpoint must not divert a request to
-// another server.
+// configureClient configures the default client, which httpc uses. Redirects are not followed:
+// an endpoint must not divert a request to another server.
 func configureClient() {
 	logx.Disable()
-	http.DefaultClient.Transport = &http.Transport{
-		DialContext:            DialDirect,
+	http.DefaultClient.Transport = &transports{reusing: newTransport(true), closing: newTransport(false)}
+	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}
+}
+
+// transports sends requests that ask for the connection to be closed without any idle
+// connections. A transport that keeps some would keep one that was opened for a request which
+// was cancelled meanwhile, and send a later request on it: after a cut of the link such a request
+// is lost, and may have run.
+type transports struct{ reusing, closing *http.Transport }
+
+// RoundTrip sends the request.
+func (transports *transports) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.Close {
+		return transports.closing.RoundTrip(request)
+	}
+	return transports.reusing.RoundTrip(request)
+}
+
+// CloseIdleConnections closes the connections that are kept for reuse.
+func (transports *transports) CloseIdleConnections() { transports.reusing.CloseIdleConnections() }
+
+// newTransport returns a transport. The default one keeps only two idle connections per host, so
+// that nearly each request to a busy endpoint needs a new one, and it obeys proxy variables,
+// although addresses are IP addresses from the settings.
+func newTransport(reuses bool) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		DisableKeepAlives:      !reuses,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
 	}
-	http.DefaultClient.CheckRedirect = func(*http.Request, []*http.Request) error {
-		return http.ErrUseLastResponse
-	}
 }
