tunnel: an instance carries connections to endpoints for another one

What callers need: an instance that is cut off from the endpoints has peers that reach them, and no way to use theirs. Weighed: a request passed on whole (its budgets, limits, tickets, keys and retries would have to hold over two instances that decide), a call of ours for each kind of exchange (reservations, probes and reports would each need one), and bytes alone: the instance goes on deciding, and only the connection takes another way. The last is what this does. The bytes to the client come in chunks with an end mark: an answer without a length ends with its connection, and the death of the carrier would make half of one look whole. Nothing opens a tunnel yet.

--- a/peridotpath/telemetry/dial.go
+++ b/peridotpath/telemetry/dial.go
@@ -31,3 +31,20 @@
 
 // RecordDial records how a dial ended and how long it took.
 func RecordDial(result DialResult, span time.Duration) { dialTime[result].Update(span.Seconds()) }
+
+var (
+	dialsThroughPeers = metrics.NewCounter("peridotpath_dials_through_peers_total")
+	tunnelsOpen       = metrics.NewCounter("peridotpath_tunnels_open")
+)
+
+// CountDialThroughPeer counts a connection to an endpoint that a peer carries for this instance.
+func CountDialThroughPeer() { dialsThroughPeers.Inc() }
+
+// CountTunnel counts a connection that a peer has asked this instance to carry, by what came of
+// it.
+func CountTunnel(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_tunnels_total{result=%q}", result)).Inc()
+}
+
+// AddOpenTunnels adds to the number of connections that this instance carries for peers now.
+func AddOpenTunnels(count int) { tunnelsOpen.Add(count) }
--- /dev/null
+++ b/peridotpath/tunnel/client.go
@@ -0,0 +1,91 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/netip"
+	"net/url"
+	"syscall"
+	"time"
+
+	"peridotpath.example/peridotpath/outbound"
+)
+
+// openTimeout bounds opening a tunnel. A peer limits its own connection to the endpoint to less.
+const openTimeout = 600 * time.Millisecond
+
+// Client opens tunnels.
+type Client struct {
+	// Dial opens a connection to a peer.
+	Dial outbound.Dial
+}
+
+// Open opens a connection to an endpoint through the peer. Its error is of class ErrUnreachable
+// if the peer could not connect, and then wraps ECONNREFUSED if nobody listens there.
+func (client *Client) Open(ctx context.Context, peer, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err := client.Dial(ctx, "tcp", peer.String())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Closing the connection ends the exchange when ctx ends.
+	stopClosing := context.AfterFunc(ctx, func() { conn.Close() })
+	reader, err := requestTunnel(conn, peer, address)
+	if !stopClosing() && err == nil {
+		err = Error.Wrap(ctx.Err())
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &clientConn{Conn: conn, chunks: httputil.NewChunkedReader(reader)}, nil
+}
+
+// requestTunnel asks the peer for a tunnel and returns the reader of what follows its answer.
+func requestTunnel(conn net.Conn, peer, address netip.AddrPort) (*bufio.Reader, error) {
+	request := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: Path}, Host: peer.String(), ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Connection": {"Upgrade"}, "Upgrade": {protocol}, headerAddress: {address.String()}},
+	}
+	if err := request.Write(conn); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	switch result := result(response.Header.Get(headerResult)); result {
+	case resultOpened:
+		return reader, nil
+	case resultRefused:
+		return nil, ErrUnreachable.Wrap(syscall.ECONNREFUSED)
+	case resultUnreachable:
+		return nil, ErrUnreachable.New("%s from %s", address, peer)
+	default:
+		return nil, Error.New("%s declined %s: status %d, result %q", peer, address, response.StatusCode, result)
+	}
+}
+
+// clientConn is the client's end of a tunnel.
+type clientConn struct {
+	net.Conn
+	chunks io.Reader
+}
+
+// Read reads the endpoint's bytes. It returns io.EOF only if the endpoint has ended its
+// connection, and io.ErrUnexpectedEOF if the tunnel broke.
+func (conn *clientConn) Read(data []byte) (int, error) {
+	count, err := conn.chunks.Read(data)
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		err = Error.Wrap(err)
+	}
+	return count, err
+}
