reach: whether an instance reaches the endpoints, and the way that its connections take

The load it answers: requests at an instance whose links to endpoints hang or refuse, while its peers reach them. An address that only peers reached is left to them for 1 to 16 s. Connections from before a cut may live on and count for nothing. Deciding (Tracker) stands apart from dialling (Dialer). Nothing uses it yet.

--- /dev/null
+++ b/peridotpath/reach/dialer.go
@@ -0,0 +1,129 @@
+package reach
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// ErrCutOff means that this instance reaches no endpoint and knows no peer that does. It says
+// nothing about the endpoint.
+var ErrCutOff = errs.Class("cut off from all endpoints")
+
+const (
+	// overdueAfter is the time after which a direct connection that is not open yet is also
+	// requested from a peer. Connections open within milliseconds, unless a packet is lost.
+	overdueAfter = 100 * time.Millisecond
+	// nextPeerAfter is the time after which the next peer is asked: the one before may be frozen.
+	nextPeerAfter = 200 * time.Millisecond
+	// maxPeers bounds the peers that are asked for one connection.
+	maxPeers = 3
+	// CarryTimeout bounds opening a connection for a peer, which has others to ask.
+	CarryTimeout = 300 * time.Millisecond
+)
+
+// Dialer opens connections to endpoints. Set the exported fields before use.
+type Dialer struct {
+	Tracker *Tracker
+	// Direct opens a connection over this instance's own link.
+	Direct outbound.Dial
+	// ThroughPeer opens a connection that a peer carries.
+	ThroughPeer func(ctx context.Context, peer, address netip.AddrPort) (net.Conn, error)
+	// Peers returns the peers that reach the endpoints, in the order in which they are asked to
+	// carry a connection to the address.
+	Peers func(address netip.AddrPort) []netip.AddrPort
+	// Sample returns up to count endpoints in use, if possible at other addresses.
+	Sample func(count int, except netip.AddrPort) []*peridotpath.Endpoint
+	// Probe asks an endpoint whether it is there.
+	Probe func(ctx context.Context, endpoint *peridotpath.Endpoint) error
+
+	suspicions chan netip.AddrPort
+}
+
+// Init prepares the dialer for use.
+func (dialer *Dialer) Init() { dialer.suspicions = make(chan netip.AddrPort, 1) }
+
+// Dial opens a connection to an endpoint, directly or through a peer. It is an outbound.Dial.
+func (dialer *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	preferred := dialer.Tracker.PrefersPeers(target, time.Now())
+	ways := dialer.ways(target, preferred)
+	if len(ways) == 0 {
+		return nil, ErrCutOff.New("no peer reaches %s", address)
+	}
+	conn, used, err := hedge(ctx, ways, func(ctx context.Context, way way) (net.Conn, error) {
+		if way.isDirect() {
+			return dialer.dialDirect(ctx, network, target)
+		}
+		return dialer.ThroughPeer(ctx, way.peer, target)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if used.isDirect() {
+		return conn, nil
+	}
+	outbound.RecordPeer(ctx, used.peer)
+	telemetry.CountDialThroughPeer()
+	if !preferred {
+		dialer.Tracker.RecordReachedByPeer(target, time.Now())
+	}
+	return conn, nil
+}
+
+// DialForPeer opens a direct connection to an endpoint on behalf of a peer.
+func (dialer *Dialer) DialForPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, CarryTimeout)
+	defer cancel()
+	return dialer.dialDirect(ctx, "tcp", address)
+}
+
+// CanReach reports whether a connection to some endpoint may be opened: directly, or through a
+// peer.
+func (dialer *Dialer) CanReach() bool {
+	return !dialer.Tracker.IsCutOff() || len(dialer.Peers(netip.AddrPort{})) > 0
+}
+
+// ways returns the ways to try, in this order. An instance that is cut off does not try its own
+// link, which would only use up the request's time.
+func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) []way {
+	direct := way{headStart: overdueAfter}
+	var ways []way
+	if !prefersPeers {
+		ways = append(ways, direct)
+	}
+	peers := dialer.Peers(target)
+	for _, peer := range peers[:min(len(peers), maxPeers)] {
+		ways = append(ways, way{peer: peer, headStart: nextPeerAfter})
+	}
+	if prefersPeers && !dialer.Tracker.IsCutOff() {
+		ways = append(ways, direct)
+	}
+	return ways
+}
+
+// dialDirect opens a connection over this instance's own link and watches whether the endpoint
+// answers.
+func (dialer *Dialer) dialDirect(ctx context.Context, network string, target netip.AddrPort) (net.Conn, error) {
+	openedAt := time.Now()
+	overdue := time.AfterFunc(overdueAfter, func() { dialer.suspect(target, openedAt) })
+	conn, err := dialer.Direct(ctx, network, target.String())
+	overdue.Stop()
+	if err != nil {
+		if ctx.Err() == nil {
+			dialer.suspect(target, openedAt)
+		}
+		return nil, err
+	}
+	return &watchedConn{Conn: conn, dialer: dialer, target: target, openedAt: openedAt}, nil
+}
--- /dev/null
+++ b/peridotpath/reach/tracker.go
@@ -0,0 +1,171 @@
+// Package reach finds out whether this instance reaches the endpoints, and opens connections to
+// them: directly, or through a peer that reaches them.
+//
+// It matters when an instance loses its links to the endpoints, while callers, peers and the
+// store still reach it. Each failed connection looks like the failure of one endpoint, so that all
+// its requests would fail though every endpoint works. An instance that reaches no endpoint asks
+// peers to carry its connections. If only some endpoints cannot be reached, connections to
+// just these are carried.
+//
+// Tracker decides, without input or output; Dialer carries out what it decides.
+package reach
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// sampleSize is the number of endpoints that are probed when one does not answer. If none of
+	// them answers, the instance is cut off: that many do not fail in the same instant.
+	sampleSize = 3
+	// minRoundInterval is the shortest time between two rounds of probes: a single endpoint
+	// that is down fails many requests.
+	minRoundInterval = time.Second
+	// minHold and maxHold bound how long connections to an address are opened through peers
+	// before it is dialled directly again. The hold doubles each time that fails.
+	minHold, maxHold = time.Second, 16 * time.Second
+)
+
+// Tracker decides whether the endpoints can be reached directly. Its zero value is an instance
+// that reaches all of them. Set the exported fields before use.
+type Tracker struct {
+	Log zerolog.Logger
+	// OnChange, when set, is called when the instance is found to be cut off or to reach
+	// endpoints again.
+	OnChange func()
+
+	mutex sync.Mutex
+	// answeredAt is when the newest of the direct connections was opened on which an endpoint
+	// has answered. Connections from before a cut may live on and prove nothing about new ones.
+	answeredAt time.Time
+	// roundRunning and roundEndedAt describe the last round of probes.
+	roundRunning bool
+	roundEndedAt time.Time
+	// cutOffSince is when the instance was found to be cut off; zero if it is not.
+	cutOffSince time.Time
+	holds       map[netip.AddrPort]hold
+}
+
+// hold makes connections to an address go through peers.
+type hold struct {
+	until time.Time
+	span  time.Duration
+}
+
+// CutOffFor returns for how long the instance has been cut off from all endpoints; zero if it
+// is not.
+func (tracker *Tracker) CutOffFor(now time.Time) time.Duration {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if tracker.cutOffSince.IsZero() {
+		return 0
+	}
+	return max(now.Sub(tracker.cutOffSince), 1)
+}
+
+// IsCutOff reports whether the instance reaches no endpoint directly.
+func (tracker *Tracker) IsCutOff() bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.cutOffSince.IsZero()
+}
+
+// PrefersPeers reports whether a connection to the address is opened through a peer at once.
+func (tracker *Tracker) PrefersPeers(address netip.AddrPort, now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.cutOffSince.IsZero() || now.Before(tracker.holds[address].until)
+}
+
+// RecordAnswer records that the endpoint at the address has answered on a direct connection,
+// which was opened at the given time. An answer on one that was opened since the instance was cut
+// off ends that.
+func (tracker *Tracker) RecordAnswer(address netip.AddrPort, openedAt, now time.Time) {
+	tracker.mutex.Lock()
+	if openedAt.After(tracker.answeredAt) {
+		tracker.answeredAt = openedAt
+	}
+	if held, isHeld := tracker.holds[address]; isHeld && openedAt.After(held.until.Add(-held.span)) {
+		delete(tracker.holds, address)
+	}
+	since := tracker.cutOffSince
+	isRestored := !since.IsZero() && openedAt.After(since)
+	if isRestored {
+		tracker.cutOffSince = time.Time{}
+	}
+	tracker.mutex.Unlock()
+	if isRestored {
+		tracker.Log.Info().Dur("lasted", now.Sub(since)).Stringer("answered", address).Msg("links_restored")
+		tracker.notifyChanged()
+	}
+}
+
+// RecordReachedByPeer records that only a peer could open a connection to the address.
+func (tracker *Tracker) RecordReachedByPeer(address netip.AddrPort, now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	held := tracker.holds[address]
+	if now.Before(held.until) {
+		return
+	}
+	span := minHold
+	if !held.until.IsZero() && now.Sub(held.until) < maxHold {
+		span = min(2*held.span, maxHold)
+	}
+	if tracker.holds == nil {
+		tracker.holds = map[netip.AddrPort]hold{}
+	}
+	tracker.dropOldHolds(now)
+	tracker.holds[address] = hold{until: now.Add(span), span: span}
+}
+
+// dropOldHolds removes the holds that no longer lengthen a later one, so that addresses that are
+// no longer in use take no memory. The caller holds the mutex.
+func (tracker *Tracker) dropOldHolds(now time.Time) {
+	for address, held := range tracker.holds {
+		if now.Sub(held.until) >= maxHold {
+			delete(tracker.holds, address)
+		}
+	}
+}
+
+// BeginRound reports whether a round of probes begins because of a connection that was opened
+// at the given time and did not answer. It does not where an endpoint has answered on a later
+// one, while a round runs, or shortly after one.
+func (tracker *Tracker) BeginRound(openedAt, now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	isKnown := tracker.roundRunning || !tracker.cutOffSince.IsZero() || tracker.answeredAt.After(openedAt)
+	if isKnown || now.Sub(tracker.roundEndedAt) < minRoundInterval {
+		return false
+	}
+	tracker.roundRunning = true
+	return true
+}
+
+// EndRound ends a round that began at the given time and probed some endpoints. The instance is
+// cut off if none has answered on a connection that was opened since.
+func (tracker *Tracker) EndRound(startedAt time.Time, probed int, now time.Time) {
+	tracker.mutex.Lock()
+	tracker.roundRunning, tracker.roundEndedAt = false, now
+	isCutOff := probed > 0 && tracker.answeredAt.Before(startedAt)
+	if isCutOff {
+		tracker.cutOffSince = now
+	}
+	silentFor := now.Sub(tracker.answeredAt)
+	tracker.mutex.Unlock()
+	if isCutOff {
+		tracker.Log.Warn().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", silentFor).Msg("links_lost")
+		tracker.notifyChanged()
+	}
+}
+
+func (tracker *Tracker) notifyChanged() {
+	if tracker.OnChange != nil {
+		tracker.OnChange()
+	}
+}
