instance, relay, gossip: an instance that is cut off from the endpoints serves through its peers

Cause: an instance had one way to an endpoint, its own link; each dial that failed looked like the failure of one endpoint, so that a request used up its attempts (refused) or its time (hanging, two seconds a dial), and nobody asked a peer. Change: all calls to endpoints, requests, probes, reports, reservations and releases, open their connections in one place (reach.Dialer), over the own link or through a peer that says in its digests that it carries. The request's own instance goes on deciding. Where nothing is reachable, callers get 503 (3010) at once; the instance turns not ready after half a second and asks callers to close their connections, if a peer can serve them; it tells nobody that endpoints fail. A stream's engine is probed over the link of its attempt; an endpoint counts as ended only if the peer is refused, too. A planned stop waits for what is carried.

--- a/peridotpath/gossip/gossip.go
+++ b/peridotpath/gossip/gossip.go
@@ -95,7 +95,10 @@
 	OnPeerFreshness func(peer readings.Peer, fresh Freshness, echo time.Duration)
 	// OnCellCountMismatch is called when a peer reports another number of cells.
 	OnCellCountMismatch func()
-	Log                 zerolog.Logger
+	// Carries reports whether this instance carries connections to endpoints for peers, at
+	// SnapshotPort; nil for an instance that does not.
+	Carries func() bool
+	Log     zerolog.Logger
 
 	digestRequested clock.Signal
 	mutex           sync.Mutex
@@ -133,6 +136,9 @@
 	// for snapshots by the list; zero where unknown.
 	registered   bool
 	snapshotPort uint16
+	// carryPort is the port at which the peer carries connections to endpoints; zero if it carries
+	// none.
+	carryPort uint16
 }
 
 // RequestDigest requests a digest soon. It never blocks.
@@ -295,6 +301,7 @@
 		Endpoints: fresh.EndpointsHash, EndpointsAge: clock.Micros(fresh.EndpointsAge), Cells: uint32(cells),
 		Era: uint64(fresh.Era), EraAge: clock.Micros(fresh.EraAge), EraDated: fresh.EraAgeKnown,
 	}
+	digest.Carries = gossip.Carries != nil && gossip.Carries()
 	for _, request := range gossip.Loads.LocalInFlight() {
 		digest.Flights = append(digest.Flights, encodeInFlight(&request, now))
 	}
@@ -357,6 +364,10 @@
 	peer.dataCentre = peridotpath.DataCentre(digest.DataCentre)
 	peer.receivedAt = now
 	peer.clockMicros = digest.Sent
+	peer.carryPort = 0
+	if digest.Carries {
+		peer.carryPort = uint16(digest.ReadingsPort)
+	}
 	cellCount, inSameDataCentre := gossip.cells.latestCount(), peer.dataCentre == gossip.DataCentre
 	gossip.mutex.Unlock()
 	if cellCount != 0 && digest.Cells != 0 && int(digest.Cells) != cellCount {
--- a/peridotpath/instance/followers.go
+++ b/peridotpath/instance/followers.go
@@ -38,7 +38,7 @@
 		Instance: settings.InstanceID, Incarnation: instance.incarnation, Address: settings.PeerAddress,
 		DataCentre: settings.DataCentre, SnapshotPort: settings.SnapshotAddress.Port(),
 		Loads: instance.loads, Facts: instance.facts, Clock: clock.SinceBoot,
-		LocalFreshness: instance.localFreshness, OnPeerFreshness: instance.handlePeerFreshness, Log: instance.Log,
+		Carries: instance.carriesForPeers, LocalFreshness: instance.localFreshness, OnPeerFreshness: instance.handlePeerFreshness, Log: instance.Log,
 	}
 	adapter.Eras.OnEraChange = func(_, _ keyvalue.Era) { instance.handleStoreRestored() }
 	instance.loads.OnChange = instance.gossip.RequestDigest
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -24,11 +24,13 @@
 	"peridotpath.example/peridotpath/pace"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
+	"peridotpath.example/peridotpath/reach"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
+	"peridotpath.example/peridotpath/tunnel"
 )
 
 // Adapter is the interface of an instance to the platform it runs on.
@@ -110,6 +112,9 @@
 	throttle            *throttle.Throttle
 	availability        *availability.Tracker
 	prober              *pace.Prober
+	reachability        *reach.Tracker
+	dialer              *reach.Dialer
+	tunnels             *tunnel.Server
 	relay               *relay.Relay
 	gossip              *gossip.Gossip
 	registry            *gossip.Registry
@@ -138,6 +143,8 @@
 	instance.loads = &placement.LoadTracker{}
 	instance.facts = &facts.Table{}
 	instance.quarantine = &quarantine.Quarantine{Instance: settings.InstanceID, Facts: instance.facts, Log: log}
+	instance.createLinks()
+	linked := instance.linkedAdapter()
 	instance.throttle = &throttle.Throttle{
 		Instance: settings.InstanceID, SenderID: throttle.SenderID(settings.InstanceID, instance.incarnation), Facts: instance.facts,
 		HasCold: func() bool { return instance.directory.Current().HasCold() }, ColdRate: instance.coldRate, Log: log,
@@ -149,14 +156,14 @@
 	}
 	instance.reservations = &reservation.Manager{
 		Instance: settings.InstanceID, Incarnation: instance.incarnation,
-		Reserve: adapter.Reserve, Release: adapter.Release, MaxTTL: settings.MaxHold, Log: log,
+		Reserve: linked.Reserve, Release: linked.Release, MaxTTL: settings.MaxHold, Log: log,
 	}
-	instance.prober = &pace.Prober{Facts: instance.facts, FetchSlowdown: adapter.FetchSlowdown, FindEndpoint: instance.findEndpoint, OwnsEndpoint: instance.ownsEndpoint, Log: log}
+	instance.prober = &pace.Prober{Facts: instance.facts, FetchSlowdown: linked.FetchSlowdown, FindEndpoint: instance.findEndpoint, OwnsEndpoint: instance.ownsEndpoint, Log: log}
 	instance.loads.ReportedSlowdowns = instance.slowEngines
 	instance.startup = newStartup(instance.hasRouting, instance.hasRoutingAndEndpoints, instance.isStoreFailing)
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
-		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: adapter.Send, Check: adapter.Check,
+		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff,
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
@@ -245,6 +252,7 @@
 		{"routing", instance.registry.AfterFirstList(instance.routingFollower.Run)},
 		{"endpoints", instance.registry.AfterFirstList(instance.endpointFollower.Run)},
 		{"reservations", instance.reservations.Run},
+		{"links", instance.dialer.Run},
 		{"pace", instance.prober.Run},
 		{"calls", (&callLogger{Account: instance.Adapter.Account, Log: instance.Log}).Run},
 		{"pauses", (&pauseDetector{Now: clock.SinceBoot, Log: instance.Log}).Run},
--- a/peridotpath/instance/listen.go
+++ b/peridotpath/instance/listen.go
@@ -32,7 +32,8 @@
 	settings := instance.Settings
 	bodies := caller.NewBodyReader(initialMaxBodyBytes, peridotpath.Bytes(bodyMemoryShare*float64(settings.Memory)), bodyReadTimeout)
 	handler := instance.Adapter.Ingress(IngressDependencies{
-		Relay: instance.relay, Bodies: bodies, Stopping: instance.stopping.Load, Closing: instance.closing.Load,
+		Relay: instance.relay, Bodies: bodies, Closing: instance.closing.Load,
+		Stopping: func() bool { return instance.stopping.Load() || instance.shouldMoveCallers() },
 	})
 	instance.callerListener = &inbound.Listener{
 		Name: "callers", Address: settings.CallerAddress, MaxHeaderBytes: maxHeaderBytes,
@@ -48,10 +49,10 @@
 	}
 	instance.snapshotListener = &inbound.Listener{
 		Name: "readings", Address: settings.SnapshotAddress, MaxHeaderBytes: maxHeaderBytes,
-		Routes: []rest.Route{
-			{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
-			{Method: http.MethodPost, Path: gossip.RegistrarPathPrefix + "/:service/:method", Handler: gossip.RegistrarHandler(instance.registry).ServeHTTP},
-		},
+		Routes: append(instance.tunnelRoutes(),
+			rest.Route{Method: http.MethodPost, Path: readings.PathPrefix + "/:service/:method", Handler: peers.Handler().ServeHTTP},
+			rest.Route{Method: http.MethodPost, Path: gossip.RegistrarPathPrefix + "/:service/:method", Handler: gossip.RegistrarHandler(instance.registry).ServeHTTP},
+		),
 	}
 	instance.metricsListener = &inbound.Listener{
 		Name: "metrics", Address: settings.MetricsAddress, MaxHeaderBytes: maxHeaderBytes,
--- a/peridotpath/instance/readiness.go
+++ b/peridotpath/instance/readiness.go
@@ -18,6 +18,7 @@
 	unreadyNoRouting  unreadyReason = "no_routing"
 	unreadyNoEndpoint unreadyReason = "no_endpoints"
 	unreadyKeysExpire unreadyReason = "keys_expire"
+	unreadyCutOff     unreadyReason = "cut_off"
 )
 
 // readiness is the last answer to the load balancer.
@@ -28,8 +29,8 @@
 	changedAt time.Time
 }
 
-// unreadyReason returns why the instance accepts no new callers. It does if it has endpoints and
-// a routing that was recently known to be the newest, and is not shutting down.
+// unreadyReason returns why the instance accepts no new callers. It does if it has endpoints that
+// it reaches and a routing that was recently known to be the newest, and is not shutting down.
 func (instance *Instance) unreadyReason() unreadyReason {
 	switch {
 	case instance.stopping.Load():
@@ -40,6 +41,8 @@
 		return unreadyNoEndpoint
 	case instance.routing.Age() >= instance.Settings.KeyLifetime-readinessMargin:
 		return unreadyKeysExpire
+	case instance.shouldMoveCallers():
+		return unreadyCutOff
 	}
 	return ""
 }
--- a/peridotpath/instance/shutdown.go
+++ b/peridotpath/instance/shutdown.go
@@ -33,6 +33,9 @@
 	defer cancel()
 	instance.drainCallers(ctx)
 	instance.Log.Info().Int64("active", instance.activeRequests.Load()).Dur("took", time.Since(startedAt)).Msg("callers_closed")
+	if err := instance.tunnels.Close(ctx); err != nil {
+		instance.Log.Warn().Err(err).Msg("tunnels_left")
+	}
 	instance.reservations.Close(ctx)
 	// The other listeners close at once: none of their requests outlasts those of callers.
 	_ = instance.readinessListener.Close(ctx)
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -40,6 +40,7 @@
 	relay := exchange.relay
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	ctx, exchange.link = outbound.WithRoute(ctx)
 	now := time.Now()
 	defer relay.LoadTracker.RemoveInFlight(exchange.inFlight)
 	// The process may have been suspended for longer than the keys' lifetime since the key
--- /dev/null
+++ b/peridotpath/relay/cut_off_test.go
@@ -0,0 +1,82 @@
+package relay_test
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/relay"
+)
+
+// Requests that nobody can serve are held until their deadline, or use up dials that cannot succeed.
+func TestRequestIsRefusedAtOnceWhenNothingIsReachable(t *testing.T) {
+	for _, route := range []string{"short", "long", "look", "save"} {
+		t.Run(route, func(t *testing.T) {
+			is := is.New(t)
+			var calls atomic.Int64
+			fixture := newFixture(func(context.Context, *relay.Call) (*relay.Answer, error) {
+				calls.Add(1)
+				return nil, outbound.ErrNotSent.New("hangs")
+			}, &testRates, testEndpoint(0), testEndpoint(1))
+			fixture.relay.CanReach = func() bool { return false }
+			outcome := fixture.send(t.Context(), route, func(request *relay.Request) { request.PromptTokens, request.MaxAnswerTokens = 300_000, 10 })
+			is.Equal(outcome.result.Code, peridotpath.CodeUnreachable)
+			is.True(outcome.result.RetryAfter > 0)
+			is.True(outcome.took < 100*time.Millisecond)
+			is.Equal(calls.Load(), int64(0))
+		})
+	}
+}
+
+// An instance that is cut off tells its peers that endpoints are failing, which these then avoid
+// though they reach them.
+func TestEndpointsAreNotEjectedForTheOwnLink(t *testing.T) {
+	carrier := netip.MustParseAddrPort("10.0.1.1:90")
+	tests := []struct {
+		name              string
+		isCutOff, carried bool
+		ejected           bool
+	}{
+		{"own link works", false, false, true},
+		{"cut off", true, false, false},
+		{"a peer carried it", true, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			endpoint := testEndpoint(0)
+			fixture := newFixture(func(ctx context.Context, _ *relay.Call) (*relay.Answer, error) {
+				if test.carried {
+					outbound.RecordPeer(ctx, carrier)
+				}
+				return nil, outbound.ErrNoResponse.Wrap(errReset)
+			}, &testRates, endpoint)
+			fixture.relay.IsCutOff = func() bool { return test.isCutOff }
+			fixture.send(t.Context(), "save", nil)
+			is.Equal(fixture.loadTracker.EjectedEndpoints(time.Now())[endpoint.Key()], test.ejected)
+		})
+	}
+}
+
+// A stream waits on the dead link for its engine, which answers the probes that a peer carries.
+func TestLivenessIsProbedOverTheLinkOfTheAttempt(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &failingEngines{}
+		fixture := newFailingFixture(t, engines)
+		fixture.relay.Check = func(context.Context, *peridotpath.Endpoint) error { return nil }
+		fixture.relay.CheckDirectly = engines.check
+		outcome := fixture.send(t.Context(), "long", func(request *relay.Request) {
+			request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 600_000, 100, 30*time.Second
+		})
+		is.True(outcome.ended)
+		is.True(outcome.timeToFirstEvent < 3*time.Second)
+	})
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/placement"
 )
 
@@ -43,8 +44,10 @@
 	plan     placement.Plan
 	inFlight placement.InFlightNumber
 	// placedAt is when the plan was made.
-	placedAt         time.Time
-	sentAt           time.Time
+	placedAt time.Time
+	sentAt   time.Time
+	// link is the way that the connection of the attempt takes.
+	link             *outbound.Route
 	timeToFirstEvent time.Duration
 	// skipped is why the last placement skipped endpoints.
 	skipped skippedEndpoints
@@ -127,6 +130,9 @@
 
 // place selects the endpoints for the next attempt and records it as in flight.
 func (exchange *exchange) place(ctx context.Context) *peridotpath.Result {
+	if canReach := exchange.relay.CanReach; canReach != nil && !canReach() {
+		return exchange.refusal(peridotpath.CodeUnreachable, longRetryAfter)
+	}
 	if exchange.spec.Engine == nil {
 		return exchange.placeWithoutEngine()
 	}
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -45,11 +45,20 @@
 	probe := &livenessProbe{done: make(chan struct{}), stop: stop}
 	go func() {
 		defer close(probe.done)
-		probe.run(ctx, exchange.relay.Check, exchange.plan.Primary, cancel)
+		probe.run(ctx, exchange.checkLiveness, exchange.plan.Primary, cancel)
 	}()
 	return probe
 }
 
+// checkLiveness probes the engine over the link that the attempt uses: where another one works,
+// the answer would still never arrive.
+func (exchange *exchange) checkLiveness(ctx context.Context, endpoint *peridotpath.Endpoint) error {
+	if _, isCarried := exchange.link.Peer(); !isCarried && exchange.relay.CheckDirectly != nil {
+		return exchange.relay.CheckDirectly(ctx, endpoint)
+	}
+	return exchange.relay.Check(ctx, endpoint)
+}
+
 func (probe *livenessProbe) run(ctx context.Context, check Checker, endpoint *peridotpath.Endpoint, cancel context.CancelCauseFunc) {
 	failed := 0
 	for clock.SleepContext(ctx, probeInterval) {
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -57,7 +57,7 @@
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
 		Dur("took", time.Since(exchange.request.ArrivedAt)).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).
-		Stringer("outcome", outcome).Int("events", exchange.eventCount).Err(err).Msg("attempt_failed")
+		Stringer("outcome", outcome).Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).Err(err).Msg("attempt_failed")
 	if outcome.isUnattempted() {
 		// No request was sent, and the primary did not fail.
 		exchange.attemptCount--
@@ -78,9 +78,9 @@
 	case outcomeFailed, outcomeBroken:
 		exchange.sentCount++
 		exchange.mayHaveRun = true
-		exchange.relay.LoadTracker.EjectFailed(key, now)
+		exchange.ejectFailed(key, now)
 	case outcomeUnsent, outcomeMisdirected:
-		exchange.relay.LoadTracker.EjectFailed(key, now)
+		exchange.ejectFailed(key, now)
 	}
 	if exchange.excluded == nil {
 		exchange.excluded = map[peridotpath.EndpointKey]bool{}
@@ -88,6 +88,26 @@
 	exchange.excluded[key] = true
 }
 
+// ejectFailed ejects an endpoint after a failure, unless this instance was cut off from all
+// endpoints. The ejection would be told to the peers, which reach the endpoint.
+func (exchange *exchange) ejectFailed(key peridotpath.EndpointKey, now time.Time) {
+	if exchange.carrier() == "" && exchange.relay.isCutOff() {
+		return
+	}
+	exchange.relay.LoadTracker.EjectFailed(key, now)
+}
+
+// carrier returns the peer that carried the attempt; empty if it used this instance's own link.
+func (exchange *exchange) carrier() string {
+	if exchange.link == nil {
+		return ""
+	}
+	if peer, isCarried := exchange.link.Peer(); isCarried {
+		return peer.String()
+	}
+	return ""
+}
+
 // attributeRefusal ejects the endpoint that caused a refusal: the helper that the primary
 // could not reach, or else the primary, which is full.
 func (exchange *exchange) attributeRefusal(key peridotpath.EndpointKey, now time.Time) {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -31,8 +31,13 @@
 	LoadTracker             *placement.LoadTracker
 	RetryBudget             *RetryBudget
 	Send                    Sender
-	Check                   Checker
-	Reservations            *reservation.Manager
+	// Check probes an endpoint in any way in which it may be reached, CheckDirectly only over this
+	// instance's own links.
+	Check, CheckDirectly Checker
+	// CanReach reports whether endpoints can be reached in any way, IsCutOff whether none can be
+	// reached over this instance's own links. Both are nil where that is not known.
+	CanReach, IsCutOff func() bool
+	Reservations       *reservation.Manager
 	// Quarantine refuses requests that crash the endpoints they run on.
 	Quarantine *quarantine.Quarantine
 	// OnOverdueFirstEvent, when set, is called with the engines of an attempt whose first
@@ -155,6 +160,9 @@
 	return limit
 }
 
+// isCutOff reports whether this instance is known to reach no endpoint over its own links.
+func (relay *Relay) isCutOff() bool { return relay.IsCutOff != nil && relay.IsCutOff() }
+
 // pickService picks one of the route's services at random by weight, among those that
 // have an endpoint that takes requests; the first one where none has.
 func (relay *Relay) pickService(route *peridotpath.Route) peridotpath.Service {
--- a/peridotpath/relay/telemetry.go
+++ b/peridotpath/relay/telemetry.go
@@ -44,6 +44,9 @@
 		event = event.Str("endpoint", string(exchange.plan.Primary.ID)).Int("helpers", len(exchange.plan.Helpers)).
 			Dur("predicted", exchange.plan.TimeToFirstEvent).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).Float64("loss", exchange.plan.Cost)
 	}
+	if carrier := exchange.carrier(); carrier != "" {
+		event = event.Str("carrier", carrier)
+	}
 	if exchange.timeToFirstEvent > 0 {
 		event = event.Dur("first_event", exchange.timeToFirstEvent).Int("events", exchange.eventCount).
 			Dur("longest_pause", exchange.longestPause).Dur("pause_aim", exchange.route.ITLTarget)
--- a/peridotpath/result.go
+++ b/peridotpath/result.go
@@ -47,6 +47,7 @@
 	CodeQuarantined     Code = 3007 // endpoints terminated while they ran this request
 	CodeLimited         Code = 3008 // every remaining endpoint is at the limit it reported
 	CodeUnavailable     Code = 3009 // every remaining endpoint announced that it takes no requests, or is drained
+	CodeUnreachable     Code = 3010 // this instance reaches no endpoint, and no peer that does
 
 	CodeDeadline       Code = 4001
 	CodeOutcomeUnknown Code = 4002 // may have run; must not be retried
@@ -101,6 +102,7 @@
 	CodeQuarantined:     {http.StatusServiceUnavailable, "quarantined", true, "endpoints ended while they ran this request; it is kept off them for a while"},
 	CodeLimited:         {http.StatusServiceUnavailable, "limited", true, "every endpoint that is left has named a limit that is used up"},
 	CodeUnavailable:     {http.StatusServiceUnavailable, "unavailable", true, "every endpoint that is left has said that it takes no requests now"},
+	CodeUnreachable:     {http.StatusServiceUnavailable, "unreachable", true, "this instance reaches no endpoint, and knows no other instance that does"},
 
 	CodeDeadline:       {http.StatusGatewayTimeout, "deadline", false, "the request's time ran out"},
 	CodeOutcomeUnknown: {http.StatusFailedDependency, "outcome_unknown", false, "the request may have run and will not be run again"},
