reach: a request without an answer counts from when it was written

An instance that keeps connections (peridotd serve) sends most requests on open ones: a link that was cut showed only when one was opened. Now each request that is written starts the 300 ms in which an endpoint is expected to answer; answers to later requests end the suspicion, answers on connections opened since a cut end the cut, as before. Result: the tests of reach pass, one of them new (silence beside answers is no suspicion).

--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// CloseIdleConnections closes all connections that are kept for reuse. After the links of this
+// instance have changed, they may be dead, or lead through a peer that is no longer needed.
+func CloseIdleConnections() { http.DefaultClient.CloseIdleConnections() }
+
 // transports sends requests that ask for the connection to be closed without any idle
 // connections. A transport that keeps some would keep one that was opened for a request which
 // was cancelled meanwhile, and send a later request on it: after a cut of the link such a request
--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -116,12 +116,12 @@
 // answers.
 func (dialer *Dialer) dialDirect(ctx context.Context, network string, target netip.AddrPort) (net.Conn, error) {
 	openedAt := time.Now()
-	overdue := time.AfterFunc(overdueAfter, func() { dialer.suspect(target, openedAt) })
+	overdue := time.AfterFunc(overdueAfter, func() { dialer.suspectDial(target, openedAt) })
 	conn, err := dialer.Direct(ctx, network, target.String())
 	overdue.Stop()
 	if err != nil {
 		if ctx.Err() == nil {
-			dialer.suspect(target, openedAt)
+			dialer.suspectDial(target, openedAt)
 		}
 		return nil, err
 	}
--- a/peridotpath/reach/dialer_test.go
+++ b/peridotpath/reach/dialer_test.go
@@ -258,7 +258,7 @@
 	is := is.New(t)
 	network := newNetwork()
 	network.dialer.Peers = func(netip.AddrPort) []netip.AddrPort { return nil }
-	network.dialer.Tracker.BeginRound(time.Now().Add(-time.Second), time.Now())
+	network.dialer.Tracker.BeginRoundAfterDial(time.Now().Add(-time.Second), time.Now())
 	network.dialer.Tracker.EndRound(time.Now(), 3, time.Now())
 	is.True(!network.dialer.CanReach())
 	_, err := network.dial(t)
--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -18,10 +18,18 @@
 	probeInterval = 250 * time.Millisecond
 )
 
-// suspect begins a round of probes because a connection to the target, opened at the given time,
-// did not bring an answer, unless there is newer evidence.
-func (dialer *Dialer) suspect(target netip.AddrPort, openedAt time.Time) {
-	if dialer.Tracker.BeginRound(openedAt, time.Now()) {
+// suspectDial begins a round of probes because a dial that began at the given time has failed or
+// is overdue, unless there is newer evidence.
+func (dialer *Dialer) suspectDial(target netip.AddrPort, dialledAt time.Time) {
+	if dialer.Tracker.BeginRoundAfterDial(dialledAt, time.Now()) {
+		dialer.suspicions <- target
+	}
+}
+
+// suspectSilence begins a round of probes because a request that was written at the given time
+// has no answer, unless there is newer evidence.
+func (dialer *Dialer) suspectSilence(target netip.AddrPort, writtenAt time.Time) {
+	if dialer.Tracker.BeginRoundAfterSilence(writtenAt, time.Now()) {
 		dialer.suspicions <- target
 	}
 }
--- a/peridotpath/reach/tracker.go
+++ b/peridotpath/reach/tracker.go
@@ -39,9 +39,12 @@
 	OnChange func()
 
 	mutex sync.Mutex
-	// answeredAt is when the newest of the direct connections was opened on which an endpoint
+	// newestAnswered is when the newest of the direct connections was opened on which an endpoint
 	// has answered. Connections from before a cut may live on and prove nothing about new ones.
-	answeredAt time.Time
+	newestAnswered time.Time
+	// answeredWrite is when the latest of the requests was written that was answered, on any
+	// direct connection.
+	answeredWrite time.Time
 	// roundRunning and roundEndedAt describe the last round of probes.
 	roundRunning bool
 	roundEndedAt time.Time
@@ -81,13 +84,23 @@
 	return !tracker.cutOffSince.IsZero() || now.Before(tracker.holds[address].until)
 }
 
-// RecordAnswer records that the endpoint at the address has answered on a direct connection,
-// which was opened at the given time. An answer on one that was opened since the instance was cut
-// off ends that.
-func (tracker *Tracker) RecordAnswer(address netip.AddrPort, openedAt, now time.Time) {
+// RecordAnswer records that an endpoint has answered a request that was written at the given time
+// on a direct connection.
+func (tracker *Tracker) RecordAnswer(writtenAt time.Time) {
 	tracker.mutex.Lock()
-	if openedAt.After(tracker.answeredAt) {
-		tracker.answeredAt = openedAt
+	defer tracker.mutex.Unlock()
+	if writtenAt.After(tracker.answeredWrite) {
+		tracker.answeredWrite = writtenAt
+	}
+}
+
+// RecordFirstAnswer records that the endpoint at the address has answered on a direct connection
+// for the first time, which was opened at the given time. If it was opened since the instance was
+// cut off, that has ended.
+func (tracker *Tracker) RecordFirstAnswer(address netip.AddrPort, openedAt, now time.Time) {
+	tracker.mutex.Lock()
+	if openedAt.After(tracker.newestAnswered) {
+		tracker.newestAnswered = openedAt
 	}
 	if held, isHeld := tracker.holds[address]; isHeld && openedAt.After(held.until.Add(-held.span)) {
 		delete(tracker.holds, address)
@@ -133,14 +146,28 @@
 	}
 }
 
-// BeginRound reports whether a round of probes begins because of a connection that was opened
-// at the given time and did not answer. It does not where an endpoint has answered on a later
-// one, while a round runs, or shortly after one.
-func (tracker *Tracker) BeginRound(openedAt, now time.Time) bool {
+// BeginRoundAfterDial reports whether a round of probes begins because a dial that began at the
+// given time has failed or is overdue. It does not where an endpoint has answered on a connection
+// that was opened later, while a round runs, or shortly after one.
+func (tracker *Tracker) BeginRoundAfterDial(dialledAt, now time.Time) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	isKnown := tracker.roundRunning || !tracker.cutOffSince.IsZero() || tracker.answeredAt.After(openedAt)
-	if isKnown || now.Sub(tracker.roundEndedAt) < minRoundInterval {
+	return !tracker.newestAnswered.After(dialledAt) && tracker.beginRound(now)
+}
+
+// BeginRoundAfterSilence reports whether a round of probes begins because a request that was
+// written at the given time has no answer yet, or its connection broke. It does not where an
+// endpoint has answered a later one.
+func (tracker *Tracker) BeginRoundAfterSilence(writtenAt, now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.answeredWrite.After(writtenAt) && tracker.beginRound(now)
+}
+
+// beginRound begins a round if none runs and the last one ended long enough ago. The caller holds
+// the mutex.
+func (tracker *Tracker) beginRound(now time.Time) bool {
+	if tracker.roundRunning || !tracker.cutOffSince.IsZero() || now.Sub(tracker.roundEndedAt) < minRoundInterval {
 		return false
 	}
 	tracker.roundRunning = true
@@ -152,11 +179,11 @@
 func (tracker *Tracker) EndRound(startedAt time.Time, probed int, now time.Time) {
 	tracker.mutex.Lock()
 	tracker.roundRunning, tracker.roundEndedAt = false, now
-	isCutOff := probed > 0 && tracker.answeredAt.Before(startedAt)
+	isCutOff := probed > 0 && tracker.newestAnswered.Before(startedAt)
 	if isCutOff {
 		tracker.cutOffSince = now
 	}
-	silentFor := now.Sub(tracker.answeredAt)
+	silentFor := now.Sub(tracker.newestAnswered)
 	tracker.mutex.Unlock()
 	if isCutOff {
 		tracker.Log.Warn().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", silentFor).Msg("links_lost")
--- a/peridotpath/reach/tracker_test.go
+++ b/peridotpath/reach/tracker_test.go
@@ -39,9 +39,9 @@
 			is := is.New(t)
 			changes := 0
 			tracker := &reach.Tracker{Log: zerolog.Nop(), OnChange: func() { changes++ }}
-			is.True(tracker.BeginRound(at(990), at(1000)))
+			is.True(tracker.BeginRoundAfterDial(at(990), at(1000)))
 			if test.answerOpenedAt > 0 {
-				tracker.RecordAnswer(second, at(test.answerOpenedAt), at(1020))
+				tracker.RecordFirstAnswer(second, at(test.answerOpenedAt), at(1020))
 			}
 			tracker.EndRound(at(1000), test.probed, at(1300))
 			is.Equal(tracker.IsCutOff(), test.cutOff)
@@ -55,27 +55,36 @@
 func TestRoundsAreBounded(t *testing.T) {
 	is := is.New(t)
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
-	is.True(tracker.BeginRound(at(0), at(100)))
-	is.True(!tracker.BeginRound(at(0), at(150)))
-	tracker.RecordAnswer(second, at(120), at(130))
+	is.True(tracker.BeginRoundAfterDial(at(0), at(100)))
+	is.True(!tracker.BeginRoundAfterDial(at(0), at(150)))
+	tracker.RecordFirstAnswer(second, at(120), at(130))
 	tracker.EndRound(at(100), 3, at(200))
-	is.True(!tracker.BeginRound(at(190), at(700)))
-	is.True(!tracker.BeginRound(at(110), at(2000)))
-	is.True(tracker.BeginRound(at(1900), at(2000)))
+	is.True(!tracker.BeginRoundAfterDial(at(190), at(700)))
+	is.True(!tracker.BeginRoundAfterDial(at(110), at(2000)))
+	is.True(tracker.BeginRoundAfterDial(at(1900), at(2000)))
+}
+
+// An endpoint that reads a long prompt in silence makes others be probed though these answer.
+func TestSilenceBesideAnswersIsNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	tracker := &reach.Tracker{Log: zerolog.Nop()}
+	tracker.RecordAnswer(at(200))
+	is.True(!tracker.BeginRoundAfterSilence(at(100), at(400)))
+	is.True(tracker.BeginRoundAfterSilence(at(210), at(510)))
 }
 
 // A connection from before the cut lives on; its answers must not end the cut.
 func TestCutEndsWithAnswerOnNewConnection(t *testing.T) {
 	is := is.New(t)
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
-	tracker.BeginRound(at(0), at(100))
+	tracker.BeginRoundAfterDial(at(0), at(100))
 	tracker.EndRound(at(100), 3, at(400))
-	tracker.RecordAnswer(first, at(50), at(900))
+	tracker.RecordFirstAnswer(first, at(50), at(900))
 	is.Equal(tracker.CutOffFor(at(900)), 500*time.Millisecond)
-	tracker.RecordAnswer(first, at(950), at(960))
+	tracker.RecordFirstAnswer(first, at(950), at(960))
 	is.True(!tracker.IsCutOff())
 	is.Equal(tracker.CutOffFor(at(960)), time.Duration(0))
-	is.True(tracker.BeginRound(at(970), at(2000)))
+	is.True(tracker.BeginRoundAfterDial(at(970), at(2000)))
 }
 
 // Half a link is cut: each request to an endpoint behind it tries the own link first, and is late.
@@ -89,7 +98,7 @@
 	tracker.RecordReachedByPeer(first, at(1100))
 	is.True(tracker.PrefersPeers(first, at(3099)))
 	is.True(!tracker.PrefersPeers(first, at(3100)))
-	tracker.RecordAnswer(first, at(3200), at(3210))
+	tracker.RecordFirstAnswer(first, at(3200), at(3210))
 	tracker.RecordReachedByPeer(first, at(3300))
 	is.True(!tracker.PrefersPeers(first, at(4300)))
 }
--- a/peridotpath/reach/watch.go
+++ b/peridotpath/reach/watch.go
@@ -19,10 +19,11 @@
 	openedAt time.Time
 
 	mutex sync.Mutex
-	// silence runs from the first write to the first answer.
-	silence  *time.Timer
-	answered bool
-	closed   bool
+	// writtenAt is when the request was written that has no answer yet; zero if there is none.
+	writtenAt time.Time
+	silence   *time.Timer
+	answered  bool
+	closed    bool
 }
 
 // Write writes to the connection.
@@ -37,8 +38,8 @@
 	switch {
 	case count > 0:
 		conn.recordAnswer()
-	case err != nil && !conn.hasEnded():
-		conn.dialer.suspect(conn.target, conn.openedAt)
+	case err != nil:
+		conn.recordBreak()
 	}
 	return count, err
 }
@@ -47,41 +48,52 @@
 func (conn *watchedConn) Close() error {
 	conn.mutex.Lock()
 	conn.closed = true
-	conn.stopSilence()
+	conn.stopAwaiting()
 	conn.mutex.Unlock()
 	return conn.Conn.Close()
 }
 
-// awaitAnswer starts the time in which the endpoint is expected to answer.
+// awaitAnswer begins the time in which the endpoint is expected to answer.
 func (conn *watchedConn) awaitAnswer() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
-	if conn.silence == nil && !conn.answered && !conn.closed {
-		conn.silence = time.AfterFunc(silentAfter, func() { conn.dialer.suspect(conn.target, conn.openedAt) })
+	if conn.closed || !conn.writtenAt.IsZero() {
+		return
 	}
+	writtenAt := time.Now()
+	conn.writtenAt = writtenAt
+	conn.silence = time.AfterFunc(silentAfter, func() { conn.dialer.suspectSilence(conn.target, writtenAt) })
 }
 
+// recordAnswer ends the time in which the endpoint is expected to answer.
 func (conn *watchedConn) recordAnswer() {
 	conn.mutex.Lock()
-	isFirst := !conn.answered
+	writtenAt, isFirst := conn.writtenAt, !conn.answered
 	conn.answered = true
-	conn.stopSilence()
+	conn.stopAwaiting()
 	conn.mutex.Unlock()
+	if !writtenAt.IsZero() {
+		conn.dialer.Tracker.RecordAnswer(writtenAt)
+	}
 	if isFirst {
-		conn.dialer.Tracker.RecordAnswer(conn.target, conn.openedAt, time.Now())
+		conn.dialer.Tracker.RecordFirstAnswer(conn.target, conn.openedAt, time.Now())
 	}
 }
 
-// hasEnded reports whether the end of the connection says nothing about the link: the endpoint
-// has answered, or this instance has closed it.
-func (conn *watchedConn) hasEnded() bool {
+// recordBreak reports a connection that broke before the endpoint has answered.
+func (conn *watchedConn) recordBreak() {
 	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	return conn.answered || conn.closed
+	writtenAt, isOwn := conn.writtenAt, conn.closed
+	conn.stopAwaiting()
+	conn.mutex.Unlock()
+	if !writtenAt.IsZero() && !isOwn {
+		conn.dialer.suspectSilence(conn.target, writtenAt)
+	}
 }
 
-// stopSilence stops the timer. The caller holds the mutex.
-func (conn *watchedConn) stopSilence() {
+// stopAwaiting forgets the request that has no answer yet. The caller holds the mutex.
+func (conn *watchedConn) stopAwaiting() {
+	conn.writtenAt = time.Time{}
 	if conn.silence != nil {
 		conn.silence.Stop()
 	}
