peridotd: instances of serve that are cut off call through their peers, too

Change: the clients of engines and services open their connections through reach.Dialer; the peer listener carries those of others, and a stop waits for them. Not done here: readiness, since serve's digests do not say who reaches the endpoints.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -22,6 +22,7 @@
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/operator"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/peer"
 	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/settings"
@@ -43,6 +44,7 @@
 	keyValue       *keyvalue.Store
 	config         *config.Store
 	fleet          *fleetTracker
+	links          *links
 	engines        *engine.Client
 	scheduler      *decide.Scheduler
 	dispatcher     *dispatch.Dispatcher
@@ -63,16 +65,18 @@
 	// A later run of the instance has a higher incarnation, unless the clock is set back by
 	// more than the time between the runs. The number only distinguishes runs.
 	incarnation := peridotpath.Incarnation(time.Now().UnixNano())
+	outbound.SetSource(settings.CallerAddress.Addr())
 	daemon := &daemon{settings: settings, log: log, incarnation: incarnation, signer: &cursor.Signer{}}
 	daemon.keyValue = keyvalue.Connect(settings.KeyValueAddress, &keyvalue.EraTracker{Now: clock.SinceBoot, Log: daemon.log, OnEraChange: daemon.onStoreRestored})
 	daemon.config = &config.Store{KeyValue: daemon.keyValue, Log: log}
-	daemon.engines = &engine.Client{Instance: settings.InstanceID, Incarnation: incarnation}
+	daemon.links = newLinks(daemon)
+	daemon.engines = &engine.Client{Instance: settings.InstanceID, Incarnation: incarnation, Do: daemon.links.do}
 	daemon.scheduler = &decide.Scheduler{Seed: uint64(incarnation)}
 	daemon.fleet = newFleetTracker(daemon)
 	daemon.dispatcher = &dispatch.Dispatcher{
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
-		SendPlain: (&service.Client{}).Send, OnEndpointDraining: daemon.fleet.view.RecordRefusal, OnEndpointBackoff: daemon.scheduler.BackOff,
+		SendPlain: (&service.Client{Do: daemon.links.do}).Send, OnEndpointDraining: daemon.fleet.view.RecordRefusal, OnEndpointBackoff: daemon.scheduler.BackOff,
 	}
 	daemon.claims = &claim.Ledger{
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
@@ -108,11 +112,11 @@
 	daemon.peerListener = &inbound.Listener{
 		Name: "peers", Address: daemon.settings.PeerAddress,
 		MaxHeaderBytes: int(daemon.settings.Limits.MaxHeaderBytes),
-		Routes: []rest.Route{
-			{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics},
-			{Method: http.MethodPost, Path: operator.PathPrefix + ":method", Handler: operators.Handler().ServeHTTP},
-			{Method: http.MethodPost, Path: peer.PathPrefix + ":method", Handler: daemon.fleet.service.Handler().ServeHTTP},
-		},
+		Routes: append(daemon.links.routes(),
+			rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.WriteMetrics},
+			rest.Route{Method: http.MethodPost, Path: operator.PathPrefix + ":method", Handler: operators.Handler().ServeHTTP},
+			rest.Route{Method: http.MethodPost, Path: peer.PathPrefix + ":method", Handler: daemon.fleet.service.Handler().ServeHTTP},
+		),
 	}
 	daemon.peerListener.Init()
 }
@@ -153,6 +157,7 @@
 	return []task{
 		{"config", daemon.config.Run},
 		{"membership", fleet.follower.Run},
+		{"links", daemon.links.dialer.Run},
 		{"load_reports", fleet.poller.Run},
 		{"exchange", fleet.exchanger.Run},
 		{"shares", fleet.limiter.Run},
@@ -165,6 +170,12 @@
 	}
 }
 
+// closePeers waits for the connections that are carried for peers, and closes the listener for
+// peers.
+func (daemon *daemon) closePeers(ctx context.Context) error {
+	return errs.Combine(daemon.links.tunnels.Close(ctx), daemon.peerListener.Close(ctx))
+}
+
 // onStoreRestored notifies the components that the key-value service was restored from an older
 // copy.
 func (daemon *daemon) onStoreRestored(_, _ keyvalue.Era) {
@@ -227,7 +238,7 @@
 	stop := &gracefulStop{
 		BalancerNotice: daemon.settings.Drain.BalancerNoticeMS.Duration(), PeerHandover: daemon.settings.Drain.HandoverMS.Duration(),
 		SetNotReady: daemon.callers.BeginStop, ActiveRequests: daemon.callers.ActiveRequests, CloseCallers: daemon.callerListener.Close,
-		CloseClaims: daemon.claims.Close, ClosePeers: daemon.peerListener.Close,
+		CloseClaims: daemon.claims.Close, ClosePeers: daemon.closePeers,
 	}
 	return stop.run(ctx)
 }
