soak: requests that the next cut meets do not count for the last one

The span after a cut now ends 300 ms before the next one and is as long as before; bounds are unchanged. Tries that are not served are listed with their status.

--- a/soak/cut_off.go
+++ b/soak/cut_off.go
@@ -73,10 +73,12 @@
 
 // try is a first try of a request at an instance.
 type try struct {
+	id       peridotpath.RequestID
 	instance int
 	sentAt   time.Time
 	served   bool
-	status   int
+	// status is the status of the answer; zero if there was none.
+	status int
 }
 
 // steadyLoad sends requests of all kinds to each instance at a constant rate and records how they
@@ -126,7 +128,7 @@
 		reply = nil
 	}
 	fleet.checker.recordReply(id, reply)
-	result := try{instance: number, sentAt: sentAt}
+	result := try{id: id, instance: number, sentAt: sentAt}
 	if reply != nil {
 		result.served, result.status = reply.Status == http.StatusOK && reply.IsComplete, reply.Status
 	}
@@ -135,19 +137,19 @@
 	load.tries = append(load.tries, result)
 }
 
-// servedShare returns how many of the tries in a span at the instances were served, as a share,
-// and their number.
-func (load *steadyLoad) servedShare(from, to time.Time, isCounted func(instance int) bool) (share float64, total int) {
+// between returns the tries that were sent in a span at the instances, and those of them that were
+// not served.
+func (load *steadyLoad) between(from, to time.Time, isCounted func(instance int) bool) (sent, failed []try) {
 	load.mutex.Lock()
 	defer load.mutex.Unlock()
-	served := 0
 	for _, try := range load.tries {
-		if isCounted(try.instance) && !try.sentAt.Before(from) && try.sentAt.Before(to) {
-			total++
-			if try.served {
-				served++
-			}
+		if !isCounted(try.instance) || try.sentAt.Before(from) || !try.sentAt.Before(to) {
+			continue
+		}
+		sent = append(sent, try)
+		if !try.served {
+			failed = append(failed, try)
 		}
 	}
-	return float64(served) / float64(max(total, 1)), total
+	return sent, failed
 }
--- a/soak/cut_off_test.go
+++ b/soak/cut_off_test.go
@@ -18,7 +18,9 @@
 	minSoundShare  = 0.97
 	cutOffNotice   = time.Second
 	cutOffSpan     = 4500 * time.Millisecond
-	healthySpan    = 2500 * time.Millisecond
+	healthySpan    = 2800 * time.Millisecond
+	// inFlightTime is longer than any request runs at endpoints that are reached.
+	inFlightTime = 300 * time.Millisecond
 )
 
 // Instances that reach no endpoint, but their peers, the store and the callers, refuse or hold
@@ -52,17 +54,22 @@
 			end()
 			cut.ended = time.Now()
 			time.Sleep(healthySpan)
-			cut.recoveredBefore = time.Now()
+			// What runs when the next cut begins is cut by it.
+			cut.recoveredBefore = time.Now().Add(-inFlightTime)
 			cuts = append(cuts, cut)
 		}
 	}
 	stopLoad()
 	<-loadEnded
 	check := func(what string, from, to time.Time, isCounted func(int) bool, least float64) {
-		share, total := load.servedShare(from, to, isCounted)
-		t.Logf("%s: %.3f of %d served", what, share, total)
-		if total == 0 || share < least {
-			t.Errorf("%s: %.3f of %d first tries served, want %.2f", what, share, total, least)
+		sent, failed := load.between(from, to, isCounted)
+		share := 1 - float64(len(failed))/float64(max(len(sent), 1))
+		t.Logf("%s: %.3f of %d served", what, share, len(sent))
+		for _, try := range failed {
+			t.Logf("  %s at %d after %v: status %d", try.id, try.instance, try.sentAt.Sub(from), try.status)
+		}
+		if len(sent) == 0 || share < least {
+			t.Errorf("%s: %.3f of %d first tries served, want %.2f", what, share, len(sent), least)
 		}
 	}
 	for _, cut := range cuts {
