reach: a connection that broke before an answer makes the next ones take another way

What callers saw: with the links to one service cut so that connections open and are then reset, 3 of 80 first tries that may run once got 502, and more before: whether the address was left to peers depended on a reset arriving while the connection was still being opened. Cause: only a connection that did not open counted. Change: one that breaks before any answer counts as well, for 1 to 16 s; the own link stays the way of last resort.

--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -76,7 +76,7 @@
 	outbound.RecordPeer(ctx, used.peer)
 	telemetry.CountDialThroughPeer()
 	if !preferred {
-		dialer.Tracker.RecordReachedByPeer(target, time.Now())
+		dialer.Tracker.HoldForPeers(target, time.Now())
 	}
 	return conn, nil
 }
--- a/peridotpath/reach/dialer_test.go
+++ b/peridotpath/reach/dialer_test.go
@@ -26,6 +26,8 @@
 	linkOpen link = iota
 	linkHangs
 	linkRefuses
+	// linkBreaks opens connections and breaks them before an answer.
+	linkBreaks
 )
 
 // peers are the peers of the instance under test.
@@ -71,9 +73,7 @@
 		if err != nil {
 			return err
 		}
-		defer conn.Close()
-		_, err = conn.Read(make([]byte, 1))
-		return err
+		return exchange(conn)
 	}
 	made.dialer.Init()
 	return made
@@ -115,7 +115,10 @@
 	}
 	near, far := net.Pipe()
 	go func() {
-		_, _ = far.Write([]byte("answer"))
+		_, _ = far.Read(make([]byte, 10))
+		if link != linkBreaks {
+			_, _ = far.Write([]byte("answer"))
+		}
 		far.Close()
 	}()
 	return near, nil
@@ -127,12 +130,21 @@
 	startedAt := time.Now()
 	conn, err := network.dialer.Dial(t.Context(), "tcp", first.String())
 	if err == nil {
-		_, _ = conn.Read(make([]byte, 10))
-		conn.Close()
+		err = exchange(conn)
 	}
 	return time.Since(startedAt), err
 }
 
+// exchange sends a request on a connection and reads the answer.
+func exchange(conn net.Conn) error {
+	defer conn.Close()
+	if _, err := conn.Write([]byte("request")); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 10))
+	return err
+}
+
 // An endpoint that only peers reach costs its requests all their time.
 func TestDialTakesAnotherWay(t *testing.T) {
 	tests := []struct {
@@ -165,6 +177,27 @@
 	}
 }
 
+// A part of the links opens connections and resets them: each request there is lost, and may have
+// run.
+func TestBrokenConnectionMakesTheNextTakeAnotherWay(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newNetwork()
+		network.cut(linkBreaks, first)
+		_, err := network.dial(t)
+		is.True(err != nil)
+		is.Equal(network.askedCount(), 0)
+		_, err = network.dial(t)
+		is.NoErr(err)
+		is.Equal(network.askedCount(), 1)
+		network.cut(linkOpen, first)
+		time.Sleep(2 * time.Second)
+		_, err = network.dial(t)
+		is.NoErr(err)
+		is.Equal(network.askedCount(), 1)
+	})
+}
+
 // A silent endpoint that no peer reaches either is given up before it goes on.
 func TestSilentEndpointIsAwaited(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
--- a/peridotpath/reach/tracker.go
+++ b/peridotpath/reach/tracker.go
@@ -26,7 +26,7 @@
 	// that is down fails many requests.
 	minRoundInterval = time.Second
 	// minHold and maxHold bound how long connections to an address are opened through peers
-	// before it is dialled directly again. The hold doubles each time that fails.
+	// before it is dialled directly again. The hold doubles when that fails again.
 	minHold, maxHold = time.Second, 16 * time.Second
 )
 
@@ -117,8 +117,9 @@
 	}
 }
 
-// RecordReachedByPeer records that only a peer could open a connection to the address.
-func (tracker *Tracker) RecordReachedByPeer(address netip.AddrPort, now time.Time) {
+// HoldForPeers makes the next connections to the address go through peers: one over this
+// instance's own link broke before an answer, or only a peer could open one.
+func (tracker *Tracker) HoldForPeers(address netip.AddrPort, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	held := tracker.holds[address]
--- a/peridotpath/reach/tracker_test.go
+++ b/peridotpath/reach/tracker_test.go
@@ -91,14 +91,14 @@
 func TestHoldOfAddressDoublesUntilItAnswers(t *testing.T) {
 	is := is.New(t)
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
-	tracker.RecordReachedByPeer(first, at(0))
+	tracker.HoldForPeers(first, at(0))
 	is.True(tracker.PrefersPeers(first, at(999)))
 	is.True(!tracker.PrefersPeers(second, at(0)))
 	is.True(!tracker.PrefersPeers(first, at(1000)))
-	tracker.RecordReachedByPeer(first, at(1100))
+	tracker.HoldForPeers(first, at(1100))
 	is.True(tracker.PrefersPeers(first, at(3099)))
 	is.True(!tracker.PrefersPeers(first, at(3100)))
 	tracker.RecordFirstAnswer(first, at(3200), at(3210))
-	tracker.RecordReachedByPeer(first, at(3300))
+	tracker.HoldForPeers(first, at(3300))
 	is.True(!tracker.PrefersPeers(first, at(4300)))
 }
--- a/peridotpath/reach/watch.go
+++ b/peridotpath/reach/watch.go
@@ -83,12 +83,16 @@
 // recordBreak reports a connection that broke before the endpoint has answered.
 func (conn *watchedConn) recordBreak() {
 	conn.mutex.Lock()
-	writtenAt, isOwn := conn.writtenAt, conn.closed
+	writtenAt, isOwn, answered := conn.writtenAt, conn.closed, conn.answered
 	conn.stopAwaiting()
 	conn.mutex.Unlock()
-	if !writtenAt.IsZero() && !isOwn {
-		conn.dialer.suspectSilence(conn.target, writtenAt)
+	if writtenAt.IsZero() || isOwn {
+		return
+	}
+	if !answered {
+		conn.dialer.Tracker.HoldForPeers(conn.target, time.Now())
 	}
+	conn.dialer.suspectSilence(conn.target, writtenAt)
 }
 
 // stopAwaiting forgets the request that has no answer yet. The caller holds the mutex.
--- a/soak/cut_off.go
+++ b/soak/cut_off.go
@@ -29,8 +29,20 @@
 // cutOff cuts instances off from all endpoints until end is called. They still reach each other,
 // the store and the clients.
 func (fleet *fleet) cutOff(state link, instances ...int) (end func()) {
-	fleet.setInstanceLinks(state, instances)
-	return func() { fleet.setInstanceLinks(linkHealthy, instances) }
+	for _, number := range instances {
+		fleet.setInstanceLinks(state, number, fleet.endpoints)
+	}
+	return func() {
+		for _, number := range instances {
+			fleet.setInstanceLinks(linkHealthy, number, fleet.endpoints)
+		}
+	}
+}
+
+// cutOffFrom cuts an instance off from some endpoints until end is called.
+func (fleet *fleet) cutOffFrom(state link, number int, endpoints []*endpoint) (end func()) {
+	fleet.setInstanceLinks(state, number, endpoints)
+	return func() { fleet.setInstanceLinks(linkHealthy, number, endpoints) }
 }
 
 // cutOffRepeatedly cuts an instance off for a second of every three until end is called.
@@ -55,11 +67,9 @@
 	}
 }
 
-func (fleet *fleet) setInstanceLinks(state link, instances []int) {
-	for _, endpoint := range fleet.endpoints {
-		for _, number := range instances {
-			endpoint.proxy.setSourceLink(instanceAddress(number), state)
-		}
+func (fleet *fleet) setInstanceLinks(state link, number int, endpoints []*endpoint) {
+	for _, endpoint := range endpoints {
+		endpoint.proxy.setSourceLink(instanceAddress(number), state)
 	}
 }
 
