--- a/soak/faults.go
+++ b/soak/faults.go
@@ -176,6 +176,8 @@
 		return "store"
 	case "drain_all":
 		return "drain"
+	case "cut_off_again_and_again":
+		return "cut_off"
 	}
 	return name
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -71,6 +71,11 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 }
 
+// peerAddress returns the address at which the other instances know the instance.
+func (instance *instance) peerAddress() netip.AddrPort {
+	return netip.AddrPortFrom(instance.IngressAddress.Addr(), instance.FirstPeerPort)
+}
+
 // start starts a new process.
 func (instance *instance) start(store netip.AddrPort) error {
 	settings := filepath.Join(instance.Folder, string(instance.ID)+".toml")
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -100,7 +100,7 @@
 	allRegistered := func() bool {
 		counts := fleet.registrationCounts()
 		return !slices.ContainsFunc(fleet.instances, func(instance *instance) bool {
-			return counts[loopback(instance.FirstPeerPort)] == 0
+			return counts[instance.peerAddress()] == 0
 		})
 	}
 	if !fleet.eventually(registrationTimeout, allRegistered) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,9 @@
 // drainingSeeds are those of runs in which data centres are drained and endpoints are cold.
 var drainingSeeds = []uint64{43, 44, 45}
 
+// cutOffSeeds are those of runs in which instances are cut off from all endpoints.
+var cutOffSeeds = []uint64{46, 47}
+
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
 	is := is.New(t)
@@ -58,6 +61,9 @@
 	for _, seed := range drainingSeeds {
 		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true})
 	}
+	for _, seed := range cutOffSeeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true, cutsOff: true})
+	}
 }
 
 // buildPeridotd builds the program under test and returns its path.
