reach, directory: peers are looked for only when they are needed

Each connection looked for peers that could carry it, also where its own link opened it within milliseconds: a lock, a look at every peer and a shuffle for each request, which grows with the cell. Now they are looked for when the own link has failed or is overdue. One map holds the addresses of endpoints and their data centres in place of two.

--- a/peridotpath/directory/addresses_test.go
+++ b/peridotpath/directory/addresses_test.go
@@ -27,13 +27,12 @@
 	dir := &directory.Directory{Log: zerolog.Nop()}
 	is.True(!dir.HasListed(staying))
 	dir.Apply(listing(staying, leaving), time.Hour)
-	is.Equal(dir.Current().DataCentreOf(leaving), peridotpath.DataCentre("a"))
-	dir.Apply(listing(staying), time.Hour+time.Second)
-	is.Equal(dir.Current().DataCentreOf(leaving), peridotpath.DataCentre(""))
+	is.Equal(dir.DataCentreOf(leaving), peridotpath.DataCentre("a"))
 	dir.Apply(listing(staying), time.Hour+30*time.Second)
 	is.True(dir.HasListed(leaving))
 	dir.Apply(listing(staying), time.Hour+2*time.Minute)
 	is.True(!dir.HasListed(leaving))
+	is.Equal(dir.DataCentreOf(leaving), peridotpath.DataCentre(""))
 	is.True(dir.HasListed(staying))
 }
 
--- a/peridotpath/directory/directory.go
+++ b/peridotpath/directory/directory.go
@@ -63,7 +63,6 @@
 	byService map[peridotpath.Service][]Member
 	byID      map[peridotpath.EndpointID]*peridotpath.Endpoint
 	byKey     map[peridotpath.EndpointKey]*peridotpath.Endpoint
-	byAddress map[netip.AddrPort]*peridotpath.Endpoint
 	// drained holds the drained data centres, drainedServices the services that have live
 	// endpoints there.
 	drained         map[peridotpath.DataCentre]bool
@@ -88,17 +87,6 @@
 	return snapshot.byKey[key]
 }
 
-// DataCentreOf returns the data centre of the endpoint at the address; empty if there is none.
-func (snapshot *Snapshot) DataCentreOf(address netip.AddrPort) peridotpath.DataCentre {
-	if snapshot == nil {
-		return ""
-	}
-	if endpoint := snapshot.byAddress[address]; endpoint != nil {
-		return endpoint.DataCentre
-	}
-	return ""
-}
-
 // HasCold reports whether an endpoint in use is cold. It is cheap enough for every request.
 func (snapshot *Snapshot) HasCold() bool { return snapshot != nil && snapshot.hasCold }
 
@@ -144,8 +132,8 @@
 	exceptionEndsAt time.Duration
 	// departedAt holds the times at which endpoints departed.
 	departedAt map[peridotpath.EndpointKey]time.Duration
-	// addressListedAt holds the times at which endpoints were last listed at an address.
-	addressListedAt map[netip.AddrPort]time.Duration
+	// addresses holds the addresses at which endpoints are listed, or were lately.
+	addresses map[netip.AddrPort]listedAddress
 }
 
 // ConfirmedAt returns the latest time at which the last read was known to be the newest.
@@ -278,7 +266,6 @@
 		byService: map[peridotpath.Service][]Member{},
 		byID:      map[peridotpath.EndpointID]*peridotpath.Endpoint{},
 		byKey:     map[peridotpath.EndpointKey]*peridotpath.Endpoint{},
-		byAddress: map[netip.AddrPort]*peridotpath.Endpoint{},
 		drained:   drained, drainedServices: map[peridotpath.Service]bool{},
 	}
 	for i := range endpoints {
@@ -296,7 +283,6 @@
 
 func (snapshot *Snapshot) add(endpoint *peridotpath.Endpoint) {
 	snapshot.byID[endpoint.ID] = endpoint
-	snapshot.byAddress[endpoint.Address] = endpoint
 	snapshot.hasCold = snapshot.hasCold || endpoint.Cold
 	member := Member{Endpoint: endpoint, Key: endpoint.Key()}
 	snapshot.byKey[member.Key] = endpoint
--- a/peridotpath/instance/links.go
+++ b/peridotpath/instance/links.go
@@ -67,7 +67,7 @@
 
 // carriers returns the peers to ask for a connection to the address.
 func (instance *Instance) carriers(address netip.AddrPort) []netip.AddrPort {
-	return instance.gossip.Carriers(instance.directory.Current().DataCentreOf(address), time.Now())
+	return instance.gossip.Carriers(instance.directory.DataCentreOf(address), time.Now())
 }
 
 // reachesEndpoints reports whether the instance reaches endpoints over its own links.
--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -57,20 +57,19 @@
 		return nil, err
 	}
 	preferred := dialer.Tracker.PrefersPeers(target, time.Now())
-	ways := dialer.ways(target, preferred)
-	if len(ways) == 0 {
-		return nil, ErrCutOff.New("no peer reaches %s", address)
-	}
-	conn, used, err := hedge(ctx, ways, func(ctx context.Context, way way) (net.Conn, error) {
+	first, more := dialer.ways(target, preferred)
+	conn, used, err := hedge(ctx, first, more, func(ctx context.Context, way way) (net.Conn, error) {
 		if way.isDirect() {
 			return dialer.dialDirect(ctx, network, target)
 		}
 		return dialer.ThroughPeer(ctx, way.peer, target)
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
-	}
-	if used.isDirect() {
+	case conn == nil:
+		return nil, ErrCutOff.New("no peer reaches %s", address)
+	case used.isDirect():
 		return conn, nil
 	}
 	outbound.RecordPeer(ctx, used.peer)
@@ -94,21 +93,28 @@
 	return !dialer.Tracker.IsCutOff() || len(dialer.Peers(netip.AddrPort{})) > 0
 }
 
-// ways returns the ways to try, in this order. An instance that is cut off does not try its own
-// link, which would only use up the request's time.
-func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) []way {
-	direct := way{headStart: overdueAfter}
-	var ways []way
-	if !prefersPeers {
-		ways = append(ways, direct)
+// ways returns the ways to try first, and a function that returns those to try after them. An
+// instance that is cut off does not try its own link, which would only use up the request's time.
+func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) (first []way, more func() []way) {
+	throughPeers := func() []way { return dialer.waysThroughPeers(target) }
+	direct := []way{{headStart: overdueAfter}}
+	switch {
+	case !prefersPeers:
+		return direct, throughPeers
+	case dialer.Tracker.IsCutOff():
+		return throughPeers(), nil
+	default:
+		return throughPeers(), func() []way { return direct }
 	}
+}
+
+// waysThroughPeers returns a way through each of the first peers that carry connections.
+func (dialer *Dialer) waysThroughPeers(target netip.AddrPort) []way {
+	var ways []way
 	peers := dialer.Peers(target)
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
 		ways = append(ways, way{peer: peer, headStart: nextPeerAfter})
 	}
-	if prefersPeers && !dialer.Tracker.IsCutOff() {
-		ways = append(ways, direct)
-	}
 	return ways
 }
 
--- a/peridotpath/reach/hedge.go
+++ b/peridotpath/reach/hedge.go
@@ -29,15 +29,16 @@
 
 // hedge tries one way after the other and returns the first connection that opens. The next way
 // is tried when one has failed or the last one has had its head start. All that are still being
-// tried are then cancelled.
-func hedge(ctx context.Context, ways []way, open func(context.Context, way) (net.Conn, error)) (net.Conn, way, error) {
+// tried are then cancelled. It asks for more ways once, when there is no other left: most
+// connections open at once, and finding peers takes time.
+func hedge(ctx context.Context, ways []way, more func() []way, open func(context.Context, way) (net.Conn, error)) (net.Conn, way, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan opened, len(ways))
+	results := make(chan opened, len(ways)+maxPeers)
 	headStart := time.NewTimer(0)
 	defer headStart.Stop()
 	var failures []error
-	for started, running := 0, 0; started < len(ways) || running > 0; {
+	for started, running := 0, 0; started < len(ways) || more != nil || running > 0; {
 		select {
 		case result := <-results:
 			running--
@@ -48,6 +49,9 @@
 			failures = append(failures, result.err)
 			headStart.Reset(0)
 		case <-headStart.C:
+			if started == len(ways) && more != nil {
+				ways, more = append(ways, more()...), nil
+			}
 			if started == len(ways) {
 				continue
 			}
