reach: an instance that nobody can help goes on trying for a second

What callers would see: where all endpoints are silent for a second, or instances short of processor time miss the answers to three probes, each takes itself for cut off, none carries, and all refuse at once what used to be served late. Cause: a verdict of 0.3 s was enough to refuse. Change: without a peer that carries, the own link is tried as before until the instance has been cut off for a second, in which four more probes fail; its refusals prove nothing of endpoints meanwhile.

--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -11,10 +11,11 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/telemetry"
+	"peridotpath.example/peridotpath/tunnel"
 )
 
-// ErrCutOff means that this instance reaches no endpoint and knows no peer that does. It says
-// nothing about the endpoint.
+// ErrCutOff means that this instance reaches no endpoint and no peer carried the connection. It
+// says nothing about the endpoint.
 var ErrCutOff = errs.Class("cut off from all endpoints")
 
 const (
@@ -25,6 +26,10 @@
 	nextPeerAfter = 200 * time.Millisecond
 	// maxPeers bounds the peers that are asked for one connection.
 	maxPeers = 3
+	// hopelessAfter is how long an instance must be cut off, without a peer that carries, to give
+	// connections up at once. All endpoints may be silent for a second, and an instance that is
+	// short of processor time misses the answers to a few probes.
+	hopelessAfter = time.Second
 	// CarryTimeout bounds opening a connection for a peer, which has others to ask.
 	CarryTimeout = 300 * time.Millisecond
 )
@@ -65,6 +70,9 @@
 		return dialer.ThroughPeer(ctx, way.peer, target)
 	})
 	switch {
+	case err != nil && dialer.Tracker.IsCutOff() && !tunnel.ErrUnreachable.Has(err):
+		// A refusal by the own link must not look like one by the endpoint.
+		return nil, ErrCutOff.New("%v", err)
 	case err != nil:
 		return nil, err
 	case conn == nil:
@@ -90,11 +98,16 @@
 // CanReach reports whether a connection to some endpoint may be opened: directly, or through a
 // peer.
 func (dialer *Dialer) CanReach() bool {
-	return !dialer.Tracker.IsCutOff() || len(dialer.Peers(netip.AddrPort{})) > 0
+	return !dialer.isHopeless() || len(dialer.Peers(netip.AddrPort{})) > 0
+}
+
+// isHopeless reports whether trying the own link can only use up the request's time.
+func (dialer *Dialer) isHopeless() bool {
+	return dialer.Tracker.CutOffFor(time.Now()) >= hopelessAfter
 }
 
 // ways returns the ways to try first, and a function that returns those to try after them. An
-// instance that is cut off does not try its own link, which would only use up the request's time.
+// instance that is cut off tries its own link only while no peer carries, and not for long.
 func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) (first []way, more func() []way) {
 	throughPeers := func() []way { return dialer.waysThroughPeers(target) }
 	direct := []way{{headStart: overdueAfter}}
@@ -102,7 +115,11 @@
 	case !prefersPeers:
 		return direct, throughPeers
 	case dialer.Tracker.IsCutOff():
-		return throughPeers(), nil
+		ways := throughPeers()
+		if len(ways) == 0 && !dialer.isHopeless() {
+			return direct, nil
+		}
+		return ways, nil
 	default:
 		return throughPeers(), func() []way { return direct }
 	}
