relay, reach: what waits on a link that carries nothing is no load, and is made again elsewhere

Cause: the requests that hung on dead links until their callers left, some ninety at each cut instance, stayed in its digests as in flight, so that two idle endpoints looked full to everybody: the class again, an own link taken for the state of an endpoint. Change: when the instance is found to be cut off and nothing has come over its open connections either, attempts over the own link count as load no more; those that may be repeated, and streams that may be resumed, are cancelled and made again through a peer, within their attempts and the retry budget. What may run once goes on waiting. Connections that live on are left alone.

--- a/peridotd/links_test.go
+++ b/peridotd/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -36,7 +37,9 @@
 	go func() { ended <- links.dialer.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-ended
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
 	})
 	return links
 }
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -163,7 +163,7 @@
 	instance.startup = newStartup(instance.hasRouting, instance.hasRoutingAndEndpoints, instance.isStoreFailing)
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
-		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff,
+		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff, NotifyStalled: instance.reachability.NotifyStalled,
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
--- a/peridotpath/reach/dialer_test.go
+++ b/peridotpath/reach/dialer_test.go
@@ -124,6 +124,20 @@
 	return near, nil
 }
 
+// run runs the dialer's background task until stop is called.
+func (network *network) run(t *testing.T) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- network.dialer.Run(ctx) }()
+	return func() {
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}
+}
+
 // dial dials the first endpoint and returns how long that took.
 func (network *network) dial(t *testing.T) (time.Duration, error) {
 	t.Helper()
@@ -240,9 +254,7 @@
 		virtual.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			network := newNetwork()
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 1)
-			go func() { ended <- network.dialer.Run(ctx) }()
+			stop := network.run(t)
 			network.cut(state, first, second)
 			_, err := network.dial(t)
 			is.NoErr(err)
@@ -260,8 +272,7 @@
 			is.NoErr(err)
 			is.True(took < 10*time.Millisecond)
 			is.True(network.askedCount() <= asked+1)
-			cancel()
-			<-ended
+			stop()
 			time.Sleep(dialTimeout + time.Second)
 		})
 	}
@@ -273,16 +284,13 @@
 		is := is.New(t)
 		network := newNetwork()
 		network.dialer.Peers = func(netip.AddrPort) []netip.AddrPort { return nil }
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- network.dialer.Run(ctx) }()
+		stop := network.run(t)
 		network.cut(linkHangs, first)
 		_, err := network.dial(t)
 		is.True(err != nil)
 		is.True(!network.dialer.Tracker.IsCutOff())
 		is.True(network.dialer.CanReach())
-		cancel()
-		<-ended
+		stop()
 	})
 }
 
@@ -293,9 +301,7 @@
 		is := is.New(t)
 		network := newNetwork()
 		network.dialer.Peers = func(netip.AddrPort) []netip.AddrPort { return nil }
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan error, 1)
-		go func() { ended <- network.dialer.Run(ctx) }()
+		stop := network.run(t)
 		network.cut(linkRefuses, first, second)
 		_, err := network.dial(t)
 		is.True(errors.Is(err, syscall.ECONNREFUSED))
@@ -314,7 +320,6 @@
 		network.cut(linkOpen, first, second)
 		time.Sleep(300 * time.Millisecond)
 		is.True(network.dialer.CanReach())
-		cancel()
-		<-ended
+		stop()
 	})
 }
--- a/peridotpath/reach/tracker.go
+++ b/peridotpath/reach/tracker.go
@@ -13,6 +13,7 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +43,11 @@
 	// newestAnswered is when the newest of the direct connections was opened on which an endpoint
 	// has answered. Connections from before a cut may live on and prove nothing about new ones.
 	newestAnswered time.Time
+	// receivedAt is when an endpoint last sent anything on a direct connection, in nanoseconds
+	// since 1970.
+	receivedAt atomic.Int64
+	// onStalled are called when the links are found to carry nothing any more.
+	onStalled map[*func()]bool
 	// answeredWrite is when the latest of the requests was written that was answered, on any
 	// direct connection.
 	answeredWrite time.Time
@@ -84,6 +90,26 @@
 	return !tracker.cutOffSince.IsZero() || now.Before(tracker.holds[address].until)
 }
 
+// NotifyStalled registers a function that is called when the instance is found to be cut off and its
+// open connections carry nothing either. The function must not block. Stop unregisters it.
+func (tracker *Tracker) NotifyStalled(notify func()) (stop func()) {
+	key := &notify
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if tracker.onStalled == nil {
+		tracker.onStalled = map[*func()]bool{}
+	}
+	tracker.onStalled[key] = true
+	return func() {
+		tracker.mutex.Lock()
+		defer tracker.mutex.Unlock()
+		delete(tracker.onStalled, key)
+	}
+}
+
+// RecordReceived records that an endpoint has sent something on a direct connection.
+func (tracker *Tracker) RecordReceived(now time.Time) { tracker.receivedAt.Store(now.UnixNano()) }
+
 // RecordAnswer records that an endpoint has answered a request that was written at the given time
 // on a direct connection.
 func (tracker *Tracker) RecordAnswer(writtenAt time.Time) {
@@ -185,10 +211,22 @@
 		tracker.cutOffSince = now
 	}
 	silentFor := now.Sub(tracker.newestAnswered)
+	isStalled := isCutOff && tracker.receivedAt.Load() < startedAt.UnixNano()
+	var notified []func()
+	for notify := range tracker.onStalled {
+		notified = append(notified, *notify)
+	}
 	tracker.mutex.Unlock()
-	if isCutOff {
-		tracker.Log.Warn().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", silentFor).Msg("links_lost")
-		tracker.notifyChanged()
+	if !isCutOff {
+		return
+	}
+	tracker.Log.Warn().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", silentFor).Bool("stalled", isStalled).Msg("links_lost")
+	tracker.notifyChanged()
+	if !isStalled {
+		return
+	}
+	for _, notify := range notified {
+		notify()
 	}
 }
 
--- a/peridotpath/reach/tracker_test.go
+++ b/peridotpath/reach/tracker_test.go
@@ -87,6 +87,28 @@
 	is.True(tracker.BeginRoundAfterDial(at(970), at(2000)))
 }
 
+// Requests that run on connections which live on are broken off when only new ones are refused.
+func TestLinksAreStalledOnlyIfNothingIsReceived(t *testing.T) {
+	for name, test := range map[string]struct {
+		receivedAt int
+		stalled    bool
+	}{"nothing since the round began": {900, true}, "an old connection lives on": {1100, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker, notified, stopped := &reach.Tracker{Log: zerolog.Nop()}, 0, 0
+			tracker.NotifyStalled(func() { notified++ })
+			stop := tracker.NotifyStalled(func() { stopped++ })
+			stop()
+			tracker.BeginRoundAfterDial(at(950), at(1000))
+			tracker.RecordReceived(at(test.receivedAt))
+			tracker.EndRound(at(1000), 3, at(1300))
+			is.True(tracker.IsCutOff())
+			is.Equal(notified == 1, test.stalled)
+			is.Equal(stopped, 0)
+		})
+	}
+}
+
 // Half a link is cut: each request to an endpoint behind it tries the own link first, and is late.
 func TestHoldOfAddressDoublesUntilItAnswers(t *testing.T) {
 	is := is.New(t)
--- a/peridotpath/reach/watch.go
+++ b/peridotpath/reach/watch.go
@@ -37,6 +37,7 @@
 	count, err := conn.Conn.Read(data)
 	switch {
 	case count > 0:
+		conn.dialer.Tracker.RecordReceived(time.Now())
 		conn.recordAnswer()
 	case err != nil:
 		conn.recordBreak()
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -49,6 +49,7 @@
 		return outcomeUnsent, errKeysExpired
 	}
 	exchange.sentAt, exchange.decodingSince, exchange.survivalRecorded = now, time.Time{}, false
+	exchange.answered.Store(false)
 	reservations, err := exchange.reserveMemory(ctx)
 	if err != nil {
 		return outcomeNoMemory, err
@@ -67,6 +68,7 @@
 		defer probe.Close()
 		watch.probe = probe
 	}
+	defer exchange.watchLink(cancel)()
 	exchange.logSendsDespiteAnnouncement(time.Now())
 	answer, err := relay.Send(ctx, exchange.newCall(now, reservations))
 	if err != nil {
@@ -76,6 +78,7 @@
 		return connectionOutcome(ctx), errors.Join(err, context.Cause(ctx))
 	}
 	defer answer.Body.Close()
+	exchange.answered.Store(true)
 	exchange.recordRateLimit(answer)
 	exchange.recordAnnouncement(answer)
 	switch {
@@ -199,8 +202,7 @@
 // canFailOver reports whether a stalled stream may be cancelled and continued on
 // another endpoint.
 func (exchange *exchange) canFailOver() bool {
-	route := exchange.route
-	return route.Streaming && route.Repeatable() && exchange.sentCount+1 < route.MaxAttempts
+	return exchange.route.Streaming && exchange.canRepeat()
 }
 
 func (watch *stallWatch) recordEvent() {
--- a/peridotpath/relay/cut_off_test.go
+++ b/peridotpath/relay/cut_off_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -80,3 +83,60 @@
 		is.True(outcome.timeToFirstEvent < 3*time.Second)
 	})
 }
+
+// Requests that hang on a dead link are reported as load of endpoints that are idle, so that the
+// requests of every instance are refused; and they wait there until their callers leave.
+func TestRequestsOnStalledLinkAreNoLoad(t *testing.T) {
+	tests := []struct {
+		name, route string
+		carried     bool
+		served      bool
+		calls       int64
+		// inFlight is the number of requests that count as load after the notification.
+		inFlight int64
+	}{
+		{"may be repeated", "look", false, true, 2, 0},
+		{"a stream that may be resumed", "short", false, true, 2, 0},
+		{"may run once", "save", false, false, 1, 0},
+		{"a peer carries it", "look", true, false, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var calls atomic.Int64
+				var notify func()
+				var fixture *fixture
+				var inFlight atomic.Int64
+				fixture = newFixture(func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
+					if test.carried {
+						outbound.RecordPeer(ctx, netip.MustParseAddrPort("10.0.1.1:90"))
+					}
+					if calls.Add(1) == 1 {
+						time.AfterFunc(time.Second/2, func() {
+							notify()
+							inFlight.Store(int64(len(fixture.loadTracker.LocalInFlight())))
+						})
+						<-ctx.Done()
+						return nil, outbound.ErrNoResponse.Wrap(ctx.Err())
+					}
+					time.Sleep(10 * time.Millisecond)
+					body := "id: 1\ndata: answer\n\n"
+					return &relay.Answer{Status: 200, Header: http.Header{}, MatchesRequest: true, Body: io.NopCloser(strings.NewReader(body))}, nil
+				}, &testRates, testEndpoint(0), testEndpoint(1))
+				fixture.relay.IsCutOff = func() bool { return true }
+				fixture.relay.NotifyStalled = func(stalled func()) func() {
+					if notify == nil {
+						notify = stalled
+					}
+					return func() {}
+				}
+				outcome := fixture.send(t.Context(), test.route, func(request *relay.Request) { request.Timeout = 2 * time.Second })
+				is.Equal(outcome.status == http.StatusOK, test.served)
+				is.Equal(calls.Load(), test.calls)
+				is.Equal(inFlight.Load(), test.inFlight)
+				is.True(!test.served || outcome.took < time.Second)
+			})
+		})
+	}
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"peridotpath.example/peridotpath"
@@ -47,7 +48,9 @@
 	placedAt time.Time
 	sentAt   time.Time
 	// link is the way that the connection of the attempt takes.
-	link             *outbound.Route
+	link *outbound.Route
+	// answered reports that the attempt has received the head of an answer.
+	answered         atomic.Bool
 	timeToFirstEvent time.Duration
 	// skipped is why the last placement skipped endpoints.
 	skipped skippedEndpoints
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -88,26 +88,6 @@
 	exchange.excluded[key] = true
 }
 
-// ejectFailed ejects an endpoint after a failure, unless this instance was cut off from all
-// endpoints. The ejection would be told to the peers, which reach the endpoint.
-func (exchange *exchange) ejectFailed(key peridotpath.EndpointKey, now time.Time) {
-	if exchange.carrier() == "" && exchange.relay.isCutOff() {
-		return
-	}
-	exchange.relay.LoadTracker.EjectFailed(key, now)
-}
-
-// carrier returns the peer that carried the attempt; empty if it used this instance's own link.
-func (exchange *exchange) carrier() string {
-	if exchange.link == nil {
-		return ""
-	}
-	if peer, isCarried := exchange.link.Peer(); isCarried {
-		return peer.String()
-	}
-	return ""
-}
-
 // attributeRefusal ejects the endpoint that caused a refusal: the helper that the primary
 // could not reach, or else the primary, which is full.
 func (exchange *exchange) attributeRefusal(key peridotpath.EndpointKey, now time.Time) {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -37,7 +37,10 @@
 	// CanReach reports whether endpoints can be reached in any way, IsCutOff whether none can be
 	// reached over this instance's own links. Both are nil where that is not known.
 	CanReach, IsCutOff func() bool
-	Reservations       *reservation.Manager
+	// NotifyStalled registers a function that is called when this instance's own links are found to
+	// carry nothing any more, also on open connections; nil where that is not known.
+	NotifyStalled func(notify func()) (stop func())
+	Reservations  *reservation.Manager
 	// Quarantine refuses requests that crash the endpoints they run on.
 	Quarantine *quarantine.Quarantine
 	// OnOverdueFirstEvent, when set, is called with the engines of an attempt whose first
--- a/peridotpath/tunnel/tunnel_test.go
+++ b/peridotpath/tunnel/tunnel_test.go
@@ -206,8 +206,8 @@
 	closed := make(chan error, 1)
 	go func() { closed <- carrying.server.Close(t.Context()) }()
 	select {
-	case <-closed:
-		t.Fatal("closed while a tunnel is open")
+	case err := <-closed:
+		t.Fatalf("closed while a tunnel is open: %v", err)
 	case <-time.After(50 * time.Millisecond):
 	}
 	_, err := io.WriteString(endpoint, "rest")
--- a/soak/steady_load.go
+++ b/soak/steady_load.go
@@ -13,7 +13,7 @@
 
 const (
 	// triesPerSecond is the rate of the first tries that steadyLoad sends to each instance.
-	triesPerSecond = 40
+	triesPerSecond = 120
 	// steadyTimeout is how long its clients wait. It is shorter than a cut, so that a request that
 	// is held until the end of the cut counts as not served.
 	steadyTimeout = 1500 * time.Millisecond
