relay: a reservation on a link that carries nothing is given up with it

Trace: two reservations in turn waited for the 0.4 s of their call on the dead link; the link was found dead 0.18 s after the second began, which went on waiting. Cause: the attempt began to watch its link only when the request was sent. Change: it watches from its beginning; what has not been sent is given up whether or not it may be repeated, and placed anew through a peer. Result: TestReservationOnStalledLinkIsGivenUp fails without the change and passes, three of three with the race detector; the package passes.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -49,7 +49,9 @@
 		return outcomeUnsent, errKeysExpired
 	}
 	exchange.sentAt, exchange.decodingSince, exchange.survivalRecorded = now, time.Time{}, false
+	exchange.sent.Store(false)
 	exchange.answered.Store(false)
+	defer exchange.watchLink(cancel)()
 	reservations, err := exchange.reserveMemory(ctx)
 	if err != nil {
 		return outcomeNoMemory, err
@@ -68,7 +70,7 @@
 		defer probe.Close()
 		watch.probe = probe
 	}
-	defer exchange.watchLink(cancel)()
+	exchange.sent.Store(true)
 	exchange.logSendsDespiteAnnouncement(time.Now())
 	answer, err := relay.Send(ctx, exchange.newCall(now, reservations))
 	if err != nil {
--- a/peridotpath/relay/cut_off_test.go
+++ b/peridotpath/relay/cut_off_test.go
@@ -140,3 +140,37 @@
 		})
 	}
 }
+
+// A prompt waits for the timeout of a reservation on a dead link, and is refused later than it may be
+// held, though the link is known to be dead.
+func TestReservationOnStalledLinkIsGivenUp(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &failingEngines{failed: "none"}
+		fixture := newFailingFixture(t, engines)
+		var notify func()
+		fixture.relay.NotifyStalled = func(stalled func()) func() {
+			notify = stalled
+			return func() {}
+		}
+		gaveUpAfter := time.Duration(0)
+		reserve, isFirst := fixture.relay.Reservations.Reserve, atomic.Bool{}
+		isFirst.Store(true)
+		fixture.relay.Reservations.Reserve = func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, hold time.Duration) (bool, error) {
+			if isFirst.Swap(false) {
+				time.AfterFunc(50*time.Millisecond, notify)
+				began := time.Now()
+				<-ctx.Done()
+				gaveUpAfter = time.Since(began)
+				return false, ctx.Err()
+			}
+			return reserve(ctx, endpoint, id, tokens, hold)
+		}
+		outcome := fixture.send(t.Context(), "long", func(request *relay.Request) {
+			request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 600_000, 100, 30*time.Second
+		})
+		is.True(outcome.ended)
+		is.Equal(gaveUpAfter, 50*time.Millisecond)
+		is.Equal(len(fixture.loadTracker.LocalInFlight()), 0)
+	})
+}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -49,8 +49,9 @@
 	sentAt   time.Time
 	// link is the way that the connection of the attempt takes.
 	link *outbound.Route
-	// answered reports that the attempt has received the head of an answer.
-	answered         atomic.Bool
+	// sent reports that the attempt has begun to send the request, answered that it has received
+	// the head of an answer.
+	sent, answered   atomic.Bool
 	timeToFirstEvent time.Duration
 	// skipped is why the last placement skipped endpoints.
 	skipped skippedEndpoints
--- a/peridotpath/relay/link.go
+++ b/peridotpath/relay/link.go
@@ -15,7 +15,8 @@
 //
 // An attempt that stays on such a link holds a place at its endpoint, as far as all instances
 // know. With a few dozen of them, endpoints that are idle look full, and the requests of
-// every instance are refused.
+// every instance are refused. An attempt that still reserves memory over such a link would wait
+// for the timeout of that call, and is made again at once.
 func (exchange *exchange) watchLink(cancel context.CancelCauseFunc) (stop func()) {
 	notifyStalled := exchange.relay.NotifyStalled
 	if notifyStalled == nil {
@@ -28,7 +29,10 @@
 			return
 		}
 		loads.RemoveInFlight(inFlight)
-		if isRepeatable && (exchange.route.Streaming || !exchange.answered.Load()) {
+		switch {
+		case !exchange.sent.Load():
+			cancel(errLinkStalled)
+		case isRepeatable && (exchange.route.Streaming || !exchange.answered.Load()):
 			cancel(errLinkStalled)
 		}
 	})
