--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -57,7 +57,9 @@
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
 		Dur("took", time.Since(exchange.request.ArrivedAt)).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).
-		Stringer("outcome", outcome).Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).Err(err).Msg("attempt_failed")
+		Stringer("outcome", outcome).Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).
+		Str("route", string(exchange.route.Name)).Str("customer", string(exchange.customer)).Str("parts", exchange.partsForLog()).
+		Err(err).Msg("attempt_failed")
 	if outcome.isUnattempted() {
 		// No request was sent, and the primary did not fail.
 		exchange.attemptCount--
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -39,6 +39,9 @@
 	PromptTokens, MaxAnswerTokens peridotpath.Tokens
 	// ExpectedAnswerTokens is the answer length that the caller expects; zero if not declared.
 	ExpectedAnswerTokens peridotpath.Tokens
+	// SharedParts are the parts of the prompt that other requests may have, too, each once, in
+	// the order of the prompt.
+	SharedParts []peridotpath.PartID
 	// LastEventID is the id of the last event of this stream that the caller has
 	// received.
 	LastEventID string
--- a/peridotpath/relay/telemetry.go
+++ b/peridotpath/relay/telemetry.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,22 @@
 	return peridotpath.ClassOf(exchange.request.PromptTokens+exchange.request.MaxAnswerTokens, kvTokens)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partsForLog returns the first shared parts of the prompt, with commas between.
+func (exchange *exchange) partsForLog() string {
+	parts := exchange.request.SharedParts
+	var text strings.Builder
+	for i, part := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(string(part))
+	}
+	return text.String()
+}
+
 // addLogFields adds the request's identity, placement and timing to a log event.
 func (exchange *exchange) addLogFields(event *zerolog.Event, code peridotpath.Code) *zerolog.Event {
 	event = event.Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
@@ -37,6 +54,9 @@
 	if exchange.hasFingerprint {
 		event = event.Stringer("content", exchange.contentFingerprint)
 	}
+	if parts := exchange.partsForLog(); parts != "" {
+		event = event.Str("parts", parts)
+	}
 	if exchange.prefillTime > 0 {
 		event = event.Dur("reading", exchange.prefillTime).Int("engines", exchange.engineCount)
 	}
