--- a/peridotpath/relay/crashing_endpoints_test.go
+++ b/peridotpath/relay/crashing_endpoints_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,10 +27,15 @@
 	eventInterval = 80 * time.Millisecond
 )
 
-// crashingEndpoints are endpoints that crash on some bodies, or when the test calls crash.
+// crashingEndpoints are endpoints that crash on some bodies, on parts of prompts, or when the
+// test calls crash.
 type crashingEndpoints struct {
 	// crashes reports whether a body crashes endpoints.
 	crashes func(body string) bool
+	// fatalParts are the parts that crash endpoints which begin to answer.
+	fatalParts []peridotpath.PartID
+	// readTime, when set, returns the time until the first event.
+	readTime func(*relay.Request) time.Duration
 	// limit, when set, returns the rate limit that an endpoint announces; nil for none.
 	limit func(id peridotpath.EndpointID) *peridotpath.Rate
 
@@ -42,6 +48,7 @@
 // requestRun is a request that an endpoint started to run.
 type requestRun struct {
 	body      string
+	parts     []peridotpath.PartID
 	endpoint  peridotpath.EndpointID
 	startedAt time.Time
 	// crashedAt is when the request crashed the endpoint; zero if it did not.
@@ -87,11 +94,12 @@
 	endpoints.mutex.Lock()
 	defer endpoints.mutex.Unlock()
 	process, body := endpoints.processes[call.Endpoint.ID], string(call.Request.Body)
+	isFatal := endpoints.isFatal(call.Request)
 	if process.isDown {
 		return nil, outbound.ErrNotSent.Wrap(syscall.ECONNREFUSED)
 	}
-	endpoints.runs = append(endpoints.runs, requestRun{body: body, endpoint: call.Endpoint.ID, startedAt: time.Now()})
-	if endpoints.crashes(body) {
+	endpoints.runs = append(endpoints.runs, requestRun{body: body, parts: call.Request.SharedParts, endpoint: call.Endpoint.ID, startedAt: time.Now()})
+	if isFatal {
 		run := len(endpoints.runs) - 1
 		time.AfterFunc(crashAfter, func() {
 			endpoints.mutex.Lock()
@@ -100,8 +108,12 @@
 			endpoints.crash(call.Endpoint.ID)
 		})
 	}
-	stream := &crashingStream{ctx: ctx, crashed: process.crashed, nextEventAt: time.Now().Add(eventInterval)}
-	if endpoints.crashes(body) {
+	readTime := eventInterval
+	if endpoints.readTime != nil {
+		readTime = endpoints.readTime(call.Request)
+	}
+	stream := &crashingStream{ctx: ctx, crashed: process.crashed, nextEventAt: time.Now().Add(readTime)}
+	if isFatal {
 		stream.nextEventAt = time.Now().Add(time.Hour)
 	}
 	answer := &relay.Answer{Status: http.StatusOK, Header: http.Header{}, MatchesRequest: true, Body: stream, HasNoRateLimit: true}
@@ -112,6 +124,13 @@
 	return answer, nil
 }
 
+// isFatal reports whether a request crashes endpoints.
+func (endpoints *crashingEndpoints) isFatal(request *relay.Request) bool {
+	return endpoints.crashes != nil && endpoints.crashes(string(request.Body)) || slices.ContainsFunc(endpoints.fatalParts, func(part peridotpath.PartID) bool {
+		return slices.Contains(request.SharedParts, part)
+	})
+}
+
 // check probes an endpoint; the address of a crashed one refuses connections.
 func (endpoints *crashingEndpoints) check(_ context.Context, endpoint *peridotpath.Endpoint) error {
 	endpoints.mutex.Lock()
--- a/peridotpath/relay/fatal_test.go
+++ b/peridotpath/relay/fatal_test.go
@@ -34,6 +34,8 @@
 	body  string
 	// prompt is the number of prompt tokens; zero selects defaultPrompt.
 	prompt peridotpath.Tokens
+	// parts are the shared parts of the prompt.
+	parts []peridotpath.PartID
 }
 
 const defaultPrompt peridotpath.Tokens = 2000
@@ -71,6 +73,7 @@
 			outcomes[i] = fixture.send(context.Background(), timed.route, func(request *relay.Request) {
 				request.ID, request.Body = peridotpath.RequestID(fmt.Sprint("r", i)), []byte(timed.body)
 				request.PromptTokens, request.MaxAnswerTokens = cmp.Or(timed.prompt, defaultPrompt), 400
+				request.SharedParts = timed.parts
 			})
 		})
 	}
