quarantine, relay: a part of prompts that crashes engines is kept off them, in whatever request it stands

Cause: the quarantine knew a request by its whole content. Requests with a fatal part are no two alike, so that the evidence of each began at nothing. Now a suspect is the content or a shared part of the prompt, with one evidence, one verdict, asked at the places that asked before (arrival, each attempt, after each wait, and new: after memory was reserved). A part is found at a crash where an attempt had not begun to answer; an endpoint that begins to answer clears it. A trial after a bar is told to all before it is sent, and goes to one of those who reserved at the same moment. Old instances skip the two new kinds of facts.

--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -30,11 +30,11 @@
 	KindCrashed Kind = 1
 	// KindSurvived: an endpoint ran a request (subject) and did not crash.
 	KindSurvived Kind = 2
-	// KindQuarantined: a request (subject) is quarantined; the value is the duration in
-	// seconds.
+	// KindQuarantined: a request or a part (subject) is quarantined; the value is the duration
+	// in seconds.
 	KindQuarantined Kind = 3
-	// KindTrial: an instance sends a suspected request (subject); the value is the number
-	// of the attempt.
+	// KindTrial: an instance (detail) sends a suspected request (subject); the value is the
+	// number of the attempt.
 	KindTrial Kind = 4
 	// KindRateLimit: the rate limit of an endpoint (subject); the value is in requests per
 	// second, for all instances together.
@@ -47,8 +47,13 @@
 	KindSlowdown Kind = 7
 	// KindLeaving: an endpoint (subject) announced that it is leaving the fleet.
 	KindLeaving Kind = 8
+	// KindPartCrashed: an endpoint (detail) crashed before it answered a request whose prompt
+	// has a part (subject).
+	KindPartCrashed Kind = 9
+	// KindPartBegun: an endpoint began to answer a request whose prompt has a part (subject).
+	KindPartBegun Kind = 10
 
-	kindCount = 9
+	kindCount = 11
 )
 
 // policy sets how facts of a kind are stored and gossiped.
@@ -77,6 +82,8 @@
 	KindSurvived:    {name: "survived", ttl: crashEvidenceTTL, maxStored: 1024, ageTolerance: maxNetworkDelay},
 	KindQuarantined: {name: "barred", ttl: 2 * time.Hour, maxStored: 256, ageTolerance: maxNetworkDelay, isResent: true},
 	KindTrial:       {name: "trial", ttl: 5 * time.Second, maxStored: 256, ageTolerance: maxNetworkDelay},
+	KindPartCrashed: {name: "part_ended", ttl: crashEvidenceTTL, maxStored: 2048, ageTolerance: maxNetworkDelay},
+	KindPartBegun:   {name: "part_begun", ttl: crashEvidenceTTL, maxStored: 2048, ageTolerance: maxNetworkDelay},
 	// Endpoints report their limit in every response. The wider tolerance keeps an
 	// unchanged limit from being gossiped for each of them.
 	KindRateLimit:    {name: "limit", ttl: time.Minute, maxStored: 1024, ageTolerance: 5 * time.Second, isResent: true},
@@ -92,7 +99,8 @@
 // String returns the name of the kind in logs and metrics.
 func (kind Kind) String() string { return policies[kind].name }
 
-// Subject identifies what a fact is about: a request's fingerprint or an endpoint.
+// Subject identifies what a fact is about: the fingerprint of a request or of a part of
+// prompts, or an endpoint.
 type Subject [16]byte
 
 // EndpointSubject returns the subject of facts about an endpoint.
@@ -279,6 +287,19 @@
 	return unexpired(table.bySubject[subject], kind, now)
 }
 
+// About returns all unexpired facts about a subject, in no order.
+func (table *Table) About(subject Subject, now time.Time) []Fact {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var found []Fact
+	for key, entry := range table.bySubject[subject] {
+		if now.Sub(entry.fact.ObservedAt) <= policies[key.kind].ttl {
+			found = append(found, entry.fact)
+		}
+	}
+	return found
+}
+
 func unexpired(entries map[key]*entry, kind Kind, now time.Time) []Fact {
 	var found []Fact
 	for key, entry := range entries {
--- a/peridotpath/gossip/report_test.go
+++ b/peridotpath/gossip/report_test.go
@@ -49,7 +49,7 @@
 		decider := &quarantine.Quarantine{Facts: table, Log: zerolog.Nop()}
 		table.Receive(decodeFacts(digest, now), digest.FactsOnly)
 		for _, fact := range table.TakeDue(now, true) {
-			decider.Check(peridotpath.Fingerprint(fact.Subject), now)
+			decider.Judge(quarantine.Request{Content: peridotpath.Fingerprint(fact.Subject)}, now)
 		}
 		loads := &placement.LoadTracker{}
 		loads.ApplyPeerReport(decodeReport(digest, now), now)
--- a/peridotpath/quarantine/quarantine.go
+++ b/peridotpath/quarantine/quarantine.go
@@ -1,21 +1,23 @@
 // Package quarantine detects requests that crash the endpoints that run them (queries of
 // death, poison requests) and stops sending them for a limited time.
 //
-// It matters for one request that crashes every endpoint that starts to run it and that is
-// retried, under another ID, at any instance. Without quarantine each retry crashes
-// another endpoint, until the service's endpoints and all their other requests are lost.
+// It matters for a request that crashes every endpoint that starts to run it and that is
+// retried, under another ID, at any instance, and for a part of prompts that does so in
+// whatever request it stands. Without quarantine each request crashes another endpoint,
+// until the service's endpoints and all their other requests are lost.
 //
-// One crash is weak evidence against any single request that ran on the endpoint. A
-// request is quarantined after three endpoints have crashed under it, if none has survived
-// it since and the crashes are not explained by another request that ran on at least as
-// many of the crashed endpoints. The evidence is gossiped, so that all instances decide
-// alike.
+// One crash is weak evidence against any single request that ran on the endpoint. A suspect,
+// which is the content of a request or a part of its prompt, is quarantined after three
+// endpoints have crashed under it, if none has survived it since and the crashes are not
+// explained by another suspect that the request does not have. The evidence is gossiped, so
+// that all instances decide alike.
 package quarantine
 
 import (
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
@@ -24,23 +26,18 @@
 )
 
 const (
-	// minCrashesToQuarantine is the number of endpoints that must have crashed under a
-	// request before it is quarantined. Below three, requests that ran there by chance are
-	// quarantined, too.
-	minCrashesToQuarantine = 3
-	// minCrashesToSerialise is the number of crashes from which only one instance at a time
-	// sends a request.
-	minCrashesToSerialise = 2
 	// firstQuarantine is the duration of the first quarantine. When it ends, one attempt is
 	// allowed; a further crash doubles the duration, up to maxQuarantine.
 	firstQuarantine, maxQuarantine = time.Minute, time.Hour
-	// evidenceDelay is the time after a crash by which every instance has reported the
+	// EvidenceDelay is the time after a crash by which every instance has reported the
 	// requests that ran on the endpoint. Instances detect a crash within milliseconds and
 	// gossip it at once.
-	evidenceDelay = 100 * time.Millisecond
+	EvidenceDelay = 100 * time.Millisecond
 	// trialTimeout bounds the time in which an instance finds out whether an endpoint
 	// survives a request.
 	trialTimeout = 3 * time.Second
+	// maxEvidenceParts bounds the parts of one request that a crash is evidence against.
+	maxEvidenceParts = 16
 )
 
 // Quarantine decides which requests are quarantined, by the facts that instances gossip.
@@ -51,12 +48,26 @@
 	Log      zerolog.Logger
 
 	mutex sync.Mutex
+	begun begunParts
+}
+
+// Request is what is known about a request.
+type Request struct {
+	Content peridotpath.Fingerprint
+	// Parts are the parts of its prompt that other requests may have, too.
+	Parts []Part
+}
+
+// Part is a shared part of prompts.
+type Part struct {
+	ID          peridotpath.PartID
+	Fingerprint peridotpath.Fingerprint
 }
 
 // State is the quarantine state of a request.
 type State int
 
-// The states.
+// The states, each stricter than the one before.
 const (
 	// Clear: the request is sent without restriction.
 	Clear State = iota
@@ -70,12 +81,61 @@
 	Quarantined
 )
 
-// RecordCrash records that an endpoint crashed while it ran a request.
-func (quarantine *Quarantine) RecordCrash(content peridotpath.Fingerprint, endpoint peridotpath.EndpointKey, now time.Time) {
+// Verdict is the state of a request and what decides it.
+type Verdict struct {
+	State State
+	// Suspect is the content or the part that decides; Part is empty for the content.
+	Suspect peridotpath.Fingerprint
+	Part    peridotpath.PartID
+	// Remaining is the remaining time of a quarantine.
+	Remaining time.Duration
+	// Crashes is the number of endpoints that crashed under the suspect, and LastCrash when
+	// the last one did.
+	Crashes   int
+	LastCrash time.Time
+}
+
+// RecordCrash records that an endpoint crashed while it ran a request, and with hasBegun that
+// it had begun to answer it: the parts of its prompt are no suspects then.
+func (quarantine *Quarantine) RecordCrash(request Request, hasBegun bool, endpoint peridotpath.EndpointKey, now time.Time) {
 	telemetry.CountEndpointTermination()
 	quarantine.Facts.Observe(facts.Fact{
-		Kind: facts.KindCrashed, Subject: facts.Subject(content), Detail: uint64(endpoint), ObservedAt: now, Source: quarantine.Instance,
+		Kind: facts.KindCrashed, Subject: facts.Subject(request.Content), Detail: uint64(endpoint), ObservedAt: now, Source: quarantine.Instance,
 	})
+	if hasBegun {
+		return
+	}
+	for _, part := range quarantine.suspectParts(request.Parts, now) {
+		quarantine.Facts.Observe(facts.Fact{
+			Kind: facts.KindPartCrashed, Subject: facts.Subject(part.Fingerprint), Detail: uint64(endpoint), ObservedAt: now, Source: quarantine.Instance,
+		})
+	}
+}
+
+// suspectParts returns the parts of a request that a crash is evidence against, at most
+// maxEvidenceParts: the quarantined ones if there are any, since these explain the crash, else
+// first those that no endpoint has lately begun to answer. For the others it records when one
+// did, as evidence in their favour.
+func (quarantine *Quarantine) suspectParts(parts []Part, now time.Time) []Part {
+	var quarantined, fresh, known []Part
+	for _, part := range parts {
+		term, hasTerm := quarantine.evidenceAgainst(part.Fingerprint, now).term(part.Fingerprint, now)
+		begunAt, hasBegun := quarantine.begun.lastBegun(part.Fingerprint, now)
+		switch {
+		case hasTerm && now.Before(term.until):
+			quarantined = append(quarantined, part)
+		case hasBegun:
+			known = append(known, part)
+			quarantine.observeBegun(part.Fingerprint, begunAt)
+		default:
+			fresh = append(fresh, part)
+		}
+	}
+	if len(quarantined) > 0 {
+		return quarantined[:min(len(quarantined), maxEvidenceParts)]
+	}
+	suspects := append(fresh, known...)
+	return suspects[:min(len(suspects), maxEvidenceParts)]
 }
 
 // RecordSurvival records that an endpoint ran a request without a crash. The fact is stored
@@ -89,63 +149,128 @@
 	quarantine.Facts.Observe(facts.Fact{Kind: facts.KindSurvived, Subject: subject, Value: before.Value + 1, ObservedAt: now, Source: quarantine.Instance})
 }
 
-func (quarantine *Quarantine) hasEvidenceAgainst(content peridotpath.Fingerprint, now time.Time) bool {
-	evidence := quarantine.evidence(now)
-	_, quarantined := evidence.term(content)
-	return quarantined || len(evidence.crashes[content]) > 0
+// RecordBegun records that an endpoint began to answer a request and did not crash: no part of
+// its prompt crashes endpoints. It is remembered, but stored and gossiped as a fact only if
+// there is evidence against a part.
+func (quarantine *Quarantine) RecordBegun(parts []Part, now time.Time) {
+	for _, part := range parts {
+		quarantine.begun.add(part.Fingerprint, now)
+		if quarantine.Facts.HasSubject(facts.Subject(part.Fingerprint)) && quarantine.hasEvidenceAgainst(part.Fingerprint, now) {
+			quarantine.observeBegun(part.Fingerprint, now)
+		}
+	}
+}
+
+// observeBegun gossips that an endpoint has begun to answer a request with a part, unless that
+// is known of a later one.
+func (quarantine *Quarantine) observeBegun(part peridotpath.Fingerprint, at time.Time) {
+	quarantine.Facts.Observe(facts.Fact{Kind: facts.KindPartBegun, Subject: facts.Subject(part), ObservedAt: at, Source: quarantine.Instance})
+}
+
+func (quarantine *Quarantine) hasEvidenceAgainst(suspect peridotpath.Fingerprint, now time.Time) bool {
+	evidence := quarantine.evidenceAgainst(suspect, now)
+	_, hasTerm := evidence.term(suspect, now)
+	return hasTerm || len(evidence.crashes(suspect)) > 0
 }
 
 // HasNoEvidence reports whether there is no evidence against any request. Requests need
 // no fingerprint in that case.
 func (quarantine *Quarantine) HasNoEvidence() bool {
-	return !quarantine.Facts.Has(facts.KindCrashed) && !quarantine.Facts.Has(facts.KindQuarantined)
+	return !quarantine.Facts.Has(facts.KindCrashed) && !quarantine.Facts.Has(facts.KindPartCrashed) && !quarantine.Facts.Has(facts.KindQuarantined)
 }
 
-// Check returns the state of a request and, if it is quarantined, the remaining time. It
-// starts a quarantine if the evidence suffices.
-func (quarantine *Quarantine) Check(content peridotpath.Fingerprint, now time.Time) (State, time.Duration) {
-	if !quarantine.Facts.HasSubject(facts.Subject(content)) {
-		return Clear, 0
+// Judge returns the state of a request. It starts a quarantine if the evidence suffices.
+func (quarantine *Quarantine) Judge(request Request, now time.Time) Verdict {
+	if !quarantine.mayBeSuspected(request, now) {
+		return Verdict{}
 	}
-	evidence := quarantine.evidence(now)
-	current, hasTerm := evidence.term(content)
-	if hasTerm && now.Before(current.until) {
-		return Quarantined, current.until.Sub(now)
+	verdict, convicted := quarantine.evidence(now).judge(request, now)
+	for _, conviction := range convicted {
+		quarantine.announce(conviction)
 	}
-	if next, quarantined := evidence.judge(content); quarantined {
-		quarantine.announce(content, next, len(evidence.crashes[content]))
-		return Quarantined, next.until.Sub(now)
+	return verdict
+}
+
+// mayBeSuspected reports whether there is evidence against the request that asks for a closer
+// look. It is cheap enough for every request.
+func (quarantine *Quarantine) mayBeSuspected(request Request, now time.Time) bool {
+	if quarantine.isNoted(request.Content, minCrashesToSerialise, now) {
+		return true
 	}
-	switch {
-	case hasTerm:
-		return OnTrial, 0
-	case len(evidence.crashes[content]) >= minCrashesToSerialise:
-		return Suspected, 0
-	default:
-		return Clear, 0
+	for _, part := range request.Parts {
+		if quarantine.isNoted(part.Fingerprint, minCrashesToSerialise, now) {
+			return true
+		}
 	}
+	return false
 }
 
-// announce gossips the quarantine of a request to all instances.
-func (quarantine *Quarantine) announce(content peridotpath.Fingerprint, next term, crashes int) {
+// isNoted reports whether a suspect has a term, or as many crashes since the last survival.
+func (quarantine *Quarantine) isNoted(suspect peridotpath.Fingerprint, crashes int, now time.Time) bool {
+	if !quarantine.Facts.HasSubject(facts.Subject(suspect)) {
+		return false
+	}
+	evidence := quarantine.evidenceAgainst(suspect, now)
+	_, hasTerm := evidence.term(suspect, now)
+	return hasTerm || len(evidence.crashes(suspect)) >= crashes
+}
+
+// announce gossips the quarantine of a suspect to all instances.
+func (quarantine *Quarantine) announce(conviction conviction) {
 	telemetry.CountQuarantine()
-	quarantine.Log.Warn().Stringer("content", content).Int("ends", crashes).Int64("span", next.duration().Milliseconds()).Msg("request_barred")
+	quarantine.Log.Warn().Stringer("content", conviction.suspect).Str("part", string(conviction.part)).Int("ends", conviction.crashes).
+		Strs("endpoints", conviction.endpoints).Int64("evidence_age", conviction.evidenceAge.Milliseconds()).
+		Int64("span", conviction.term.duration().Milliseconds()).Msg("request_barred")
 	quarantine.Facts.Observe(facts.Fact{
-		Kind: facts.KindQuarantined, Subject: facts.Subject(content), Value: next.duration().Seconds(), ObservedAt: next.from, Source: quarantine.Instance,
+		Kind: facts.KindQuarantined, Subject: facts.Subject(conviction.suspect), Value: conviction.term.duration().Seconds(),
+		ObservedAt: conviction.term.from, Source: quarantine.Instance,
 	})
 }
 
-// ReserveTrial reserves the next attempt at a suspected request. It returns false while
-// another attempt is in progress, and within evidenceDelay of the last crash, when the
-// other requests that ran on the endpoint may not have been reported yet.
-func (quarantine *Quarantine) ReserveTrial(content peridotpath.Fingerprint, now time.Time) bool {
+// ReserveTrial reserves the next attempt at a suspect. It returns false while another attempt
+// is in progress, and within EvidenceDelay of the last crash, when the other requests that
+// ran on the endpoint may not have been reported yet.
+func (quarantine *Quarantine) ReserveTrial(suspect peridotpath.Fingerprint, now time.Time) bool {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	evidence := quarantine.evidence(now)
-	trial, found := quarantine.Facts.Get(facts.KindTrial, facts.Subject(content), 0, now)
-	if !evidence.isComplete(content) || found && now.Sub(trial.ObservedAt) < trialTimeout && !evidence.hasChangedSince(trial.ObservedAt, content) {
+	evidence := quarantine.evidenceAgainst(suspect, now)
+	trials := quarantine.runningTrials(suspect, evidence, now)
+	if !evidence.isComplete(suspect, now) || len(trials) > 0 {
 		return false
 	}
-	quarantine.Facts.Observe(facts.Fact{Kind: facts.KindTrial, Subject: facts.Subject(content), Value: trial.Value + 1, ObservedAt: now, Source: quarantine.Instance})
+	before, _ := quarantine.Facts.Get(facts.KindTrial, facts.Subject(suspect), quarantine.trialDetail(), now)
+	quarantine.Facts.Observe(facts.Fact{
+		Kind: facts.KindTrial, Subject: facts.Subject(suspect), Detail: quarantine.trialDetail(), Value: before.Value + 1, ObservedAt: now, Source: quarantine.Instance,
+	})
 	return true
 }
+
+// HoldsTrial reports whether this instance's reservation is the only one, or the one that goes
+// first where several instances reserved before they heard of each other. Ask it
+// EvidenceDelay after ReserveTrial.
+func (quarantine *Quarantine) HoldsTrial(suspect peridotpath.Fingerprint, now time.Time) bool {
+	holds := false
+	for _, trial := range quarantine.runningTrials(suspect, quarantine.evidenceAgainst(suspect, now), now) {
+		if trial.Detail < quarantine.trialDetail() {
+			return false
+		}
+		holds = holds || trial.Detail == quarantine.trialDetail()
+	}
+	return holds
+}
+
+// runningTrials returns the reservations whose outcome is not known.
+func (quarantine *Quarantine) runningTrials(suspect peridotpath.Fingerprint, evidence *evidence, now time.Time) []facts.Fact {
+	var running []facts.Fact
+	for _, trial := range quarantine.Facts.BySubject(facts.KindTrial, facts.Subject(suspect), now) {
+		if now.Sub(trial.ObservedAt) < trialTimeout && !evidence.hasChangedSince(trial.ObservedAt, suspect) {
+			running = append(running, trial)
+		}
+	}
+	return running
+}
+
+// trialDetail identifies this instance in facts about trials.
+func (quarantine *Quarantine) trialDetail() uint64 {
+	return xxhash.Sum64String(string(quarantine.Instance))
+}
--- a/peridotpath/quarantine/quarantine_test.go
+++ b/peridotpath/quarantine/quarantine_test.go
@@ -32,12 +32,18 @@
 	return fixture
 }
 
+// Check returns the state of a request without a prompt.
+func (fixture *fixture) Check(content peridotpath.Fingerprint, now time.Time) (quarantine.State, time.Duration) {
+	verdict := fixture.Judge(quarantine.Request{Content: content}, now)
+	return verdict.State, verdict.Remaining
+}
+
 // crash lets an endpoint crash under requests, 300 ms later, and waits for the evidence to
 // be complete.
 func (fixture *fixture) crash(endpoint peridotpath.EndpointKey, contents ...peridotpath.Fingerprint) {
 	fixture.now = fixture.now.Add(300 * time.Millisecond)
 	for _, content := range contents {
-		fixture.RecordCrash(content, endpoint, fixture.now)
+		fixture.RecordCrash(quarantine.Request{Content: content}, false, endpoint, fixture.now)
 	}
 	fixture.advance(evidenceDelay)
 }
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -57,7 +57,7 @@
 		return outcomeNoMemory, err
 	}
 	defer relay.Reservations.ReleaseAsync(reservations)
-	if !exchange.planTakesRequests(time.Now()) {
+	if !exchange.planTakesRequests(time.Now()) || len(reservations) > 0 && exchange.checkQuarantine() != nil {
 		return outcomeWithdrawn, nil
 	}
 	watch := exchange.watchStall(cancel)
@@ -232,6 +232,7 @@
 		raw, id, err := events.next()
 		if errors.Is(err, io.EOF) && received > 0 {
 			exchange.beginStream(answer)
+			exchange.recordBegun()
 			exchange.caller.End()
 			exchange.relay.LoadTracker.ClearEjection(exchange.plan.Primary.Key())
 			return outcomeDone, nil
@@ -298,6 +299,9 @@
 		exchange.lastFailure = &failedAnswer{answer: answer, body: body}
 		return outcomeErrored, nil
 	}
+	if answer.Status < http.StatusMultipleChoices {
+		exchange.recordBegun()
+	}
 	exchange.relay.LoadTracker.ClearEjection(exchange.plan.Primary.Key())
 	exchange.caller.Answer(answer.Status, answer.Header, body)
 	return outcomeDone, nil
--- a/peridotpath/relay/availability_paths_test.go
+++ b/peridotpath/relay/availability_paths_test.go
@@ -14,6 +14,7 @@
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/relay"
 )
 
@@ -96,7 +97,7 @@
 			content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, "/look/x", nil)
 			for _, number := range []int{7, 8} {
 				endpoint := testEndpoint(number)
-				fixture.relay.Quarantine.RecordCrash(content, endpoint.Key(), time.Now())
+				fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, false, endpoint.Key(), time.Now())
 			}
 		}},
 	}
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -8,6 +8,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/placement"
+	"peridotpath.example/peridotpath/quarantine"
 )
 
 // exchange is the state of one request across its attempts.
@@ -26,6 +27,11 @@
 	// contentFingerprint is the request's fingerprint; valid if hasFingerprint is true.
 	contentFingerprint peridotpath.Fingerprint
 	hasFingerprint     bool
+	// sharedParts are the shared parts of the prompt with their fingerprints; nil until they
+	// are needed.
+	sharedParts []quarantine.Part
+	// verdict is the last decision about the request's suspects.
+	verdict quarantine.Verdict
 	// priority is the configured rank of the request; 0 is the most urgent.
 	priority int
 	deadline time.Time
@@ -38,6 +44,9 @@
 	trialWaitSince time.Time
 	// decodingSince is when the attempt's first event arrived; zero before it.
 	decodingSince time.Time
+	// hasBegun reports that an endpoint has begun to answer the request in one of its attempts
+	// and did not crash at once.
+	hasBegun bool
 	// survivalRecorded reports that the attempt was recorded as one that did not crash
 	// its endpoint.
 	survivalRecorded bool
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -53,6 +53,7 @@
 // recordFailure logs a failed attempt and updates the state of its endpoint.
 func (exchange *exchange) recordFailure(ctx context.Context, outcome outcome, err error) {
 	telemetry.CountFailedAttempt(outcome.String())
+	failedAt := time.Now()
 	crashed := outcome == outcomeBroken && exchange.relay.hasCrashed(ctx, exchange.plan.Primary)
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
@@ -67,7 +68,7 @@
 	}
 	now, key := time.Now(), exchange.plan.Primary.Key()
 	if crashed {
-		exchange.recordCrash(now)
+		exchange.recordCrash(failedAt)
 	}
 	switch outcome {
 	case outcomeRefused:
--- a/peridotpath/relay/start_test.go
+++ b/peridotpath/relay/start_test.go
@@ -11,6 +11,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/routing"
 )
@@ -66,7 +67,7 @@
 func (fixture *fixture) quarantineRequest(target string) {
 	content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, target, nil)
 	for endpoint := range peridotpath.EndpointKey(3) {
-		fixture.relay.Quarantine.RecordCrash(content, endpoint+1, time.Now())
+		fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, false, endpoint+1, time.Now())
 		time.Sleep(time.Second)
 	}
 }
--- a/peridotpath/relay/telemetry.go
+++ b/peridotpath/relay/telemetry.go
@@ -57,6 +57,10 @@
 	if parts := exchange.partsForLog(); parts != "" {
 		event = event.Str("parts", parts)
 	}
+	if code == peridotpath.CodeQuarantined {
+		event = event.Stringer("barred", exchange.verdict.Suspect).Str("barred_part", string(exchange.verdict.Part)).
+			Int("ends", exchange.verdict.Crashes).Int64("evidence_age", time.Since(exchange.verdict.LastCrash).Milliseconds())
+	}
 	if exchange.prefillTime > 0 {
 		event = event.Dur("reading", exchange.prefillTime).Int("engines", exchange.engineCount)
 	}
