quarantine: endpoints that crash for reasons of their own bar no part

A route's sound requests were refused with 3007 for up to a minute where endpoints crashed by themselves: three crashes without an answer in between are not rare for a part with long prompts. Now a crash weighs less the longer the request was in flight; others that crash meanwhile raise the number wanted by half; a part that any instance has seen answered in ten minutes wants eight, one on an instance that has just started four; instances tell each other what they know of a part that a crash found. A crash without a suspect counts among the others. Evidence is read at most every 20 ms (it was read for each request, a product of suspects and crashes).

--- a/peridotpath/facts/facts.go
+++ b/peridotpath/facts/facts.go
@@ -26,7 +26,8 @@
 
 // The kinds.
 const (
-	// KindCrashed: an endpoint (detail) crashed while it ran a request (subject).
+	// KindCrashed: an endpoint (detail) crashed while it ran a request (subject); the value is
+	// as for KindPartCrashed.
 	KindCrashed Kind = 1
 	// KindSurvived: an endpoint ran a request (subject) and did not crash.
 	KindSurvived Kind = 2
@@ -48,7 +49,8 @@
 	// KindLeaving: an endpoint (subject) announced that it is leaving the fleet.
 	KindLeaving Kind = 8
 	// KindPartCrashed: an endpoint (detail) crashed before it answered a request whose prompt
-	// has a part (subject).
+	// has a part (subject), or under any request, with the endpoint as the subject; the value is
+	// how long before the crash the request was sent, in seconds.
 	KindPartCrashed Kind = 9
 	// KindPartBegun: an endpoint began to answer a request whose prompt has a part (subject).
 	KindPartBegun Kind = 10
@@ -164,10 +166,15 @@
 	// bySubject indexes the same facts by subject.
 	bySubject map[Subject]map[key]*entry
 	counts    [kindCount]atomic.Int64
+	// version counts the changes of the table.
+	version atomic.Uint64
 	// nextSend is the earliest time at which a fact has to be sent.
 	nextSend time.Time
 }
 
+// Version returns a number that changes whenever facts are added, replaced or removed.
+func (table *Table) Version() uint64 { return table.version.Load() }
+
 // Has reports whether the table holds any fact of a kind. It takes no lock and is cheap
 // enough for every request.
 func (table *Table) Has(kind Kind) bool { return table.counts[kind].Load() > 0 }
@@ -188,19 +195,21 @@
 }
 
 // Receive stores facts received from a peer. With forward, which is set for facts from
-// another cell, new ones are also gossiped to the peers of this cell.
+// another cell, new ones are also gossiped to the peers of this cell. OnReceive is called when
+// all of them are stored, since those of one digest belong together.
 func (table *Table) Receive(received []Fact, forward bool) {
-	hasNew := false
+	var added []Fact
 	for _, fact := range received {
-		if fact.Kind == 0 || fact.Kind >= kindCount || !table.merge(fact, forward) {
-			continue
+		if fact.Kind > 0 && fact.Kind < kindCount && table.merge(fact, forward) {
+			added = append(added, fact)
 		}
-		hasNew = true
-		if table.OnReceive != nil {
+	}
+	if table.OnReceive != nil {
+		for _, fact := range added {
 			table.OnReceive(fact)
 		}
 	}
-	if hasNew && forward && table.OnChange != nil {
+	if len(added) > 0 && forward && table.OnChange != nil {
 		table.OnChange()
 	}
 }
@@ -228,6 +237,7 @@
 	if table.facts == nil {
 		table.facts, table.bySubject = map[key]*entry{}, map[Subject]map[key]*entry{}
 	}
+	table.version.Add(1)
 	factKey, subject := added.fact.key(), added.fact.Subject
 	if table.facts[factKey] == nil {
 		table.counts[factKey.kind].Add(1)
@@ -239,6 +249,7 @@
 }
 
 func (table *Table) remove(key key) {
+	table.version.Add(1)
 	delete(table.facts, key)
 	table.counts[key.kind].Add(-1)
 	delete(table.bySubject[key.subject], key)
@@ -287,19 +298,6 @@
 	return unexpired(table.bySubject[subject], kind, now)
 }
 
-// About returns all unexpired facts about a subject, in no order.
-func (table *Table) About(subject Subject, now time.Time) []Fact {
-	table.mutex.Lock()
-	defer table.mutex.Unlock()
-	var found []Fact
-	for key, entry := range table.bySubject[subject] {
-		if now.Sub(entry.fact.ObservedAt) <= policies[key.kind].ttl {
-			found = append(found, entry.fact)
-		}
-	}
-	return found
-}
-
 func unexpired(entries map[key]*entry, kind Kind, now time.Time) []Fact {
 	var found []Fact
 	for key, entry := range entries {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -150,7 +150,10 @@
 		HasCold: func() bool { return instance.directory.Current().HasCold() }, ColdRate: instance.coldRate, Log: log,
 	}
 	instance.availability = &availability.Tracker{Instance: settings.InstanceID, Facts: instance.facts, FindEndpoint: instance.findEndpoint, Log: log}
-	instance.facts.OnReceive = instance.availability.ReceiveFact
+	instance.facts.OnReceive = func(fact facts.Fact) {
+		instance.availability.ReceiveFact(fact)
+		instance.quarantine.ReceiveFact(fact, time.Now())
+	}
 	if adapter.SetAnnouncementHandler != nil {
 		adapter.SetAnnouncementHandler(instance.availability.Record)
 	}
--- a/peridotpath/quarantine/begun.go
+++ b/peridotpath/quarantine/begun.go
@@ -13,6 +13,8 @@
 	// maxBegunAge is how long a part that was answered counts as a known one. It equals the
 	// time for which crashes are evidence.
 	maxBegunAge = 10 * time.Minute
+	// minBegunTime is how long an instance must have seen answers begin to tell new parts.
+	minBegunTime = 10 * time.Second
 )
 
 // begunParts remembers which parts endpoints have lately begun to answer at this instance. The
@@ -21,6 +23,8 @@
 type begunParts struct {
 	mutex         sync.Mutex
 	recent, older map[peridotpath.Fingerprint]time.Time
+	// since is when the first part was added; zero before that.
+	since time.Time
 }
 
 func (begun *begunParts) add(part peridotpath.Fingerprint, now time.Time) {
@@ -30,6 +34,17 @@
 		begun.recent, begun.older = map[peridotpath.Fingerprint]time.Time{}, begun.recent
 	}
 	begun.recent[part] = now
+	if begun.since.IsZero() {
+		begun.since = now
+	}
+}
+
+// isMeaningful reports whether parts have been added for long enough that one which is not
+// there is a new one.
+func (begun *begunParts) isMeaningful(now time.Time) bool {
+	begun.mutex.Lock()
+	defer begun.mutex.Unlock()
+	return !begun.since.IsZero() && now.Sub(begun.since) >= minBegunTime
 }
 
 // lastBegun returns when an endpoint last began to answer a part; false if that is not known
--- a/peridotpath/quarantine/evidence.go
+++ b/peridotpath/quarantine/evidence.go
@@ -1,7 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,22 +9,41 @@
 	"peridotpath.example/peridotpath/facts"
 )
 
-// evidence is the set of facts for a decision: about all suspects, or about one.
+// evidence is the set of facts for a decision.
 type evidence struct {
 	suspects map[peridotpath.Fingerprint]*suspect
+	// explanations are the quarantined suspects under which an endpoint crashed.
+	explanations map[peridotpath.EndpointKey][]peridotpath.Fingerprint
+	// readAt is when the facts were read, version the version of their table.
+	readAt  time.Time
+	version uint64
+	// newPartsKnown reports that a part which no endpoint is known to have begun to answer is a
+	// new one.
+	newPartsKnown bool
 }
 
 // suspect is what is known about the content of a request or a part of prompts.
 type suspect struct {
 	// crashes are the endpoints that have crashed under it since an endpoint last survived it,
-	// and allCrashes all of them, each with the time of its crash.
-	crashes, allCrashes map[peridotpath.EndpointKey]time.Time
+	// and allCrashes all of them, by endpoint.
+	crashes, allCrashes crashes
 	// survivedAt is when an endpoint last survived it; zero if none is known to have.
 	survivedAt time.Time
 	term       term
 	hasTerm    bool
-	// isKnownPart reports that it is a part that an endpoint has begun to answer.
-	isKnownPart bool
+	// isPart reports that it is a part of prompts, isKnownPart that an endpoint has begun to
+	// answer it.
+	isPart, isKnownPart bool
+}
+
+// crashes are crashes by endpoint.
+type crashes map[peridotpath.EndpointKey]crash
+
+// crash is the crash of an endpoint under a suspect.
+type crash struct {
+	at time.Time
+	// age is how long before the crash the request was sent.
+	age time.Duration
 }
 
 // term is the period in which a suspect is quarantined.
@@ -34,37 +53,67 @@
 
 func (term term) duration() time.Duration { return term.until.Sub(term.from) }
 
-// evidenceKinds are the kinds of facts that evidence consists of, survivals first: they decide
-// which crashes count.
-var evidenceKinds = []facts.Kind{facts.KindSurvived, facts.KindPartBegun, facts.KindQuarantined, facts.KindCrashed, facts.KindPartCrashed}
+const (
+	// maxCrashAge bounds the age that a peer may report.
+	maxCrashAge = time.Hour
+	// fullWeightAge is about the time in which endpoints begin to answer most requests.
+	fullWeightAge = time.Second
+	// minEvidenceAge is the shortest time between two readings of facts that peers report: in
+	// a series of crashes they report many, and a reading costs up to a millisecond.
+	minEvidenceAge = 20 * time.Millisecond
+	// maxEvidenceAge is the time after which evidence is read again although no fact has
+	// changed, since facts expire.
+	maxEvidenceAge = time.Second
+)
 
-// evidence returns the evidence about all suspects.
-func (quarantine *Quarantine) evidence(now time.Time) *evidence {
-	var list []facts.Fact
-	for _, kind := range evidenceKinds {
-		list = append(list, quarantine.Facts.ByKind(kind, now)...)
+// current returns the evidence, which other goroutines share and must not change. Facts that
+// this instance observed are part of it at once, those of peers after minEvidenceAge at most.
+func (quarantine *Quarantine) current(now time.Time) *evidence {
+	version := quarantine.Facts.Version()
+	if known := quarantine.known.Load(); known != nil {
+		age := now.Sub(known.readAt)
+		if age >= 0 && (age < minEvidenceAge || age < maxEvidenceAge && known.version == version) {
+			return known
+		}
 	}
-	return newEvidence(list)
+	read := quarantine.readEvidence(now)
+	read.version = version
+	quarantine.known.Store(read)
+	return read
 }
 
-// evidenceAgainst returns the evidence about one suspect.
-func (quarantine *Quarantine) evidenceAgainst(suspect peridotpath.Fingerprint, now time.Time) *evidence {
-	list := quarantine.Facts.About(facts.Subject(suspect), now)
-	slices.SortFunc(list, func(a, b facts.Fact) int {
-		return cmp.Compare(slices.Index(evidenceKinds, a.Kind), slices.Index(evidenceKinds, b.Kind))
-	})
-	return newEvidence(list)
+// observe gossips a fact and makes it part of the evidence at once.
+func (quarantine *Quarantine) observe(fact facts.Fact) {
+	fact.Source = quarantine.Instance
+	quarantine.Facts.Observe(fact)
+	quarantine.known.Store(nil)
 }
 
-// newEvidence returns the evidence of facts in the order of evidenceKinds.
-func newEvidence(list []facts.Fact) *evidence {
-	evidence := &evidence{suspects: map[peridotpath.Fingerprint]*suspect{}}
-	for i := range list {
-		evidence.add(&list[i])
+// readEvidence reads the facts, survivals first: they decide which crashes count.
+func (quarantine *Quarantine) readEvidence(now time.Time) *evidence {
+	evidence := &evidence{suspects: map[peridotpath.Fingerprint]*suspect{}, readAt: now, newPartsKnown: quarantine.begun.isMeaningful(now)}
+	for _, kind := range []facts.Kind{facts.KindSurvived, facts.KindPartBegun, facts.KindQuarantined, facts.KindCrashed, facts.KindPartCrashed} {
+		for _, fact := range quarantine.Facts.ByKind(kind, now) {
+			evidence.add(&fact)
+		}
 	}
+	evidence.explain(now)
 	return evidence
 }
 
+// explain collects the quarantined suspects under which endpoints have crashed.
+func (evidence *evidence) explain(now time.Time) {
+	evidence.explanations = map[peridotpath.EndpointKey][]peridotpath.Fingerprint{}
+	for key, suspect := range evidence.suspects {
+		if _, isQuarantined := evidence.term(key, now); !isQuarantined {
+			continue
+		}
+		for endpoint := range suspect.crashes {
+			evidence.explanations[endpoint] = append(evidence.explanations[endpoint], key)
+		}
+	}
+}
+
 func (evidence *evidence) add(fact *facts.Fact) {
 	switch fact.Kind {
 	case facts.KindSurvived, facts.KindPartBegun:
@@ -76,22 +125,25 @@
 		until := fact.ObservedAt.Add(time.Duration(min(fact.Value, maxQuarantine.Seconds()) * float64(time.Second)))
 		suspect.term, suspect.hasTerm = term{from: fact.ObservedAt, until: until}, true
 	case facts.KindCrashed, facts.KindPartCrashed:
-		evidence.at(fact.Subject).addCrash(peridotpath.EndpointKey(fact.Detail), fact.ObservedAt)
+		suspect := evidence.at(fact.Subject)
+		age := time.Duration(min(fact.Value, maxCrashAge.Seconds()) * float64(time.Second))
+		suspect.addCrash(peridotpath.EndpointKey(fact.Detail), crash{at: fact.ObservedAt, age: age})
+		suspect.isPart = fact.Kind == facts.KindPartCrashed
 	}
 }
 
 func (evidence *evidence) at(subject facts.Subject) *suspect {
 	key := peridotpath.Fingerprint(subject)
 	if evidence.suspects[key] == nil {
-		evidence.suspects[key] = &suspect{crashes: map[peridotpath.EndpointKey]time.Time{}, allCrashes: map[peridotpath.EndpointKey]time.Time{}}
+		evidence.suspects[key] = &suspect{crashes: crashes{}, allCrashes: crashes{}}
 	}
 	return evidence.suspects[key]
 }
 
-func (suspect *suspect) addCrash(endpoint peridotpath.EndpointKey, at time.Time) {
-	suspect.allCrashes[endpoint] = at
-	if at.After(suspect.survivedAt) {
-		suspect.crashes[endpoint] = at
+func (suspect *suspect) addCrash(endpoint peridotpath.EndpointKey, crash crash) {
+	suspect.allCrashes[endpoint] = crash
+	if crash.at.After(suspect.survivedAt) {
+		suspect.crashes[endpoint] = crash
 	}
 }
 
@@ -107,20 +159,39 @@
 	return term, now.Before(term.until.Add(term.duration())) && term.from.After(suspect.survivedAt)
 }
 
-func (evidence *evidence) crashes(key peridotpath.Fingerprint) map[peridotpath.EndpointKey]time.Time {
+func (evidence *evidence) crashes(key peridotpath.Fingerprint) crashes {
 	if suspect := evidence.suspects[key]; suspect != nil {
 		return suspect.crashes
 	}
 	return nil
 }
 
+// isAgainst reports whether there is evidence against a suspect.
+func (evidence *evidence) isAgainst(key peridotpath.Fingerprint, now time.Time) bool {
+	_, hasTerm := evidence.term(key, now)
+	return hasTerm || len(evidence.crashes(key)) > 0
+}
+
+// mayBeSuspected reports whether there is enough evidence against a request to judge it.
+func (evidence *evidence) mayBeSuspected(request Request) bool {
+	if evidence.isNoted(request.Content) {
+		return true
+	}
+	return slices.ContainsFunc(request.Parts, func(part Part) bool { return evidence.isNoted(part.Fingerprint) })
+}
+
+func (evidence *evidence) isNoted(key peridotpath.Fingerprint) bool {
+	suspect := evidence.suspects[key]
+	return suspect != nil && (suspect.hasTerm || len(suspect.crashes) >= minCrashesToSerialise)
+}
+
 // completeCrashes returns the crashes that are old enough for every instance to have reported
 // the requests that ran on the endpoint.
-func (evidence *evidence) completeCrashes(key peridotpath.Fingerprint, now time.Time) map[peridotpath.EndpointKey]time.Time {
-	complete := map[peridotpath.EndpointKey]time.Time{}
-	for endpoint, at := range evidence.crashes(key) {
-		if now.Sub(at) >= EvidenceDelay {
-			complete[endpoint] = at
+func (evidence *evidence) completeCrashes(key peridotpath.Fingerprint, now time.Time) crashes {
+	complete := crashes{}
+	for endpoint, crash := range evidence.crashes(key) {
+		if now.Sub(crash.at) >= EvidenceDelay {
+			complete[endpoint] = crash
 		}
 	}
 	return complete
@@ -129,9 +200,9 @@
 // lastCrash returns the time of the last crash under a suspect; zero if there is none.
 func (evidence *evidence) lastCrash(key peridotpath.Fingerprint) time.Time {
 	var last time.Time
-	for _, at := range evidence.crashes(key) {
-		if at.After(last) {
-			last = at
+	for _, crash := range evidence.crashes(key) {
+		if crash.at.After(last) {
+			last = crash.at
 		}
 	}
 	return last
@@ -150,26 +221,25 @@
 	return suspect != nil && (evidence.lastCrash(key).After(since) || suspect.survivedAt.After(since))
 }
 
-// independentCrashes counts crashes of which each is at least EvidenceDelay later than the one
-// before. Endpoints that crash at the same time mostly share a cause, such as a rack or a
-// release, and are no more evidence than one.
-func independentCrashes(crashes map[peridotpath.EndpointKey]time.Time) int {
-	times := make([]time.Time, 0, len(crashes))
-	for _, at := range crashes {
-		times = append(times, at)
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	count, last := 0, time.Time{}
-	for _, at := range times {
-		if count == 0 || at.Sub(last) >= EvidenceDelay {
-			count, last = count+1, at
+// weight returns how much evidence the crashes are. One is a full crash: under a request that
+// was sent up to fullWeightAge before. The longer a request is in flight, the likelier it is
+// that it meets a crash by chance. A crash within EvidenceDelay of the one before does not
+// count: endpoints that crash at the same time mostly share a cause, such as a rack or a release.
+func (crashes crashes) weight() float64 {
+	list := slices.SortedFunc(maps.Values(crashes), func(a, b crash) int { return a.at.Compare(b.at) })
+	weight, last := 0.0, time.Time{}
+	for _, crash := range list {
+		if !last.IsZero() && crash.at.Sub(last) < EvidenceDelay {
+			continue
 		}
+		weight += min(1, fullWeightAge.Seconds()/max(crash.age, 1).Seconds())
+		last = crash.at
 	}
-	return count
+	return weight
 }
 
 // countShared counts the endpoints that crashed under both suspects.
-func countShared(first, second map[peridotpath.EndpointKey]time.Time) int {
+func countShared(first, second crashes) int {
 	count := 0
 	for endpoint := range first {
 		if _, found := second[endpoint]; found {
--- a/peridotpath/quarantine/quarantine.go
+++ b/peridotpath/quarantine/quarantine.go
@@ -15,6 +15,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,8 +48,11 @@
 	Facts    *facts.Table
 	Log      zerolog.Logger
 
+	// mutex makes reserving a trial atomic.
 	mutex sync.Mutex
 	begun begunParts
+	// known is the evidence as last read; nil after an observation of this instance.
+	known atomic.Pointer[evidence]
 }
 
 // Request is what is known about a request.
@@ -95,31 +99,46 @@
 	LastCrash time.Time
 }
 
-// RecordCrash records that an endpoint crashed while it ran a request, and with hasBegun that
-// it had begun to answer it: the parts of its prompt are no suspects then.
-func (quarantine *Quarantine) RecordCrash(request Request, hasBegun bool, endpoint peridotpath.EndpointKey, now time.Time) {
+// Crash is the crash of an endpoint under a request.
+type Crash struct {
+	Endpoint peridotpath.EndpointKey
+	At       time.Time
+	// Age is how long before the crash the request was sent.
+	Age time.Duration
+	// IsContentSuspect reports that it happened so soon after the request started to run that its
+	// content may be the cause, ArePartsSuspect that the endpoint had not begun to answer, so
+	// that a part of its prompt may be.
+	IsContentSuspect, ArePartsSuspect bool
+}
+
+// RecordCrash records that an endpoint crashed while it ran a request. A crash without a
+// suspect counts among all that happen, which shows how likely chance is.
+func (quarantine *Quarantine) RecordCrash(request Request, crash Crash) {
 	telemetry.CountEndpointTermination()
-	quarantine.Facts.Observe(facts.Fact{
-		Kind: facts.KindCrashed, Subject: facts.Subject(request.Content), Detail: uint64(endpoint), ObservedAt: now, Source: quarantine.Instance,
-	})
-	if hasBegun {
-		return
+	quarantine.observeCrash(facts.KindPartCrashed, facts.EndpointSubject(crash.Endpoint), crash)
+	if crash.IsContentSuspect {
+		quarantine.observeCrash(facts.KindCrashed, facts.Subject(request.Content), crash)
 	}
-	for _, part := range quarantine.suspectParts(request.Parts, now) {
-		quarantine.Facts.Observe(facts.Fact{
-			Kind: facts.KindPartCrashed, Subject: facts.Subject(part.Fingerprint), Detail: uint64(endpoint), ObservedAt: now, Source: quarantine.Instance,
-		})
+	if crash.ArePartsSuspect {
+		for _, part := range quarantine.suspectParts(request.Parts, crash.At) {
+			quarantine.observeCrash(facts.KindPartCrashed, facts.Subject(part.Fingerprint), crash)
+		}
 	}
 }
 
+func (quarantine *Quarantine) observeCrash(kind facts.Kind, subject facts.Subject, crash Crash) {
+	quarantine.observe(facts.Fact{Kind: kind, Subject: subject, Detail: uint64(crash.Endpoint), Value: max(crash.Age, 0).Seconds(), ObservedAt: crash.At})
+}
+
 // suspectParts returns the parts of a request that a crash is evidence against, at most
 // maxEvidenceParts: the quarantined ones if there are any, since these explain the crash, else
 // first those that no endpoint has lately begun to answer. For the others it records when one
 // did, as evidence in their favour.
 func (quarantine *Quarantine) suspectParts(parts []Part, now time.Time) []Part {
+	evidence := quarantine.current(now)
 	var quarantined, fresh, known []Part
 	for _, part := range parts {
-		term, hasTerm := quarantine.evidenceAgainst(part.Fingerprint, now).term(part.Fingerprint, now)
+		term, hasTerm := evidence.term(part.Fingerprint, now)
 		begunAt, hasBegun := quarantine.begun.lastBegun(part.Fingerprint, now)
 		switch {
 		case hasTerm && now.Before(term.until):
@@ -142,11 +161,11 @@
 // and gossiped only if there is evidence against the request.
 func (quarantine *Quarantine) RecordSurvival(content peridotpath.Fingerprint, now time.Time) {
 	subject := facts.Subject(content)
-	if !quarantine.Facts.HasSubject(subject) || !quarantine.hasEvidenceAgainst(content, now) {
+	if !quarantine.current(now).isAgainst(content, now) {
 		return
 	}
 	before, _ := quarantine.Facts.Get(facts.KindSurvived, subject, 0, now)
-	quarantine.Facts.Observe(facts.Fact{Kind: facts.KindSurvived, Subject: subject, Value: before.Value + 1, ObservedAt: now, Source: quarantine.Instance})
+	quarantine.observe(facts.Fact{Kind: facts.KindSurvived, Subject: subject, Value: before.Value + 1, ObservedAt: now})
 }
 
 // RecordBegun records that an endpoint began to answer a request and did not crash: no part of
@@ -155,22 +174,37 @@
 func (quarantine *Quarantine) RecordBegun(parts []Part, now time.Time) {
 	for _, part := range parts {
 		quarantine.begun.add(part.Fingerprint, now)
-		if quarantine.Facts.HasSubject(facts.Subject(part.Fingerprint)) && quarantine.hasEvidenceAgainst(part.Fingerprint, now) {
+	}
+	if quarantine.HasNoEvidence() {
+		return
+	}
+	evidence := quarantine.current(now)
+	for _, part := range parts {
+		if evidence.isAgainst(part.Fingerprint, now) {
 			quarantine.observeBegun(part.Fingerprint, now)
 		}
 	}
 }
 
+// ReceiveFact answers a peer's report of a crash: if an endpoint has lately begun to answer a
+// request with that part at this instance, it tells so, unless all know it.
+func (quarantine *Quarantine) ReceiveFact(fact facts.Fact, now time.Time) {
+	if fact.Kind != facts.KindPartCrashed {
+		return
+	}
+	if _, isKnown := quarantine.Facts.Get(facts.KindPartBegun, fact.Subject, 0, now); isKnown {
+		return
+	}
+	part := peridotpath.Fingerprint(fact.Subject)
+	if begunAt, hasBegun := quarantine.begun.lastBegun(part, now); hasBegun {
+		quarantine.observeBegun(part, begunAt)
+	}
+}
+
 // observeBegun gossips that an endpoint has begun to answer a request with a part, unless that
 // is known of a later one.
 func (quarantine *Quarantine) observeBegun(part peridotpath.Fingerprint, at time.Time) {
-	quarantine.Facts.Observe(facts.Fact{Kind: facts.KindPartBegun, Subject: facts.Subject(part), ObservedAt: at, Source: quarantine.Instance})
-}
-
-func (quarantine *Quarantine) hasEvidenceAgainst(suspect peridotpath.Fingerprint, now time.Time) bool {
-	evidence := quarantine.evidenceAgainst(suspect, now)
-	_, hasTerm := evidence.term(suspect, now)
-	return hasTerm || len(evidence.crashes(suspect)) > 0
+	quarantine.observe(facts.Fact{Kind: facts.KindPartBegun, Subject: facts.Subject(part), ObservedAt: at})
 }
 
 // HasNoEvidence reports whether there is no evidence against any request. Requests need
@@ -181,49 +215,26 @@
 
 // Judge returns the state of a request. It starts a quarantine if the evidence suffices.
 func (quarantine *Quarantine) Judge(request Request, now time.Time) Verdict {
-	if !quarantine.mayBeSuspected(request, now) {
+	evidence := quarantine.current(now)
+	if !evidence.mayBeSuspected(request) {
 		return Verdict{}
 	}
-	verdict, convicted := quarantine.evidence(now).judge(request, now)
+	verdict, convicted := evidence.judge(request, now)
 	for _, conviction := range convicted {
 		quarantine.announce(conviction)
 	}
 	return verdict
 }
 
-// mayBeSuspected reports whether there is evidence against the request that asks for a closer
-// look. It is cheap enough for every request.
-func (quarantine *Quarantine) mayBeSuspected(request Request, now time.Time) bool {
-	if quarantine.isNoted(request.Content, minCrashesToSerialise, now) {
-		return true
-	}
-	for _, part := range request.Parts {
-		if quarantine.isNoted(part.Fingerprint, minCrashesToSerialise, now) {
-			return true
-		}
-	}
-	return false
-}
-
-// isNoted reports whether a suspect has a term, or as many crashes since the last survival.
-func (quarantine *Quarantine) isNoted(suspect peridotpath.Fingerprint, crashes int, now time.Time) bool {
-	if !quarantine.Facts.HasSubject(facts.Subject(suspect)) {
-		return false
-	}
-	evidence := quarantine.evidenceAgainst(suspect, now)
-	_, hasTerm := evidence.term(suspect, now)
-	return hasTerm || len(evidence.crashes(suspect)) >= crashes
-}
-
 // announce gossips the quarantine of a suspect to all instances.
 func (quarantine *Quarantine) announce(conviction conviction) {
 	telemetry.CountQuarantine()
 	quarantine.Log.Warn().Stringer("content", conviction.suspect).Str("part", string(conviction.part)).Int("ends", conviction.crashes).
 		Strs("endpoints", conviction.endpoints).Int64("evidence_age", conviction.evidenceAge.Milliseconds()).
 		Int64("span", conviction.term.duration().Milliseconds()).Msg("request_barred")
-	quarantine.Facts.Observe(facts.Fact{
+	quarantine.observe(facts.Fact{
 		Kind: facts.KindQuarantined, Subject: facts.Subject(conviction.suspect), Value: conviction.term.duration().Seconds(),
-		ObservedAt: conviction.term.from, Source: quarantine.Instance,
+		ObservedAt: conviction.term.from,
 	})
 }
 
@@ -233,14 +244,14 @@
 func (quarantine *Quarantine) ReserveTrial(suspect peridotpath.Fingerprint, now time.Time) bool {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	evidence := quarantine.evidenceAgainst(suspect, now)
+	evidence := quarantine.current(now)
 	trials := quarantine.runningTrials(suspect, evidence, now)
 	if !evidence.isComplete(suspect, now) || len(trials) > 0 {
 		return false
 	}
 	before, _ := quarantine.Facts.Get(facts.KindTrial, facts.Subject(suspect), quarantine.trialDetail(), now)
-	quarantine.Facts.Observe(facts.Fact{
-		Kind: facts.KindTrial, Subject: facts.Subject(suspect), Detail: quarantine.trialDetail(), Value: before.Value + 1, ObservedAt: now, Source: quarantine.Instance,
+	quarantine.observe(facts.Fact{
+		Kind: facts.KindTrial, Subject: facts.Subject(suspect), Detail: quarantine.trialDetail(), Value: before.Value + 1, ObservedAt: now,
 	})
 	return true
 }
@@ -250,7 +261,7 @@
 // EvidenceDelay after ReserveTrial.
 func (quarantine *Quarantine) HoldsTrial(suspect peridotpath.Fingerprint, now time.Time) bool {
 	holds := false
-	for _, trial := range quarantine.runningTrials(suspect, quarantine.evidenceAgainst(suspect, now), now) {
+	for _, trial := range quarantine.runningTrials(suspect, quarantine.current(now), now) {
 		if trial.Detail < quarantine.trialDetail() {
 			return false
 		}
--- a/peridotpath/quarantine/quarantine_test.go
+++ b/peridotpath/quarantine/quarantine_test.go
@@ -43,7 +43,7 @@
 func (fixture *fixture) crash(endpoint peridotpath.EndpointKey, contents ...peridotpath.Fingerprint) {
 	fixture.now = fixture.now.Add(300 * time.Millisecond)
 	for _, content := range contents {
-		fixture.RecordCrash(quarantine.Request{Content: content}, false, endpoint, fixture.now)
+		fixture.RecordCrash(quarantine.Request{Content: content}, quarantine.Crash{Endpoint: endpoint, At: fixture.now, IsContentSuspect: true})
 	}
 	fixture.advance(evidenceDelay)
 }
--- a/peridotpath/quarantine/verdict.go
+++ b/peridotpath/quarantine/verdict.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,13 +15,17 @@
 	minCrashesToQuarantine = 3
 	// minCrashesOfKnownPart is that number for a part that endpoints have answered before.
 	// Many requests have such a part, so that crashes for other reasons find it often.
-	minCrashesOfKnownPart = 6
+	// minCrashesAfterStart is that number while an instance that has just started cannot know
+	// which parts are new.
+	minCrashesOfKnownPart, minCrashesAfterStart = 8, 4
 	// minCrashesToSerialise is the number of crashes from which only one instance at a time
 	// sends a request.
 	minCrashesToSerialise = 2
-	// maxOtherCrashes is how many endpoints may crash for each one that crashes under a
-	// suspect: three parts may be fatal at the same time.
-	maxOtherCrashes = 3
+	// otherCrashesPerCrash is the number of endpoints that crash without a suspect for which
+	// one more crash under it is wanted. With two, each of two fatal parts that come equally
+	// often is quarantined after twice the crashes, and one that stands in a quarter of the
+	// requests is not for crashes by chance.
+	otherCrashesPerCrash = 2
 )
 
 // conviction is the decision to quarantine a suspect.
@@ -115,60 +120,60 @@
 	if suspect == nil {
 		return false
 	}
-	unexplained := map[peridotpath.EndpointKey]time.Time{}
-	for endpoint, at := range evidence.completeCrashes(key, now) {
-		if !evidence.isExplained(endpoint, key, now) {
-			unexplained[endpoint] = at
+	unexplained := crashes{}
+	for endpoint, crash := range evidence.completeCrashes(key, now) {
+		if !evidence.isExplained(endpoint, key) {
+			unexplained[endpoint] = crash
 		}
 	}
-	wanted := minCrashesToQuarantine
-	if suspect.isKnownPart {
-		wanted = minCrashesOfKnownPart
+	others := evidence.otherCrashes(unexplained, key).weight()
+	return unexplained.weight() >= evidence.minCrashes(suspect)+others/otherCrashesPerCrash
+}
+
+// minCrashes returns the number of crashes that are evidence enough against a suspect.
+func (evidence *evidence) minCrashes(suspect *suspect) float64 {
+	switch {
+	case suspect.isKnownPart:
+		return minCrashesOfKnownPart
+	case suspect.isPart && !evidence.newPartsKnown:
+		return minCrashesAfterStart
 	}
-	return independentCrashes(unexplained) >= wanted && evidence.unexplainedSince(unexplained, key, now) <= maxOtherCrashes*len(unexplained)
+	return minCrashesToQuarantine
 }
 
 // isExplained reports whether an endpoint crashed under a quarantined suspect other than the
 // given one.
-func (evidence *evidence) isExplained(endpoint peridotpath.EndpointKey, key peridotpath.Fingerprint, now time.Time) bool {
-	for other, suspect := range evidence.suspects {
-		if _, quarantined := evidence.term(other, now); other == key || !quarantined {
-			continue
-		}
-		if _, crashed := suspect.crashes[endpoint]; crashed {
-			return true
-		}
-	}
-	return false
+func (evidence *evidence) isExplained(endpoint peridotpath.EndpointKey, key peridotpath.Fingerprint) bool {
+	return slices.ContainsFunc(evidence.explanations[endpoint], func(other peridotpath.Fingerprint) bool { return other != key })
 }
 
-// unexplainedSince counts the endpoints that have crashed, under any request, since the first
-// of the given crashes, and that no quarantined suspect other than the given one explains.
-func (evidence *evidence) unexplainedSince(crashes map[peridotpath.EndpointKey]time.Time, key peridotpath.Fingerprint, now time.Time) int {
-	first := now
-	for _, at := range crashes {
-		if at.Before(first) {
-			first = at
+// otherCrashes returns the endpoints that have crashed since the first of a suspect's crashes,
+// but not under it, and that no quarantined suspect explains.
+func (evidence *evidence) otherCrashes(own crashes, key peridotpath.Fingerprint) crashes {
+	var first time.Time
+	for _, crash := range own {
+		if first.IsZero() || crash.at.Before(first) {
+			first = crash.at
 		}
 	}
-	counted := map[peridotpath.EndpointKey]bool{}
+	others := crashes{}
 	for _, suspect := range evidence.suspects {
-		for endpoint, at := range suspect.allCrashes {
-			if !at.Before(first) && !counted[endpoint] && !evidence.isExplained(endpoint, key, now) {
-				counted[endpoint] = true
+		for endpoint, other := range suspect.allCrashes {
+			if _, isOwn := own[endpoint]; !isOwn && !other.at.Before(first) && !evidence.isExplained(endpoint, key) {
+				others[endpoint] = crash{at: other.at}
 			}
 		}
 	}
-	return len(counted)
+	return others
 }
 
 // hasRival reports whether the crashes under a suspect may be due to another one that the
 // request does not have: the request may be a sound one then. A rival is found at as many
-// crashes, one of them the same; against a suspect that is quarantined, at all of its crashes.
+// crashes, half of the suspect's among them; against a suspect that is quarantined, all.
 func (evidence *evidence) hasRival(key peridotpath.Fingerprint, request Request, now time.Time) bool {
 	crashes := evidence.crashes(key)
 	_, quarantined := evidence.term(key, now)
-	wanted := 1
+	wanted := (len(crashes) + 1) / 2
 	if quarantined {
 		wanted = len(crashes)
 	}
@@ -179,7 +184,7 @@
 		if _, isExplanation := evidence.term(other, now); isExplanation && !quarantined {
 			continue
 		}
-		if shared := countShared(crashes, suspect.crashes); shared > 0 && shared >= wanted {
+		if countShared(crashes, suspect.crashes) >= wanted {
 			return true
 		}
 	}
--- a/peridotpath/relay/availability_paths_test.go
+++ b/peridotpath/relay/availability_paths_test.go
@@ -97,7 +97,7 @@
 			content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, "/look/x", nil)
 			for _, number := range []int{7, 8} {
 				endpoint := testEndpoint(number)
-				fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, false, endpoint.Key(), time.Now())
+				fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, quarantine.Crash{Endpoint: endpoint.Key(), At: time.Now(), IsContentSuspect: true})
 			}
 		}},
 	}
--- a/peridotpath/relay/fixture_test.go
+++ b/peridotpath/relay/fixture_test.go
@@ -81,8 +81,11 @@
 	fixture := &fixture{directory: &directory.Directory{Log: zerolog.Nop()}, loadTracker: &placement.LoadTracker{}, began: time.Now()}
 	fixture.clock, fixture.facts = time.Hour, &facts.Table{}
 	tracker := &availability.Tracker{Instance: "edge-1", Facts: fixture.facts, Log: zerolog.Nop()}
-	fixture.facts.OnReceive = tracker.ReceiveFact
 	quarantined := &quarantine.Quarantine{Instance: "edge-1", Facts: fixture.facts, Log: zerolog.Nop()}
+	fixture.facts.OnReceive = func(fact facts.Fact) {
+		tracker.ReceiveFact(fact)
+		quarantined.ReceiveFact(fact, time.Now())
+	}
 	fixture.routing = &routing.State{
 		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
 		KeyLifetime: time.Hour, Log: zerolog.Nop(),
--- a/peridotpath/relay/fleet_test.go
+++ b/peridotpath/relay/fleet_test.go
@@ -32,6 +32,7 @@
 	for i := range count {
 		instance := newInstance(i)
 		instance.relay.Instance = peridotpath.InstanceID(fmt.Sprintf("edge-%d", i))
+		instance.relay.Quarantine.Instance = instance.relay.Instance
 		instance.loadTracker.OnChange = func() { fleet.scheduleDigest(i) }
 		instance.facts.OnChange = func() { fleet.scheduleDigest(i) }
 		fleet.relays = append(fleet.relays, instance)
--- a/peridotpath/relay/quarantine.go
+++ b/peridotpath/relay/quarantine.go
@@ -111,16 +111,18 @@
 	return nil
 }
 
-// recordCrash records a crash of the attempt's endpoint if it happened soon after the
-// request started to run.
-func (exchange *exchange) recordCrash(now time.Time) {
-	sinceFirstEvent := now.Sub(exchange.decodingSince)
-	hasEvent := !exchange.decodingSince.IsZero()
-	if hasEvent && sinceFirstEvent > crashWindow {
-		return
+// recordCrash records a crash of the attempt's endpoint, of which the request is a suspect if
+// it happened soon after it started to run.
+func (exchange *exchange) recordCrash(at time.Time) {
+	sinceFirstEvent := time.Duration(0)
+	if !exchange.decodingSince.IsZero() {
+		sinceFirstEvent = at.Sub(exchange.decodingSince)
 	}
-	hasBegun := exchange.hasBegun || hasEvent && sinceFirstEvent > beginWindow
-	exchange.relay.Quarantine.RecordCrash(exchange.suspects(), hasBegun, exchange.plan.Primary.Key(), now)
+	exchange.relay.Quarantine.RecordCrash(exchange.suspects(), quarantine.Crash{
+		Endpoint: exchange.plan.Primary.Key(), At: at, Age: at.Sub(exchange.sentAt),
+		IsContentSuspect: sinceFirstEvent <= crashWindow,
+		ArePartsSuspect:  sinceFirstEvent <= beginWindow && !exchange.hasBegun,
+	})
 }
 
 // recordProgress records an event of the attempt. From beginWindow after the first event, it
--- a/peridotpath/relay/start_test.go
+++ b/peridotpath/relay/start_test.go
@@ -67,7 +67,7 @@
 func (fixture *fixture) quarantineRequest(target string) {
 	content := peridotpath.FingerprintOf("desk", "host", http.MethodPost, target, nil)
 	for endpoint := range peridotpath.EndpointKey(3) {
-		fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, false, endpoint+1, time.Now())
+		fixture.relay.Quarantine.RecordCrash(quarantine.Request{Content: content}, quarantine.Crash{Endpoint: endpoint + 1, At: time.Now(), IsContentSuspect: true})
 		time.Sleep(time.Second)
 	}
 }
