clock, reach, relay: a process that gets no processor time does not take others for silent

Callers of an instance that was short of processor time were refused with 3010 and held: it took itself for cut off from all endpoints, since a probe's 300 ms went on while it did not run, and told the load balancer and its peers so. A probe's time, also that of the probes of engines' liveness, counts only while the process runs: a standstill is one step of 40 ms at most, and what arrived meanwhile is read in the steps that are left. Leases go on by the clock, since there a late verdict is the unsafe one.

--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/outbound"
 )
 
 const (
-	// probeTimeout bounds one probe. Endpoints answer within milliseconds, also under load.
+	// probeTimeout bounds one probe, in time that this process runs. Endpoints answer within
+	// milliseconds, also under load.
 	probeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two probes while the instance is cut off.
 	probeInterval = 250 * time.Millisecond
@@ -67,7 +69,7 @@
 // probe probes endpoints over this instance's own link, all at once, and returns their number.
 // Their answers are recorded by the connections.
 func (dialer *Dialer) probe(ctx context.Context, endpoints []*peridotpath.Endpoint) int {
-	ctx, cancel := context.WithTimeout(outbound.WithDial(ctx, dialer.dialProbe), probeTimeout)
+	ctx, cancel := clock.WithRunningTimeout(outbound.WithDial(ctx, dialer.dialProbe), probeTimeout)
 	defer cancel()
 	var probes sync.WaitGroup
 	for _, endpoint := range endpoints {
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -19,8 +19,8 @@
 	// the interval of further probes. A probe costs a connection and some milliseconds
 	// of the engine's time; at this interval only long prompts incur it.
 	probeInterval = time.Second
-	// probeTimeout bounds one probe. Engines answer probes within milliseconds, also
-	// while they run requests.
+	// probeTimeout bounds one probe, in time that this process runs. Engines answer probes
+	// within milliseconds, also while they run requests.
 	probeTimeout = 400 * time.Millisecond
 	// maxFailedProbes is the number of consecutive failed probes that cancels the attempt,
 	// since a single one may be lost on the network. Two probes with their timeouts end
@@ -66,7 +66,7 @@
 			failed = 0
 			continue
 		}
-		probeCtx, stop := context.WithTimeout(ctx, probeTimeout)
+		probeCtx, stop := clock.WithRunningTimeout(ctx, probeTimeout)
 		err := check(probeCtx, endpoint)
 		stop()
 		if err == nil {
