soak, platform/standin: prompts with a part that crashes endpoints

The soak knew fatal bodies only, so that a part which crashes engine after engine was found by the users first.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -128,14 +128,18 @@
 	}
 }
 
-// recordCrash records that a fatal body crashes an endpoint, and finds runs that begin
-// after every instance had to quarantine the body.
+// recordCrash records that a request crashes an endpoint, and finds runs that begin after every
+// instance had to quarantine its cause.
 func (checker *checker) recordCrash(sent sentRequest, execution standin.Execution) {
-	crashes := checker.crashes[execution.Body]
-	if len(crashes) >= crashesToQuarantine && execution.StartedAt.After(crashes[crashesToQuarantine-1].Add(settleTime+schedulingSlack)) && sent.Instance.hasSettled(execution.StartedAt) {
-		if checker.quarantinedRuns[execution.Body]++; checker.quarantinedRuns[execution.Body] == maxQuarantinedRuns+1 {
-			checker.addViolation("%q runs for the %d. time, %v after the third end under it", execution.Body, len(crashes)+1, execution.StartedAt.Sub(crashes[crashesToQuarantine-1]))
+	cause, maxCrashes := crashCause(execution.Body), crashesToQuarantine
+	if isFatalPart(execution.Body) {
+		maxCrashes = crashesToQuarantinePart
+	}
+	crashes := checker.crashes[cause]
+	if len(crashes) >= maxCrashes && execution.StartedAt.After(crashes[maxCrashes-1].Add(settleTime+schedulingSlack)) && sent.Instance.hasSettled(execution.StartedAt) {
+		if checker.quarantinedRuns[cause]++; checker.quarantinedRuns[cause] == maxQuarantinedRuns+1 {
+			checker.addViolation("%q runs for the %d. time, %v after the %d. end under it", cause, len(crashes)+1, execution.StartedAt.Sub(crashes[maxCrashes-1]), maxCrashes)
 		}
 	}
-	checker.crashes[execution.Body] = append(crashes, execution.StartedAt)
+	checker.crashes[cause] = append(crashes, execution.StartedAt)
 }
--- /dev/null
+++ b/soak/fatal_part_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// partTime is how long requests with a fatal part come, and partNotice the time after the
+	// first in which the verdict is due and the endpoints are back.
+	partTime, partNotice = 14 * time.Second, 7 * time.Second
+	// maxPartCrashes is the number of endpoints that may crash: five, and three later.
+	maxPartCrashes = crashesToQuarantinePart + maxQuarantinedRuns
+)
+
+// A part of prompts crashes each engine that begins to answer it, under requests that are no two
+// alike: instances must stop sending them after a few, and serve all others.
+func TestFatalPartCrashesFewEngines(t *testing.T) {
+	run := startCutOffRun(t)
+	began := time.Now()
+	end := run.fleet.repeatFatalPart(rand.New(rand.NewPCG(49, 1)), "fa7a1")
+	time.Sleep(partTime)
+	end()
+	ended := time.Now()
+	run.stopLoad()
+	run.fleet.checker.mutex.Lock()
+	crashes := len(run.fleet.checker.crashes[crashCause(fatalPartPrefix+"fa7a1 0")])
+	run.fleet.checker.mutex.Unlock()
+	t.Logf("%d endpoints crashed", crashes)
+	if crashes > maxPartCrashes {
+		t.Errorf("%d endpoints crashed, want %d at most", crashes, maxPartCrashes)
+	}
+	run.check(t, "sound requests", began.Add(partNotice), ended, func(int) bool { return true }, minSoundShare)
+	run.checkPromises(t)
+}
+
+// Half of the instances are killed while a part is barred, and are back: the others must tell them.
+func TestFatalPartStaysBarredWhenInstancesAreReplaced(t *testing.T) {
+	run := startCutOffRun(t)
+	end := run.fleet.repeatFatalPart(rand.New(rand.NewPCG(49, 2)), "fa7a2")
+	time.Sleep(partNotice)
+	for _, number := range []int{0, 1} {
+		run.fleet.instances[number].signal(syscall.SIGKILL)
+		run.fleet.restartInstance(number)
+	}
+	time.Sleep(partTime - partNotice)
+	end()
+	run.stopLoad()
+	run.fleet.checker.mutex.Lock()
+	crashes := len(run.fleet.checker.crashes[crashCause(fatalPartPrefix+"fa7a2 0")])
+	run.fleet.checker.mutex.Unlock()
+	t.Logf("%d endpoints crashed", crashes)
+	if crashes > maxPartCrashes {
+		t.Errorf("%d endpoints crashed, want %d at most", crashes, maxPartCrashes)
+	}
+}
--- a/soak/load.go
+++ b/soak/load.go
@@ -58,6 +58,7 @@
 		request.Route = standin.RouteIdempotent
 	default:
 		request.Route, request.PromptTokens = standin.RouteStream, peridotpath.Tokens(100+random.IntN(5_000))
+		request.Parts = soundParts(id)
 		if random.IntN(20) == 0 {
 			// This prompt exceeds the KV memory of one engine.
 			request.PromptTokens = 150_000
--- a/soak/steady_load.go
+++ b/soak/steady_load.go
@@ -66,6 +66,7 @@
 		request.Route = standin.RouteIdempotent
 	default:
 		request.Route, request.PromptTokens = standin.RouteStream, peridotpath.Tokens(100+count%4000)
+		request.Parts = soundParts(id)
 	}
 	instance, sentAt := fleet.instances[number], time.Now()
 	fleet.checker.recordSent(sentRequest{Request: request, Customer: customers[0], Instance: instance, SentAt: sentAt})
