audit, peridotctl: requests that are sent with a barred part, and the parts at which endpoints ended

An operator could not see in the logs whether a bar is kept, nor which part the crashes have in common.

--- a/peridotctl/why.go
+++ b/peridotctl/why.go
@@ -33,14 +33,15 @@
 	results, outcomes, kinds, seconds, routes, customers map[string]int
 	// endpoints counts failed attempts by endpoint. crashContents counts, by content
 	// hash, the requests that ran on an endpoint when its process terminated.
-	endpoints, crashContents map[string]int
-	otherEvents              map[string]int
+	// crashParts counts the same by customer and shared part of the prompt.
+	endpoints, crashContents, crashParts map[string]int
+	otherEvents                          map[string]int
 }
 
 func newTally() *tally {
 	return &tally{
 		results: map[string]int{}, outcomes: map[string]int{}, kinds: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
-		customers: map[string]int{}, endpoints: map[string]int{}, crashContents: map[string]int{},
+		customers: map[string]int{}, endpoints: map[string]int{}, crashContents: map[string]int{}, crashParts: map[string]int{},
 		otherEvents: map[string]int{},
 	}
 }
@@ -69,12 +70,25 @@
 		countName(tally.endpoints, line.Pairs["endpoint"])
 		if line.Pairs["endpoint_gone"] == "true" {
 			countName(tally.crashContents, line.Pairs["content"])
+			tally.addCrashParts(line)
 		}
 	default:
 		tally.otherEvents[line.Pairs["event"]]++
 	}
 }
 
+// addCrashParts counts the parts of a request that had no event when its endpoint crashed.
+func (tally *tally) addCrashParts(line logline.Line) {
+	if line.Pairs["events"] != "0" {
+		return
+	}
+	for part := range strings.SplitSeq(line.Pairs["parts"], ",") {
+		if part != "" {
+			countName(tally.crashParts, line.Pairs["customer"]+" "+part)
+		}
+	}
+}
+
 func countName(counts map[string]int, name string) {
 	if name != "" {
 		counts[name]++
@@ -118,7 +132,7 @@
 	}{
 		{"result", tally.results}, {"failed attempt", tally.outcomes}, {"kind", tally.kinds}, {"second", tally.seconds}, {"route", tally.routes},
 		{"customer", tally.customers}, {"endpoint of failed attempts", tally.endpoints},
-		{"content where an endpoint ended", tally.crashContents}, {"change of belief", tally.otherEvents},
+		{"content where an endpoint ended", tally.crashContents}, {"customer and part where an endpoint ended without an event", tally.crashParts}, {"change of belief", tally.otherEvents},
 	}
 	for _, table := range tables {
 		writeCounts(out, table.title, table.counts, top)
--- a/peridotpath/audit/announcements.go
+++ b/peridotpath/audit/announcements.go
@@ -94,9 +94,9 @@
 	}
 	arrivedAt := loggedAt.Add(-milliseconds(line.Number("took")))
 	on := audit.announcementsOn(path{line.Pairs["instance"], line.Pairs["endpoint"]})
-	on.sends = append(on.sends, send{
-		request: peridotpath.RequestID(line.Pairs["request"]), arrivedAt: arrivedAt, sentAt: arrivedAt.Add(milliseconds(line.Number("waited"))),
-	})
+	sentAt := arrivedAt.Add(milliseconds(line.Number("waited")))
+	on.sends = append(on.sends, send{request: peridotpath.RequestID(line.Pairs["request"]), arrivedAt: arrivedAt, sentAt: sentAt})
+	audit.addPartSend(line, sentAt)
 }
 
 // timeOf returns the time of a line; false for a line that is truncated and has none.
--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -44,9 +44,12 @@
 	// FaultSentOverLostLink means that the request was sent over the instance's own links more than
 	// linkNotice after it had found out that they lead to no endpoint.
 	FaultSentOverLostLink
+	// FaultSentWhileBarred means that the request was sent and crashed an endpoint although a part
+	// of its prompt was barred, after maxSentWhileBarred others.
+	FaultSentWhileBarred
 )
 
-var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff", "sent_to_drained", "sent_over_lost_link"}
+var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff", "sent_to_drained", "sent_over_lost_link", "sent_while_barred"}
 
 func (fault Fault) String() string { return faultNames[fault] }
 
@@ -77,6 +80,10 @@
 	dataCentres map[string]string
 	// linkOutages holds when each instance knew that it is cut off from all endpoints.
 	linkOutages map[string][]linkOutage
+	// bars holds when parts were barred, and partSends the attempts at requests with a part, both
+	// by the part's fingerprint.
+	bars      map[string][]bar
+	partSends map[string][]partSend
 }
 
 // pause is an interval in which an instance's process did not run.
@@ -94,7 +101,7 @@
 		audit.addPause(line)
 		return
 	}
-	if audit.addLinkChange(line) || audit.addDrain(line) || audit.addAnnouncement(line) {
+	if audit.addLinkChange(line) || audit.addDrain(line) || audit.addAnnouncement(line) || audit.addBar(line) {
 		return
 	}
 	id := peridotpath.RequestID(line.Pairs["request"])
@@ -170,6 +177,7 @@
 	findings = append(findings, audit.announcementFindings()...)
 	findings = append(findings, audit.drainFindings()...)
 	findings = append(findings, audit.linkFindings()...)
+	findings = append(findings, audit.barFindings()...)
 	slices.SortStableFunc(findings, func(a, b Finding) int { return cmp.Compare(a.Request, b.Request) })
 	return findings
 }
--- a/soak/fatal_part_test.go
+++ b/soak/fatal_part_test.go
@@ -15,6 +15,18 @@
 	maxPartCrashes = crashesToQuarantinePart + maxQuarantinedRuns
 )
 
+// checkPartCrashes checks how many endpoints crashed under a part.
+func (run *cutOffRun) checkPartCrashes(t *testing.T, part string) {
+	t.Helper()
+	run.fleet.checker.mutex.Lock()
+	crashes := len(run.fleet.checker.crashes[fatalPartPrefix+part])
+	run.fleet.checker.mutex.Unlock()
+	t.Logf("%d endpoints crashed", crashes)
+	if crashes == 0 || crashes > maxPartCrashes {
+		t.Errorf("%d endpoints crashed, want some, and %d at most", crashes, maxPartCrashes)
+	}
+}
+
 // A part of prompts crashes each engine that begins to answer it, under requests that are no two
 // alike: instances must stop sending them after a few, and serve all others.
 func TestFatalPartCrashesFewEngines(t *testing.T) {
@@ -25,13 +37,7 @@
 	end()
 	ended := time.Now()
 	run.stopLoad()
-	run.fleet.checker.mutex.Lock()
-	crashes := len(run.fleet.checker.crashes[crashCause(fatalPartPrefix+"fa7a1 0")])
-	run.fleet.checker.mutex.Unlock()
-	t.Logf("%d endpoints crashed", crashes)
-	if crashes > maxPartCrashes {
-		t.Errorf("%d endpoints crashed, want %d at most", crashes, maxPartCrashes)
-	}
+	run.checkPartCrashes(t, "fa7a1")
 	run.check(t, "sound requests", began.Add(partNotice), ended, func(int) bool { return true }, minSoundShare)
 	run.checkPromises(t)
 }
@@ -48,11 +54,5 @@
 	time.Sleep(partTime - partNotice)
 	end()
 	run.stopLoad()
-	run.fleet.checker.mutex.Lock()
-	crashes := len(run.fleet.checker.crashes[crashCause(fatalPartPrefix+"fa7a2 0")])
-	run.fleet.checker.mutex.Unlock()
-	t.Logf("%d endpoints crashed", crashes)
-	if crashes > maxPartCrashes {
-		t.Errorf("%d endpoints crashed, want %d at most", crashes, maxPartCrashes)
-	}
+	run.checkPartCrashes(t, "fa7a2")
 }
