quarantine: a retry that crashes the next endpoint is evidence of its own; docs, soak

TestFatalPartCrashesFewEngines failed in 2 of 6 runs (12 engines, five by the others): crashes within 100 ms of each other counted as one, also where the second request was sent after the first crash, as a retry is, and each of four engines came back before it was known as a new one. A crash counts now if its request was sent after the one before, and weighs less from half a second of age on in place of one.

--- a/peridotpath/quarantine/evidence.go
+++ b/peridotpath/quarantine/evidence.go
@@ -47,6 +47,11 @@
 	age time.Duration
 }
 
+// isSentAfter reports whether the request is known to have been sent after a time.
+func (crash crash) isSentAfter(at time.Time) bool {
+	return crash.age > 0 && crash.at.Add(-crash.age).After(at)
+}
+
 // term is the period in which a suspect is quarantined.
 type term struct {
 	from, until time.Time
@@ -58,7 +63,7 @@
 	// maxCrashAge bounds the age that a peer may report.
 	maxCrashAge = time.Hour
 	// fullWeightAge is about the time in which endpoints begin to answer most requests.
-	fullWeightAge = time.Second
+	fullWeightAge = 500 * time.Millisecond
 	// minEvidenceAge is the shortest time between two readings of facts that peers report: in
 	// a series of crashes they report many, and a reading costs up to a millisecond.
 	minEvidenceAge = 20 * time.Millisecond
@@ -227,13 +232,14 @@
 
 // weight returns how much evidence the crashes are. One is a full crash: under a request that
 // was sent up to fullWeightAge before. The longer a request is in flight, the likelier it is
-// that it meets a crash by chance. A crash within EvidenceDelay of the one before does not
-// count: endpoints that crash at the same time mostly share a cause, such as a rack or a release.
+// that it meets a crash by chance. A crash within EvidenceDelay of the one before counts only if
+// the request was sent after that: endpoints that crash at the same time mostly share a cause,
+// such as a rack or a release, and requests that were there by chance are all from before.
 func (crashes crashes) weight() float64 {
 	list := slices.SortedFunc(maps.Values(crashes), func(a, b crash) int { return a.at.Compare(b.at) })
 	weight, last := 0.0, time.Time{}
 	for _, crash := range list {
-		if !last.IsZero() && crash.at.Sub(last) < EvidenceDelay {
+		if !last.IsZero() && crash.at.Sub(last) < EvidenceDelay && !crash.isSentAfter(last) {
 			continue
 		}
 		weight += min(1, fullWeightAge.Seconds()/max(crash.age, 1).Seconds())
--- a/peridotpath/quarantine/random_test.go
+++ b/peridotpath/quarantine/random_test.go
@@ -41,6 +41,7 @@
 	{name: "racks", endpoints: 24, perSecond: 30, readTime: 500 * time.Millisecond, burstInterval: 4 * time.Second, burstShare: 0.5},
 	{name: "all at once", endpoints: 24, perSecond: 30, readTime: time.Second, burstInterval: 8 * time.Second, burstShare: 1},
 	{name: "one after another", endpoints: 24, perSecond: 20, readTime: time.Second, burstInterval: 8 * time.Second, burstGap: 250 * time.Millisecond, burstShare: 1},
+	{name: "a rack, one after another", endpoints: 24, perSecond: 30, readTime: 500 * time.Millisecond, burstInterval: 4 * time.Second, burstGap: 20 * time.Millisecond, burstShare: 0.5},
 	{name: "fresh parts", endpoints: 12, perSecond: 10, readTime: time.Second, crashesPerSecond: 2, freshParts: true},
 }
 
