--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -9,6 +9,7 @@
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // exchange is the state of one request across its attempts.
@@ -80,6 +81,9 @@
 	excluded     map[peridotpath.EndpointKey]bool
 	blamedHelper string
 	lastFailure  *failedAnswer
+	// denied is what allowed no further attempt: "not_repeatable", "attempts", "budget", or the
+	// result of the last placement; empty while none was denied.
+	denied string
 }
 
 // streamProgress is what the caller has received of the answer.
@@ -113,6 +117,7 @@
 			return
 		}
 		if result := exchange.place(ctx); result != nil {
+			exchange.denied = result.Code.String()
 			exchange.fail(*result)
 			return
 		}
@@ -274,9 +279,11 @@
 // an endpoint's own error answer, else sends the result.
 func (exchange *exchange) fail(result peridotpath.Result) {
 	exchange.recordResult(result.Code)
-	exchange.addLogFields(exchange.relay.Log.Info(), result.Code).Dur("retry_after", result.RetryAfter).Msg("failed")
+	exchange.addLogFields(exchange.relay.Log.Info(), result.Code).Dur("retry_after", result.RetryAfter).
+		Bool("aborted", exchange.streamBegun).Str("denied", exchange.denied).Msg("failed")
 	switch {
 	case exchange.streamBegun:
+		telemetry.CountAnswerAborted(result.Code.String())
 		exchange.caller.Abort()
 	case exchange.lastFailure != nil && result.Code != peridotpath.CodeCallerGone:
 		exchange.caller.Answer(exchange.lastFailure.answer.Status, exchange.lastFailure.answer.Header, exchange.lastFailure.body)
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -54,12 +54,16 @@
 // recordFailure logs a failed attempt and updates the state of its endpoint.
 func (exchange *exchange) recordFailure(ctx context.Context, outcome outcome, err error) {
 	telemetry.CountFailedAttempt(outcome.String())
-	failedAt := time.Now()
+	failedAt, givenUp := time.Now(), doubtOf(err)
+	if givenUp != doubtNone {
+		telemetry.CountAttemptGivenUp(givenUp.String())
+	}
 	crashed := outcome == outcomeBroken && exchange.relay.hasCrashed(ctx, exchange.plan.Primary)
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
 		Dur("took", time.Since(exchange.request.ArrivedAt)).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).
-		Stringer("outcome", outcome).Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).
+		Stringer("outcome", outcome).Str("given_up", givenUp.String()).Dur("silent", exchange.silentFor(failedAt)).
+		Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).
 		Str("route", string(exchange.route.Name)).Str("customer", string(exchange.customer)).Str("parts", exchange.partsForLog()).
 		Err(err).Msg("attempt_failed")
 	if outcome.isUnattempted() {
@@ -128,9 +132,11 @@
 	}
 	final := exchange.finalResult(outcome)
 	if exchange.mayHaveRun && !exchange.route.Repeatable() {
+		exchange.denied = "not_repeatable"
 		return final
 	}
 	if exchange.attemptCount >= maxTotalAttempts || exchange.sentCount >= max(exchange.route.MaxAttempts, 1) {
+		exchange.denied = "attempts"
 		return final
 	}
 	// An attempt that reached no endpoint adds no load, so its retry takes nothing from
@@ -142,6 +148,7 @@
 				return exchange.contextResult(ctx)
 			}
 			telemetry.CountRetryBudgetExhausted()
+			exchange.denied = "budget"
 			return final
 		}
 	}
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -99,6 +99,9 @@
 
 // Serve answers the request through caller and returns when the answer is complete.
 func (relay *Relay) Serve(ctx context.Context, request *Request, caller *Caller) {
+	ending := &ending{}
+	defer ending.finish(relay, request, caller)
+	caller = ending.track(caller)
 	relay.awaitRouting(ctx, request)
 	exchange, refusal := relay.admit(request, caller)
 	if refusal != nil {
--- a/peridotpath/telemetry/relay.go
+++ b/peridotpath/telemetry/relay.go
@@ -48,6 +48,23 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_attempts_failed_total{outcome=%q}", outcome)).Inc()
 }
 
+// CountAttemptGivenUp counts an attempt that this instance ended although its endpoint had not
+// failed, by the reason.
+func CountAttemptGivenUp(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_attempts_given_up_total{reason=%q}", reason)).Inc()
+}
+
+// CountAnswerAborted counts a stream that was broken off, by the result.
+func CountAnswerAborted(result string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_answers_aborted_total{result=%q}", result)).Inc()
+}
+
+// CountUnanswered counts a request that was read whole and ended without an answer, a refusal or
+// an aborted stream.
+func CountUnanswered() { unanswered.Inc() }
+
+var unanswered = metrics.NewCounter("peridotpath_requests_unanswered_total")
+
 // CountRetryBudgetExhausted counts a request that was not retried because the retry budget
 // was exhausted.
 func CountRetryBudgetExhausted() { retryBudgetExhausted.Inc() }
