--- a/soak/announce.go
+++ b/soak/announce.go
@@ -131,9 +131,14 @@
 }
 
 // recordBackoff records that an endpoint turns a request of an instance away and asks for a
-// backoff. One that is running goes on: a later answer does not end it. The caller holds the
-// mutex.
-func (checker *checker) recordBackoff(id peridotpath.EndpointID, sent *sentRequest, retryAfter string, now time.Time) {
+// backoff. One that is running goes on: a later answer does not end it.
+func (checker *checker) recordBackoff(id peridotpath.EndpointID, request peridotpath.RequestID, retryAfter string, now time.Time) {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	sent := checker.sentRequests[request]
+	if sent.Instance == nil {
+		return
+	}
 	seconds, err := strconv.ParseFloat(retryAfter, 64)
 	if err != nil || !(seconds > 0 && seconds < minLeavingDuration.Seconds()) {
 		return
--- a/soak/check.go
+++ b/soak/check.go
@@ -131,7 +131,6 @@
 		checker.recordArrivalWhileDrained(helper, &sent)
 		checker.recordArrivalDespiteAnnouncement(helper, &sent, now)
 	}
-	checker.recordBackoff(endpoint.ID, &sent, arrival.Backoff, now)
 }
 
 // recordReply checks the reply to a request; reply is nil if there was none.
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -136,7 +136,7 @@
 		maxCrashes = crashesToQuarantinePart
 	}
 	crashes := checker.crashes[cause]
-	if len(crashes) >= maxCrashes && execution.StartedAt.After(crashes[maxCrashes-1].Add(settleTime+schedulingSlack)) && sent.Instance.hasSettled(execution.StartedAt) {
+	if len(crashes) >= maxCrashes && execution.ReceivedAt.After(crashes[maxCrashes-1].Add(settleTime+schedulingSlack)) && sent.Instance.hasSettled(execution.StartedAt) {
 		if checker.quarantinedRuns[cause]++; checker.quarantinedRuns[cause] == maxQuarantinedRuns+1 {
 			checker.addViolation("%q runs for the %d. time, %v after the %d. end under it", cause, len(crashes)+1, execution.StartedAt.Sub(crashes[maxCrashes-1]), maxCrashes)
 		}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -146,7 +146,7 @@
 	endpoint.Endpoint = &standin.Endpoint{
 		ID: id, Service: service, DataCentre: dataCentre, Slots: 16,
 		OnExecution: func(execution standin.Execution) { fleet.checker.recordRun(id, execution) },
-		ShouldAbortStream: func() bool {
+		ShouldAbortStream: func(peridotpath.RequestID) bool {
 			endpoint.mutex.Lock()
 			defer endpoint.mutex.Unlock()
 			return endpoint.breaksStreams && rand.IntN(60) == 0
@@ -156,6 +156,9 @@
 		OnArrival: func(arrival standin.Arrival) {
 			fleet.checker.recordArrival(endpoint, arrival, fleet.endpointsAt(arrival.Helpers))
 		},
+		OnBackoff: func(request peridotpath.RequestID, retryAfter string) {
+			fleet.checker.recordBackoff(id, request, retryAfter, time.Now())
+		},
 	}
 	target, err := fleet.serve(ctx, endpoint.Endpoint)
 	if err != nil {
