soak: check how each request ends on its client's connection

A request that was sent whole could end with a closed connection, a broken stream or a 502, and the soak counted it as not served. Each exchange is now judged from the sockets: one that was sent whole ends with a whole answer or a refusal. A closed connection, a broken answer, and a 502 or 504 are violations. Excused is only what these leave no way around: the instance was killed or paused under it, the client left, the time is up (also by a routing with short timeouts), an endpoint broke the stream off, or connections of an endpoint that the request reached (for a 502, of any endpoint of this instance) were reset. A stop, a reload, a silent endpoint and a link that forwards nothing excuse nothing.

--- a/soak/check.go
+++ b/soak/check.go
@@ -37,11 +37,17 @@
 	drainedSince map[peridotpath.DataCentre]time.Time
 	cold         map[peridotpath.EndpointID]*coldEndpoint
 	// retries holds what each service received of requests and their retries.
-	retries    map[peridotpath.Service]*retryWindow
-	store      *standin.Store
-	violations []string
-	requests   int
-	served     int
+	retries map[peridotpath.Service]*retryWindow
+	// arrivals are the endpoints that received a request, aborted holds the requests whose
+	// stream an endpoint broke off, and shortTimeouts are the spans in which routes have short
+	// timeouts.
+	arrivals      map[peridotpath.RequestID][]requestArrival
+	aborted       map[peridotpath.RequestID]bool
+	shortTimeouts []span
+	store         *standin.Store
+	violations    []string
+	requests      int
+	served        int
 }
 
 type endpointRun struct {
@@ -59,8 +65,8 @@
 
 func newChecker(store *standin.Store) *checker {
 	return &checker{
-		retries: map[peridotpath.Service]*retryWindow{},
-		store:   store, drainedSince: map[peridotpath.DataCentre]time.Time{}, cold: map[peridotpath.EndpointID]*coldEndpoint{},
+		retries: map[peridotpath.Service]*retryWindow{}, arrivals: map[peridotpath.RequestID][]requestArrival{}, aborted: map[peridotpath.RequestID]bool{},
+		store: store, drainedSince: map[peridotpath.DataCentre]time.Time{}, cold: map[peridotpath.EndpointID]*coldEndpoint{},
 		runs: map[peridotpath.RequestID][]endpointRun{}, revokedAt: map[peridotpath.APIKey]time.Time{},
 		crashes: map[string][]time.Time{}, quarantinedRuns: map[string]int{}, limits: map[peridotpath.EndpointID]*limitedEndpoint{},
 		toldLeaving: map[sender]time.Time{}, backoffs: map[sender]*askedBackoff{}, saysLeaving: map[peridotpath.EndpointID]bool{}, leavingSince: map[peridotpath.EndpointID]time.Time{}, sentRequests: map[peridotpath.RequestID]sentRequest{},
@@ -123,6 +129,7 @@
 		return
 	}
 	checker.recordLimitedArrival(endpoint.ID, &sent, now)
+	checker.arrivals[sent.ID] = append(checker.arrivals[sent.ID], requestArrival{endpoint, now})
 	checker.recordRetry(endpoint.Service, &sent, now)
 	checker.recordArrivalDespiteAnnouncement(endpoint, &sent, now)
 	checker.recordArrivalWhileDrained(endpoint, &sent)
@@ -130,6 +137,7 @@
 	for _, helper := range helpers {
 		checker.recordArrivalWhileDrained(helper, &sent)
 		checker.recordArrivalDespiteAnnouncement(helper, &sent, now)
+		checker.arrivals[sent.ID] = append(checker.arrivals[sent.ID], requestArrival{helper, now})
 	}
 }
 
--- /dev/null
+++ b/soak/ending_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/platform/standin"
+)
+
+// endingFixture is a request that one endpoint received, and that ends after half a second.
+type endingFixture struct {
+	fleet    *fleet
+	endpoint *endpoint
+	ending   ending
+}
+
+func newEndingFixture(reply *standin.Reply) *endingFixture {
+	store := &standin.Store{}
+	sentAt := time.Now()
+	instance := &instance{ID: "edge-0", IngressAddress: netip.AddrPortFrom(instanceAddress(0), 80)}
+	sent := sentRequest{Request: standin.Request{ID: "c1", Route: standin.RouteStream, ClientTimeout: clientTimeout}, Instance: instance, SentAt: sentAt}
+	fixture := &endingFixture{
+		endpoint: &endpoint{Endpoint: &standin.Endpoint{ID: "i-0"}, proxy: &proxy{}},
+		ending:   ending{sentRequest: sent, reply: reply, wroteAt: sentAt, endedAt: sentAt.Add(500 * time.Millisecond)},
+	}
+	fixture.fleet = &fleet{checker: newChecker(store), store: store, endpoints: []*endpoint{fixture.endpoint}}
+	fixture.fleet.checker.recordSent(sent)
+	fixture.fleet.checker.recordArrival(fixture.endpoint, standin.Arrival{RequestID: "c1"}, nil)
+	return fixture
+}
+
+// isReported checks the ending and returns whether it is reported as a violation.
+func (fixture *endingFixture) isReported() bool {
+	fixture.fleet.checkEnding(fixture.ending)
+	violations, _, _ := fixture.fleet.checker.summary()
+	return len(violations) > 0
+}
+
+var (
+	wholeReply   = &standin.Reply{Status: 200, IsComplete: true}
+	refusal      = &standin.Reply{Status: 503, IsComplete: true}
+	brokenStream = &standin.Reply{Status: 200, EventIDs: []int{1, 2}}
+	badGateway   = &standin.Reply{Status: 502, IsComplete: true}
+	lateGateway  = &standin.Reply{Status: 504, IsComplete: true}
+)
+
+// A soak that takes a broken answer for a good one passes over the fault that it looks for.
+func TestEndingsAreReported(t *testing.T) {
+	tests := []struct {
+		name    string
+		reply   *standin.Reply
+		want    bool
+		besides func(fixture *endingFixture)
+	}{
+		{"whole answer", wholeReply, false, nil},
+		{"refusal", refusal, false, nil},
+		{"closed connection", nil, true, nil},
+		{"broken stream", brokenStream, true, nil},
+		{"502", badGateway, true, nil},
+		{"504", lateGateway, true, nil},
+		{"silent endpoint", brokenStream, true, func(fixture *endingFixture) { fixture.endpoint.SetSilent(true) }},
+		{"link that forwards nothing", brokenStream, true, func(fixture *endingFixture) { fixture.endpoint.proxy.setLink(linkBlackhole) }},
+		{"instance reloads", brokenStream, true, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGHUP, fixture.ending.SentAt)
+		}},
+		{"instance stops", brokenStream, true, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.SentAt)
+		}},
+		{"instance was killed long before", brokenStream, true, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGKILL, fixture.ending.SentAt.Add(-time.Second))
+		}},
+		{"instance was paused before", brokenStream, true, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGSTOP, fixture.ending.SentAt.Add(-2*time.Second))
+			fixture.ending.Instance.recordSignal(syscall.SIGCONT, fixture.ending.SentAt.Add(-time.Second))
+		}},
+		{"no end", nil, true, func(fixture *endingFixture) {
+			fixture.ending.clientErr = context.DeadlineExceeded
+			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout + 2*time.Second)
+		}},
+		{"closed connection after a reset", nil, true, func(fixture *endingFixture) { fixture.endpoint.proxy.setLink(linkReset) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newEndingFixture(test.reply)
+			if test.reply == nil {
+				fixture.ending.err = errors.New("EOF")
+			}
+			if test.besides != nil {
+				test.besides(fixture)
+			}
+			is.Equal(fixture.isReported(), test.want)
+		})
+	}
+}
+
+// A soak that reports what no instance can prevent is of no use, either.
+func TestExcusedEndingsAreNotReported(t *testing.T) {
+	tests := []struct {
+		name   string
+		reply  *standin.Reply
+		excuse func(fixture *endingFixture)
+	}{
+		{"client left", nil, func(fixture *endingFixture) { fixture.ending.clientErr = context.Canceled }},
+		{"not sent whole", nil, func(fixture *endingFixture) { fixture.ending.wroteAt = time.Time{} }},
+		{"instance killed", brokenStream, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGKILL, fixture.ending.SentAt)
+		}},
+		{"instance paused", brokenStream, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGSTOP, fixture.ending.SentAt)
+		}},
+		{"endpoint broke off", brokenStream, func(fixture *endingFixture) { fixture.fleet.checker.recordAbort("c1") }},
+		{"endpoint reset its connections", brokenStream, func(fixture *endingFixture) { fixture.endpoint.proxy.setLink(linkReset) }},
+		{"connection of the instance reset", badGateway, func(fixture *endingFixture) {
+			fixture.fleet.checker.arrivals = nil
+			fixture.endpoint.proxy.setSourceLink(instanceAddress(0), linkReset)
+		}},
+		{"its time is up", lateGateway, func(fixture *endingFixture) {
+			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout - endSlack/2)
+		}},
+		{"short timeouts", lateGateway, func(fixture *endingFixture) {
+			before := fixture.ending.SentAt.Add(-time.Second)
+			fixture.fleet.checker.shortTimeouts = []span{{from: before, until: before}}
+			fixture.ending.endedAt = fixture.ending.SentAt.Add(standin.ShortTimeout)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			fixture := newEndingFixture(test.reply)
+			test.excuse(fixture)
+			is.True(!fixture.isReported())
+		})
+	}
+}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -49,13 +49,10 @@
 			request := request
 			request.ID = peridotpath.RequestID(fmt.Sprintf("%s-%d", strings.ReplaceAll(body, " ", "-"), count))
 			instance := fleet.instances[instanceRandom.IntN(len(fleet.instances))]
-			fleet.checker.recordSent(sentRequest{Request: request, Customer: customer, Instance: instance, SentAt: time.Now()})
 			fleet.runInBackground(func() {
-				reply, err := standin.Send(context.Background(), &http.Client{Timeout: clientTimeout}, instance.IngressAddress, request)
-				if err != nil {
-					reply = nil
-				}
-				fleet.checker.recordReply(request.ID, reply)
+				ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+				defer cancel()
+				fleet.checker.recordReply(request.ID, fleet.exchange(ctx, &http.Client{}, instance, customer, request))
 			})
 			time.Sleep(fatalRequestInterval)
 		}
--- a/soak/fatal_part.go
+++ b/soak/fatal_part.go
@@ -78,14 +78,11 @@
 }
 
 func (fleet *fleet) sendFatalPart(instance *instance, customer peridotpath.CustomerID, request standin.Request) {
-	fleet.checker.recordSent(sentRequest{Request: request, Customer: customer, Instance: instance, SentAt: time.Now()})
 	fleet.runInBackground(func() {
 		transport := &http.Transport{}
 		defer transport.CloseIdleConnections()
-		reply, err := standin.Send(context.Background(), &http.Client{Timeout: clientTimeout, Transport: transport}, instance.IngressAddress, request)
-		if err != nil {
-			reply = nil
-		}
-		fleet.checker.recordReply(request.ID, reply)
+		ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+		defer cancel()
+		fleet.checker.recordReply(request.ID, fleet.exchange(ctx, &http.Client{Transport: transport}, instance, customer, request))
 	})
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -50,6 +50,8 @@
 
 	mutex          sync.Mutex
 	routingVersion int
+	// routingChanges are the changes that are made to the routing now.
+	routingChanges []standin.RoutingChange
 	storeSnapshots []standin.Snapshot
 	keys           map[peridotpath.CustomerID][]peridotpath.APIKey
 	background     sync.WaitGroup
@@ -145,14 +147,10 @@
 	endpoint := &endpoint{startedAt: time.Now()}
 	endpoint.Endpoint = &standin.Endpoint{
 		ID: id, Service: service, DataCentre: dataCentre, Slots: 16,
-		OnExecution: func(execution standin.Execution) { fleet.checker.recordRun(id, execution) },
-		ShouldAbortStream: func(peridotpath.RequestID) bool {
-			endpoint.mutex.Lock()
-			defer endpoint.mutex.Unlock()
-			return endpoint.breaksStreams && rand.IntN(60) == 0
-		},
-		IsFatal:   func(execution standin.Execution) bool { return isFatal(execution.Body) },
-		Terminate: func() { fleet.crashEndpoint(ctx, endpoint) },
+		OnExecution:       func(execution standin.Execution) { fleet.checker.recordRun(id, execution) },
+		ShouldAbortStream: func(request peridotpath.RequestID) bool { return fleet.shouldAbortStream(endpoint, request) },
+		IsFatal:           func(execution standin.Execution) bool { return isFatal(execution.Body) },
+		Terminate:         func() { fleet.crashEndpoint(ctx, endpoint) },
 		OnArrival: func(arrival standin.Arrival) {
 			fleet.checker.recordArrival(endpoint, arrival, fleet.endpointsAt(arrival.Helpers))
 		},
@@ -170,6 +168,17 @@
 	return err
 }
 
+// shouldAbortStream returns whether an endpoint aborts the stream of a request now.
+func (fleet *fleet) shouldAbortStream(endpoint *endpoint, request peridotpath.RequestID) bool {
+	endpoint.mutex.Lock()
+	aborts := endpoint.breaksStreams && rand.IntN(60) == 0
+	endpoint.mutex.Unlock()
+	if aborts {
+		fleet.checker.recordAbort(request)
+	}
+	return aborts
+}
+
 // endpointsAt returns the endpoints at the addresses.
 func (fleet *fleet) endpointsAt(addresses []string) []*endpoint {
 	var found []*endpoint
@@ -239,8 +248,24 @@
 	fleet.writeRouting()
 }
 
+// changeRoutingBriefly writes the routing with a change under a new version, and takes the change
+// back after the span.
+func (fleet *fleet) changeRoutingBriefly(change standin.RoutingChange, duration time.Duration) {
+	fleet.setRoutingChanges(change)
+	time.Sleep(duration)
+	fleet.setRoutingChanges()
+}
+
+func (fleet *fleet) setRoutingChanges(changes ...standin.RoutingChange) {
+	fleet.checker.recordRoutingChanges(changes)
+	fleet.mutex.Lock()
+	fleet.routingChanges = changes
+	fleet.mutex.Unlock()
+	fleet.changeRouting()
+}
+
 func (fleet *fleet) writeRouting() {
-	fleet.store.Put(standin.RoutingKey, standin.Routing(fleet.routingVersion, engineService, plainService, fleet.keys))
+	fleet.store.Put(standin.RoutingKey, standin.Routing(fleet.routingVersion, engineService, plainService, fleet.keys, fleet.routingChanges...))
 }
 
 // revokeOldestKey revokes a customer's first key, unless it is the only one.
--- a/soak/load.go
+++ b/soak/load.go
@@ -36,13 +36,12 @@
 	fleet.probeCount.Add(1)
 	id := peridotpath.RequestID(fmt.Sprintf("probe-%d", fleet.probeCount.Load()))
 	request := standin.Request{ID: id, Key: key, Body: "of " + string(id), ClientTimeout: clientTimeout, Route: standin.RouteIdempotent}
-	fleet.checker.recordSent(sentRequest{Request: request, Customer: customer, Instance: instance, SentAt: time.Now()})
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	reply, err := standin.Send(ctx, &http.Client{Transport: transport}, instance.IngressAddress, request)
-	if err != nil {
+	reply := fleet.exchange(ctx, &http.Client{Transport: transport}, instance, customer, request)
+	if reply == nil {
 		return 0
 	}
 	return reply.Status
@@ -65,16 +64,11 @@
 		}
 	}
 	instance := fleet.instances[random.IntN(len(fleet.instances))]
-	fleet.checker.recordSent(sentRequest{Request: request, Customer: customer, Instance: instance, SentAt: time.Now()})
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout+2*time.Second)
 	defer cancel()
 	if random.IntN(30) == 0 {
 		// The client disconnects.
 		time.AfterFunc(time.Duration(random.IntN(80))*time.Millisecond, cancel)
 	}
-	reply, err := standin.Send(ctx, client, instance.IngressAddress, request)
-	if err != nil {
-		reply = nil
-	}
-	fleet.checker.recordReply(id, reply)
+	fleet.checker.recordReply(id, fleet.exchange(ctx, client, instance, customer, request))
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,17 @@
 	// disturbedUntil is when the last disturbance of the process ended, or a time in the
 	// future while a disturbance lasts.
 	disturbedUntil time.Time
+	// killedAt are the times of SIGKILL, and pauses the spans from SIGSTOP to SIGCONT.
+	killedAt []time.Time
+	pauses   []span
+}
+
+// span is a span of time. Its end is zero while it lasts.
+type span struct{ from, until time.Time }
+
+// overlaps reports whether a part of the span lies between two times.
+func (span span) overlaps(from, until time.Time) bool {
+	return !span.from.After(until) && (span.until.IsZero() || !span.until.Before(from))
 }
 
 // The ports of instances lie below the kernel's ephemeral range: an outgoing connection
@@ -110,10 +122,35 @@
 func (instance *instance) signal(signal syscall.Signal) {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
+	instance.recordSignal(signal, time.Now())
 	// The process may already have exited.
 	_ = instance.command.Process.Signal(signal)
 }
 
+// recordSignal records a signal that kills or pauses the process. A process that is stopped still
+// ends its requests. The caller holds the mutex.
+func (instance *instance) recordSignal(signal syscall.Signal, now time.Time) {
+	switch signal {
+	case syscall.SIGKILL:
+		instance.killedAt = append(instance.killedAt, now)
+	case syscall.SIGSTOP:
+		instance.pauses = append(instance.pauses, span{from: now})
+	case syscall.SIGCONT:
+		if last := len(instance.pauses) - 1; last >= 0 {
+			instance.pauses[last].until = now
+		}
+	}
+}
+
+// ranBetween reports whether the process was neither killed nor paused between two times.
+func (instance *instance) ranBetween(from, until time.Time) bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	isWithin := func(at time.Time) bool { return !at.Before(from) && !at.After(until) }
+	isPaused := func(pause span) bool { return pause.overlaps(from, until) }
+	return !slices.ContainsFunc(instance.killedAt, isWithin) && !slices.ContainsFunc(instance.pauses, isPaused)
+}
+
 // wait waits until the process has exited, and kills it after limit.
 func (instance *instance) wait(limit time.Duration) {
 	instance.mutex.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,6 +48,15 @@
 	// disturbedUntil is when the link was last disturbed; in the future while it is.
 	disturbedUntil time.Time
 	conns          map[net.Conn]bool
+	// resets are the spans in which connections are reset.
+	resets []connReset
+}
+
+// connReset is a span in which connections of a client are reset; those of all clients if source
+// is the zero address.
+type connReset struct {
+	span
+	source netip.Addr
 }
 
 // listen starts the proxy on a free port, which it reuses after stop.
@@ -65,6 +75,7 @@
 	defer proxy.mutex.Unlock()
 	listener, err := net.Listen("tcp", proxy.address.String())
 	proxy.listener = listener
+	proxy.recordReset(netip.Addr{}, proxy.link)
 	return err
 }
 
@@ -74,6 +85,7 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.listener.Close()
+	proxy.recordReset(netip.Addr{}, linkReset)
 	for conn := range proxy.conns {
 		reset(conn)
 	}
@@ -109,6 +121,7 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.link, proxy.disturbedUntil = link, time.Now()
+	proxy.recordReset(netip.Addr{}, link)
 	if link != linkHealthy {
 		proxy.disturbedUntil = time.Now().Add(time.Hour)
 	}
@@ -119,6 +132,31 @@
 	}
 }
 
+// recordReset records whether connections of a client are reset from now on. The caller holds the
+// mutex.
+func (proxy *proxy) recordReset(source netip.Addr, state link) {
+	now := time.Now()
+	for i := range proxy.resets {
+		if reset := &proxy.resets[i]; reset.source == source && reset.until.IsZero() {
+			reset.until = now
+		}
+	}
+	if state == linkReset || state == linkNewReset {
+		proxy.resets = append(proxy.resets, connReset{span: span{from: now}, source: source})
+	}
+}
+
+// wasResetBetween reports whether connections of a client, or of any if source is the zero
+// address, were reset between two times.
+func (proxy *proxy) wasResetBetween(source netip.Addr, from, until time.Time) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return slices.ContainsFunc(proxy.resets, func(reset connReset) bool {
+		concerns := !source.IsValid() || !reset.source.IsValid() || reset.source == source
+		return concerns && reset.overlaps(from, until)
+	})
+}
+
 // hasSettledSince reports whether the link has been undisturbed since the time.
 func (proxy *proxy) hasSettledSince(since time.Time) bool {
 	proxy.mutex.Lock()
@@ -134,6 +172,7 @@
 		proxy.sourceLinks = map[netip.Addr]link{}
 	}
 	proxy.sourceLinks[source] = state
+	proxy.recordReset(source, state)
 	if state != linkReset {
 		return
 	}
--- a/soak/scarcity.go
+++ b/soak/scarcity.go
@@ -103,12 +103,7 @@
 			ID: id, Key: customerKey(customer, keysPerCustomer), Body: "of " + string(id), ClientTimeout: clientTimeout,
 			Route: standin.RouteStream, PromptTokens: 1000, Parts: soundParts(id),
 		}
-		instance := fleet.instances[number]
-		fleet.checker.recordSent(sentRequest{Request: request, Customer: customer, Instance: instance, SentAt: time.Now()})
-		reply, err := standin.Send(ctx, client, instance.IngressAddress, request)
-		if err != nil {
-			reply = nil
-		}
+		reply := fleet.exchange(ctx, client, fleet.instances[number], customer, request)
 		if ctx.Err() != nil {
 			return
 		}
--- a/soak/steady_load.go
+++ b/soak/steady_load.go
@@ -69,13 +69,9 @@
 		request.Parts = soundParts(id)
 	}
 	instance, sentAt := fleet.instances[number], time.Now()
-	fleet.checker.recordSent(sentRequest{Request: request, Customer: customers[0], Instance: instance, SentAt: sentAt})
 	ctx, cancel := context.WithTimeout(context.Background(), steadyTimeout)
 	defer cancel()
-	reply, err := standin.Send(ctx, client, instance.IngressAddress, request)
-	if err != nil {
-		reply = nil
-	}
+	reply := fleet.exchange(ctx, client, instance, customers[0], request)
 	fleet.checker.recordReply(id, reply)
 	result := try{id: id, instance: number, sentAt: sentAt}
 	if reply != nil {
