soak: endpoints fall silent and go on, beside versions, reloads and other faults

No fault of the soak made a sound endpoint answer nothing for a while and go on, so no run met requests that an instance ends for its endpoint's silence.

--- a/soak/ending.go
+++ b/soak/ending.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	// endSlack is how long before its time is up an instance may end a request, and
-	// lateEndSlack how long after it.
-	endSlack     = 250 * time.Millisecond
-	lateEndSlack = 1500 * time.Millisecond
+	// endSlack is how long before its time is up an instance may end a request.
+	endSlack = 100 * time.Millisecond
+	// lateEndSlack is how long after its time is up a request must have an end, and
+	// shortTimeoutSlack the same after a short timeout, so that one that ends later cannot be
+	// excused by it.
+	lateEndSlack      = 1500 * time.Millisecond
+	shortTimeoutSlack = 600 * time.Millisecond
 	// killSlack is how long a process that is killed may take to end. A request can still be
 	// written to a kept connection of it.
 	killSlack = schedulingSlack
@@ -113,7 +116,7 @@
 		return false
 	}
 	checker := fleet.checker
-	if ending.took() >= checker.timeLimit(ending)-endSlack || checker.aborted[ending.ID] {
+	if checker.aborted[ending.ID] || ending.took() >= ending.ClientTimeout-endSlack || checker.hadShortTimeout(ending) {
 		return true
 	}
 	hasBroken := func(arrival requestArrival) bool {
@@ -128,18 +131,18 @@
 	})
 }
 
-// timeLimit returns how long a request may take. The caller holds the mutex.
-func (checker *checker) timeLimit(ending ending) time.Duration {
-	isShort := func(short span) bool {
+// hadShortTimeout reports whether a request ended when a short timeout was up that its route may
+// have had. The caller holds the mutex.
+func (checker *checker) hadShortTimeout(ending ending) bool {
+	if ending.took() < standin.ShortTimeout-endSlack || ending.took() > standin.ShortTimeout+shortTimeoutSlack {
+		return false
+	}
+	return slices.ContainsFunc(checker.shortTimeouts, func(short span) bool {
 		if !short.until.IsZero() {
 			short.until = short.until.Add(standin.MaxPropagationDelay)
 		}
 		return short.overlaps(ending.SentAt, ending.SentAt)
-	}
-	if slices.ContainsFunc(checker.shortTimeouts, isShort) {
-		return min(ending.ClientTimeout, standin.ShortTimeout)
-	}
-	return ending.ClientTimeout
+	})
 }
 
 // describeArrivals names the endpoints that a request reached. The caller holds the mutex.
--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -79,6 +79,13 @@
 			fixture.ending.Instance.recordSignal(syscall.SIGSTOP, fixture.ending.SentAt.Add(-2*time.Second))
 			fixture.ending.Instance.recordSignal(syscall.SIGCONT, fixture.ending.SentAt.Add(-time.Second))
 		}},
+		{"later than short timeouts", lateGateway, true, func(fixture *endingFixture) {
+			fixture.fleet.checker.shortTimeouts = []span{{from: fixture.ending.SentAt}}
+			fixture.ending.endedAt = fixture.ending.SentAt.Add(2 * standin.ShortTimeout)
+		}},
+		{"sooner than short timeouts", lateGateway, true, func(fixture *endingFixture) {
+			fixture.fleet.checker.shortTimeouts = []span{{from: fixture.ending.SentAt}}
+		}},
 		{"no end", nil, true, func(fixture *endingFixture) {
 			fixture.ending.clientErr = context.DeadlineExceeded
 			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout + 2*time.Second)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -178,6 +178,8 @@
 		return "drain"
 	case "cut_off_again_and_again":
 		return "cut_off"
+	case "silence_beside_versions", "silence_beside_reloads", "silence_beside_changes":
+		return "silence"
 	}
 	return name
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -1,6 +1,6 @@
 // Command soak is a fault-injection (chaos) test. It runs real peridotd processes under
 // load on this machine, injects faults from outside - signals, network faults, store
-// outages and restores, crashing and rate-limited endpoints - in an order that a seed
+// outages and restores, crashing, rate-limited and silent endpoints - in an order that a seed
 // decides, and checks the replies to clients and the requests at endpoints against the
 // guarantees: no lost, duplicated or altered answers, and bounded propagation of changes.
 package main
@@ -25,7 +25,7 @@
 	"peridotpath.example/peridotpath/logline"
 )
 
-const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-back] [-announce=false] [-drain=false] [-cut=false] [-parts=false] [-scarce=false] [-folder DIR]
+const usage = `soak -peridotd FILE [-seed N | -seeds N,N,...] [-runs N] [-for 20s] [-back] [-announce=false] [-drain=false] [-cut=false] [-parts=false] [-scarce=false] [-silent=false] [-folder DIR]
   Each run has a seed, which decides what is disturbed and when; how the
   processes take turns is no part of it. With -back the store comes back from older
   copies, too. Prints each run's seed and what was
@@ -46,6 +46,7 @@
 	cut := flag.Bool("cut", true, "cuts instances off from all endpoints; false plays older seeds as they were")
 	parts := flag.Bool("parts", true, "sends prompts with a part that crashes endpoints; false plays older seeds as they were")
 	scarce := flag.Bool("scarce", true, "lets one customer flood an instance and engines become slow; false plays older seeds as they were")
+	silent := flag.Bool("silent", true, "lets endpoints be silent for a while and go on; false plays older seeds as they were")
 	back := flag.Bool("back", false, "lets the store come back from older copies")
 	folder := flag.String("folder", "", "where logs go; else a new temporary folder")
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
@@ -64,7 +65,7 @@
 	defer stop()
 	failed := 0
 	for _, seed := range list {
-		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back, announces: *announce, drains: *drain, cutsOff: *cut, fatalParts: *parts, isScarce: *scarce}, os.Stdout)
+		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back, announces: *announce, drains: *drain, cutsOff: *cut, fatalParts: *parts, isScarce: *scarce, silences: *silent}, os.Stdout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
@@ -130,6 +131,8 @@
 	fatalParts bool
 	// isScarce adds floods of one customer and slow engines to the faults.
 	isScarce bool
+	// silences adds endpoints that are silent for a while and go on to the faults.
+	silences bool
 }
 
 // soak makes one run and returns the violations that it found.
@@ -186,6 +189,9 @@
 	if options.isScarce {
 		faultKinds = append(slices.Clone(faultKinds), scarcityFaults...)
 	}
+	if options.silences {
+		faultKinds = append(slices.Clone(faultKinds), silenceFaults...)
+	}
 	fleet.injectFaults(faultCtx, faultKinds, random, func(name string) { faultNames = append(faultNames, name) })
 	stopFaults()
 	if signalCtx.Err() != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,10 @@
 // cutOffSeeds are those of runs in which instances are cut off from all endpoints.
 var cutOffSeeds = []uint64{46, 47}
 
+// silentSeeds are those of runs in which endpoints are silent for a while and go on: the first
+// beside new versions of the routing, the second beside reloads.
+var silentSeeds = []uint64{566, 672}
+
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
 	binary := buildPeridotd(t)
@@ -67,6 +71,9 @@
 	for _, seed := range cutOffSeeds {
 		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true, cutsOff: true})
 	}
+	for _, seed := range silentSeeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true, cutsOff: true, silences: true})
+	}
 }
 
 // buildPeridotd builds the program under test and returns its path.
