relay, failover: an attempt in doubt goes on until another one has delivered

What callers saw: a stream broken off, or 502, though their endpoint was only silent for a second or two and went on.

Cause: the time-out of the next event, unanswered liveness probes and the verdict on the own links each cancelled the running attempt. Whether another one is possible was asked afterwards, by the number of attempts, the retry budget, quarantine and placement, each of which may refuse, and mostly does where much is silent at once.

Change: package failover decides, without input or output, when an attempt in doubt is joined by another one, and when it must be ended: if nothing of it was sent, or if its engine answers no probes and memory of other engines is reserved for it. All attempts at a request are one race in package relay, that of plain calls to a second endpoint included; whoever delivers the next event or a whole answer wins, and only then the others are ended. Another attempt first gets all that it needs: quarantine, key, links, a plan, a retry of the budget.

Why it works: nothing that may still answer is ended before another has answered.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -3,25 +3,24 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
 const (
-	// firstEventStallFactor bounds the wait for the first event as a multiple of the
-	// predicted time, nextEventStallFactor that for each further one as a multiple of the
-	// route's ITL target (inter-token latency).
+	// From firstEventStallFactor times the predicted time on, the first event is overdue, and
+	// from nextEventStallFactor times the route's ITL target (inter-token latency) on each
+	// further one.
 	firstEventStallFactor = 3
 	nextEventStallFactor  = 3
 	// stallMargin is added to Relay.EngineStallTime, for which every engine stalls that
-	// shares a prompt with an unreachable one. A shorter timeout would cancel all requests
-	// at these engines and prefill them again elsewhere. Client timeouts of two seconds
+	// shares a prompt with an unreachable one. With a shorter timeout, all requests at these
+	// engines would be prefilled again elsewhere. Client timeouts of two seconds
 	// expire half a second after such a stall ends.
 	stallMargin = 200 * time.Millisecond
 )
@@ -32,69 +31,22 @@
 	errKeysExpired    = errors.New("API keys expired: the routing was not confirmed within the key lifetime")
 )
 
-// attempt sends the request to the planned endpoints and relays the answer.
+// attempt sends the request to the planned endpoints, and to others beside them while these are in
+// doubt, and relays the first answer.
 func (exchange *exchange) attempt(ctx context.Context) (outcome, error) {
-	relay, requestCtx := exchange.relay, ctx
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	ctx, exchange.link = outbound.WithRoute(ctx)
-	now := time.Now()
-	defer relay.LoadTracker.RemoveInFlight(exchange.inFlight)
 	defer func() { exchange.recordUse(time.Now()) }()
+	race := newRace(ctx, exchange)
+	defer race.close()
+	first := race.add()
 	// The process may have been suspended for longer than the keys' lifetime since the key
 	// was checked.
-	if exchange.customer != "" && !relay.Routing.KeysUsable() {
+	if exchange.customer != "" && !exchange.relay.Routing.KeysUsable() {
 		return outcomeUnsent, errKeysExpired
 	}
-	exchange.sentAt, exchange.decodingSince, exchange.survivalRecorded = now, time.Time{}, false
-	exchange.sent.Store(false)
-	exchange.answered.Store(false)
-	defer exchange.watchLink(cancel)()
-	reservations, err := exchange.reserveMemory(ctx)
-	if err != nil {
-		return outcomeNoMemory, err
-	}
-	defer relay.Reservations.ReleaseAsync(reservations)
-	if !exchange.planTakesRequests(time.Now()) || len(reservations) > 0 && exchange.checkQuarantine() != nil {
-		return outcomeWithdrawn, nil
-	}
-	watch := exchange.watchStall(cancel)
-	defer watch.Stop()
-	if overdueTimer := exchange.watchFirstEvent(); overdueTimer != nil {
-		defer overdueTimer.Stop()
-	}
-	if exchange.canFailOver() || len(reservations) > 0 {
-		probe := exchange.startLivenessProbe(ctx, cancel)
-		defer probe.Close()
-		watch.probe = probe
-	}
-	exchange.sent.Store(true)
-	exchange.logSendsDespiteAnnouncement(time.Now())
-	call := exchange.newCall(now, reservations)
-	if exchange.mayUseSecondEndpoint() {
-		return exchange.attemptWithSecond(requestCtx, ctx, cancel, call)
-	}
-	answer, err := relay.Send(ctx, call)
-	if err != nil {
-		if outbound.ErrNotSent.Has(err) {
-			return outcomeUnsent, err
-		}
-		return connectionOutcome(ctx), errors.Join(err, context.Cause(ctx))
-	}
-	defer answer.Body.Close()
-	exchange.answered.Store(true)
-	if outcome, err := exchange.checkAnswer(answer); outcome != outcomeDone {
+	if outcome, err := race.begin(first, exchange.reserveMemory(first)); outcome != outcomeDone {
 		return outcome, err
 	}
-	if exchange.route.Streaming && answer.Status == http.StatusOK {
-		return exchange.relayStream(ctx, answer, watch)
-	}
-	held, outcome, err := relay.AnswerMemory.readWhole(ctx, answer)
-	defer held.Release()
-	if outcome != outcomeDone {
-		return outcome, err
-	}
-	return exchange.relayWhole(answer, held.body), nil
+	return race.run()
 }
 
 // checkAnswer records what the head of an answer announces. It returns outcomeDone if the answer
@@ -123,17 +75,26 @@
 	return outcomeBroken
 }
 
-// reserveMemory reserves the KV cache that the plan needs on engines other than the primary.
-func (exchange *exchange) reserveMemory(ctx context.Context) ([]*reservation.Reservation, error) {
-	if len(exchange.plan.HelperReservations) == 0 {
-		return nil, nil
+// reservedMemory is the KV cache that was reserved for an attempt on engines other than its
+// primary, or why it was not.
+type reservedMemory struct {
+	contender    *contender
+	reservations []*reservation.Reservation
+	err          error
+}
+
+// reserveMemory reserves the KV cache that the attempt needs on engines other than the primary.
+func (exchange *exchange) reserveMemory(contender *contender) reservedMemory {
+	reserved := reservedMemory{contender: contender}
+	if len(contender.plan.HelperReservations) == 0 {
+		return reserved
 	}
-	reservations, err := exchange.relay.Reservations.Acquire(ctx, exchange.plan.HelperReservations)
+	reserved.reservations, reserved.err = exchange.relay.Reservations.Acquire(contender.ctx, contender.plan.HelperReservations)
 	var reserveError *reservation.ReserveError
-	if errors.As(err, &reserveError) {
+	if errors.As(reserved.err, &reserveError) {
 		exchange.relay.LoadTracker.EjectFull(reserveError.Endpoint, time.Now())
 	}
-	return reservations, err
+	return reserved
 }
 
 func (exchange *exchange) newCall(now time.Time, reservations []*reservation.Reservation) *Call {
@@ -174,25 +135,11 @@
 	return min(max(base+rank-neutralRank, 0), lowestPriority)
 }
 
-// stallWatch cancels an attempt whose events stop arriving.
-type stallWatch struct {
-	timer            *time.Timer
-	nextEventTimeout time.Duration
-	// probe records events as proof of liveness; nil if the attempt has no probe.
-	probe *livenessProbe
-}
-
-// watchStall returns a watch that cancels a stalled stream if it can fail over to
-// another endpoint. A request that must not be repeated is never cancelled, since its
-// answer may still arrive.
-func (exchange *exchange) watchStall(cancel context.CancelCauseFunc) *stallWatch {
-	if !exchange.canFailOver() {
-		return &stallWatch{}
-	}
+// eventTimeouts returns the times after which the first event of an attempt and each further one
+// are overdue.
+func (exchange *exchange) eventTimeouts(plan *placement.Plan) (first, next time.Duration) {
 	stall := exchange.relay.EngineStallTime + stallMargin
-	firstEventTimeout := firstEventStallFactor*exchange.plan.TimeToFirstEvent + stall
-	nextEventTimeout := max(stall, nextEventStallFactor*exchange.route.ITLTarget)
-	return &stallWatch{timer: time.AfterFunc(firstEventTimeout, func() { cancel(errStalled) }), nextEventTimeout: nextEventTimeout}
+	return firstEventStallFactor*plan.TimeToFirstEvent + stall, max(stall, nextEventStallFactor*exchange.route.ITLTarget)
 }
 
 const (
@@ -203,75 +150,18 @@
 )
 
 // watchFirstEvent calls Relay.OnOverdueFirstEvent with the attempt's engines when the
-// first event is overdue.
-func (exchange *exchange) watchFirstEvent() *time.Timer {
+// first event is overdue. It returns a function that ends the watch.
+func (exchange *exchange) watchFirstEvent(state *attemptState) (stop func() bool) {
 	if exchange.relay.OnOverdueFirstEvent == nil || exchange.spec.Engine == nil {
-		return nil
+		return func() bool { return false }
 	}
-	plan, inFlight := exchange.plan, exchange.inFlight
+	plan, inFlight := state.plan, state.inFlight
 	overdueAfter := time.Duration(overdueFactor*float64(plan.TimeToFirstEvent)) + overdueMargin
 	return time.AfterFunc(overdueAfter, func() {
 		if exchange.relay.LoadTracker.AwaitsFirstEvent(inFlight) {
 			exchange.relay.OnOverdueFirstEvent(append([]*peridotpath.Endpoint{plan.Primary}, plan.Helpers...)...)
 		}
-	})
-}
-
-// canFailOver reports whether a stalled stream may be cancelled and continued on
-// another endpoint.
-func (exchange *exchange) canFailOver() bool {
-	return exchange.route.Streaming && exchange.canRepeat()
-}
-
-func (watch *stallWatch) recordEvent() {
-	if watch.probe != nil {
-		watch.probe.recordEvent()
-	}
-	if watch.timer != nil && watch.timer.Stop() {
-		watch.timer.Reset(watch.nextEventTimeout)
-	}
-}
-
-// Stop ends the watch.
-func (watch *stallWatch) Stop() {
-	if watch.timer != nil {
-		watch.timer.Stop()
-	}
-}
-
-// relayStream relays whole events as they arrive. If the connection fails within an event,
-// its partial data is dropped, so that the stream can resume on another endpoint.
-func (exchange *exchange) relayStream(ctx context.Context, answer *Answer, watch *stallWatch) (outcome, error) {
-	events := newEventReader(answer.Body)
-	received := 0
-	for {
-		raw, id, err := events.next()
-		if errors.Is(err, io.EOF) && received > 0 {
-			exchange.beginStream(answer)
-			exchange.recordBegun()
-			exchange.caller.End()
-			exchange.relay.LoadTracker.ClearEjection(exchange.plan.Primary.Key())
-			return outcomeDone, nil
-		}
-		if err != nil {
-			return connectionOutcome(ctx), errors.Join(err, context.Cause(ctx))
-		}
-		watch.recordEvent()
-		if received == 0 {
-			exchange.recordFirstEvent()
-			exchange.relay.LoadTracker.MarkDecoding(exchange.inFlight)
-		}
-		received++
-		exchange.beginStream(answer)
-		if err := exchange.caller.Event(raw); err != nil {
-			return outcomeFailed, err
-		}
-		exchange.recordEvent(time.Now())
-		exchange.recordProgress()
-		if id != "" {
-			exchange.lastEventID = id
-		}
-	}
+	}).Stop
 }
 
 func (exchange *exchange) beginStream(answer *Answer) {
@@ -301,8 +191,12 @@
 	exchange.relay.LoadTracker.ObserveFirstEvent(exchange.plan.Primary.Key(), exchange.plan.TimeToFirstEvent, time.Since(exchange.sentAt))
 }
 
-// relayWhole sends the caller a complete answer, or keeps one that reports an endpoint's error.
+// relayWhole sends the caller a complete answer, or keeps one that reports an endpoint's error. It
+// is no answer to a stream that has begun.
 func (exchange *exchange) relayWhole(answer *Answer, body []byte) outcome {
+	if exchange.streamBegun {
+		return outcomeErrored
+	}
 	if answer.Status >= http.StatusInternalServerError {
 		exchange.lastFailure = &failedAnswer{answer: answer, body: body}
 		return outcomeErrored
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"peridotpath.example/peridotpath"
@@ -43,17 +42,21 @@
 	// trialWaitSince is when the request first waited for a quarantine trial. All of its
 	// attempts together wait for at most maxTrialWait.
 	trialWaitSince time.Time
-	// decodingSince is when the attempt's first event arrived; zero before it.
-	decodingSince time.Time
 	// hasBegun reports that an endpoint has begun to answer the request in one of its attempts
 	// and did not crash at once.
 	hasBegun bool
-	// survivalRecorded reports that the attempt was recorded as one that did not crash
-	// its endpoint.
-	survivalRecorded bool
 
 	fairShareState
 
+	// attemptState is that of the current attempt, the one that is recorded and logged.
+	*attemptState
+	timeToFirstEvent time.Duration
+	// skipped is why the last placement skipped endpoints.
+	skipped skippedEndpoints
+}
+
+// attemptState is what is recorded of one attempt.
+type attemptState struct {
 	plan     placement.Plan
 	inFlight placement.InFlightNumber
 	// placedAt is when the plan was made.
@@ -61,12 +64,11 @@
 	sentAt   time.Time
 	// link is the way that the connection of the attempt takes.
 	link *outbound.Route
-	// sent reports that the attempt has begun to send the request, answered that it has received
-	// the head of an answer.
-	sent, answered   atomic.Bool
-	timeToFirstEvent time.Duration
-	// skipped is why the last placement skipped endpoints.
-	skipped skippedEndpoints
+	// decodingSince is when the attempt's first event arrived; zero before it.
+	decodingSince time.Time
+	// survivalRecorded reports that the attempt was recorded as one that did not crash
+	// its endpoint.
+	survivalRecorded bool
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
@@ -129,7 +131,6 @@
 		}
 		exchange.attemptCount++
 		outcome, err := exchange.attempt(ctx)
-		exchange.releaseShortSlot(time.Now())
 		if outcome == outcomeDone {
 			exchange.recordSurvival()
 			exchange.recordResult(peridotpath.CodeOK)
@@ -216,8 +217,9 @@
 	if !exchange.takeRateLimits(&plan, now) {
 		return false
 	}
-	exchange.plan, exchange.placedAt = plan, now
+	exchange.attemptState = &attemptState{plan: plan, placedAt: now}
 	exchange.inFlight = exchange.relay.LoadTracker.AddInFlight(plan.InFlight(exchange.placementWork(now), now))
+	exchange.recordUse(now)
 	exchange.recordDispatch(now)
 	return true
 }
--- a/peridotpath/relay/link.go
+++ b/peridotpath/relay/link.go
@@ -1,47 +1,47 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/failover"
 )
 
 var errLinkStalled = errors.New("this instance's links to the endpoints carry nothing")
 
-// watchLink ends what the attempt waits for when the own links carry nothing any more. It returns
-// a function that ends the watch.
+// watchLink suspects the contender when the own links carry nothing any more. It returns a function
+// that ends the watch.
 //
 // An attempt that stays on such a link holds a place at its endpoint, as far as all instances
 // know. With a few dozen of them, endpoints that are idle look full, and the requests of
 // every instance are refused. An attempt that still reserves memory over such a link would wait
-// for the timeout of that call, and is made again at once.
-func (exchange *exchange) watchLink(cancel context.CancelCauseFunc) (stop func()) {
-	notifyStalled := exchange.relay.NotifyStalled
+// for the timeout of that call; it is ended here, since the goroutine of the exchange waits for it.
+func (race *race) watchLink(contender *contender) (stop func()) {
+	notifyStalled := race.exchange.relay.NotifyStalled
 	if notifyStalled == nil {
 		return func() {}
 	}
-	link, inFlight, loads := exchange.link, exchange.inFlight, exchange.relay.LoadTracker
-	isRepeatable := exchange.canRepeat()
+	loads := race.exchange.relay.LoadTracker
 	return notifyStalled(func() {
-		if _, isCarried := link.Peer(); isCarried {
+		if _, isCarried := contender.link.Peer(); isCarried {
 			return
 		}
-		loads.RemoveInFlight(inFlight)
-		switch {
-		case !exchange.sent.Load():
-			cancel(errLinkStalled)
-		case isRepeatable && (exchange.route.Streaming || !exchange.answered.Load()):
-			cancel(errLinkStalled)
+		loads.RemoveInFlight(contender.inFlight)
+		if (failover.Attempt{Doubt: failover.DoubtLinkLost, WasSent: contender.sent.Load()}).MustEnd() {
+			contender.cancel(errLinkStalled)
+			return
 		}
+		race.reportSuspicion(contender, failover.DoubtLinkLost, errLinkStalled)
 	})
 }
 
-// canRepeat reports whether the attempt may be cancelled and made again elsewhere. A request that
-// must not be repeated is never cancelled, since its answer may still arrive.
-func (exchange *exchange) canRepeat() bool {
-	return exchange.route.Repeatable() && exchange.sentCount+1 < exchange.route.MaxAttempts
+// reportSuspicion reports a doubt from another goroutine. It does not block.
+func (race *race) reportSuspicion(contender *contender, doubt failover.Doubt, err error) {
+	select {
+	case race.doubts <- suspicion{contender, doubt, err}:
+	default:
+	}
 }
 
 // ejectFailed ejects an endpoint after a failure, unless this instance was cut off from all
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
+	"peridotpath.example/peridotpath/failover"
 )
 
 // A machine that loses power closes no connection. Without liveness probes, a request to
@@ -22,8 +22,8 @@
 	// probeTimeout bounds one probe, in time that this process runs. Engines answer probes
 	// within milliseconds, also while they run requests.
 	probeTimeout = 400 * time.Millisecond
-	// maxFailedProbes is the number of consecutive failed probes that cancels the attempt,
-	// since a single one may be lost on the network. Two probes with their timeouts end
+	// maxFailedProbes is the number of consecutive failed probes after which the engine is
+	// unresponsive, since a single one may be lost on the network. Two probes with their timeouts end
 	// before the deadline by which engines must get back the KV cache of a request that
 	// no longer runs.
 	maxFailedProbes = 2
@@ -38,28 +38,32 @@
 	stop      context.CancelFunc
 }
 
-// startLivenessProbe starts probes that cancel the attempt when the engine stops answering
-// them. A slow engine answers its probes and keeps the request.
-func (exchange *exchange) startLivenessProbe(ctx context.Context, cancel context.CancelCauseFunc) *livenessProbe {
-	ctx, stop := context.WithCancel(ctx)
+// startLivenessProbe starts probes that suspect the contender when its engine stops answering them.
+// A slow engine answers its probes and keeps the request.
+func (race *race) startLivenessProbe(contender *contender) *livenessProbe {
+	ctx, stop := context.WithCancel(contender.ctx)
 	probe := &livenessProbe{done: make(chan struct{}), stop: stop}
+	check := func(ctx context.Context) error { return race.exchange.relay.checkLiveness(ctx, contender.attemptState) }
 	go func() {
 		defer close(probe.done)
-		probe.run(ctx, exchange.checkLiveness, exchange.plan.Primary, cancel)
+		if err := probe.run(ctx, check); err != nil {
+			race.reportSuspicion(contender, failover.DoubtUnresponsive, err)
+		}
 	}()
 	return probe
 }
 
 // checkLiveness probes the engine over the link that the attempt uses: where another one works,
 // the answer would still never arrive.
-func (exchange *exchange) checkLiveness(ctx context.Context, endpoint *peridotpath.Endpoint) error {
-	if _, isCarried := exchange.link.Peer(); !isCarried && exchange.relay.CheckDirectly != nil {
-		return exchange.relay.CheckDirectly(ctx, endpoint)
+func (relay *Relay) checkLiveness(ctx context.Context, attempt *attemptState) error {
+	if _, isCarried := attempt.link.Peer(); !isCarried && relay.CheckDirectly != nil {
+		return relay.CheckDirectly(ctx, attempt.plan.Primary)
 	}
-	return exchange.relay.Check(ctx, endpoint)
+	return relay.Check(ctx, attempt.plan.Primary)
 }
 
-func (probe *livenessProbe) run(ctx context.Context, check Checker, endpoint *peridotpath.Endpoint, cancel context.CancelCauseFunc) {
+// run probes until ctx ends, and then returns nil, or until the engine is unresponsive.
+func (probe *livenessProbe) run(ctx context.Context, check func(context.Context) error) error {
 	failed := 0
 	for clock.SleepContext(ctx, probeInterval) {
 		if probe.eventSeen.Swap(false) {
@@ -67,17 +71,17 @@
 			continue
 		}
 		probeCtx, stop := clock.WithRunningTimeout(ctx, probeTimeout)
-		err := check(probeCtx, endpoint)
+		err := check(probeCtx)
 		stop()
 		if err == nil {
 			failed = 0
 			continue
 		}
 		if failed++; failed >= maxFailedProbes {
-			cancel(errors.Join(errUnresponsive, err))
-			return
+			return errors.Join(errUnresponsive, err)
 		}
 	}
+	return nil
 }
 
 // recordEvent records an event of the engine, which replaces the next probe.
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/telemetry"
 )
@@ -55,7 +56,7 @@
 func (exchange *exchange) recordFailure(ctx context.Context, outcome outcome, err error) {
 	telemetry.CountFailedAttempt(outcome.String())
 	failedAt, givenUp := time.Now(), doubtOf(err)
-	if givenUp != doubtNone {
+	if givenUp != failover.DoubtNone {
 		telemetry.CountAttemptGivenUp(givenUp.String())
 	}
 	crashed := outcome == outcomeBroken && exchange.relay.hasCrashed(ctx, exchange.plan.Primary)
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -128,7 +128,7 @@
 	if route == nil {
 		return nil, relay.unknownRefusal(peridotpath.CodeNotFound)
 	}
-	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, priority: route.Priority}
+	exchange := &exchange{relay: relay, request: request, caller: caller, route: route, priority: route.Priority, attemptState: &attemptState{}}
 	exchange.lastEventID = request.LastEventID
 	if table.NeedsKey(route) {
 		holder, found := table.KeyHolder(request.Key)
--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -1,17 +1,14 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"peridotpath.example/peridotpath"
-	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/placement"
-	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -62,52 +59,6 @@
 	})
 }
 
-// contender is one of the attempts of a plain call.
-type contender struct {
-	call     *Call
-	plan     placement.Plan
-	inFlight placement.InFlightNumber
-	placedAt time.Time
-	sentAt   time.Time
-	link     *outbound.Route
-	cancel   context.CancelCauseFunc
-	// answered reports that the head of an answer has arrived.
-	answered *atomic.Bool
-	failed   bool
-	// secondRefused reports that the retry budget had no retry left for a second attempt.
-	secondRefused bool
-}
-
-// contenderResult is how a contender ended. held is complete if outcome is outcomeDone, and nil
-// where nothing was read; the receiver releases it.
-type contenderResult struct {
-	contender *contender
-	answer    *Answer
-	held      *heldAnswer
-	outcome   outcome
-	err       error
-}
-
-// run sends the call and reads the whole answer. It reports once and uses no state of the
-// exchange.
-func (contender *contender) run(ctx context.Context, relay *Relay, results chan<- contenderResult) {
-	result := contenderResult{contender: contender}
-	defer func() { results <- result }()
-	answer, err := relay.Send(ctx, contender.call)
-	if err != nil {
-		if result.outcome, result.err = outcomeUnsent, err; !outbound.ErrNotSent.Has(err) {
-			result.outcome, result.err = connectionOutcome(ctx), errors.Join(err, context.Cause(ctx))
-		}
-		return
-	}
-	defer answer.Body.Close()
-	contender.answered.Store(true)
-	result.answer = answer
-	if answer.isFromEndpoint() && !answer.NotRun {
-		result.held, result.outcome, result.err = relay.AnswerMemory.readWhole(ctx, answer)
-	}
-}
-
 // mayUseSecondEndpoint reports whether the attempt may be joined by one at a second endpoint:
 // the request is an idempotent call, not a stream, to a service without engines.
 func (exchange *exchange) mayUseSecondEndpoint() bool {
@@ -115,104 +66,29 @@
 		exchange.route.TTFTTarget > 0 && exchange.sentCount+1 < exchange.route.MaxAttempts
 }
 
-// attemptWithSecond sends a plain call to the planned endpoint, and to a second one if the first
-// does not begin its answer by the target. The first success is relayed and the other attempt is
-// cancelled, which closes its connection. A failure is returned when no attempt is left. firstCtx
-// is the context of the first attempt, which cancel ends, and ctx that of the request.
-func (exchange *exchange) attemptWithSecond(ctx, firstCtx context.Context, cancel context.CancelCauseFunc, call *Call) (outcome, error) {
-	first, second := exchange.asContender(call, cancel, &exchange.answered), (*contender)(nil)
-	// Each contender reports once, so that none waits for this goroutine.
-	results := make(chan contenderResult, 2)
-	running := 1
-	defer func() {
-		for ; running > 0; running-- {
-			result := <-results
-			result.held.Release()
-		}
-	}()
-	go first.run(firstCtx, exchange.relay, results)
-	timer := time.NewTimer(exchange.nextSecondCheck(first))
-	defer timer.Stop()
-	for {
-		select {
-		case result := <-results:
-			running--
-			exchange.setCurrentAttempt(result.contender)
-			other := first
-			if result.contender == first {
-				other = second
-			}
-			outcome, err := exchange.finishContender(&result, other)
-			result.held.Release()
-			switch {
-			case outcome == outcomeDone, running == 0:
-				if second != nil {
-					exchange.recordSecondAttempt(first, second, outcome, result.contender)
-				}
-				return outcome, err
-			}
-			result.contender.failed = true
-			exchange.recordFailure(ctx, outcome, err)
-			exchange.relay.LoadTracker.RemoveInFlight(result.contender.inFlight)
-			exchange.setCurrentAttempt(other)
-		case <-timer.C:
-			if state := exchange.secondAttemptState(first); state.isDue() && ctx.Err() == nil {
-				var stop func()
-				if second, stop = exchange.startSecond(ctx, first, results); second != nil {
-					defer stop()
-					running++
-					continue
-				}
-			}
-			if !first.secondRefused {
-				timer.Reset(exchange.nextSecondCheck(first))
-			}
-		}
-	}
-}
-
-// asContender returns the attempt that the exchange has planned.
-func (exchange *exchange) asContender(call *Call, cancel context.CancelCauseFunc, answered *atomic.Bool) *contender {
-	return &contender{
-		call: call, plan: exchange.plan, inFlight: exchange.inFlight, placedAt: exchange.placedAt, sentAt: exchange.sentAt,
-		link: exchange.link, cancel: cancel, answered: answered,
-	}
-}
-
-// setCurrentAttempt makes the contender the attempt that the exchange records and logs.
-func (exchange *exchange) setCurrentAttempt(contender *contender) {
-	exchange.plan, exchange.inFlight, exchange.placedAt = contender.plan, contender.inFlight, contender.placedAt
-	exchange.sentAt, exchange.link = contender.sentAt, contender.link
-}
+// statusFirstFailure is the lowest status of an answer that reports an endpoint's error.
+const statusFirstFailure = 500
 
-// finishContender records what a contender received, and relays it if it is a success. The other
-// contender, nil for none, is cancelled before that.
-func (exchange *exchange) finishContender(result *contenderResult, other *contender) (outcome, error) {
-	if result.answer == nil {
-		return result.outcome, result.err
-	}
-	if outcome, err := exchange.checkAnswer(result.answer); outcome != outcomeDone {
-		return outcome, err
-	}
-	if result.outcome != outcomeDone {
-		return result.outcome, result.err
+// checkLate suspects the first contender when a second endpoint is due.
+func (race *race) checkLate(now time.Time) {
+	if !race.mayJoinLate() {
+		return
 	}
-	if other != nil && result.answer.Status < statusFirstFailure {
-		other.cancel(errOtherAnswered)
-		exchange.relay.LoadTracker.RemoveInFlight(other.inFlight)
+	if state := race.exchange.secondAttemptState(race.first, now); state.isDue() {
+		race.first.suspect(failover.DoubtLate, errLate)
 	}
-	exchange.relay.silentEndpoints.recordAnswer(result.contender.plan.Primary.Key())
-	return exchange.relayWhole(result.answer, result.held.body), nil
 }
 
-// statusFirstFailure is the lowest status of an answer that reports an endpoint's error.
-const statusFirstFailure = 500
+var errLate = errors.New("call not answered by its target, or its endpoint no longer listed")
 
-var errOtherAnswered = errors.New("another endpoint has answered this request")
+// mayJoinLate reports whether the first contender runs alone and may be joined when it is late.
+func (race *race) mayJoinLate() bool {
+	return len(race.running) == 1 && race.running[0] == race.first && race.first.doubt == failover.DoubtNone &&
+		!race.lateJoined && !race.spareDenied && race.exchange.mayUseSecondEndpoint()
+}
 
 // secondAttemptState returns the state that decides about a second attempt.
-func (exchange *exchange) secondAttemptState(first *contender) *secondAttempt {
-	now := time.Now()
+func (exchange *exchange) secondAttemptState(first *contender, now time.Time) *secondAttempt {
 	return &secondAttempt{
 		sinceArrival: now.Sub(exchange.request.ArrivedAt), sinceSent: now.Sub(first.sentAt), target: exchange.route.TTFTTarget,
 		answerBegun: first.answered.Load(), isGone: exchange.relay.AllEndpoints().ByKey(first.plan.Primary.Key()) == nil,
@@ -222,88 +98,28 @@
 
 // nextSecondCheck returns the time until the next check whether a second attempt is due.
 func (exchange *exchange) nextSecondCheck(first *contender) time.Duration {
-	if due := exchange.secondAttemptState(first).timeUntilDue(); due > 0 {
+	if due := exchange.secondAttemptState(first, time.Now()).timeUntilDue(); due > 0 {
 		return min(due, goneCheckInterval)
 	}
 	return goneCheckInterval
 }
 
-// startSecond sends the call to a second endpoint, and returns the attempt with a function that
-// ends it; nil if no endpoint takes it now. The exchange goes on with the first attempt.
-func (exchange *exchange) startSecond(ctx context.Context, first *contender, results chan<- contenderResult) (*contender, func()) {
-	if !exchange.placeSecond(first) {
-		exchange.setCurrentAttempt(first)
-		return nil, nil
-	}
-	exchange.attemptCount++
-	exchange.sentAt = time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	ctx, exchange.link = outbound.WithRoute(ctx)
-	second := exchange.asContender(exchange.newCall(exchange.sentAt, nil), cancel, &atomic.Bool{})
-	exchange.setCurrentAttempt(first)
-	stopWatch := exchange.watchContenderLink(second)
-	telemetry.CountSecondAttempt()
-	go second.run(ctx, exchange.relay, results)
-	return second, func() {
-		stopWatch()
-		cancel(errOtherAnswered)
-		exchange.relay.LoadTracker.RemoveInFlight(second.inFlight)
-	}
-}
-
-// placeSecond plans an attempt at an endpoint with a free slot and records it as in flight.
-func (exchange *exchange) placeSecond(first *contender) bool {
-	now, relay := time.Now(), exchange.relay
-	if exchange.judge(now).State != quarantine.Clear || exchange.customer != "" && !relay.Routing.KeysUsable() || relay.CanReach != nil && !relay.CanReach() {
-		return false
-	}
-	key := first.plan.Primary.Key()
-	if exchange.excluded == nil {
-		exchange.excluded = map[peridotpath.EndpointKey]bool{}
-	}
-	exchange.excluded[key] = true
-	snapshot := relay.LoadTracker.Snapshot(now)
-	plan, found := placement.PlanPlain(exchange.placementWork(now), freeCandidates(exchange.candidates(now), snapshot), snapshot)
-	hasBudget := found && relay.RetryBudget.TakeSpare(exchange.service, now)
-	if hasBudget && exchange.beginInFlight(plan, now) {
-		return true
-	}
-	if found && !hasBudget {
-		first.secondRefused = true
-		telemetry.CountSecondAttemptRefused()
-	}
-	delete(exchange.excluded, key)
-	return false
-}
-
-// watchContenderLink cancels the contender when the own links carry nothing any more, as watchLink
-// does. It returns a function that ends the watch.
-func (exchange *exchange) watchContenderLink(contender *contender) (stop func()) {
-	notifyStalled := exchange.relay.NotifyStalled
-	if notifyStalled == nil {
-		return func() {}
+// logSecondAttempt logs and counts how a request with two attempts ended, and ejects the first
+// endpoint of a plain call if it was silent. It does nothing where there was one attempt.
+func (race *race) logSecondAttempt(last *contender, now time.Time) {
+	exchange, first, second := race.exchange, race.first, race.second
+	if second == nil {
+		return
 	}
-	return notifyStalled(func() {
-		if _, isCarried := contender.link.Peer(); isCarried {
-			return
-		}
-		exchange.relay.LoadTracker.RemoveInFlight(contender.inFlight)
-		if !contender.answered.Load() {
-			contender.cancel(errLinkStalled)
-		}
-	})
-}
-
-// recordSecondAttempt logs and counts how a call with two attempts ended, and ejects the first
-// endpoint if it was silent.
-func (exchange *exchange) recordSecondAttempt(first, second *contender, outcome outcome, last *contender) {
-	winner, now := "none", time.Now()
+	race.second = nil
+	winner := "none"
 	switch {
-	case outcome == outcomeDone && last == first:
+	case !last.wasAnswered:
+	case last == first:
 		winner = "first"
-	case outcome == outcomeDone:
+	default:
 		winner = "second"
-		if key := first.plan.Primary.Key(); !first.failed && !first.answered.Load() && exchange.relay.silentEndpoints.recordSilence(key) {
+		if key := first.plan.Primary.Key(); !exchange.route.Streaming && !first.failed && !first.answered.Load() && exchange.relay.silentEndpoints.recordSilence(key) {
 			exchange.ejectFailed(key, now)
 		}
 	}
@@ -311,7 +127,7 @@
 	if exchange.relay.ServedSampler.Allow(now) {
 		exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Str("route", string(exchange.route.Name)).
 			Str("first", string(first.plan.Primary.ID)).Str("second", string(second.plan.Primary.ID)).
-			Dur("after", second.sentAt.Sub(first.sentAt)).Dur("took", now.Sub(exchange.request.ArrivedAt)).
+			Stringer("doubt", race.joinedFor).Dur("after", second.sentAt.Sub(first.sentAt)).Dur("took", now.Sub(exchange.request.ArrivedAt)).
 			Str("winner", winner).Msg("second_attempt")
 	}
 }
--- a/peridotpath/relay/short_queue.go
+++ b/peridotpath/relay/short_queue.go
@@ -253,10 +253,10 @@
 		exchange.prefillTime <= maxUnqueuedPrefill && exchange.attemptCount == 0 && !exchange.mayHaveRun && exchange.lastEventID == "" && !exchange.streamBegun
 }
 
-// releaseShortSlot records that the attempt has released its slot.
-func (exchange *exchange) releaseShortSlot(now time.Time) {
-	if queue := exchange.relay.ShortQueue; queue != nil && exchange.spec.Engine != nil && exchange.plan.Primary != nil {
-		queue.release(exchange.service, exchange.plan.Primary.Key(), now)
+// releaseShortSlot records that an attempt has released its slot at the endpoint.
+func (exchange *exchange) releaseShortSlot(endpoint peridotpath.EndpointKey, now time.Time) {
+	if queue := exchange.relay.ShortQueue; queue != nil && exchange.spec.Engine != nil {
+		queue.release(exchange.service, endpoint, now)
 	}
 }
 
