soak: a connection that a stopping instance closes unread is no lost request

A closed connection is excused only if the request reached no endpoint, and only from 2.9 s after SIGTERM on, until the grace period is over. Before that, and for all that was sent on, a stop excuses nothing.

--- a/soak/ending.go
+++ b/soak/ending.go
@@ -112,10 +112,12 @@
 // isExcused reports whether an instance could not end a request otherwise. The caller holds the
 // checker's mutex.
 func (fleet *fleet) isExcused(ending ending) bool {
+	checker := fleet.checker
 	if ending.reply == nil {
-		return false
+		// A request can still be written to a connection while an instance that stops closes it
+		// unread, and its client may send it again.
+		return len(checker.arrivals[ending.ID]) == 0 && ending.clientErr == nil && ending.Instance.closedCallersAt(ending.endedAt)
 	}
-	checker := fleet.checker
 	if checker.aborted[ending.ID] || ending.took() >= ending.ClientTimeout-endSlack || checker.hadShortTimeout(ending) {
 		return true
 	}
--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -90,6 +90,13 @@
 			fixture.ending.clientErr = context.DeadlineExceeded
 			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout + 2*time.Second)
 		}},
+		{"closed connection of an instance that has just stopped", nil, true, func(fixture *endingFixture) {
+			fixture.fleet.checker.arrivals = nil
+			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.SentAt)
+		}},
+		{"closed connection of an instance that stops, after the request was sent on", nil, true, func(fixture *endingFixture) {
+			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
+		}},
 		{"closed connection after a reset", nil, true, func(fixture *endingFixture) { fixture.endpoint.proxy.setLink(linkReset) }},
 	}
 	for _, test := range tests {
@@ -128,6 +135,10 @@
 			fixture.fleet.checker.arrivals = nil
 			fixture.endpoint.proxy.setSourceLink(instanceAddress(0), linkReset)
 		}},
+		{"instance that stops closes its connections", nil, func(fixture *endingFixture) {
+			fixture.fleet.checker.arrivals = nil
+			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
+		}},
 		{"its time is up", lateGateway, func(fixture *endingFixture) {
 			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout - endSlack/2)
 		}},
--- a/soak/process.go
+++ b/soak/process.go
@@ -34,9 +34,10 @@
 	// disturbedUntil is when the last disturbance of the process ended, or a time in the
 	// future while a disturbance lasts.
 	disturbedUntil time.Time
-	// killedAt are the times of SIGKILL, and pauses the spans from SIGSTOP to SIGCONT.
-	killedAt []time.Time
-	pauses   []span
+	// stoppedAt are the times of SIGTERM, killedAt those of SIGKILL, and pauses the spans from
+	// SIGSTOP to SIGCONT.
+	stoppedAt, killedAt []time.Time
+	pauses              []span
 }
 
 // span is a span of time. Its end is zero while it lasts.
@@ -127,10 +128,12 @@
 	_ = instance.command.Process.Signal(signal)
 }
 
-// recordSignal records a signal that kills or pauses the process. A process that is stopped still
-// ends its requests. The caller holds the mutex.
+// recordSignal records a signal that stops, kills or pauses the process. The caller holds the
+// mutex.
 func (instance *instance) recordSignal(signal syscall.Signal, now time.Time) {
 	switch signal {
+	case syscall.SIGTERM:
+		instance.stoppedAt = append(instance.stoppedAt, now)
 	case syscall.SIGKILL:
 		instance.killedAt = append(instance.killedAt, now)
 	case syscall.SIGSTOP:
@@ -151,6 +154,17 @@
 	return !slices.ContainsFunc(instance.killedAt, isWithin) && !slices.ContainsFunc(instance.pauses, isPaused)
 }
 
+// closedCallersAt reports whether the process was stopping at a time and closed the connections of
+// its callers.
+func (instance *instance) closedCallersAt(at time.Time) bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	return slices.ContainsFunc(instance.stoppedAt, func(stoppedAt time.Time) bool {
+		sinceStop := at.Sub(stoppedAt)
+		return sinceStop > standin.StopServeTime-endSlack && sinceStop < standin.StopGracePeriod
+	})
+}
+
 // wait waits until the process has exited, and kills it after limit.
 func (instance *instance) wait(limit time.Duration) {
 	instance.mutex.Lock()
