shortqueue: the queue of short prompts is a package of its own

The queue, its entries, the slots that own requests have released and the plan while slots are scarce move unchanged to shortqueue: Queue, Entry, Standing and Plan, which know neither the exchange nor the load tracker. Queue.Report passes the waiting prompts to a function, so that the queue knows no metrics.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -30,6 +30,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/shortqueue"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 	"peridotpath.example/peridotpath/tunnel"
@@ -186,7 +187,7 @@
 		AnswerMemory:  relay.NewAnswerMemory(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
-		ShortQueue: &relay.ShortQueue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
+		ShortQueue: &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
 		Bookings:   instance.bookings, AdmissionSampler: &telemetry.LogSampler{PerSecond: admissionLogLinesPerSecond},
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
 		RoutingReady: instance.startup.routingReady, StartDone: instance.startup.finished,
--- a/peridotpath/relay/loadtest/shortprompts/short_queue_test.go
+++ b/peridotpath/relay/loadtest/shortprompts/short_queue_test.go
@@ -15,6 +15,7 @@
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
+	"peridotpath.example/peridotpath/shortqueue"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -55,7 +56,7 @@
 			table.Routes[i].ITLTarget, table.Routes[i].Timeout = shortITL, time.Minute
 		}
 	}
-	fixture.Relay.ShortQueue = &relay.ShortQueue{LogSampler: &telemetry.LogSampler{PerSecond: 5}}
+	fixture.Relay.ShortQueue = &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: 5}}
 	fixture.Routing.Apply(table, fixture.Routing.Now())
 	return fixture
 }
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -17,6 +17,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/shortqueue"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 )
@@ -57,7 +58,7 @@
 	// Throttle enforces the rate limits that endpoints announce.
 	Throttle *throttle.Throttle
 	// ShortQueue holds the short prompts that wait for a free slot; nil sends them at once.
-	ShortQueue *ShortQueue
+	ShortQueue *shortqueue.Queue
 	// Availability holds what endpoints announce about taking requests.
 	Availability *availability.Tracker
 	// ServedSampler samples the log lines of successful requests.
