fairshare: the division of engine time is a package of its own

relay held the state and the decisions of the fair shares beside what sends requests. FairShare with its state, the customers' weights, the charge of an attempt and the order in the prefill queue move unchanged to fairshare (Divider, Demand, Charge, Slots, QueuedRequest).

--- a/peridotpath/relay/customer_weights.go
+++ b/peridotpath/fairshare/customer_weights.go
@@ -1,4 +1,4 @@
-package relay
+package fairshare
 
 import (
 	"slices"
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -18,6 +18,7 @@
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
@@ -193,7 +194,7 @@
 		RoutingReady: instance.startup.routingReady, StartDone: instance.startup.finished,
 		RetryBudget: instance.retryBudget,
 	}
-	instance.relay.FairShare = &relay.FairShare{
+	instance.relay.FairShare = &fairshare.Divider{
 		Log: log, Sampler: &telemetry.LogSampler{PerSecond: fairShareLogLinesPerSecond}, LoadTracker: instance.loads,
 		Routing: instance.routing, Endpoints: instance.cellEndpoints,
 	}
--- a/peridotpath/relay/admission.go
+++ b/peridotpath/relay/admission.go
@@ -57,7 +57,7 @@
 func (exchange *exchange) bookReturn(outlook *placement.QueueOutlook, now time.Time) time.Duration {
 	wait := max(shortRetryAfter, outlook.UntilRoom())
 	if exchange.sharesTime() {
-		wait = max(wait, exchange.relay.FairShare.refuseQueued(exchange.customer))
+		wait = max(wait, exchange.relay.FairShare.RefuseQueued(exchange.customer, time.Now()))
 	}
 	if exchange.relay.Bookings == nil || exchange.mayHaveRun {
 		return wait
--- a/peridotpath/relay/fair_share_exchange.go
+++ b/peridotpath/relay/fair_share_exchange.go
@@ -1,28 +1,25 @@
 package relay
 
 import (
-	"math"
 	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/fairness"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
-// fairShareState is what a request has recorded in FairShare.
+// fairShareState is what a request has recorded in the FairShare.
 type fairShareState struct {
 	// arrivalRecorded reports that the request was recorded as an arrival.
 	arrivalRecorded bool
-	// dispatchRecorded reports that the current attempt was recorded as dispatched, with
-	// chargedDecode as the engine time of its decoding.
+	// dispatchRecorded reports that the current attempt was recorded as dispatched, with charge as
+	// its engine time.
 	dispatchRecorded bool
-	chargedDecode    time.Duration
-	chargedAt        time.Time
-	// plannedEvents is the number of events that was expected of the attempt, eventsBefore that of
-	// earlier attempts.
-	plannedEvents float64
-	eventsBefore  int
+	charge           fairshare.Charge
+	// eventsBefore is the number of events of earlier attempts.
+	eventsBefore int
 }
 
 // sharesTime reports whether the request uses engine time of a customer.
@@ -30,24 +27,12 @@
 	return exchange.relay.FairShare != nil && exchange.customer != "" && exchange.spec.Engine != nil
 }
 
-// decodeTime returns the engine time that decoding takes for a number of events: the iterations
-// of a full batch, divided by the batch size.
-func (exchange *exchange) decodeTime(events float64) time.Duration {
-	model := placement.Model{Rates: exchange.spec.Engine}
-	batch := max(model.Rates.BatchSize, 1)
-	iteration := model.IterationTime(batch, exchange.request.PromptTokens*peridotpath.Tokens(batch))
-	return time.Duration(events * float64(iteration) / float64(batch))
-}
-
-// expectedEvents returns the number of events that the rest of the answer is expected to have.
-func (exchange *exchange) expectedEvents(now time.Time) float64 {
-	answer := exchange.placementWork(now).AnswerTokens
-	return max(float64(answer)/float64(max(exchange.spec.Engine.StepsPerIteration, 1)), 1)
-}
-
-// slotTime returns the time for which the request has a slot of a busy engine.
-func (exchange *exchange) slotTime(now time.Time) time.Duration {
-	return exchange.prefillTime + exchange.decodeTime(exchange.expectedEvents(now))*time.Duration(exchange.spec.Engine.BatchSize)
+// engineDemand returns what the rest of the request asks of the engines.
+func (exchange *exchange) engineDemand(now time.Time) *fairshare.Demand {
+	return &fairshare.Demand{
+		Customer: placement.HashCustomer(exchange.customer), Rates: exchange.spec.Engine,
+		PromptTokens: exchange.request.PromptTokens, Prefill: exchange.prefillTime, AnswerTokens: exchange.placementWork(now).AnswerTokens,
+	}
 }
 
 // recordArrival records the engine time that the request asks for, once.
@@ -56,10 +41,7 @@
 		return
 	}
 	exchange.arrivalRecorded = true
-	share, expected := exchange.relay.FairShare, exchange.expectedEvents(now)
-	share.mutex.Lock()
-	defer share.mutex.Unlock()
-	share.ledger.RecordArrival(placement.HashCustomer(exchange.customer), exchange.prefillTime+exchange.decodeTime(share.answerEvents(expected)), now)
+	exchange.relay.FairShare.RecordArrival(exchange.engineDemand(now), now)
 }
 
 // recordDispatch records the engine time of an attempt that is about to be sent.
@@ -67,16 +49,8 @@
 	if !exchange.sharesTime() {
 		return
 	}
-	share, expected, customer := exchange.relay.FairShare, exchange.expectedEvents(now), placement.HashCustomer(exchange.customer)
-	share.mutex.Lock()
-	defer share.mutex.Unlock()
-	exchange.dispatchRecorded, exchange.plannedEvents, exchange.eventsBefore = true, expected, exchange.eventCount
-	exchange.chargedDecode, exchange.chargedAt = exchange.decodeTime(share.answerEvents(expected)), now
-	share.ledger.RecordUse(customer, exchange.prefillTime+exchange.chargedDecode, now)
-	if share.inFlight == nil {
-		share.inFlight = map[placement.CustomerHash]int{}
-	}
-	share.inFlight[customer]++
+	exchange.dispatchRecorded, exchange.eventsBefore = true, exchange.eventCount
+	exchange.charge = exchange.relay.FairShare.RecordDispatch(exchange.engineDemand(now), now)
 }
 
 // recordUse replaces the estimated decode time of an attempt that has ended by that of the events
@@ -86,24 +60,10 @@
 		return
 	}
 	exchange.dispatchRecorded = false
-	share, customer := exchange.relay.FairShare, placement.HashCustomer(exchange.customer)
-	events := float64(exchange.eventCount - exchange.eventsBefore)
-	share.mutex.Lock()
-	defer share.mutex.Unlock()
-	if share.inFlight[customer]--; share.inFlight[customer] <= 0 {
-		delete(share.inFlight, customer)
-	}
-	if !exchange.route.Streaming {
-		// The length of an answer that is not streamed is not known.
-		return
-	}
-	// What is left of the estimate after its decay is taken back.
-	charged := time.Duration(float64(exchange.chargedDecode) * math.Exp(-now.Sub(exchange.chargedAt).Seconds()/fairness.TimeConstant.Seconds()))
-	share.ledger.RecordUse(customer, exchange.decodeTime(events)-charged, now)
-	// The length of the rest of a resumed answer is not known.
-	if events > 0 && exchange.eventsBefore == 0 && exchange.request.LastEventID == "" {
-		share.recordAnswer(events / exchange.plannedEvents)
-	}
+	exchange.relay.FairShare.RecordEnd(&exchange.charge, fairshare.Answer{
+		IsStreamed: exchange.route.Streaming, Events: float64(exchange.eventCount - exchange.eventsBefore),
+		IsWhole: exchange.eventsBefore == 0 && exchange.request.LastEventID == "",
+	}, now)
 }
 
 // recordServed counts the request by its size class within its route.
@@ -111,16 +71,7 @@
 	if !exchange.sharesTime() || code != peridotpath.CodeOK && !code.NotRun() {
 		return
 	}
-	share, route := exchange.relay.FairShare, exchange.route.Name
-	share.mutex.Lock()
-	defer share.mutex.Unlock()
-	if share.served == nil {
-		share.served = map[peridotpath.RouteName]*fairness.ClassCounts[int]{}
-	}
-	if share.served[route] == nil {
-		share.served[route] = &fairness.ClassCounts[int]{}
-	}
-	share.served[route].Record(fairness.SizeClass(exchange.request.PromptTokens), code == peridotpath.CodeOK, time.Now())
+	exchange.relay.FairShare.RecordServed(exchange.route.Name, exchange.request.PromptTokens, code == peridotpath.CodeOK, time.Now())
 }
 
 // admitByShare refuses a short prompt of a customer above its share when all slots are taken, and
@@ -139,19 +90,19 @@
 	for _, candidate := range candidates {
 		occupied += snapshot.At(candidate.Key).RequestCount()
 	}
-	state := slotState{slots: batch * len(candidates), occupied: occupied}
-	slotTime := exchange.slotTime(now)
-	state.room = fairness.RoomFor(state.slots, exchange.route.TTFTTarget, slotTime)
+	state := fairshare.Slots{Count: batch * len(candidates), Occupied: occupied}
+	slotTime := exchange.engineDemand(now).SlotTime()
+	state.Room = fairness.RoomFor(state.Count, exchange.route.TTFTTarget, slotTime)
 	reportsAreStale := exchange.relay.LoadTracker.ReportLag() > slotTime
 	if reportsAreStale {
-		state.estimated = len(exchange.relay.LoadTracker.LocalInFlight()) * (1 + exchange.relay.LoadTracker.LivePeerCount(now))
+		state.Estimated = len(exchange.relay.LoadTracker.LocalInFlight()) * (1 + exchange.relay.LoadTracker.LivePeerCount(now))
 	}
-	retryAfter := exchange.relay.FairShare.admitShort(placement.HashCustomer(exchange.customer), state, now)
+	retryAfter := exchange.relay.FairShare.AdmitShort(placement.HashCustomer(exchange.customer), state, now)
 	if retryAfter > 0 {
 		return nil, snapshot, exchange.refusal(peridotpath.CodeOverShare, retryAfter)
 	}
-	if reportsAreStale && exchange.relay.FairShare.lacksSlots(now) {
-		return exchange.relay.leastUsed(candidates), exchange.relay.LoadTracker.LocalSnapshot(now), nil
+	if reportsAreStale && exchange.relay.FairShare.LacksSlots(now) {
+		return fairshare.LeastUsed(candidates, exchange.relay.LoadTracker.LocalInFlight()), exchange.relay.LoadTracker.LocalSnapshot(now), nil
 	}
 	return candidates, snapshot, nil
 }
@@ -168,17 +119,10 @@
 
 // shareOrder returns whether the request yields in the prefill queue, and its due time there.
 func (exchange *exchange) shareOrder(queuedAt, now time.Time) (overShare bool, due time.Time) {
-	share := exchange.relay.FairShare
-	prompt := placement.NewQueuedPrompt(queuedAt, exchange.prefillTime)
-	share.mutex.Lock()
-	defer share.mutex.Unlock()
-	if !share.update(now) {
-		return false, prompt.Due
-	}
-	if counts := share.served[exchange.route.Name]; counts != nil && counts.Underserved(fairness.SizeClass(exchange.request.PromptTokens), now) {
-		prompt.Favour(queuedAt, exchange.route.TTFTTarget)
-	}
-	return share.verdicts[placement.HashCustomer(exchange.customer)].AboveShare, prompt.Due
+	return exchange.relay.FairShare.Order(&fairshare.QueuedRequest{
+		Customer: placement.HashCustomer(exchange.customer), Route: exchange.route.Name, TTFTTarget: exchange.route.TTFTTarget,
+		PromptTokens: exchange.request.PromptTokens, Prefill: exchange.prefillTime, QueuedAt: queuedAt,
+	}, now)
 }
 
 // updateShare updates the entry of a request that waits in the prefill queue.
@@ -188,9 +132,7 @@
 	}
 	share := exchange.relay.FairShare
 	if now.Sub(exchange.request.ArrivedAt) >= queuePollInterval {
-		share.mutex.Lock()
-		share.recordWait(now)
-		share.mutex.Unlock()
+		share.RecordWait(now)
 	}
 	overShare, due := exchange.shareOrder(queuedAt, now)
 	if share.LoadTracker.UpdateShare(entry, overShare, due) {
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -12,6 +12,7 @@
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/reservation"
@@ -71,7 +72,7 @@
 	// are nil where requests need not wait for a start.
 	RoutingReady, StartDone <-chan struct{}
 	// FairShare divides scarce engine time between customers; nil disables that.
-	FairShare *FairShare
+	FairShare *fairshare.Divider
 	// EngineStallTime is how long an engine blocks when another engine that prefills a part
 	// of the same prompt becomes unreachable. After this time the blocked engine resumes or
 	// aborts the request without a cancellation by this instance.
--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -16,6 +16,7 @@
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/relay"
@@ -121,7 +122,7 @@
 			Release: func(context.Context, *peridotpath.Endpoint, string) error { return nil },
 		},
 	}
-	fixture.Relay.FairShare = &relay.FairShare{
+	fixture.Relay.FairShare = &fairshare.Divider{
 		Log: zerolog.Nop(), Sampler: &telemetry.LogSampler{PerSecond: 5}, LoadTracker: fixture.LoadTracker,
 		Routing: fixture.Routing, Endpoints: fixture.Directory.Current,
 	}
