answerbuffer, eventstream: what reads answers leaves relay

AnswerMemory becomes answerbuffer.Pool with Read, and Release of its Buffer; the event reader becomes eventstream.Reader. The package class of errors moves with the event reader, its only user: the error of an event beyond 1 MB now begins with "eventstream:" where it began with "relay:".

--- a/peridotpath/relay/answer_memory_test.go
+++ b/peridotpath/answerbuffer/answerbuffer_test.go
@@ -1,4 +1,4 @@
-package relay
+package answerbuffer
 
 import (
 	"bytes"
@@ -26,7 +26,7 @@
 		t.Run("declared "+strconv.FormatBool(declared), func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				memory := NewAnswerMemory(smallestMemory)
+				memory := NewPool(smallestMemory)
 				var mutex sync.Mutex
 				held, most, delivered := 0, 0, 0
 				add := func(bytes int) {
@@ -42,10 +42,10 @@
 						if declared {
 							header.Set("Content-Length", strconv.Itoa(maxAnswerBytes))
 						}
-						answer, err := memory.read(t.Context(), header, &trickle{left: maxAnswerBytes})
+						answer, err := memory.Read(t.Context(), header, &trickle{left: maxAnswerBytes})
 						is.NoErr(err)
-						is.Equal(len(answer.body), maxAnswerBytes)
-						size := cap(answer.body)
+						is.Equal(len(answer.Body), maxAnswerBytes)
+						size := cap(answer.Body)
 						add(size)
 						// The caller reads at 4 MB a second.
 						time.Sleep(2 * time.Second)
@@ -83,16 +83,16 @@
 func TestAnswerThatWaitsForMemoryEndsWithItsCaller(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		memory := NewAnswerMemory(maxAnswerBytes + answerPiece)
-		first, err := memory.read(t.Context(), http.Header{}, &trickle{left: maxAnswerBytes})
+		memory := NewPool(maxAnswerBytes + answerPiece)
+		first, err := memory.Read(t.Context(), http.Header{}, &trickle{left: maxAnswerBytes})
 		is.NoErr(err)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		second, err := memory.read(ctx, http.Header{}, &trickle{left: maxAnswerBytes})
+		second, err := memory.Read(ctx, http.Header{}, &trickle{left: maxAnswerBytes})
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		second.Release()
 		first.Release()
-		third, err := memory.read(t.Context(), http.Header{}, bytes.NewReader(make([]byte, maxAnswerBytes)))
+		third, err := memory.Read(t.Context(), http.Header{}, bytes.NewReader(make([]byte, maxAnswerBytes)))
 		is.NoErr(err)
 		third.Release()
 	})
@@ -102,8 +102,8 @@
 func TestAnswerBeyondTheLimitIsRefused(t *testing.T) {
 	for _, header := range []http.Header{{}, {"Content-Length": {strconv.Itoa(maxAnswerBytes + 1)}}} {
 		is := is.New(t)
-		held, err := NewAnswerMemory(smallestMemory).read(t.Context(), header, bytes.NewReader(make([]byte, maxAnswerBytes+1)))
-		is.True(errors.Is(err, errAnswerTooLarge))
+		held, err := NewPool(smallestMemory).Read(t.Context(), header, bytes.NewReader(make([]byte, maxAnswerBytes+1)))
+		is.True(errors.Is(err, ErrTooLarge))
 		held.Release()
 	}
 }
--- a/peridotpath/relay/event_reader.go
+++ b/peridotpath/eventstream/eventstream.go
@@ -1,4 +1,6 @@
-package relay
+// Package eventstream reads the server-sent events of an endpoint's stream as they are, so that they
+// can be forwarded.
+package eventstream
 
 import (
 	"bufio"
@@ -10,7 +12,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("relay")
+var Error = errs.Class("eventstream")
 
 const (
 	// eventBufferBytes is the size of a stream's read buffer, which holds several ordinary
@@ -20,20 +22,21 @@
 	maxEventBytes = 1 << 20
 )
 
-// eventReader reads server-sent events whole and unchanged, so that they can be forwarded.
-type eventReader struct {
+// Reader reads server-sent events whole and unchanged, so that they can be forwarded.
+type Reader struct {
 	buffered *bufio.Reader
 	event    []byte
 }
 
-func newEventReader(stream io.Reader) *eventReader {
-	return &eventReader{buffered: bufio.NewReaderSize(stream, eventBufferBytes)}
+// NewReader returns a Reader of the events of a stream.
+func NewReader(stream io.Reader) *Reader {
+	return &Reader{buffered: bufio.NewReaderSize(stream, eventBufferBytes)}
 }
 
-// next returns the next event, including its terminating empty line, and its id. It
+// Next returns the next event, including its terminating empty line, and its id. It
 // returns io.EOF at the end, and io.ErrUnexpectedEOF if the stream ends within an event.
 // The returned slice is valid until the next call.
-func (reader *eventReader) next() (raw []byte, id string, err error) {
+func (reader *Reader) Next() (raw []byte, id string, err error) {
 	reader.event = reader.event[:0]
 	for {
 		start := len(reader.event)
@@ -58,7 +61,7 @@
 }
 
 // readLine appends one line, including its terminator, to the event.
-func (reader *eventReader) readLine() error {
+func (reader *Reader) readLine() error {
 	for {
 		part, err := reader.buffered.ReadSlice('\n')
 		reader.event = append(reader.event, part...)
--- a/peridotpath/relay/event_reader_test.go
+++ b/peridotpath/eventstream/eventstream_test.go
@@ -1,4 +1,4 @@
-package relay
+package eventstream
 
 import (
 	"bytes"
@@ -13,19 +13,19 @@
 func TestRawEvents(t *testing.T) {
 	is := is.New(t)
 	const first, second = "x-version: 7\nid: 1\ndata: a\n\n", "data: b\r\nid:2\r\n\r\n"
-	events := newEventReader(strings.NewReader(first + "\n" + second + "id: 3\nda"))
-	raw, id, err := events.next()
+	events := NewReader(strings.NewReader(first + "\n" + second + "id: 3\nda"))
+	raw, id, err := events.Next()
 	is.NoErr(err)
 	is.Equal(string(raw), first)
 	is.Equal(id, "1")
-	raw, id, err = events.next()
+	raw, id, err = events.Next()
 	is.NoErr(err)
 	is.Equal(string(raw), second)
 	is.Equal(id, "2")
-	_, _, err = events.next()
+	_, _, err = events.Next()
 	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // the stream ended within an event
 
-	_, _, err = newEventReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes))).next()
+	_, _, err = NewReader(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes))).Next()
 	is.True(err != nil) // an unterminated event uses bounded memory
 }
 
@@ -34,10 +34,10 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
 	f.Add([]byte("\r\n\r\nid:\n\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		events := newEventReader(bytes.NewReader(stream))
+		events := NewReader(bytes.NewReader(stream))
 		rest := stream
 		for {
-			raw, _, err := events.next()
+			raw, _, err := events.Next()
 			if err != nil {
 				return
 			}
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/caller"
@@ -185,7 +186,7 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff, NotifyStalled: instance.reachability.NotifyStalled,
-		AnswerMemory:  relay.NewAnswerMemory(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
+		AnswerMemory:  answerbuffer.NewPool(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
 		ShortQueue: &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/eventstream"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/telemetry"
@@ -89,12 +90,12 @@
 	if exchange.route.Streaming && answer.Status == http.StatusOK {
 		return exchange.relayStream(ctx, answer, watch)
 	}
-	held, outcome, err := relay.AnswerMemory.readWhole(ctx, answer)
+	held, outcome, err := relay.readWhole(ctx, answer)
 	defer held.Release()
 	if outcome != outcomeDone {
 		return outcome, err
 	}
-	return exchange.relayWhole(answer, held.body), nil
+	return exchange.relayWhole(answer, held.Body), nil
 }
 
 // checkAnswer records what the head of an answer announces. It returns outcomeDone if the answer
@@ -242,10 +243,10 @@
 // relayStream relays whole events as they arrive. If the connection fails within an event,
 // its partial data is dropped, so that the stream can resume on another endpoint.
 func (exchange *exchange) relayStream(ctx context.Context, answer *Answer, watch *stallWatch) (outcome, error) {
-	events := newEventReader(answer.Body)
+	events := eventstream.NewReader(answer.Body)
 	received := 0
 	for {
-		raw, id, err := events.next()
+		raw, id, err := events.Next()
 		if errors.Is(err, io.EOF) && received > 0 {
 			exchange.beginStream(answer)
 			exchange.recordBegun()
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
@@ -46,7 +47,7 @@
 	NotifyStalled func(notify func()) (stop func())
 	Reservations  *reservation.Manager
 	// AnswerMemory bounds the memory of answers that are buffered whole.
-	AnswerMemory *AnswerMemory
+	AnswerMemory *answerbuffer.Pool
 	// Quarantine refuses requests that crash the endpoints they run on.
 	Quarantine *quarantine.Quarantine
 	// OnOverdueFirstEvent, when set, is called with the engines of an attempt whose first
--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
@@ -103,7 +104,7 @@
 	fixture.Routing.Apply(Routing(engine), fixture.Routing.Now())
 	fixture.Directory.Apply(directory.Listing{Endpoints: endpoints}, fixture.Routing.Now())
 	fixture.Relay = &relay.Relay{
-		AnswerMemory: relay.NewAnswerMemory(32 << 20),
+		AnswerMemory: answerbuffer.NewPool(32 << 20),
 		Instance:     "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.Routing,
 		Endpoints: fixture.Directory.Current, AllEndpoints: fixture.Directory.Current, LoadTracker: fixture.LoadTracker, Send: send, Quarantine: quarantined,
 		Throttle:       &throttle.Throttle{SenderID: rand.Uint64(), Facts: fixture.Facts, Log: zerolog.Nop()},
--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
@@ -83,7 +84,7 @@
 type contenderResult struct {
 	contender *contender
 	answer    *Answer
-	held      *heldAnswer
+	held      *answerbuffer.Buffer
 	outcome   outcome
 	err       error
 }
@@ -104,7 +105,7 @@
 	contender.answered.Store(true)
 	result.answer = answer
 	if answer.isFromEndpoint() && !answer.NotRun {
-		result.held, result.outcome, result.err = relay.AnswerMemory.readWhole(ctx, answer)
+		result.held, result.outcome, result.err = relay.readWhole(ctx, answer)
 	}
 }
 
@@ -202,7 +203,7 @@
 		exchange.relay.LoadTracker.RemoveInFlight(other.inFlight)
 	}
 	exchange.relay.silentEndpoints.recordAnswer(result.contender.plan.Primary.Key())
-	return exchange.relayWhole(result.answer, result.held.body), nil
+	return exchange.relayWhole(result.answer, result.held.Body), nil
 }
 
 // statusFirstFailure is the lowest status of an answer that reports an endpoint's error.
