placement: the decision to dispatch a queued long prompt

isWorthDispatching, canAwaitReports and the choice of planDispatch need no request, only a plan, the load and times. They move with their constants from relay to placement/queued_dispatch.go, unchanged but for exported names (IsWorthDispatching, CanAwaitReports, PlanDispatch, DispatchLead). relay/prefill_queue.go keeps the waiting and the polling. PlanDispatch computes the prefill time of the prompt by the model, as the exchange does.

Three tests of placement now replay these decisions directly: the cost that a prompt may impose by its time and place, whether it awaits reports, and engines that are free now while others wait.

--- a/peridotpath/relay/prefill_queue.go
+++ b/peridotpath/relay/prefill_queue.go
@@ -35,18 +35,6 @@
 	// delayPerRank is how much later a prompt is queued for each rank of lower priority:
 	// one rank outweighs an arrival that is up to a second earlier.
 	delayPerRank = time.Second
-	// dispatchLead is how long before the engines are free the next prompt is dispatched,
-	// so that the engines are not idle while the prompt is sent to them.
-	dispatchLead = 120 * time.Millisecond
-	// The interference cost that a prompt may impose on others is bounded by a share of
-	// its own value. The share is initialCostShare on arrival and grows by
-	// costShareGrowth until the TTFT target: shortly before the prompt loses most of its
-	// value, a cost to others of nearly that value is acceptable. After the target most
-	// of the value is lost, and the share is lateCostShare.
-	initialCostShare, costShareGrowth, lateCostShare = 0.1, 0.8, 0.2
-	// settledPrefillFactor is how much longer than planned a prefill may take once the requests
-	// of all callers that returned at the same time have been placed.
-	settledPrefillFactor = 2
 )
 
 // awaitDispatch queues the request until it is first in the prefill queue and the engines
@@ -81,8 +69,8 @@
 		// 60 engines, 28 dispatches a second leave some idle while prompts wait.
 		if ahead < tracker.PromptsSideBySide(len(candidates), now) {
 			plan, found := exchange.planDispatch(model, work, candidates, entry, now)
-			mustWait := canAwaitReports(plan, work, tracker.TimeToSettle(now))
-			if found && !mustWait && isWorthDispatching(plan, work, ahead) && exchange.beginInFlight(plan, now) {
+			mustWait := placement.CanAwaitReports(plan, work, tracker.TimeToSettle(now))
+			if found && !mustWait && placement.IsWorthDispatching(plan, work, ahead) && exchange.beginInFlight(plan, now) {
 				telemetry.RecordPrefillQueueWait(work.Waited)
 				telemetry.CountPrefillPlaced(prefillTime)
 				return nil
@@ -90,7 +78,7 @@
 			// The head of the queue waits for KV cache, or for engines with less
 			// interference cost. Later prompts must not wait with it (head-of-line
 			// blocking).
-			blocked = !found || plan.PrefillDelay <= dispatchLead
+			blocked = !found || plan.PrefillDelay <= placement.DispatchLead
 		}
 		tracker.UpdateQueued(entry, missesTarget, blocked)
 		if !clock.SleepContext(ctx, pollInterval) {
@@ -99,31 +87,11 @@
 	}
 }
 
-// isWorthDispatching reports whether to dispatch by this plan instead of waiting for a
-// cheaper one, beside the given number of prompts ahead.
-func isWorthDispatching(plan placement.Plan, work placement.Work, ahead int) bool {
-	if plan.PrefillDelay > dispatchLead {
-		return false
-	}
-	allowed := lateCostShare
-	if timeToFirstEvent := work.Waited + plan.TimeToFirstEvent; timeToFirstEvent <= work.TTFTTarget {
-		elapsedShare := float64(timeToFirstEvent) / float64(work.TTFTTarget)
-		allowed = initialCostShare + costShareGrowth*elapsedShare*elapsedShare
-	}
-	if ahead > 0 {
-		// The prompts ahead may take other engines than assumed, so that two prompts
-		// each impose their cost on the same requests.
-		allowed = min(allowed, initialCostShare)
-	}
-	return plan.InterferenceCost <= allowed*placement.PromptValue(work.PromptTokens)
-}
-
-// canAwaitReports reports whether a prompt waits until the load of peers is known, since it meets
-// its target all the same.
-//
-// It matters when all instances have restarted and their callers return at once: no instance knows
-// the others' requests, and long prompts that are split over all engines at that moment delay every
-// short one by the time of their prefill.
-func canAwaitReports(plan placement.Plan, work placement.Work, wait time.Duration) bool {
-	return wait > 0 && work.Waited+wait+settledPrefillFactor*plan.TimeToFirstEvent <= work.TTFTTarget
+// planDispatch plans a queued prompt beside those ahead of it in the queue, which are assumed to
+// be placed first.
+func (exchange *exchange) planDispatch(model placement.Model, work placement.Work, candidates []placement.Candidate, entry placement.QueuedPromptNumber, now time.Time) (placement.Plan, bool) {
+	tracker := exchange.relay.LoadTracker
+	snapshot := tracker.Snapshot(now)
+	snapshot.AssumePlaced(candidates, tracker.PrefillsAhead(entry, exchange.relay.Instance, now))
+	return placement.PlanDispatch(model, work, candidates, snapshot)
 }
