directory: a sample of endpoints spans services and data centres

Callers saw: an instance took its own links for lost when endpoints of one service or data centre fell silent together, though others answered it. Cause: the three endpoints that decide this were picked at random, so that all of them could be of the service or data centre of the one that was suspected. Change: Spread picks endpoints that differ from each other and from the suspect in service and data centre; the instance and `peridotd serve` use it. An entry has no version of the engine, so that a release of one service is covered by its service only.

--- a/peridotd/links.go
+++ b/peridotd/links.go
@@ -11,6 +11,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/reach"
 	"peridotpath.example/peridotpath/tunnel"
@@ -68,19 +69,15 @@
 	return nil
 }
 
-// sample returns up to count endpoints, if possible at other addresses than except.
+// sample returns up to count endpoints, if possible at other addresses than except, and of several
+// services and data centres.
 func (links *links) sample(count int, except netip.AddrPort) []*peridotpath.Endpoint {
 	endpoints := links.endpoints()
-	var sample []*peridotpath.Endpoint
+	shuffled := make([]*peridotpath.Endpoint, 0, len(endpoints))
 	for _, number := range rand.Perm(len(endpoints)) {
-		if len(sample) == count {
-			break
-		}
-		if endpoints[number].Address != except || len(endpoints) == 1 {
-			sample = append(sample, &endpoints[number])
-		}
+		shuffled = append(shuffled, &endpoints[number])
 	}
-	return sample
+	return directory.Spread(shuffled, count, except)
 }
 
 func (links *links) isEndpoint(address netip.AddrPort) bool {
--- a/peridotpath/directory/addresses.go
+++ b/peridotpath/directory/addresses.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"peridotpath.example/peridotpath"
@@ -48,25 +49,12 @@
 	maps.DeleteFunc(directory.addresses, func(_ netip.AddrPort, listed listedAddress) bool { return at-listed.at > addressRetention })
 }
 
-// Sample returns up to count endpoints in use, if possible at other addresses than except.
+// Sample returns up to count endpoints in use, if possible at other addresses than except, and of
+// several services and data centres.
 func (snapshot *Snapshot) Sample(count int, except netip.AddrPort) []*peridotpath.Endpoint {
 	if snapshot == nil {
 		return nil
 	}
-	var sample []*peridotpath.Endpoint
-	var excepted *peridotpath.Endpoint
 	// Iteration over a map begins at a random element.
-	for _, endpoint := range snapshot.byID {
-		if endpoint.Address == except {
-			excepted = endpoint
-			continue
-		}
-		if sample = append(sample, endpoint); len(sample) == count {
-			return sample
-		}
-	}
-	if len(sample) == 0 && excepted != nil {
-		return []*peridotpath.Endpoint{excepted}
-	}
-	return sample
+	return Spread(slices.Collect(maps.Values(snapshot.byID)), count, except)
 }
