reach: silent endpoints are not taken for lost links

Callers saw: streams broken off, calls at 502 and refusals with 3010 when endpoints answered nothing for 0.3 s and more and then went on; each instance told its peers that it carries nothing. Cause: three probes without an answer in 300 ms counted as the loss of the instance's own links. All instances draw that from the same silence in the same moment. Change: a round ends in one of three verdicts. The links are lost if a peer gets an answer, or a connection, where this instance gets none in the same time, or if all probes are refused or reset, which a process that stands still does not do. They work if anything is received on a direct connection. Otherwise the endpoints count as silent: nothing changes and nobody is told; an endpoint is probed each 250 ms, over the own link and through two peers, until one answers or nothing has been received for 2.5 s. Probes go through peers by the tunnel that carries requests. judge is a pure function. outbound.DialContext is exported, as a Probe has to honour the dial of its context, in tests too.

--- a/peridotpath/outbound/dial.go
+++ b/peridotpath/outbound/dial.go
@@ -52,8 +52,8 @@
 	return netip.AddrPort{}, false
 }
 
-// dial opens a connection in the way that the request's context asks for.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// DialContext opens a connection in the way that the context asks for.
+func DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	if dial, ok := ctx.Value(dialKey{}).(Dial); ok {
 		return dial(ctx, network, address)
 	}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -104,7 +104,7 @@
 // although addresses are IP addresses from the settings.
 func newTransport(reuses bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            DialContext,
 		DisableKeepAlives:      !reuses,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -27,8 +27,8 @@
 	// maxPeers bounds the peers that are asked for one connection.
 	maxPeers = 3
 	// hopelessAfter is how long an instance must be cut off, without a peer that carries, to give
-	// connections up at once. All endpoints may be silent for a second, and an instance that is
-	// short of processor time misses the answers to a few probes.
+	// connections up at once: endpoints that all refuse connections may be starting. Endpoints that
+	// are merely silent are awaited for maxSilence before the instance counts as cut off.
 	hopelessAfter = time.Second
 	// CarryTimeout bounds opening a connection for a peer, which has others to ask.
 	CarryTimeout = 300 * time.Millisecond
@@ -85,7 +85,11 @@
 	if !preferred {
 		dialer.Tracker.HoldForPeers(target, time.Now())
 	}
-	return conn, nil
+	if !dialer.Tracker.IsCutOff() {
+		return conn, nil
+	}
+	// An answer shows that the peer reaches what this instance does not.
+	return &observedConn{Conn: conn, onReceived: func() { dialer.Tracker.RecordCarriedAnswer(time.Now()) }}, nil
 }
 
 // DialForPeer opens a direct connection to an endpoint on behalf of a peer.
--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -4,12 +4,12 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clock"
-	"peridotpath.example/peridotpath/outbound"
 )
 
 const (
@@ -18,6 +18,20 @@
 	probeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two probes while the instance is cut off.
 	probeInterval = 250 * time.Millisecond
+	// peersAskedAfter is the time after which endpoints that have not answered are probed through
+	// peers as well.
+	peersAskedAfter = 100 * time.Millisecond
+	// peerProbeTimeout bounds a probe through a peer. It ends before those over the own link: at the
+	// end of a silence an endpoint answers all of them, and the own answer must not be missed by a
+	// moment.
+	peerProbeTimeout = 150 * time.Millisecond
+	// carriersPerRound is the number of peers through which a round probes. With one peer in three
+	// in touch, six miss all of these once in eleven rounds, and half of them are of other data
+	// centres if there are any.
+	carriersPerRound = 6
+	// carriersPerFollowUp is the number of peers for each later probe: one that is near and one that
+	// is far.
+	carriersPerFollowUp = 2
 )
 
 // suspectDial begins a round of probes because a dial that began at the given time has failed or
@@ -45,8 +59,8 @@
 	return dialer.dialDirect(ctx, network, target)
 }
 
-// Run probes endpoints when one does not answer and, while the instance is cut off, until one
-// answers again. It returns when ctx ends.
+// Run probes endpoints when one does not answer and, while the instance is cut off or the
+// endpoints are silent, until one answers again. It returns when ctx ends.
 func (dialer *Dialer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -56,29 +70,76 @@
 			return ctx.Err()
 		case target := <-dialer.suspicions:
 			startedAt := time.Now()
-			probed := dialer.probe(ctx, dialer.Sample(sampleSize, target))
+			probed := dialer.probe(ctx, dialer.Sample(sampleSize, target), carriersPerRound)
 			dialer.Tracker.EndRound(startedAt, probed, time.Now())
 		case <-ticker.C:
-			if dialer.Tracker.IsCutOff() {
-				dialer.probe(ctx, dialer.Sample(1, netip.AddrPort{}))
-			}
+			dialer.followUp(ctx)
 		}
 	}
 }
 
-// probe probes endpoints over this instance's own link, all at once, and returns their number.
-// Their answers are recorded by the connections.
-func (dialer *Dialer) probe(ctx context.Context, endpoints []*peridotpath.Endpoint) int {
-	ctx, cancel := clock.WithRunningTimeout(outbound.WithDial(ctx, dialer.dialProbe), probeTimeout)
+// followUp probes an endpoint while the instance is cut off or the endpoints are silent.
+func (dialer *Dialer) followUp(ctx context.Context) {
+	startedAt := time.Now()
+	isCutOff := dialer.Tracker.IsCutOff()
+	if !isCutOff && !dialer.Tracker.IsSilent() {
+		return
+	}
+	carriers := carriersPerFollowUp
+	if isCutOff && dialer.Tracker.HasFreshPeerEvidence(startedAt) {
+		carriers = 0
+	}
+	dialer.probe(ctx, dialer.Sample(1, netip.AddrPort{}), carriers)
+	dialer.Tracker.ReviewSilence(startedAt, time.Now())
+}
+
+// probe probes endpoints over this instance's own link, all at once, and returns their number. If
+// none has answered after peersAskedAfter, or all have failed, the same endpoints are probed through
+// peers: what these reach in the same time tells the own link from silent endpoints.
+func (dialer *Dialer) probe(ctx context.Context, endpoints []*peridotpath.Endpoint, carriers int) int {
+	ctx, cancel := clock.WithRunningTimeout(ctx, probeTimeout)
 	defer cancel()
 	var probes sync.WaitGroup
+	var sightings []*sighting
 	for _, endpoint := range endpoints {
-		probes.Go(func() {
-			// The result is not needed: any answer, even that of another endpoint at the address,
-			// shows that the link works.
-			_ = dialer.Probe(ctx, endpoint)
-		})
+		sighting := &sighting{endpoint: endpoint}
+		sightings = append(sightings, sighting)
+		probes.Go(func() { dialer.probeDirectly(ctx, sighting) })
+	}
+	ended := make(chan struct{})
+	go func() {
+		probes.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(peersAskedAfter):
+	}
+	if !slices.ContainsFunc(sightings, (*sighting).isAnswered) {
+		dialer.probeThroughPeers(ctx, sightings, carriers)
+	}
+	<-ended
+	now := time.Now()
+	if slices.ContainsFunc(sightings, (*sighting).isSilent) {
+		dialer.Tracker.RecordSilentProbe(now)
+	}
+	if slices.ContainsFunc(sightings, (*sighting).isReachedByPeerOnly) {
+		dialer.Tracker.RecordReachedByPeer(now)
 	}
-	probes.Wait()
 	return len(endpoints)
 }
+
+// probeThroughPeers probes the endpoints through up to count peers, all at once.
+func (dialer *Dialer) probeThroughPeers(ctx context.Context, sightings []*sighting, count int) {
+	if len(sightings) == 0 || count == 0 {
+		return
+	}
+	ctx, cancel := clock.WithRunningTimeout(ctx, peerProbeTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	for i, peer := range spreadCarriers(dialer.Peers(sightings[0].endpoint.Address), count) {
+		sighting := sightings[i%len(sightings)]
+		probes.Go(func() { dialer.probeThroughPeer(ctx, peer, sighting) })
+	}
+	probes.Wait()
+}
--- a/peridotpath/reach/tracker.go
+++ b/peridotpath/reach/tracker.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// sampleSize is the number of endpoints that are probed when one does not answer. If none of
-	// them answers, the instance is cut off: that many do not fail in the same instant.
+	// sampleSize is the number of endpoints that are probed when one does not answer. That none of
+	// them answers proves no loss of links: a rack, a data centre or a release falls silent at once.
 	sampleSize = 3
 	// minRoundInterval is the shortest time between two rounds of probes: a single endpoint
 	// that is down fails many requests.
@@ -29,6 +29,12 @@
 	// minHold and maxHold bound how long connections to an address are opened through peers
 	// before it is dialled directly again. The hold doubles when that fails again.
 	minHold, maxHold = time.Second, 16 * time.Second
+	// peerEvidenceAge is how long it counts that a peer reached an endpoint that this instance did
+	// not reach: two follow-up probes in a row may ask peers that cannot help.
+	peerEvidenceAge = 1500 * time.Millisecond
+	// peerEvidenceInterval is the age from which such evidence is renewed by a probe, if no
+	// connection that a peer carries has renewed it.
+	peerEvidenceInterval = 500 * time.Millisecond
 )
 
 // Tracker decides whether the endpoints can be reached directly. Its zero value is an instance
@@ -54,6 +60,14 @@
 	// roundRunning and roundEndedAt describe the last round of probes.
 	roundRunning bool
 	roundEndedAt time.Time
+	// silentProbeAt is when a probe over the own link last met nothing at all.
+	silentProbeAt time.Time
+	// peerReachedAt is when a peer was last known to reach an endpoint that this instance did not
+	// reach in the same time.
+	peerReachedAt time.Time
+	// silentSince is since when no endpoint answers while nothing shows that the links are lost;
+	// zero if one does, or if they are lost.
+	silentSince time.Time
 	// cutOffSince is when the instance was found to be cut off; zero if it is not.
 	cutOffSince time.Time
 	holds       map[netip.AddrPort]hold
@@ -83,6 +97,55 @@
 	return !tracker.cutOffSince.IsZero()
 }
 
+// IsSilent reports whether no endpoint answers, while nothing shows that the links are lost.
+func (tracker *Tracker) IsSilent() bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.silentSince.IsZero()
+}
+
+// IsReachedByPeers reports whether the instance is cut off and a peer reaches an endpoint in the same
+// time.
+func (tracker *Tracker) IsReachedByPeers(now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return !tracker.cutOffSince.IsZero() && now.Sub(tracker.peerReachedAt) <= peerEvidenceAge
+}
+
+// HasFreshPeerEvidence reports whether it was known a moment ago that a peer reaches an endpoint that
+// this instance does not reach.
+func (tracker *Tracker) HasFreshPeerEvidence(now time.Time) bool {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return now.Sub(tracker.peerReachedAt) < peerEvidenceInterval
+}
+
+// RecordReachedByPeer records that a peer reached an endpoint that this instance did not reach in
+// the same time.
+func (tracker *Tracker) RecordReachedByPeer(now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.peerReachedAt = now
+}
+
+// RecordCarriedAnswer records that something was received on a connection that a peer carries. It
+// counts while the instance is cut off: otherwise the peer's endpoint may be one that answers both.
+func (tracker *Tracker) RecordCarriedAnswer(now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if !tracker.cutOffSince.IsZero() {
+		tracker.peerReachedAt = now
+	}
+}
+
+// RecordSilentProbe records that a probe over the own link has met nothing at all: no answer, no
+// refusal and no reset.
+func (tracker *Tracker) RecordSilentProbe(now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	tracker.silentProbeAt = now
+}
+
 // PrefersPeers reports whether a connection to the address is opened through a peer at once.
 func (tracker *Tracker) PrefersPeers(address netip.AddrPort, now time.Time) bool {
 	tracker.mutex.Lock()
@@ -136,6 +199,9 @@
 	if isRestored {
 		tracker.cutOffSince = time.Time{}
 	}
+	if openedAt.After(tracker.silentSince) {
+		tracker.endSilence(now)
+	}
 	tracker.mutex.Unlock()
 	if isRestored {
 		tracker.Log.Info().Dur("lasted", now.Sub(since)).Stringer("answered", address).Msg("links_restored")
@@ -194,39 +260,112 @@
 // beginRound begins a round if none runs and the last one ended long enough ago. The caller holds
 // the mutex.
 func (tracker *Tracker) beginRound(now time.Time) bool {
-	if tracker.roundRunning || !tracker.cutOffSince.IsZero() || now.Sub(tracker.roundEndedAt) < minRoundInterval {
+	if tracker.roundRunning || !tracker.cutOffSince.IsZero() || !tracker.silentSince.IsZero() || now.Sub(tracker.roundEndedAt) < minRoundInterval {
 		return false
 	}
 	tracker.roundRunning = true
 	return true
 }
 
-// EndRound ends a round that began at the given time and probed some endpoints. The instance is
-// cut off if none has answered on a connection that was opened since.
+// EndRound ends a round that began at the given time and probed some endpoints.
 func (tracker *Tracker) EndRound(startedAt time.Time, probed int, now time.Time) {
 	tracker.mutex.Lock()
 	tracker.roundRunning, tracker.roundEndedAt = false, now
-	isCutOff := probed > 0 && tracker.newestAnswered.Before(startedAt)
-	if isCutOff {
-		tracker.cutOffSince = now
+	found := evidence{
+		probed: probed, isAnswered: !tracker.newestAnswered.Before(startedAt),
+		isReachedByPeer: !tracker.peerReachedAt.Before(startedAt), isSilent: !tracker.silentProbeAt.Before(startedAt),
+		isReceiving: tracker.isReceivingSince(startedAt),
 	}
-	silentFor := now.Sub(tracker.newestAnswered)
-	isStalled := isCutOff && tracker.receivedAt.Load() < startedAt.UnixNano()
-	var notified []func()
-	for notify := range tracker.onStalled {
-		notified = append(notified, *notify)
+	verdict, ground := found.judge()
+	if verdict == endpointsSilent {
+		tracker.silentSince = startedAt
+		tracker.Log.Info().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", now.Sub(tracker.newestAnswered)).Msg("endpoints_silent")
+	}
+	tell := func() {}
+	if verdict == linksLost {
+		tell = tracker.loseLinks(loss{ground: ground, probed: probed, begunAt: startedAt, since: now, foundAt: now})
 	}
 	tracker.mutex.Unlock()
-	if !isCutOff {
-		return
+	tell()
+}
+
+// ReviewSilence decides anew, after a probe that began at the given time, whether the links are lost.
+func (tracker *Tracker) ReviewSilence(startedAt, now time.Time) {
+	tracker.mutex.Lock()
+	tell := func() {}
+	if !tracker.silentSince.IsZero() {
+		tell = tracker.reviewSilence(startedAt, now)
 	}
-	tracker.Log.Warn().Int("probed", probed).Dur("took", now.Sub(startedAt)).Dur("last_answer", silentFor).Bool("stalled", isStalled).Msg("links_lost")
-	tracker.notifyChanged()
-	if !isStalled {
+	tracker.mutex.Unlock()
+	tell()
+}
+
+// reviewSilence decides anew, while the endpoints are silent, and returns what tells others of the
+// decision. The caller holds the mutex.
+func (tracker *Tracker) reviewSilence(startedAt, now time.Time) (tell func()) {
+	begunAt := tracker.silentSince
+	// A refusal by one endpoint says nothing about the links.
+	found := evidence{
+		probed: 1, isReachedByPeer: !tracker.peerReachedAt.Before(startedAt), isSilent: true,
+		isReceiving: tracker.isReceivingSince(begunAt), silentFor: now.Sub(begunAt),
+	}
+	verdict, ground := found.judge()
+	lost := loss{ground: ground, probed: 1, begunAt: begunAt, since: now, foundAt: now}
+	switch {
+	case verdict == linksLost && ground == groundSilence:
+		lost.since = begunAt
+		return tracker.loseLinks(lost)
+	case verdict == linksLost:
+		return tracker.loseLinks(lost)
+	case verdict == linksWork:
+		tracker.endSilence(now)
+	}
+	return func() {}
+}
+
+// isReceivingSince reports whether an endpoint has sent anything on a direct connection since the
+// time.
+func (tracker *Tracker) isReceivingSince(since time.Time) bool {
+	return tracker.receivedAt.Load() >= since.UnixNano()
+}
+
+// endSilence ends the time in which the endpoints are silent, if they are. The caller holds the
+// mutex.
+func (tracker *Tracker) endSilence(now time.Time) {
+	if tracker.silentSince.IsZero() {
 		return
 	}
-	for _, notify := range notified {
-		notify()
+	tracker.Log.Info().Dur("lasted", now.Sub(tracker.silentSince)).Msg("endpoints_answer")
+	tracker.silentSince = time.Time{}
+}
+
+// loss is a loss of the links to the endpoints.
+type loss struct {
+	ground ground
+	probed int
+	// begunAt is when the first probe began, since the time from which the instance counts as cut
+	// off, and foundAt when that was found.
+	begunAt, since, foundAt time.Time
+}
+
+// loseLinks records that the links are lost and returns what tells others of it, to be called
+// without the mutex. The caller holds the mutex.
+func (tracker *Tracker) loseLinks(lost loss) (tell func()) {
+	tracker.silentSince, tracker.cutOffSince = time.Time{}, lost.since
+	isStalled := !tracker.isReceivingSince(lost.begunAt)
+	tracker.Log.Warn().Int("probed", lost.probed).Dur("took", lost.foundAt.Sub(lost.begunAt)).Dur("last_answer", lost.foundAt.Sub(tracker.newestAnswered)).
+		Bool("stalled", isStalled).Str("ground", string(lost.ground)).Msg("links_lost")
+	var notified []func()
+	if isStalled {
+		for notify := range tracker.onStalled {
+			notified = append(notified, *notify)
+		}
+	}
+	return func() {
+		tracker.notifyChanged()
+		for _, notify := range notified {
+			notify()
+		}
 	}
 }
 
