instance: an instance leaves rotation only where a peer reaches the endpoints

Callers saw: `readiness_changed` reason=cut_off at instances that were well, so that the balancer took them out of rotation. Cause: a peer's offer to carry counted as a sign that it reaches the endpoints. A peer offers it until it has found itself cut off, also in an outage that all instances share. Measured: TestOfferOfAPeerIsNoEvidence (endpoints that refuse everyone for 2 s while three peers offer to carry).

--- a/peridotpath/instance/links.go
+++ b/peridotpath/instance/links.go
@@ -84,11 +84,12 @@
 func (instance *Instance) handleLinksChanged() { instance.gossip.RequestDigest() }
 
 // shouldMoveCallers reports whether callers are better served by other instances: this one has
-// been cut off from the endpoints for a while, and a peer reaches them. If none does, an instance
-// that reports not ready would only add its callers to the others'.
+// been cut off from the endpoints for a while, a peer has reached them in that time, and one offers
+// to carry. That a peer offers it is no evidence: it may have noticed nothing yet. If none reaches
+// them, an instance that reports not ready would only add its callers to the others'.
 func (instance *Instance) shouldMoveCallers() bool {
-	now := time.Now()
-	return instance.reachability.CutOffFor(now) >= unreadyAfter && instance.gossip.HasCarrier(now)
+	now, links := time.Now(), instance.reachability
+	return links.CutOffFor(now) >= unreadyAfter && links.IsReachedByPeers(now) && instance.gossip.HasCarrier(now)
 }
 
 // tunnelRoutes returns the routes at which peers ask for tunnels.
--- a/peridotpath/reach/silence_test.go
+++ b/peridotpath/reach/silence_test.go
@@ -310,3 +310,20 @@
 		})
 	}
 }
+
+// All endpoints refuse connections for a moment, as in a restart of all of them. Peers offer to carry
+// and reach nothing: the instance must not leave rotation for their word.
+func TestOfferOfAPeerIsNoEvidence(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newSilentNetwork(pathRefuses, pathRefuses, pathRefuses)
+		defer network.start(t)()
+		network.set(func() { network.own = pathRefuses })
+		for range 20 {
+			network.request(t.Context())
+			time.Sleep(100 * time.Millisecond)
+			is.True(!network.dialer.Tracker.IsReachedByPeers(time.Now()))
+		}
+		is.True(network.dialer.Tracker.IsCutOff())
+	})
+}
