reach: an instance that may be wrong about its links also tries them

Callers saw: refusals when peers that offer to carry decline, while the endpoints have begun to answer and the instance has not noticed. Cause: an instance that is cut off tried its own link only if no peer offers to carry. Measured: TestOwnLinkIsTriedWhereNoPeerIsKnownToReach fails before ("cut off from all endpoints: declined") and passes now.

--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -111,7 +111,8 @@
 }
 
 // ways returns the ways to try first, and a function that returns those to try after them. An
-// instance that is cut off tries its own link only while no peer carries, and not for long.
+// instance that is cut off tries its own link only while no peer is known to reach the endpoints,
+// and not for long.
 func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) (first []way, more func() []way) {
 	throughPeers := func() []way { return dialer.waysThroughPeers(target) }
 	direct := []way{{headStart: overdueAfter}}
@@ -120,10 +121,16 @@
 		return direct, throughPeers
 	case dialer.Tracker.IsCutOff():
 		ways := throughPeers()
-		if len(ways) == 0 && !dialer.isHopeless() {
+		switch {
+		case dialer.isHopeless():
+			return ways, nil
+		case len(ways) == 0:
 			return direct, nil
+		case dialer.Tracker.IsReachedByPeers(time.Now()):
+			return ways, nil
 		}
-		return ways, nil
+		// No peer is known to reach the endpoints, so these may be the ones that refuse.
+		return ways, func() []way { return direct }
 	default:
 		return throughPeers(), func() []way { return direct }
 	}
--- a/peridotpath/reach/silence_test.go
+++ b/peridotpath/reach/silence_test.go
@@ -327,3 +327,24 @@
 		is.True(network.dialer.Tracker.IsCutOff())
 	})
 }
+
+// The endpoints are back, and the peers that offer to carry do not carry yet. A request goes out over
+// the own link while no peer is known to reach the endpoints.
+func TestOwnLinkIsTriedWhereNoPeerIsKnownToReach(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newSilentNetwork(pathRefuses)
+		network.dialer.ThroughPeer = func(context.Context, netip.AddrPort, netip.AddrPort) (net.Conn, error) {
+			return nil, tunnel.Error.New("declined")
+		}
+		defer network.start(t)()
+		network.set(func() { network.own = pathRefuses })
+		network.request(t.Context())
+		time.Sleep(100 * time.Millisecond)
+		is.True(network.dialer.Tracker.IsCutOff())
+		network.set(func() { network.own = pathOpen })
+		conn, err := network.dialer.Dial(t.Context(), "tcp", network.endpoints[0].Address.String())
+		is.NoErr(err)
+		is.NoErr(exchange(conn))
+	})
+}
