reach: refused connections do not end requests on open ones at once

Callers saw: streams that ran were given up (`stalled=true`) when only new connections were refused. Cause: "nothing was received since the round began" was taken as a sign that open connections carry nothing. A round whose probes are refused ends after milliseconds, in which there may be no event. Where that is not known yet when the links are found to be lost, it is decided at a later probe (`links_stalled`). Measured: TestLinksAreNotStalledRightAfterAnEvent fails before (a stream whose last event was 50 ms before the round) and passes now.

--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -90,7 +90,7 @@
 		carriers = 0
 	}
 	dialer.probe(ctx, dialer.Sample(1, netip.AddrPort{}), carriers)
-	dialer.Tracker.ReviewSilence(startedAt, time.Now())
+	dialer.Tracker.Review(startedAt, time.Now())
 }
 
 // probe probes endpoints over this instance's own link, all at once, and returns their number. If
--- a/peridotpath/reach/tracker.go
+++ b/peridotpath/reach/tracker.go
@@ -70,7 +70,9 @@
 	silentSince time.Time
 	// cutOffSince is when the instance was found to be cut off; zero if it is not.
 	cutOffSince time.Time
-	holds       map[netip.AddrPort]hold
+	// mayBeStalled reports whether it is not decided yet that open connections carry nothing.
+	mayBeStalled bool
+	holds        map[netip.AddrPort]hold
 }
 
 // hold makes connections to an address go through peers.
@@ -289,12 +291,16 @@
 	tell()
 }
 
-// ReviewSilence decides anew, after a probe that began at the given time, whether the links are lost.
-func (tracker *Tracker) ReviewSilence(startedAt, now time.Time) {
+// Review decides anew, after a probe that began at the given time, whether the links are lost, and
+// whether open connections carry nothing either.
+func (tracker *Tracker) Review(startedAt, now time.Time) {
 	tracker.mutex.Lock()
 	tell := func() {}
-	if !tracker.silentSince.IsZero() {
+	switch {
+	case !tracker.silentSince.IsZero():
 		tell = tracker.reviewSilence(startedAt, now)
+	case !tracker.cutOffSince.IsZero():
+		tell = tracker.reviewStall(now)
 	}
 	tracker.mutex.Unlock()
 	tell()
@@ -352,17 +358,43 @@
 // without the mutex. The caller holds the mutex.
 func (tracker *Tracker) loseLinks(lost loss) (tell func()) {
 	tracker.silentSince, tracker.cutOffSince = time.Time{}, lost.since
-	isStalled := !tracker.isReceivingSince(lost.begunAt)
+	// Refusals show a cut within milliseconds, in which open connections may have had nothing to carry.
+	isStalled := !tracker.isReceivingSince(lost.begunAt) && !tracker.isReceivingSince(lost.foundAt.Add(-silentAfter))
+	tracker.mayBeStalled = !tracker.isReceivingSince(lost.begunAt) && !isStalled
 	tracker.Log.Warn().Int("probed", lost.probed).Dur("took", lost.foundAt.Sub(lost.begunAt)).Dur("last_answer", lost.foundAt.Sub(tracker.newestAnswered)).
 		Bool("stalled", isStalled).Str("ground", string(lost.ground)).Msg("links_lost")
-	var notified []func()
+	tellStalled := func() {}
 	if isStalled {
-		for notify := range tracker.onStalled {
-			notified = append(notified, *notify)
-		}
+		tellStalled = tracker.stallNotifications()
 	}
 	return func() {
 		tracker.notifyChanged()
+		tellStalled()
+	}
+}
+
+// reviewStall decides whether open connections carry nothing, where that was not known when the links
+// were found to be lost, and returns what tells others of it. The caller holds the mutex.
+func (tracker *Tracker) reviewStall(now time.Time) (tell func()) {
+	if !tracker.mayBeStalled || now.Sub(tracker.cutOffSince) < silentAfter {
+		return func() {}
+	}
+	tracker.mayBeStalled = false
+	if tracker.isReceivingSince(tracker.cutOffSince) {
+		return func() {}
+	}
+	tracker.Log.Warn().Dur("cut_off_for", now.Sub(tracker.cutOffSince)).Msg("links_stalled")
+	return tracker.stallNotifications()
+}
+
+// stallNotifications returns a function that calls all that are registered. The caller holds the
+// mutex.
+func (tracker *Tracker) stallNotifications() func() {
+	var notified []func()
+	for notify := range tracker.onStalled {
+		notified = append(notified, *notify)
+	}
+	return func() {
 		for _, notify := range notified {
 			notify()
 		}
--- a/peridotpath/reach/verdict_test.go
+++ b/peridotpath/reach/verdict_test.go
@@ -68,7 +68,7 @@
 		is.True(!tracker.IsCutOff())
 		is.True(!tracker.PrefersPeers(first, at(now)))
 		is.True(!tracker.BeginRoundAfterDial(at(now-100), at(now)))
-		tracker.ReviewSilence(at(now-250), at(now))
+		tracker.Review(at(now-250), at(now))
 	}
 	tracker.RecordFirstAnswer(second, at(3400), at(3450))
 	is.True(!tracker.IsSilent())
@@ -81,7 +81,7 @@
 	is := is.New(t)
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
 	silentRound(tracker)
-	tracker.ReviewSilence(at(3250), at(3500))
+	tracker.Review(at(3250), at(3500))
 	is.True(tracker.IsCutOff())
 	is.Equal(tracker.CutOffFor(at(3500)), 2500*time.Millisecond)
 	is.True(!tracker.IsReachedByPeers(at(3500)))
@@ -96,7 +96,7 @@
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
 	silentRound(tracker)
 	tracker.RecordReceived(at(1400))
-	tracker.ReviewSilence(at(1300), at(1550))
+	tracker.Review(at(1300), at(1550))
 	is.True(!tracker.IsSilent())
 	is.True(!tracker.IsCutOff())
 }
@@ -108,7 +108,7 @@
 	tracker := &reach.Tracker{Log: zerolog.Nop()}
 	silentRound(tracker)
 	tracker.RecordReachedByPeer(at(1500))
-	tracker.ReviewSilence(at(1300), at(1550))
+	tracker.Review(at(1300), at(1550))
 	is.True(tracker.IsCutOff())
 	is.True(tracker.IsReachedByPeers(at(1550)))
 	is.True(!tracker.IsReachedByPeers(at(3100)))
@@ -126,3 +126,36 @@
 	tracker.EndRound(at(1000), 3, at(1300))
 	is.True(!tracker.IsCutOff())
 }
+
+// New connections are refused while open ones live on. Refusals show that within milliseconds, in which
+// no event has come: the running requests would be ended. Where open connections hang, they are ended
+// as soon as that shows.
+func TestLinksAreNotStalledRightAfterAnEvent(t *testing.T) {
+	tests := []struct {
+		name                string
+		before, after       int
+		stalled, stallsSoon bool
+	}{
+		{"an event just before the round, and others after it", 950, 1200, false, false},
+		{"an event just before the round, and none after it", 950, 950, false, true},
+		{"no event for long", 650, 650, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			notified := 0
+			tracker := &reach.Tracker{Log: zerolog.Nop()}
+			tracker.NotifyStalled(func() { notified++ })
+			tracker.BeginRoundAfterDial(at(995), at(1000))
+			tracker.RecordReceived(at(test.before))
+			tracker.EndRound(at(1000), 3, at(1005))
+			is.True(tracker.IsCutOff())
+			is.Equal(notified == 1, test.stalled)
+			tracker.RecordReceived(at(test.after))
+			for now := 1250; now < 3000; now += 250 {
+				tracker.Review(at(now-250), at(now))
+			}
+			is.Equal(notified == 1, test.stallsSoon)
+		})
+	}
+}
