reach: probes through peers end before the own ones, also in a process that runs late

Cause: the time of the probes through peers began when they did. In a process that gets the processor late they could end with the own probes, so that the answer of an endpoint that goes on reaches the peer in time and this instance just too late: the links would count as lost. Change: both times begin with the round; the one for peers is 60 ms shorter. Measured: TestEndOfSilenceIsNoLossOfLinks passes, and fails if the times are equal ("cut off after a silence of 580ms"). A process that runs late was not played.

--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -21,10 +21,10 @@
 	// peersAskedAfter is the time after which endpoints that have not answered are probed through
 	// peers as well.
 	peersAskedAfter = 100 * time.Millisecond
-	// peerProbeTimeout bounds a probe through a peer. It ends before those over the own link: at the
-	// end of a silence an endpoint answers all of them, and the own answer must not be missed by a
-	// moment.
-	peerProbeTimeout = 150 * time.Millisecond
+	// peerProbeTimeout bounds the probes through peers, from the begin of those over the own link on. It
+	// ends before theirs: at the end of a silence an endpoint answers all of them, and the own answer
+	// may come a moment later.
+	peerProbeTimeout = 240 * time.Millisecond
 	// carriersPerRound is the number of peers through which a round probes. With one peer in three
 	// in touch, six miss all of these once in eleven rounds, and half of them are of other data
 	// centres if there are any.
@@ -99,34 +99,45 @@
 func (dialer *Dialer) probe(ctx context.Context, endpoints []*peridotpath.Endpoint, carriers int) int {
 	ctx, cancel := clock.WithRunningTimeout(ctx, probeTimeout)
 	defer cancel()
-	var probes sync.WaitGroup
-	var sightings []*sighting
-	for _, endpoint := range endpoints {
-		sighting := &sighting{endpoint: endpoint}
-		sightings = append(sightings, sighting)
-		probes.Go(func() { dialer.probeDirectly(ctx, sighting) })
-	}
-	ended := make(chan struct{})
-	go func() {
-		probes.Wait()
-		close(ended)
-	}()
+	peersCtx, cancelPeers := clock.WithRunningTimeout(ctx, peerProbeTimeout)
+	defer cancelPeers()
+	sightings := newSightings(endpoints)
+	ended := dialer.startProbes(ctx, sightings)
 	select {
 	case <-ended:
 	case <-time.After(peersAskedAfter):
 	}
 	if !slices.ContainsFunc(sightings, (*sighting).isAnswered) {
-		dialer.probeThroughPeers(ctx, sightings, carriers)
+		dialer.probeThroughPeers(peersCtx, sightings, carriers)
 	}
 	<-ended
-	now := time.Now()
+	dialer.recordSightings(sightings, time.Now())
+	return len(endpoints)
+}
+
+// startProbes starts the probes over this instance's own link and returns a channel that is closed
+// when all have ended.
+func (dialer *Dialer) startProbes(ctx context.Context, sightings []*sighting) (ended <-chan struct{}) {
+	var probes sync.WaitGroup
+	for _, sighting := range sightings {
+		probes.Go(func() { dialer.probeDirectly(ctx, sighting) })
+	}
+	allEnded := make(chan struct{})
+	go func() {
+		probes.Wait()
+		close(allEnded)
+	}()
+	return allEnded
+}
+
+// recordSightings records what probes have met. Their answers are recorded by the connections.
+func (dialer *Dialer) recordSightings(sightings []*sighting, now time.Time) {
 	if slices.ContainsFunc(sightings, (*sighting).isSilent) {
 		dialer.Tracker.RecordSilentProbe(now)
 	}
 	if slices.ContainsFunc(sightings, (*sighting).isReachedByPeerOnly) {
 		dialer.Tracker.RecordReachedByPeer(now)
 	}
-	return len(endpoints)
 }
 
 // probeThroughPeers probes the endpoints through up to count peers, all at once.
@@ -134,8 +145,6 @@
 	if len(sightings) == 0 || count == 0 {
 		return
 	}
-	ctx, cancel := clock.WithRunningTimeout(ctx, peerProbeTimeout)
-	defer cancel()
 	var probes sync.WaitGroup
 	for i, peer := range spreadCarriers(dialer.Peers(sightings[0].endpoint.Address), count) {
 		sighting := sightings[i%len(sightings)]
--- a/peridotpath/reach/sighting.go
+++ b/peridotpath/reach/sighting.go
@@ -22,6 +22,14 @@
 	isRefused bool
 }
 
+func newSightings(endpoints []*peridotpath.Endpoint) []*sighting {
+	sightings := make([]*sighting, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		sightings = append(sightings, &sighting{endpoint: endpoint})
+	}
+	return sightings
+}
+
 func (sighting *sighting) recordOwn(reached contact) {
 	sighting.mutex.Lock()
 	defer sighting.mutex.Unlock()
