caller, platform: send a refusal before the body that nobody reads

What callers saw: a request that is refused before its body is read (closing, headers too large, no memory for bodies, unknown key) had no answer until the rest of a short body arrived, for ever where the caller stalled, and a planned stop waited with it. After a long body the connection was closed half a second after the refusal; a caller that sends its whole body before it reads failed to send ("broken pipe") and could not count on the refusal and its Retry-After. Health checks and the list of models waited for a declared body as well.

Cause: net/http reads up to 256 kB of an unread body before it writes the answer, without a time limit, and does not read longer ones at all. `peridotd serve` had a read deadline for the former at failures only; the ingress of `relay` had none.

Change: caller.AnswerUnread writes and flushes the answer, and then reads and drops the body as long as it arrives (1 s between two reads, 10 s in all). The connection closes after it, so that no byte of the body is parsed as a request.

--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -72,10 +72,16 @@
 		// closed normally, so the connection is aborted.
 		panic(http.ErrAbortHandler)
 	}
-	body := exchange.failureJSON(result)
-	if !exchange.bodyConsumed {
-		exchange.closeAfterAnswer()
+	if exchange.bodyConsumed {
+		exchange.sendFailure(result)
+		return
 	}
+	AnswerUnread(exchange.writer, exchange.request, func() { exchange.sendFailure(result) })
+}
+
+// sendFailure writes the failure into the answer.
+func (exchange *exchange) sendFailure(result *peridotpath.Result) {
+	body := exchange.failureJSON(result)
 	if exchange.answerBegun {
 		// A resumed stream may fail before its first event.
 		exchange.writer.Header().Set("Content-Type", "text/event-stream")
@@ -86,6 +92,7 @@
 	}
 	header := exchange.writer.Header()
 	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(HeaderCode, strconv.Itoa(int(result.Code)))
 	if !result.Code.NotRun() && exchange.work != nil && !exchange.work.Profile.Idempotent {
 		// Client libraries retry automatically on most statuses above 500. A request
@@ -99,24 +106,6 @@
 	_, _ = exchange.writer.Write(body)
 }
 
-const (
-	// unreadBodyTimeout is how long a refused caller may continue to send its body.
-	unreadBodyTimeout = time.Second
-	// refusalWriteTimeout bounds the time to write a refusal.
-	refusalWriteTimeout = 10 * time.Second
-)
-
-// closeAfterAnswer makes the server write the answer although the body was not read.
-// net/http first reads the rest of the body, without a time limit: the refusal of a
-// caller that sends slowly or stalls, and a planned stop with it, would be delayed
-// without bound. The connection closes after the answer, so that no remaining bytes
-// of the body are parsed as another request.
-func (exchange *exchange) closeAfterAnswer() {
-	exchange.writer.Header().Set("Connection", "close")
-	_ = http.NewResponseController(exchange.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-	exchange.setWriteDeadline(time.Now().Add(refusalWriteTimeout))
-}
-
 // retryAfterSeconds rounds up to whole seconds, the unit of the header: a caller that
 // retries early would be refused again. The body has milliseconds.
 func retryAfterSeconds(retryAfter time.Duration) string {
--- a/peridotpath/caller/models.go
+++ b/peridotpath/caller/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"peridotpath.example/peridotpath"
 )
@@ -19,6 +20,12 @@
 
 // listModels lists the names that a request may have as model: profiles and their aliases.
 func (server *Server) listModels(exchange *exchange) *peridotpath.Result {
+	// An unread body would delay the answer.
+	_, release, result := server.readBody(exchange, time.Time{})
+	if result != nil {
+		return result
+	}
+	release()
 	list := modelList{Object: "list", Data: []model{}}
 	for _, profile := range exchange.config.Profiles {
 		for _, name := range append([]string{string(profile.Name)}, profile.Aliases...) {
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -109,18 +109,27 @@
 // ActiveRequests returns the number of requests that are being served.
 func (server *Server) ActiveRequests() int64 { return server.activeCount.Load() }
 
-func (server *Server) serveLive(writer http.ResponseWriter, _ *http.Request) {
-	writer.WriteHeader(http.StatusOK)
+func (server *Server) serveLive(writer http.ResponseWriter, request *http.Request) {
+	writeHealth(writer, request, http.StatusOK)
 }
 
 // serveReady serves the balancer's readiness check. An Instance without configuration or
 // about to stop is not ready, but still serves the requests that it receives.
-func (server *Server) serveReady(writer http.ResponseWriter, _ *http.Request) {
+func (server *Server) serveReady(writer http.ResponseWriter, request *http.Request) {
 	if !server.IsReady() {
-		writer.WriteHeader(http.StatusServiceUnavailable)
+		writeHealth(writer, request, http.StatusServiceUnavailable)
 		return
 	}
-	writer.WriteHeader(http.StatusOK)
+	writeHealth(writer, request, http.StatusOK)
+}
+
+// writeHealth answers a health check, whose body, if it has one, is not used.
+func writeHealth(writer http.ResponseWriter, request *http.Request, status int) {
+	if request.ContentLength == 0 {
+		writer.WriteHeader(status)
+		return
+	}
+	AnswerUnread(writer, request, func() { writer.WriteHeader(status) })
 }
 
 // exchange is the state of one request while it is being served.
