inbound, instance: a stop waits until answers are written, not until handlers return

What callers may see: the last answer of an instance that stops ends with a closed connection. The stop of `relay` goes on once no handler runs; net/http writes a short answer, and the end of a stream, only after its handler has returned, so that the process can exit first where it is short of processor time or the caller's link is full. A request that is read and has not reached its handler was not waited for either. `peridotd serve` is not affected: its stop waits for net/http's own shutdown.

Change: the listener counts connections from the request's head to the end of its answer, by the server's ConnState hook; the stop waits for that count.

--- a/peridotpath/inbound/inbound.go
+++ b/peridotpath/inbound/inbound.go
@@ -48,7 +48,8 @@
 	// bounds the memory for reading them.
 	MaxHeaderBytes int
 
-	server chan *http.Server
+	server    chan *http.Server
+	answering answering
 }
 
 // Run serves until Close, and returns once go-zero's shutdown hooks have run as well.
@@ -77,6 +78,7 @@
 		server.ReadTimeout = 0
 		server.WriteTimeout = 0
 		server.MaxHeaderBytes = headerLimitFactor * listener.MaxHeaderBytes
+		server.ConnState = listener.answering.track
 		listener.server <- server
 	})
 	if errors.Is(err, http.ErrServerClosed) {
@@ -99,6 +101,10 @@
 	}
 }
 
+// AnsweringCount returns the number of connections on which a request has been read and its answer is
+// not written to the end.
+func (listener *Listener) AnsweringCount() int { return listener.answering.count() }
+
 // RunShutdownHooks runs go-zero's shutdown hooks, without which Run does not return. Call
 // it once all listeners of the process are closed.
 func RunShutdownHooks() { proc.Shutdown() }
--- a/peridotpath/instance/shutdown.go
+++ b/peridotpath/instance/shutdown.go
@@ -43,8 +43,9 @@
 	_ = instance.metricsListener.Close(ctx)
 }
 
-// drainCallers accepts no new connections and waits for running requests. It does not wait
-// for connections without a request, for which net/http would wait five seconds.
+// drainCallers accepts no new connections and waits until the answers of running requests are
+// written to the end. It does not wait for connections without a request, for which net/http would
+// wait five seconds.
 func (instance *Instance) drainCallers(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -60,7 +61,7 @@
 			}
 			return
 		case <-ticker.C:
-			if instance.activeRequests.Load() == 0 {
+			if instance.callerListener.AnsweringCount() == 0 {
 				cancel()
 			}
 		}
