caller: every request ends with an answer, a failure or an aborted connection

What callers of `peridotd serve` saw: a request whose handler panicked got a closed connection; one that was taken for gone though it only had closed its sending side, or whose handler returned without a word, got status 200 with an empty body, which no client can tell from an answer. A repeated idempotency key of a request that panicked waited for it until its own deadline.

Cause: net/http drops what is left when a handler panics, and answers 200 when one writes nothing; the failure of a caller that left was not written at all.

The failure of a caller that left is written like any other. The outcome of a claimed request is recorded also where its handler panics.

--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -62,11 +62,9 @@
 
 // writeFailure writes the failure as the whole answer, or as the last event of a stream
 // that has begun. An interrupted stream has no end marker, so that no client
-// mistakes a partial answer for a complete one.
+// mistakes a partial answer for a complete one. It is also written to a caller that has
+// disconnected: one that only closed its sending side would get an empty success.
 func (exchange *exchange) writeFailure(result *peridotpath.Result) {
-	if result.Code == peridotpath.CodeCallerGone {
-		return
-	}
 	if exchange.isOpaque {
 		// A partial answer of a plain service would look complete if the connection
 		// closed normally, so the connection is aborted.
--- a/peridotpath/caller/models.go
+++ b/peridotpath/caller/models.go
@@ -32,6 +32,7 @@
 			list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: string(profile.Service)})
 		}
 	}
+	exchange.answerBegun = true
 	exchange.writer.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(exchange.writer).Encode(list); err != nil {
 		return &peridotpath.Result{Code: peridotpath.CodeCallerGone}
--- a/peridotpath/caller/once.go
+++ b/peridotpath/caller/once.go
@@ -70,14 +70,25 @@
 	return &peridotpath.Result{Code: peridotpath.CodeInternal, Detail: err.Error()}
 }
 
-// runClaimed serves the request and records its outcome. The ledger gets a cancelled
-// context and completes the record in the background, so that the caller's answer does
-// not wait for it.
+// runClaimed serves the request and records its outcome.
 func (server *Server) runClaimed(ctx context.Context, exchange *exchange, granted *claim.Claim, serve func(ctx context.Context, maySend func() error) *peridotpath.Result) *peridotpath.Result {
 	recorder := &answerRecorder{ResponseWriter: exchange.writer}
 	exchange.writer = recorder
-	result := serve(ctx, granted.BeginDispatch)
-	exchange.writer = recorder.ResponseWriter
+	// This result remains where serve panics: a repeated key must not wait for a request that has
+	// ended.
+	result := &peridotpath.Result{Code: peridotpath.CodeInternal}
+	defer func() {
+		exchange.writer = recorder.ResponseWriter
+		recordOutcome(ctx, granted, result, recorder)
+	}()
+	result = serve(ctx, granted.BeginDispatch)
+	return result
+}
+
+// recordOutcome records the outcome of a claimed request. The ledger gets a cancelled
+// context and completes the record in the background, so that the caller's answer does
+// not wait for it.
+func recordOutcome(ctx context.Context, granted *claim.Claim, result *peridotpath.Result, recorder *answerRecorder) {
 	cancelledContext, cancel := context.WithCancel(ctx)
 	cancel()
 	switch {
@@ -88,7 +99,6 @@
 	default:
 		_ = granted.MarkUnknown(cancelledContext)
 	}
-	return result
 }
 
 // replayAnswer writes the recorded answer of the key's first request.
@@ -96,6 +106,7 @@
 	if answer == nil {
 		return &peridotpath.Result{Code: peridotpath.CodeAnswerGone}
 	}
+	exchange.answerBegun = true
 	header := exchange.writer.Header()
 	for name, values := range answer.Header {
 		header[name] = values
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -189,7 +189,7 @@
 			result = &peridotpath.Result{Code: peridotpath.CodeHeaderTooLarge}
 		}
 		if result == nil {
-			result = serve(exchange)
+			result = server.serveToEnd(exchange, serve)
 		}
 		server.finishExchange(exchange, result)
 	}
