dispatch: a plain answer begins with its first byte, not with its head

What callers of `peridotd serve` saw: an endpoint that sent the head of its answer and then broke off or was silent until the deadline left its caller with a closed connection, though nothing of the answer had reached it. An idempotent call was not made again.

Cause: the answer counted as begun when the endpoint's head was read. net/http sends a head only with the first byte, so the caller had nothing yet, and the failure could only abort the connection.

Change: head and status are written with the first byte of the body or its end. An attempt that ends before that is made again where the call may run twice, else it ends as 4001 or 4002. An endpoint that is silent after its head counts as hung like one that is silent before it. The silence itself ends nothing.

--- a/peridotpath/caller/deadline_test.go
+++ b/peridotpath/caller/deadline_test.go
@@ -46,6 +46,14 @@
 		stack.network.Serve(engineAddress, handler)
 		stack.network.Serve(serviceAddress, handler)
 	}
+	// headersOnly sends the head of an answer and then hangs.
+	headersOnly := func(stack *testStack) {
+		stack.network.Serve(serviceAddress, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			_ = http.NewResponseController(writer).Flush()
+			<-request.Context().Done()
+			panic(http.ErrAbortHandler)
+		}))
+	}
 	platform := func(stack *testStack) {
 		stack.platform.Fault = func(ctx context.Context, _, _ string, _ bool) error {
 			<-ctx.Done()
@@ -69,6 +77,7 @@
 		{"the caller's own deadline", hang, completionPath, completionBody("leaf 12", 40, true), map[string]string{caller.HeaderDeadlineMS: "9000"}, "4001", false, 9 * time.Second},
 		{"service before headers", hang, claimsPath, "{}", nil, "4002", false, acknowledgeDeadline},
 		{"service before headers, with a key", hang, claimsPath, "{}", keyed, "4002", false, acknowledgeDeadline},
+		{"service after its headers", headersOnly, claimsPath, "{}", nil, "4002", false, acknowledgeDeadline},
 		{"service midway", midway, claimsPath, "{}", nil, "", true, acknowledgeDeadline},
 		{"platform at the claim", platform, claimsPath, "{}", keyed, "5001", false, acknowledgeDeadline},
 	}
--- a/peridotpath/dispatch/plain.go
+++ b/peridotpath/dispatch/plain.go
@@ -9,6 +9,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/service"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // relayBufferSize is the size, in bytes, of the chunks in which a plain service's
@@ -32,23 +33,24 @@
 		return dispatcher.classifySendError(ctx, work, endpoint.ID, err)
 	}
 	defer response.Body.Close()
-	dispatcher.recordFirstToken(work)
-	header := writer.Header()
-	for name, values := range service.EndToEnd(response.Header) {
-		header[name] = values
-	}
-	writer.WriteHeader(response.StatusCode)
 	return dispatcher.relayPlainBody(ctx, work, response, writer)
 }
 
-// relayPlainBody relays the body as it arrives. If the body is interrupted, package
-// caller aborts the caller's connection, so that no caller mistakes a partial
-// answer for a complete one.
+// relayPlainBody relays the answer as its body arrives. The answer begins with the first byte of the
+// body, or its end: net/http sends no earlier head by itself, and an attempt that ends before can
+// still be made again, or end with a failure. If the body is interrupted later, package caller
+// aborts the caller's connection, so that no caller mistakes a partial answer for a complete one.
 func (dispatcher *Dispatcher) relayPlainBody(ctx context.Context, work *decide.Work, response *http.Response, writer http.ResponseWriter) attempt {
 	controller := http.NewResponseController(writer)
 	buffer := make([]byte, relayBufferSize)
+	begun := false
 	for {
 		n, err := response.Body.Read(buffer)
+		isEnd := errors.Is(err, io.EOF)
+		if !begun && (n > 0 || isEnd) {
+			begun = true
+			dispatcher.beginPlain(work, response, writer)
+		}
 		if n > 0 {
 			if _, err := writer.Write(buffer[:n]); err != nil {
 				return deliveredAttempt(0, err)
@@ -56,12 +58,24 @@
 			_ = controller.Flush()
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case isEnd:
 			return deliveredAttempt(0, nil)
 		case ctx.Err() != nil:
-			return attempt{outcome: decide.Abandoned, contentSent: true, result: contextEndedResult(ctx, work, false)}
+			return attempt{outcome: decide.Abandoned, contentSent: begun, result: contextEndedResult(ctx, work, false)}
+		case err != nil && !begun:
+			return failedAttempt(work, telemetry.RetryFailed, peridotpath.CodeEndpointFailed, err.Error())
 		case err != nil:
 			return attempt{outcome: decide.Failed, contentSent: true, result: possiblyRanResult(work, peridotpath.CodeStreamCut, err.Error())}
 		}
 	}
 }
+
+// beginPlain writes the head of an answer.
+func (dispatcher *Dispatcher) beginPlain(work *decide.Work, response *http.Response, writer http.ResponseWriter) {
+	dispatcher.recordFirstToken(work)
+	header := writer.Header()
+	for name, values := range service.EndToEnd(response.Header) {
+		header[name] = values
+	}
+	writer.WriteHeader(response.StatusCode)
+}
