dispatch: a stream that broke off stays at its engine for its caller to resume

What callers of `peridotd serve` saw: 3005 tells them to resume with the last event id; the stream was cancelled at the engine as soon as three attempts to resume it had failed, 0.5 s after its connection broke, so that resuming failed with 3005 again and the rest of the answer was lost. The engine was at work on it all the while.

Cause: the cancellation of a stream that could not be resumed did not tell one whose caller has a cursor from one without content.

Change: with content the cancellation is due after the resume window and spares a stream with a reader, as after a disconnect of the caller. Without content nobody has a cursor, and the engine's memory is freed at once as before. The engine test network refuses with ECONNREFUSED like a socket.

Measured: TestCutStreamStaysResumable failed before (cancelled with only_detached=false at 0.5 s), TestResumeAfterBrokenConnection/fails_to_resume got 3 of 400 tokens; both pass after. The price: a stream that broke for good holds its KV cache for up to 10 s at an engine that is still there.

--- a/peridotpath/caller/resume_test.go
+++ b/peridotpath/caller/resume_test.go
@@ -200,3 +200,48 @@
 		is.Equal(partial.text+rest.text, enginetest.Answer(enginetest.AnswerSeed([]byte(body)), 400))
 	})
 }
+
+// The connection to the engine breaks in the middle of a stream, and the engine is out of reach, or
+// fails each attempt to resume. The stream goes on there. The caller, whose answer was broken off,
+// resumes it by its cursor and gets every token once.
+func TestResumeAfterBrokenConnection(t *testing.T) {
+	for name, lost := range map[string]func(engine http.Handler) http.Handler{
+		"out of reach": func(http.Handler) http.Handler { return nil },
+		"fails to resume": func(engine http.Handler) http.Handler {
+			return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if request.Method == http.MethodGet {
+					writer.WriteHeader(http.StatusInternalServerError)
+					return
+				}
+				engine.ServeHTTP(writer, request)
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				stack := newTestStack()
+				defer stack.stop(t)
+				stack.startPair(t)
+				body := completionBody("leaf 12", 400, true)
+				response := stack.sendCompletion(t.Context(), t, firstAddress, apiKey, body, nil)
+				partial := readStream(response.Body, 3)
+				stack.network.Serve(engineAddress, lost(stack.engine.Handler()))
+				rest := readStream(response.Body, 0)
+				response.Body.Close()
+				is.Equal(rest.failureCode, "3005")
+				time.Sleep(1300 * time.Millisecond)
+				stack.network.Serve(engineAddress, stack.engine.Handler())
+				last := partial.cursors[2]
+				if count := len(rest.cursors); count > 0 {
+					last = rest.cursors[count-1]
+				}
+				answer := stack.requestAll(t.Context(), t, "http://"+secondAddress+engine.PathCompletions, apiKey, body, map[string]string{caller.HeaderLastEventID: last})
+				resumed := readStream(strings.NewReader(answer.text), 0)
+				is.Equal(resumed.failureCode, "")
+				is.Equal(partial.text+rest.text+resumed.text, enginetest.Answer(enginetest.AnswerSeed([]byte(body)), 400))
+				is.Equal(stack.engine.Counts().Total.Runs, 1)
+			})
+		})
+	}
+}
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -220,12 +220,13 @@
 	return nil, err
 }
 
-// cutAttempt returns the failed attempt of a stream that could not be resumed.
+// cutAttempt returns the failed attempt of a stream that could not be resumed. A caller that has
+// content has a cursor, and may resume it itself once the endpoint is reached again.
 func (stream *stream) cutAttempt(ctx context.Context, err error) attempt {
 	if abandoned := stream.abandonedAttempt(ctx, err); abandoned != nil {
 		return *abandoned
 	}
-	stream.dispatcher.queueCancellation(stream.endpoint.Address, stream.id, false)
+	stream.dispatcher.queueCancellation(stream.endpoint.Address, stream.id, stream.contentSent)
 	attempt := failedAttempt(stream.work, telemetry.RetryFailed, peridotpath.CodeStreamCut, err.Error())
 	attempt.contentSent, attempt.tokens = stream.contentSent, stream.tokens
 	return attempt
--- a/peridotpath/dispatch/resume_test.go
+++ b/peridotpath/dispatch/resume_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,47 @@
 	*body.open--
 	return nil
 }
+
+// The connection to the engine breaks in the middle of a stream and the engine is out of reach for
+// longer than the attempts to resume take. Its caller holds a cursor and is told to resume by it.
+// The stream must stay at the engine for the resume window, as after a disconnect of the caller.
+func TestCutStreamStaysResumable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := newFixture()
+		fixture.send = func(int, context.Context) (*engine.Answer, error) {
+			return scriptedAnswer(events(0, 1, false), io.ErrUnexpectedEOF), nil
+		}
+		fixture.resume = func(int, int64) (*engine.Answer, error) {
+			return nil, engine.ErrNotConnected.Wrap(syscall.ECONNREFUSED)
+		}
+		defer fixture.start(t)()
+		received := &received{}
+		result := fixture.Do(t.Context(), request(true), received.sink())
+		is.Equal(result.Code, peridotpath.CodeStreamCut)
+		is.Equal(len(received.events), 2)
+		time.Sleep(fixture.ResumeWindow - time.Second)
+		is.Equal(fixture.cancelled(), nil) // the caller may still resume
+		time.Sleep(2 * time.Second)
+		is.Equal(fixture.cancelled(), []string{"s1 only_detached=true"})
+	})
+}
+
+// The same before the first content: nobody has a cursor, so the engine's memory is freed at once.
+func TestCutStreamWithoutContentIsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := newFixture()
+		fixture.send = func(int, context.Context) (*engine.Answer, error) {
+			return scriptedAnswer("", io.ErrUnexpectedEOF), nil
+		}
+		fixture.resume = func(int, int64) (*engine.Answer, error) {
+			return nil, engine.ErrNotConnected.Wrap(syscall.ECONNREFUSED)
+		}
+		defer fixture.start(t)()
+		result := fixture.Do(t.Context(), request(false), (&received{}).sink())
+		is.Equal(result.Code, peridotpath.CodeOutcomeUnknown)
+		time.Sleep(time.Second)
+		is.Equal(fixture.cancelled(), []string{"s1 only_detached=false"})
+	})
+}
--- a/peridotpath/engine/enginetest/network.go
+++ b/peridotpath/engine/enginetest/network.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"peridotpath.example/peridotpath/outbound"
 )
@@ -94,7 +95,7 @@
 	host := network.register(request.URL.Host, exchange, cancel)
 	if host == nil {
 		cancel()
-		return nil, outbound.ErrNotSent.New("connection refused")
+		return nil, outbound.ErrNotSent.Wrap(syscall.ECONNREFUSED)
 	}
 	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
 	serverRequest := request.Clone(ctx)
