dispatch: a stream awaits its engine while no connection to it opens

What callers of `peridotd serve` saw: where the connection of a stream broke and no other opened for more than half a second, the answer was cut (3005, or 4002 of a profile that may not run twice), though the engine was at work on it and reachable a second later. So while an instance takes its own links for lost: every dial then fails within milliseconds.

Cause: three attempts to resume, half a second in all, whatever the failure. No other endpoint can go on with a stream of which the caller has content.

Change: with content, and while the failure says only that no connection opened, attempts go on every 0.5 s for the resume window, for which the engine keeps the stream. A refused connection shows that the process is gone and is not awaited; neither is an engine that no longer has the stream.

Measured: TestStreamAwaitsEngineOutOfReach, 1.3 s and 2.5 s out of reach: both cut before (4002), whole after; "process gone" still ends within a second, "for good" within 11 s.

--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -21,6 +23,10 @@
 // short enough for a client's timeout.
 var resumeDelays = [...]time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
 
+// unreachedResumeDelay is the delay between further attempts to reach an endpoint to which no
+// connection opens.
+const unreachedResumeDelay = 500 * time.Millisecond
+
 // stream is the state of one stream that is being relayed.
 type stream struct {
 	dispatcher *Dispatcher
@@ -201,13 +207,20 @@
 }
 
 // resume reattaches to the stream after the last relayed event, with one attempt
-// after each delay. For each consecutive resumed answer without events, relay omits
-// one more delay at the start of the list. Otherwise a caller that resumes after the
-// last event of a complete stream, which browsers do on their own, would cause a busy
-// loop of requests to the endpoint until the deadline.
+// after each delay, and more where mayAwaitEndpoint allows them. For each consecutive resumed
+// answer without events, relay omits one more delay at the start of the list. Otherwise a caller
+// that resumes after the last event of a complete stream, which browsers do on their own, would
+// cause a busy loop of requests to the endpoint until the deadline.
 func (stream *stream) resume(ctx context.Context, delays []time.Duration) (*engine.Answer, error) {
 	err := engine.ErrStreamGone.New("the endpoint named no stream")
-	for _, delay := range delays {
+	startedAt := time.Now()
+	for attempt := 0; ; attempt++ {
+		delay := unreachedResumeDelay
+		if attempt < len(delays) {
+			delay = delays[attempt]
+		} else if !stream.mayAwaitEndpoint(err, time.Since(startedAt)) {
+			return nil, err
+		}
 		if stream.id == "" || !clock.SleepContext(ctx, delay) {
 			return nil, err
 		}
@@ -217,7 +230,14 @@
 			return answer, err
 		}
 	}
-	return nil, err
+}
+
+// mayAwaitEndpoint reports whether a stream waits on for an endpoint to which no connection opens.
+// Only that endpoint can go on with a stream of which the caller has content, and it keeps the
+// stream for the resume window. A refused connection shows that its process is gone.
+func (stream *stream) mayAwaitEndpoint(err error, waited time.Duration) bool {
+	isGone := errors.Is(err, syscall.ECONNREFUSED)
+	return stream.contentSent && engine.ErrNotConnected.Has(err) && !isGone && waited < stream.dispatcher.ResumeWindow
 }
 
 // cutAttempt returns the failed attempt of a stream that could not be resumed. A caller that has
--- a/peridotpath/dispatch/resume_test.go
+++ b/peridotpath/dispatch/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -125,3 +126,47 @@
 		is.Equal(fixture.cancelled(), []string{"s1 only_detached=false"})
 	})
 }
+
+// The connection to the engine breaks in the middle of a stream, and for a while no other opens, as
+// after links were taken for lost. Only that engine can go on with the stream, so it is awaited.
+// One whose process is gone is not.
+func TestStreamAwaitsEngineOutOfReach(t *testing.T) {
+	for name, test := range map[string]struct {
+		outOfReach time.Duration
+		err        error
+		served     bool
+		within     time.Duration
+	}{
+		"1.3 s":        {1300 * time.Millisecond, errors.New("cut off"), true, 2 * time.Second},
+		"2.5 s":        {2500 * time.Millisecond, errors.New("cut off"), true, 3 * time.Second},
+		"for good":     {time.Hour, errors.New("cut off"), false, 11 * time.Second},
+		"process gone": {time.Hour, syscall.ECONNREFUSED, false, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fixture, startedAt := newFixture(), time.Now()
+				fixture.send = func(int, context.Context) (*engine.Answer, error) {
+					return scriptedAnswer(events(0, 1, false), io.ErrUnexpectedEOF), nil
+				}
+				fixture.resume = func(int, int64) (*engine.Answer, error) {
+					if time.Since(startedAt) < test.outOfReach {
+						return nil, engine.ErrNotConnected.Wrap(test.err)
+					}
+					return scriptedAnswer(events(2, 4, true), nil), nil
+				}
+				defer fixture.start(t)()
+				received := &received{}
+				result := fixture.Do(t.Context(), request(false), received.sink())
+				is.True(time.Since(startedAt) <= test.within)
+				is.True(len(fixture.resumes) <= 25) // no busy loop
+				if !test.served {
+					is.Equal(result.Code, peridotpath.CodeOutcomeUnknown)
+					return
+				}
+				is.Equal(result, nil)
+				is.Equal(strings.Join(received.events, " "), "0:t0 1:t1 2:t2 3:t3 4:t4 5:[DONE]")
+			})
+		})
+	}
+}
