dispatch, decide: an instance that takes its links for lost ejects no endpoint

What callers of `peridotd serve` saw: while an instance takes its own links for lost, each request that it refuses counts as a failed connection of the endpoint it was placed on. Three of them eject the endpoint, up to half of a service, for 3 s and more; calls that may not run twice are kept off it for another 30 s. So a silence of a second cost half of the endpoints for much longer, and the refusals said `no_endpoint`.

Change: a dial that failed with reach.ErrCutOff ends the attempt as decide.CutOff, which is retried like any request that was not sent and counts against no endpoint.

--- a/peridotpath/decide/retry.go
+++ b/peridotpath/decide/retry.go
@@ -17,7 +17,7 @@
 	case Finished:
 		health.recordSuccess()
 		return
-	case Abandoned, NeverSent:
+	case Abandoned, NeverSent, CutOff:
 		return
 	case Rejected, NotConnected, Failed:
 	}
--- a/peridotpath/decide/scheduler_test.go
+++ b/peridotpath/decide/scheduler_test.go
@@ -120,7 +120,7 @@
 	if rapid.Bool().Draw(t, "first token") {
 		machine.scheduler.RecordFirstToken(machine.now, work)
 	}
-	outcome := rapid.SampledFrom([]Outcome{Finished, Finished, Rejected, NotConnected, Failed, Abandoned}).Draw(t, "outcome")
+	outcome := rapid.SampledFrom([]Outcome{Finished, Finished, Rejected, NotConnected, CutOff, Failed, Abandoned}).Draw(t, "outcome")
 	machine.scheduler.EndAttempt(machine.now, work, outcome, 10)
 	machine.placed = without(machine.placed, work)
 	machine.ended = append(machine.ended, work)
--- a/peridotpath/decide/work.go
+++ b/peridotpath/decide/work.go
@@ -110,6 +110,8 @@
 	Rejected
 	// NotConnected means that no connection was established.
 	NotConnected
+	// CutOff means that this instance reached no endpoint. It does not count against the endpoint.
+	CutOff
 	// Failed means that the attempt failed after the endpoint may have started the
 	// work.
 	Failed
--- a/peridotpath/dispatch/attempt.go
+++ b/peridotpath/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/reach"
 	"peridotpath.example/peridotpath/service"
 	"peridotpath.example/peridotpath/telemetry"
 )
@@ -51,6 +52,8 @@
 	refused := engine.ErrRefused.Has(err) || service.ErrRefused.Has(err)
 	detail := err.Error()
 	switch {
+	case notReached && ctx.Err() == nil && reach.ErrCutOff.Has(err):
+		return attempt{outcome: decide.CutOff, reason: telemetry.RetryUnreached, result: failureResult(peridotpath.CodeUnreachable, detail)}
 	case notReached && ctx.Err() == nil:
 		return attempt{outcome: decide.NotConnected, reason: telemetry.RetryUnreached, result: failureResult(peridotpath.CodeNoEndpoint, detail)}
 	case refused:
--- a/peridotpath/dispatch/run.go
+++ b/peridotpath/dispatch/run.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	switch attempt.outcome {
-	case decide.NotConnected, decide.Rejected:
+	case decide.NotConnected, decide.CutOff, decide.Rejected:
 		return true
 	case decide.Failed:
 		return work.Profile.Idempotent
