--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -92,8 +92,29 @@
 	calls   atomic.Int64
 }
 
-// startInstance starts an instance and waits until it is ready.
+// startInstance starts an instance that relays to its endpoint, and waits until it is ready.
 func startInstance(t *testing.T, grace time.Duration, changes ...func(*instance.Settings)) *runningInstance {
+	t.Helper()
+	return startInstanceWithIngress(t, grace, relayingIngress, changes...)
+}
+
+// relayingIngress returns a handler that passes each request to the relay.
+func relayingIngress(dependencies instance.IngressDependencies) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		incoming := &relay.Request{ID: "r", Path: request.URL.Path, Host: peridotpath.NormalHost(request.Host), ArrivedAt: time.Now()}
+		dependencies.Relay.Serve(request.Context(), incoming, &relay.Caller{
+			Refuse: func(result peridotpath.Result) { writer.WriteHeader(result.Code.Status()) },
+			Answer: func(status int, _ http.Header, body []byte) {
+				writer.WriteHeader(status)
+				_, _ = writer.Write(body)
+			},
+		})
+	})
+}
+
+// startInstanceWithIngress starts an instance with a handler of callers' requests, and waits until
+// it is ready.
+func startInstanceWithIngress(t *testing.T, grace time.Duration, ingress func(instance.IngressDependencies) http.Handler, changes ...func(*instance.Settings)) *runningInstance {
 	t.Helper()
 	addresses := freePorts(t, 5)
 	running := &runningInstance{stop: make(chan os.Signal, 1), ended: make(chan error, 1), release: make(chan struct{})}
@@ -118,18 +139,7 @@
 			}
 			return &relay.Answer{Status: 200, Header: http.Header{}, MatchesRequest: true, Body: io.NopCloser(strings.NewReader("done"))}, nil
 		},
-		Ingress: func(dependencies instance.IngressDependencies) http.Handler {
-			return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-				incoming := &relay.Request{ID: "r", Path: request.URL.Path, Host: peridotpath.NormalHost(request.Host), ArrivedAt: time.Now()}
-				dependencies.Relay.Serve(request.Context(), incoming, &relay.Caller{
-					Refuse: func(result peridotpath.Result) { writer.WriteHeader(result.Code.Status()) },
-					Answer: func(status int, _ http.Header, body []byte) {
-						writer.WriteHeader(status)
-						_, _ = writer.Write(body)
-					},
-				})
-			})
-		},
+		Ingress: ingress,
 	}
 	go func() { running.ended <- instance.New(running.settings, adapter, zerolog.Nop()).Run(running.stop) }()
 	for range 1000 {
