audit: requests that ended without an answer

The logs of an incident showed requests that an instance had given up while their endpoints were sound, and the audit said nothing: no fault covers a request that gets no answer. Two new ones. unanswered is a line of that name. given_up_in_vain is a request whose last attempt that reached an endpoint was ended by the instance itself, and that then got endpoint_failed, stream_cut or an aborted stream. A deadline that passes in the wait for a lent retry shows in a wait shorter than that wait's limit only: no line has the deadline.

A request without any line of its end is no fault still. Served lines are bounded to 50 a second, lines that do not fit the buffer leave no trace in the log, and an attempt's line tells neither the request's kind nor its deadline, so that a stream may go on past any fixed time.

--- a/peridotpath/audit/audit.go
+++ b/peridotpath/audit/audit.go
@@ -27,6 +27,12 @@
 	FaultRanTwice
 	// FaultEndedTwice means that more than one end of the request was logged.
 	FaultEndedTwice
+	// FaultUnanswered means that the request, which was read whole, would have ended without an
+	// answer, a refusal or an aborted stream.
+	FaultUnanswered
+	// FaultGivenUpInVain means that the instance ended the last attempt itself, before the
+	// deadline and while the endpoint was there, and the caller got no answer.
+	FaultGivenUpInVain
 	// FaultRefusedTooLate means that the request was never sent to an endpoint and was refused
 	// after more than maxHoldFactor times its latency target.
 	FaultRefusedTooLate
@@ -49,7 +55,7 @@
 	FaultSentWhileBarred
 )
 
-var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff", "sent_to_drained", "sent_over_lost_link", "sent_while_barred"}
+var faultNames = [...]string{"ran_though_refused", "ran_twice", "ended_twice", "unanswered", "given_up_in_vain", "held_and_never_sent", "no_return_time", "sent_to_leaving", "sent_during_backoff", "sent_to_drained", "sent_over_lost_link", "sent_while_barred"}
 
 func (fault Fault) String() string { return faultNames[fault] }
 
@@ -84,6 +90,10 @@
 	// by the part's fingerprint.
 	bars      map[string][]bar
 	partSends map[string][]partSend
+	// endpointProcesses holds when each endpoint ended and started, stops when instances began to
+	// stop.
+	endpointProcesses map[string]*endpointProcesses
+	stops             []instanceStop
 }
 
 // pause is an interval in which an instance's process did not run.
@@ -93,6 +103,7 @@
 type history struct {
 	ends           []logline.Line
 	failedAttempts []logline.Line
+	unanswered     []logline.Line
 }
 
 // AddLine adds a log line.
@@ -101,7 +112,8 @@
 		audit.addPause(line)
 		return
 	}
-	if audit.addLinkChange(line) || audit.addDrain(line) || audit.addAnnouncement(line) || audit.addBar(line) {
+	audit.addEndpointProcess(&line)
+	if audit.addStop(line) || audit.addLinkChange(line) || audit.addDrain(line) || audit.addAnnouncement(line) || audit.addBar(line) {
 		return
 	}
 	id := peridotpath.RequestID(line.Pairs["request"])
@@ -121,6 +133,8 @@
 		entry.ends = append(entry.ends, line)
 	case "attempt_failed":
 		entry.failedAttempts = append(entry.failedAttempts, line)
+	case "unanswered":
+		entry.unanswered = append(entry.unanswered, line)
 	}
 	audit.addSend(&line)
 }
@@ -192,6 +206,8 @@
 	possibleRuns := history.countPossibleRuns()
 	addIf(FaultRanTwice, history.isAtMostOnce() && possibleRuns > 0 && possibleRuns+history.countServed() > 1)
 	addIf(FaultEndedTwice, len(history.ends) > 1)
+	addIf(FaultUnanswered, len(history.unanswered) > 0)
+	addIf(FaultGivenUpInVain, audit.isGivenUpInVain(history))
 	for i := range history.ends {
 		end := &history.ends[i]
 		notRun := codeOf(end).NotRun()
@@ -246,7 +262,7 @@
 
 // lines returns the log lines of the request, sorted by time.
 func (history *history) lines() []string {
-	all := append(slices.Clone(history.failedAttempts), history.ends...)
+	all := slices.Concat(history.failedAttempts, history.ends, history.unanswered)
 	slices.SortStableFunc(all, func(a, b logline.Line) int { return cmp.Compare(a.Pairs["time"], b.Pairs["time"]) })
 	texts := make([]string, 0, len(all))
 	for i := range all {
