peridotctl: why, losses and trace say who ended an attempt and what denied another

why counted failed attempts by outcome and requests by result, so that a stream that the instance broke off looked like one that its endpoint cut. why now counts the attempts that the instance ended, by reason, and the failed requests by result, given_up and denied, with the shortest and longest silence of their endpoints; unanswered requests count as failed. losses splits its causes in the same way. trace ends with a sentence on a request that was given up: broken off by edge-a-1: overdue, silent for 1.9 s, budget denied another attempt.

--- a/peridotctl/audit.go
+++ b/peridotctl/audit.go
@@ -19,6 +19,9 @@
   the time for which it had asked for rest, or into a data centre later than 2 s
   after the instance had learnt that it is drained. Prints the lines of the first ones
   and fails if there is any. Reads log files, asks no instance.
+  Also finds requests that ended with nothing, and those without an answer whose
+  last attempt the instance ended itself, before the deadline and while the
+  endpoint was there.
 
 `
 
--- a/peridotctl/losses.go
+++ b/peridotctl/losses.go
@@ -23,6 +23,8 @@
   late one loses most of its worth, one without an answer all. The last line
   holds the long prompts against one that knows all, on the same arrivals. Reads
   log files, asks no instance.
+  A cause with given_up is a request whose last attempt the instance ended
+  itself, one with denied a request that was refused another attempt.
 
 `
 
@@ -48,6 +50,8 @@
 	byCause    map[lossKey]*loss
 	byWindow   map[time.Time]map[string]float64
 	upperBound upperBound
+	// lastAttempts explain failed requests.
+	lastAttempts lastAttempts
 }
 
 type loss struct {
@@ -58,11 +62,12 @@
 func newLosses(window time.Duration) *losses {
 	return &losses{
 		window: window, byCause: map[lossKey]*loss{}, byWindow: map[time.Time]map[string]float64{},
-		upperBound: upperBound{engines: map[int]int{}},
+		upperBound: upperBound{engines: map[int]int{}}, lastAttempts: lastAttempts{},
 	}
 }
 
 func (losses *losses) add(line logline.Line) {
+	failure, _ := losses.lastAttempts.end(&line)
 	event := line.Pairs["event"]
 	if event != "served" && event != "failed" || line.Pairs["result"] == callerDisconnected {
 		return
@@ -71,7 +76,7 @@
 	value := requestValue(line.Number("prompt"))
 	losses.requests++
 	losses.value += value
-	cause, lostShare := line.Pairs["result"], 1.0
+	cause, lostShare := failure.cause(), 1.0
 	if event == "served" {
 		if cause = missCause(line); cause == "" {
 			return
--- a/peridotctl/session_test.go
+++ b/peridotctl/session_test.go
@@ -177,6 +177,8 @@
 			"losses testdata/losses.log", "losses --window 1s --top 1 testdata/losses.log", "losses testdata/instances.log", "losses", "losses --top 0 x",
 			"calls testdata/calls.log", "calls", "audit testdata/losses.log", "audit --top 1 testdata/wrong.log", "audit", "audit testdata/none.log",
 			"room testdata/room.log", "room --at 2026-01-25T04:03:41.5Z testdata/room.log", "room --at noon testdata/room.log", "room testdata/losses.log",
+			"trace --id b1 testdata/broken_off.log", "trace --id b2 testdata/broken_off.log", "trace --id b3 testdata/broken_off.log", "why testdata/broken_off.log", "why --top 1 testdata/broken_off.log",
+			"losses testdata/broken_off.log", "audit testdata/broken_off.log",
 		}},
 		{name: "help", lines: []string{
 			"", "help", "help exit-codes", "help changes", "help outages", "help files", "help profile", "help endpoint drain",
@@ -303,3 +305,41 @@
 		newTally().add(line)
 	})
 }
+
+// The lines of an attempt and of the request's end are matched by instance and request, and
+// attempts that reached no endpoint do not hide the one that the instance ended.
+func TestCauseOfFailure(t *testing.T) {
+	const (
+		givenUp = "event=attempt_failed instance=a request=r outcome=failed given_up=overdue silent=1900"
+		cut     = "event=failed instance=a request=r result=stream_cut aborted=true denied=budget"
+	)
+	tests := map[string]struct {
+		lines              []string
+		cause, explanation string
+	}{
+		"budget":                        {[]string{givenUp, cut}, "stream_cut given_up=overdue denied=budget", "broken off by a: overdue, silent for 1.9 s, budget denied another attempt"},
+		"then unsent":                   {[]string{givenUp, "event=attempt_failed instance=a request=r outcome=unsent given_up=", cut}, "stream_cut given_up=overdue denied=budget", "broken off by a: overdue, silent for 1.9 s, budget denied another attempt"},
+		"then broken":                   {[]string{givenUp, "event=attempt_failed instance=a request=r outcome=broken given_up=", cut}, "stream_cut denied=budget", ""},
+		"another request":               {[]string{"event=attempt_failed instance=a request=q given_up=overdue", cut}, "stream_cut denied=budget", ""},
+		"another instance":              {[]string{"event=attempt_failed instance=b request=r given_up=overdue", cut}, "stream_cut denied=budget", ""},
+		"an earlier one":                {[]string{givenUp, "event=served instance=a request=r", cut}, "stream_cut denied=budget", ""},
+		"placed nowhere":                {[]string{givenUp, "event=failed instance=a request=r result=endpoint_failed denied=unavailable"}, "endpoint_failed given_up=overdue denied=unavailable", "given up by a: overdue, silent for 1.9 s, placement denied another attempt: unavailable"},
+		"attempts":                      {[]string{givenUp, "event=failed instance=a request=r result=endpoint_failed denied=attempts"}, "endpoint_failed given_up=overdue denied=attempts", "given up by a: overdue, silent for 1.9 s, no attempt was left"},
+		"not repeatable":                {[]string{givenUp, "event=failed instance=a request=r result=endpoint_failed denied=not_repeatable"}, "endpoint_failed given_up=overdue denied=not_repeatable", "given up by a: overdue, silent for 1.9 s, it may not be repeated"},
+		"deadline":                      {[]string{givenUp, "event=failed instance=a request=r result=deadline aborted=true"}, "deadline given_up=overdue", ""},
+		"placed nowhere, by the result": {[]string{givenUp, "event=failed instance=a request=r result=endpoint_failed denied=endpoint_failed"}, "endpoint_failed given_up=overdue denied=endpoint_failed", "given up by a: overdue, silent for 1.9 s, placement denied another attempt"},
+		"refused at once":               {[]string{"event=failed instance=a request=r result=cannot_finish denied=cannot_finish"}, "cannot_finish", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			attempts, last := lastAttempts{}, failure{}
+			for _, text := range test.lines {
+				line, _ := logline.Parse(text)
+				last, _ = attempts.end(&line)
+			}
+			is.Equal(last.cause(), test.cause)
+			is.Equal(last.explanation(), test.explanation)
+		})
+	}
+}
--- a/peridotctl/trace.go
+++ b/peridotctl/trace.go
@@ -14,6 +14,8 @@
   Prints what the instances logged of one request, in the order of their time:
   which endpoints it was sent to, by what it was decided, and how it ended.
   Reads log files, asks no instance.
+  Of a request that an instance gave up itself, says why and what denied it
+  another attempt.
 
 `
 
@@ -42,8 +44,12 @@
 				return err
 			}
 			slices.SortStableFunc(lines, func(a, b logline.Line) int { return strings.Compare(a.Pairs["time"], b.Pairs["time"]) })
+			attempts := lastAttempts{}
 			for i := range lines {
 				fmt.Fprintln(console.out, traceText(&lines[i]))
+				if failure, isFailed := attempts.end(&lines[i]); isFailed && failure.explanation() != "" {
+					fmt.Fprintln(console.out, failure.explanation())
+				}
 			}
 			fmt.Fprintf(console.out, "%d lines of request %s, %d others not understood\n", len(lines), id, skipped)
 			return nil
--- a/peridotctl/why.go
+++ b/peridotctl/why.go
@@ -19,6 +19,9 @@
   seconds, routes, customers and endpoints that have most of them. A kind is
   stream, repeatable or once, with the length class. Reads log files, asks no
   instance.
+  Requests that were denied another attempt, or whose last attempt the instance
+  ended itself (given_up), are counted by both, with the time for which their
+  endpoints had sent nothing.
 
 `
 
@@ -36,13 +39,18 @@
 	// crashParts counts the same by customer and shared part of the prompt.
 	endpoints, crashContents, crashParts map[string]int
 	otherEvents                          map[string]int
+	// givenUp counts the attempts that the instance ended itself, by reason, and causes the
+	// requests that failed with such an attempt or were denied another one.
+	givenUp      map[string]int
+	causes       causeCounts
+	lastAttempts lastAttempts
 }
 
 func newTally() *tally {
 	return &tally{
 		results: map[string]int{}, outcomes: map[string]int{}, kinds: map[string]int{}, seconds: map[string]int{}, routes: map[string]int{},
 		customers: map[string]int{}, endpoints: map[string]int{}, crashContents: map[string]int{}, crashParts: map[string]int{},
-		otherEvents: map[string]int{},
+		otherEvents: map[string]int{}, givenUp: map[string]int{}, causes: causeCounts{}, lastAttempts: lastAttempts{},
 	}
 }
 
@@ -51,6 +59,9 @@
 const callerDisconnected = "caller_gone"
 
 func (tally *tally) add(line logline.Line) {
+	if failure, isFailed := tally.lastAttempts.end(&line); isFailed && failure.result != callerDisconnected {
+		tally.causes.add(&failure)
+	}
 	switch line.Pairs["event"] {
 	case "served":
 		tally.requests++
@@ -65,8 +76,14 @@
 		countName(tally.kinds, strings.TrimSpace(line.Pairs["kind"]+" "+line.Pairs["length"]))
 		countName(tally.routes, line.Pairs["route"])
 		countName(tally.customers, line.Pairs["customer"])
+	case "unanswered":
+		tally.requests++
+		tally.failed++
+		tally.results["unanswered"]++
+		tally.seconds[truncateToSecond(line.Pairs["time"])]++
 	case "attempt_failed":
 		tally.outcomes[line.Pairs["outcome"]]++
+		countName(tally.givenUp, line.Pairs["given_up"])
 		countName(tally.endpoints, line.Pairs["endpoint"])
 		if line.Pairs["endpoint_gone"] == "true" {
 			countName(tally.crashContents, line.Pairs["content"])
@@ -137,6 +154,8 @@
 	for _, table := range tables {
 		writeCounts(out, table.title, table.counts, top)
 	}
+	writeCounts(out, "attempt ended by the instance", tally.givenUp, top)
+	tally.causes.write(out, top)
 }
 
 // writeCounts writes the largest counts, with ties ordered by name.
