audit: an endpoint that returns from a drain has not started again

Instances log no endpoint that they find at their start. A line of use within 100 ms of the drain's end at the same instance is now no start.

--- a/peridotpath/audit/unanswered.go
+++ b/peridotpath/audit/unanswered.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +14,9 @@
 	// endpointGoneNotice is the time after the end of an attempt by which the end of its endpoint
 	// is logged: the endpoint's entry lapses, or another request finds that it is gone.
 	endpointGoneNotice = 5 * time.Second
+	// drainReturnTime bounds the time between the lines of a drain's end and of the use of an
+	// endpoint that returns from it, which an instance logs at once.
+	drainReturnTime = 100 * time.Millisecond
 	// immediateDenial bounds the time from the end of an attempt to a refusal of another one for
 	// which the request did not wait.
 	immediateDenial = 10 * time.Millisecond
@@ -26,11 +28,16 @@
 	at       time.Time
 }
 
-// endpointProcesses holds when an endpoint was found gone, and when each of its incarnations was
-// first known.
+// endpointProcesses holds when an endpoint was found gone, and when instances began to use it.
 type endpointProcesses struct {
-	ends   []time.Time
-	starts map[string]time.Time
+	ends  []time.Time
+	joins []endpointJoin
+}
+
+// endpointJoin is when an instance began to use an endpoint, or another incarnation of it.
+type endpointJoin struct {
+	instance, dataCentre, incarnation string
+	at                                time.Time
 }
 
 // addEndpointProcess adds what a line says about the end or the start of an endpoint.
@@ -45,30 +52,43 @@
 	}
 	processes := audit.endpointProcesses[line.Pairs["endpoint"]]
 	if processes == nil {
-		processes = &endpointProcesses{starts: map[string]time.Time{}}
+		processes = &endpointProcesses{}
 		audit.endpointProcesses[line.Pairs["endpoint"]] = processes
 	}
 	if isEnd {
 		processes.ends = append(processes.ends, at)
 		return
 	}
-	incarnation := line.Pairs["incarnation"]
-	if known, found := processes.starts[incarnation]; !found || at.Before(known) {
-		processes.starts[incarnation] = at
-	}
+	processes.joins = append(processes.joins, endpointJoin{
+		instance: line.Pairs["instance"], dataCentre: line.Pairs["data_centre"], incarnation: line.Pairs["incarnation"], at: at,
+	})
 }
 
-// hasEnded reports whether the endpoint was found gone, or was started again, in the interval.
-func (processes *endpointProcesses) hasEnded(from, to time.Time) bool {
+// hasEnded reports whether the endpoint was found gone, or may have started again, in the interval.
+func (audit *Audit) hasEnded(processes *endpointProcesses, from, to time.Time) bool {
 	if processes == nil {
 		return false
 	}
-	for _, at := range slices.AppendSeq(slices.Clone(processes.ends), maps.Values(processes.starts)) {
-		if !at.Before(from) && !at.After(to) {
-			return true
-		}
-	}
-	return false
+	isMeanwhile := func(at time.Time) bool { return !at.Before(from) && !at.After(to) }
+	return slices.ContainsFunc(processes.ends, isMeanwhile) || slices.ContainsFunc(processes.joins, func(join endpointJoin) bool {
+		return isMeanwhile(join.at) && !processes.wasKnown(&join) && !audit.isReturnFromDrain(&join)
+	})
+}
+
+// wasKnown reports whether the incarnation had been in use at an instance before.
+func (processes *endpointProcesses) wasKnown(join *endpointJoin) bool {
+	return slices.ContainsFunc(processes.joins, func(other endpointJoin) bool {
+		return other.incarnation == join.incarnation && other.at.Before(join.at)
+	})
+}
+
+// isReturnFromDrain reports whether the instance began to use the endpoint since the drain of its
+// data centre ended. Instances log no endpoint that they find at their start, so that its
+// incarnation may be logged then for the first time.
+func (audit *Audit) isReturnFromDrain(join *endpointJoin) bool {
+	return slices.ContainsFunc(audit.drains[join.instance], func(drain drain) bool {
+		return drain.dataCentre == join.dataCentre && join.at.Sub(drain.to).Abs() <= drainReturnTime
+	})
 }
 
 // addStop adds the line with which an instance begins to stop; false for any other line.
@@ -155,10 +175,10 @@
 	from := failedAt.Add(-milliseconds(last.Number("took")-last.Number("waited")) - logResolution)
 	to := failedAt.Add(endpointGoneNotice)
 	if end.Number("helpers") == 0 {
-		return audit.endpointProcesses[last.Pairs["endpoint"]].hasEnded(from, to)
+		return audit.hasEnded(audit.endpointProcesses[last.Pairs["endpoint"]], from, to)
 	}
 	for _, processes := range audit.endpointProcesses {
-		if processes.hasEnded(from, to) {
+		if audit.hasEnded(processes, from, to) {
 			return true
 		}
 	}
