relay: the test of silent endpoints has no data races

The race detector found the script's list of calls and the fixture's clock used by two goroutines; both are test code. The endpoints are those of the tests of second attempts, which have a lock, and the clock is atomic. Checks and bounds are the same.

--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -78,15 +79,16 @@
 	LoadTracker *placement.LoadTracker
 	Facts       *facts.Table
 	Bookings    *booking.Ledger
-	// clock is the time since boot.
-	clock time.Duration
-	began time.Time
+	// advanced is what Advance has added to the time since boot, in nanoseconds.
+	advanced atomic.Int64
+	began    time.Time
 }
 
 // NewFixture returns a relay of the instance "edge-1" that sends its calls to send.
 func NewFixture(send relay.Sender, engine *peridotpath.EngineRates, endpoints ...peridotpath.Endpoint) *Fixture {
 	fixture := &Fixture{Directory: &directory.Directory{Log: zerolog.Nop()}, LoadTracker: &placement.LoadTracker{}, began: time.Now()}
-	fixture.clock, fixture.Facts = time.Hour, &facts.Table{}
+	fixture.Facts = &facts.Table{}
+	fixture.advanced.Store(int64(time.Hour))
 	fixture.Bookings = &booking.Ledger{Announce: func(booked booking.Return, now time.Time) { fixture.Facts.Observe(booking.FactOf(booked, now)) }}
 	tracker := &availability.Tracker{Instance: "edge-1", Facts: fixture.Facts, Log: zerolog.Nop()}
 	quarantined := &quarantine.Quarantine{Instance: "edge-1", Facts: fixture.Facts, Log: zerolog.Nop()}
@@ -98,7 +100,7 @@
 		}
 	}
 	fixture.Routing = &routing.State{
-		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
+		Now:         func() time.Duration { return time.Duration(fixture.advanced.Load()) + time.Since(fixture.began) },
 		KeyLifetime: time.Hour, Log: zerolog.Nop(),
 	}
 	fixture.Routing.Apply(Routing(engine), fixture.Routing.Now())
@@ -131,7 +133,7 @@
 }
 
 // Advance advances the time since boot.
-func (fixture *Fixture) Advance(duration time.Duration) { fixture.clock += duration }
+func (fixture *Fixture) Advance(duration time.Duration) { fixture.advanced.Add(int64(duration)) }
 
 // Outcome is what a caller received.
 type Outcome struct {
--- a/peridotpath/relay/silent_endpoints_test.go
+++ b/peridotpath/relay/silent_endpoints_test.go
@@ -75,17 +75,17 @@
 				t.Run(name, func(t *testing.T) {
 					virtual.Test(t, func(t *testing.T) {
 						is := is.New(t)
-						script := &script{steps: []step{request.first, way.other, way.other, way.other, way.other, way.other}}
+						endpoints := &scriptedEndpoints{steps: []step{request.first, way.other, way.other, way.other, way.other, way.other}}
 						rates := &relaytest.Rates
 						if request.isPlain {
 							rates = nil
 						}
-						fixture := relaytest.NewFixture(script.send, rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
+						fixture := relaytest.NewFixture(endpoints.send, rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
 						if way.shut != nil {
 							way.shut(fixture)
 						}
 						fixture.Relay.NotifyStalled = func(stalled func()) func() {
-							if linkLost && len(script.calls) == 0 {
+							if linkLost && len(endpoints.called()) == 0 {
 								time.AfterFunc(900*time.Millisecond, stalled)
 							}
 							return func() {}
