relay: denied names what the placement answered

After an attempt that may have run, a refusal by the placement becomes endpoint_failed, and the log said denied=endpoint_failed whatever the placement had answered. The code is recorded where the refusal is made.

--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -119,7 +119,6 @@
 			return
 		}
 		if result := exchange.place(ctx); result != nil {
-			exchange.denied = result.Code.String()
 			exchange.fail(*result)
 			return
 		}
@@ -271,6 +270,7 @@
 
 // refusal returns the result for a request that cannot be placed now.
 func (exchange *exchange) refusal(code peridotpath.Code, retryAfter time.Duration) *peridotpath.Result {
+	exchange.denied = code.String()
 	if exchange.mayHaveRun {
 		return &peridotpath.Result{Code: peridotpath.CodeEndpointFailed}
 	}
