relay, failover: an attempt at an endpoint that has ended is not waited for

An endpoint whose address refuses connections or belongs to another one can't answer any more. Since attempts in doubt go on, a request at such an endpoint whose connection stays open, with no other attempt possible, would wait for its deadline. A probe that proves the end ends the attempt, as the first of two unanswered ones did not before.

--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -116,9 +116,9 @@
 }
 
 // suspect records why no answer is expected any more. The first reason stays until an event arrives,
-// unless the attempt was merely late.
+// unless the attempt was merely late, or is now known to be lost.
 func (contender *contender) suspect(doubt failover.Doubt, err error) {
-	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate {
+	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate || doubt == failover.DoubtGone {
 		contender.doubt, contender.doubtErr = doubt, err
 	}
 }
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -29,7 +29,10 @@
 	maxFailedProbes = 2
 )
 
-var errUnresponsive = errors.New("endpoint did not answer consecutive liveness probes")
+var (
+	errUnresponsive = errors.New("endpoint did not answer consecutive liveness probes")
+	errGone         = errors.New("endpoint has ended")
+)
 
 // livenessProbe probes an engine that sends no events.
 type livenessProbe struct {
@@ -46,8 +49,8 @@
 	check := func(ctx context.Context) error { return race.exchange.relay.checkLiveness(ctx, contender.attemptState) }
 	go func() {
 		defer close(probe.done)
-		if err := probe.run(ctx, check); err != nil {
-			race.reportSuspicion(contender, failover.DoubtUnresponsive, err)
+		if doubt, err := probe.run(ctx, check); doubt != failover.DoubtNone {
+			race.reportSuspicion(contender, doubt, err)
 		}
 	}()
 	return probe
@@ -62,8 +65,8 @@
 	return relay.Check(ctx, attempt.plan.Primary)
 }
 
-// run probes until ctx ends, and then returns nil, or until the engine is unresponsive.
-func (probe *livenessProbe) run(ctx context.Context, check func(context.Context) error) error {
+// run probes until ctx ends, or until the engine is unresponsive or found to have ended.
+func (probe *livenessProbe) run(ctx context.Context, check func(context.Context) error) (failover.Doubt, error) {
 	failed := 0
 	for clock.SleepContext(ctx, probeInterval) {
 		if probe.eventSeen.Swap(false) {
@@ -73,15 +76,18 @@
 		probeCtx, stop := clock.WithRunningTimeout(ctx, probeTimeout)
 		err := check(probeCtx)
 		stop()
-		if err == nil {
+		switch {
+		case err == nil:
 			failed = 0
 			continue
+		case ErrEndpointGone.Has(err):
+			return failover.DoubtGone, errors.Join(errGone, err)
 		}
 		if failed++; failed >= maxFailedProbes {
-			return errors.Join(errUnresponsive, err)
+			return failover.DoubtUnresponsive, errors.Join(errUnresponsive, err)
 		}
 	}
-	return nil
+	return failover.DoubtNone, nil
 }
 
 // recordEvent records an event of the engine, which replaces the next probe.
