--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -12,12 +12,14 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/clock"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/gossip"
 	"peridotpath.example/peridotpath/inbound"
 	"peridotpath.example/peridotpath/keyvalue"
@@ -30,6 +32,7 @@
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/shortqueue"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 	"peridotpath.example/peridotpath/tunnel"
@@ -183,16 +186,16 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff, NotifyStalled: instance.reachability.NotifyStalled,
-		AnswerMemory:  relay.NewAnswerMemory(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
+		AnswerMemory:  answerbuffer.NewPool(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
-		ShortQueue: &relay.ShortQueue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
+		ShortQueue: &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
 		Bookings:   instance.bookings, AdmissionSampler: &telemetry.LogSampler{PerSecond: admissionLogLinesPerSecond},
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
 		RoutingReady: instance.startup.routingReady, StartDone: instance.startup.finished,
 		RetryBudget: instance.retryBudget,
 	}
-	instance.relay.FairShare = &relay.FairShare{
+	instance.relay.FairShare = &fairshare.Divider{
 		Log: log, Sampler: &telemetry.LogSampler{PerSecond: fairShareLogLinesPerSecond}, LoadTracker: instance.loads,
 		Routing: instance.routing, Endpoints: instance.cellEndpoints,
 	}
--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -27,8 +27,8 @@
 	// maxPeers bounds the peers that are asked for one connection.
 	maxPeers = 3
 	// hopelessAfter is how long an instance must be cut off, without a peer that carries, to give
-	// connections up at once. All endpoints may be silent for a second, and an instance that is
-	// short of processor time misses the answers to a few probes.
+	// connections up at once: endpoints that all refuse connections may be starting. Endpoints that
+	// are merely silent are awaited for maxSilence before the instance counts as cut off.
 	hopelessAfter = time.Second
 	// CarryTimeout bounds opening a connection for a peer, which has others to ask.
 	CarryTimeout = 300 * time.Millisecond
@@ -85,7 +85,11 @@
 	if !preferred {
 		dialer.Tracker.HoldForPeers(target, time.Now())
 	}
-	return conn, nil
+	if !dialer.Tracker.IsCutOff() {
+		return conn, nil
+	}
+	// An answer shows that the peer reaches what this instance does not.
+	return &observedConn{Conn: conn, onReceived: func() { dialer.Tracker.RecordCarriedAnswer(time.Now()) }}, nil
 }
 
 // DialForPeer opens a direct connection to an endpoint on behalf of a peer.
@@ -107,7 +111,8 @@
 }
 
 // ways returns the ways to try first, and a function that returns those to try after them. An
-// instance that is cut off tries its own link only while no peer carries, and not for long.
+// instance that is cut off tries its own link only while no peer is known to reach the endpoints,
+// and not for long.
 func (dialer *Dialer) ways(target netip.AddrPort, prefersPeers bool) (first []way, more func() []way) {
 	throughPeers := func() []way { return dialer.waysThroughPeers(target) }
 	direct := []way{{headStart: overdueAfter}}
@@ -116,10 +121,16 @@
 		return direct, throughPeers
 	case dialer.Tracker.IsCutOff():
 		ways := throughPeers()
-		if len(ways) == 0 && !dialer.isHopeless() {
+		switch {
+		case dialer.isHopeless():
+			return ways, nil
+		case len(ways) == 0:
 			return direct, nil
+		case dialer.Tracker.IsReachedByPeers(time.Now()):
+			return ways, nil
 		}
-		return ways, nil
+		// No peer is known to reach the endpoints, so these may be the ones that refuse.
+		return ways, func() []way { return direct }
 	default:
 		return throughPeers(), func() []way { return direct }
 	}
--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"peridotpath.example/peridotpath/answerbuffer"
+	"peridotpath.example/peridotpath/eventstream"
 	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/reservation"
@@ -46,7 +48,7 @@
 type contenderResult struct {
 	contender *contender
 	answer    *Answer
-	held      *heldAnswer
+	held      *answerbuffer.Buffer
 	outcome   outcome
 	err       error
 }
@@ -80,7 +82,7 @@
 	case isStream && answer.Status == http.StatusOK:
 		result.outcome, result.err = contender.readEvents(answer, progresses)
 	default:
-		result.held, result.outcome, result.err = relay.AnswerMemory.readWhole(ctx, answer)
+		result.held, result.outcome, result.err = relay.readWhole(ctx, answer)
 	}
 }
 
@@ -99,9 +101,9 @@
 	if !report(nil, "") {
 		return outcomeFailed, context.Cause(contender.ctx)
 	}
-	events := newEventReader(answer.Body)
+	events := eventstream.NewReader(answer.Body)
 	for received := 0; ; received++ {
-		raw, id, err := events.next()
+		raw, id, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF) && received > 0:
 			return outcomeDone, nil
@@ -114,9 +116,9 @@
 }
 
 // suspect records why no answer is expected any more. The first reason stays until an event arrives,
-// unless the attempt was merely late.
+// unless the attempt was merely late, or is now known to be lost.
 func (contender *contender) suspect(doubt failover.Doubt, err error) {
-	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate {
+	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate || doubt == failover.DoubtGone {
 		contender.doubt, contender.doubtErr = doubt, err
 	}
 }
--- a/peridotpath/relay/join.go
+++ b/peridotpath/relay/join.go
@@ -143,7 +143,7 @@
 	}
 	plan, found := placement.PlanPrompt(placement.Model{Rates: exchange.spec.Engine}, work, candidates, snapshot)
 	isQueued := exchange.prefillTime > maxUnqueuedPrefill && exchange.route.TTFTTarget >= minQueuedTTFT
-	return plan, found && (!isQueued || isWorthDispatching(plan, work, 0))
+	return plan, found && (!isQueued || placement.IsWorthDispatching(plan, work, 0))
 }
 
 // takeRetry takes a retry of the budget. It asks other instances for one where none is left here,
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -317,7 +317,7 @@
 		}
 	}
 	exchange.relay.silentEndpoints.recordAnswer(result.contender.plan.Primary.Key())
-	return exchange.relayWhole(result.answer, result.held.body), nil
+	return exchange.relayWhole(result.answer, result.held.Body), nil
 }
 
 // finishStream ends the stream if its last event has been relayed.
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -9,14 +9,17 @@
 	"golang.org/x/sync/singleflight"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/reservation"
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
+	"peridotpath.example/peridotpath/shortqueue"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 )
@@ -44,7 +47,7 @@
 	NotifyStalled func(notify func()) (stop func())
 	Reservations  *reservation.Manager
 	// AnswerMemory bounds the memory of answers that are buffered whole.
-	AnswerMemory *AnswerMemory
+	AnswerMemory *answerbuffer.Pool
 	// Quarantine refuses requests that crash the endpoints they run on.
 	Quarantine *quarantine.Quarantine
 	// OnOverdueFirstEvent, when set, is called with the engines of an attempt whose first
@@ -57,7 +60,7 @@
 	// Throttle enforces the rate limits that endpoints announce.
 	Throttle *throttle.Throttle
 	// ShortQueue holds the short prompts that wait for a free slot; nil sends them at once.
-	ShortQueue *ShortQueue
+	ShortQueue *shortqueue.Queue
 	// Availability holds what endpoints announce about taking requests.
 	Availability *availability.Tracker
 	// ServedSampler samples the log lines of successful requests.
@@ -70,7 +73,7 @@
 	// are nil where requests need not wait for a start.
 	RoutingReady, StartDone <-chan struct{}
 	// FairShare divides scarce engine time between customers; nil disables that.
-	FairShare *FairShare
+	FairShare *fairshare.Divider
 	// EngineStallTime is how long an engine blocks when another engine that prefills a part
 	// of the same prompt becomes unreachable. After this time the blocked engine resumes or
 	// aborts the request without a cancellation by this instance.
--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -7,15 +7,18 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
 	"peridotpath.example/peridotpath/facts"
+	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
 	"peridotpath.example/peridotpath/relay"
@@ -76,15 +79,16 @@
 	LoadTracker *placement.LoadTracker
 	Facts       *facts.Table
 	Bookings    *booking.Ledger
-	// clock is the time since boot.
-	clock time.Duration
-	began time.Time
+	// advanced is what Advance has added to the time since boot, in nanoseconds.
+	advanced atomic.Int64
+	began    time.Time
 }
 
 // NewFixture returns a relay of the instance "edge-1" that sends its calls to send.
 func NewFixture(send relay.Sender, engine *peridotpath.EngineRates, endpoints ...peridotpath.Endpoint) *Fixture {
 	fixture := &Fixture{Directory: &directory.Directory{Log: zerolog.Nop()}, LoadTracker: &placement.LoadTracker{}, began: time.Now()}
-	fixture.clock, fixture.Facts = time.Hour, &facts.Table{}
+	fixture.Facts = &facts.Table{}
+	fixture.advanced.Store(int64(time.Hour))
 	fixture.Bookings = &booking.Ledger{Announce: func(booked booking.Return, now time.Time) { fixture.Facts.Observe(booking.FactOf(booked, now)) }}
 	tracker := &availability.Tracker{Instance: "edge-1", Facts: fixture.Facts, Log: zerolog.Nop()}
 	quarantined := &quarantine.Quarantine{Instance: "edge-1", Facts: fixture.Facts, Log: zerolog.Nop()}
@@ -96,13 +100,13 @@
 		}
 	}
 	fixture.Routing = &routing.State{
-		Now:         func() time.Duration { return fixture.clock + time.Since(fixture.began) },
+		Now:         func() time.Duration { return time.Duration(fixture.advanced.Load()) + time.Since(fixture.began) },
 		KeyLifetime: time.Hour, Log: zerolog.Nop(),
 	}
 	fixture.Routing.Apply(Routing(engine), fixture.Routing.Now())
 	fixture.Directory.Apply(directory.Listing{Endpoints: endpoints}, fixture.Routing.Now())
 	fixture.Relay = &relay.Relay{
-		AnswerMemory: relay.NewAnswerMemory(32 << 20),
+		AnswerMemory: answerbuffer.NewPool(32 << 20),
 		Instance:     "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.Routing,
 		Endpoints: fixture.Directory.Current, AllEndpoints: fixture.Directory.Current, LoadTracker: fixture.LoadTracker, Send: send, Quarantine: quarantined,
 		Throttle:       &throttle.Throttle{SenderID: rand.Uint64(), Facts: fixture.Facts, Log: zerolog.Nop()},
@@ -121,7 +125,7 @@
 			Release: func(context.Context, *peridotpath.Endpoint, string) error { return nil },
 		},
 	}
-	fixture.Relay.FairShare = &relay.FairShare{
+	fixture.Relay.FairShare = &fairshare.Divider{
 		Log: zerolog.Nop(), Sampler: &telemetry.LogSampler{PerSecond: 5}, LoadTracker: fixture.LoadTracker,
 		Routing: fixture.Routing, Endpoints: fixture.Directory.Current,
 	}
@@ -129,7 +133,7 @@
 }
 
 // Advance advances the time since boot.
-func (fixture *Fixture) Advance(duration time.Duration) { fixture.clock += duration }
+func (fixture *Fixture) Advance(duration time.Duration) { fixture.advanced.Add(int64(duration)) }
 
 // Outcome is what a caller received.
 type Outcome struct {
