caller: a refused caller that still sends its body takes no place of another request

What callers saw, since refusals are sent before the body: a refused caller counted as an active request for as long as its body was dropped, up to 10 s; callers without a key could use up `max_connections` and have all others refused with 2005.

Change: a request leaves the number of active requests once its failure is sent.

Measured: TestRefusedCallerHoldsNoPlace failed before (503 != 200) and passes after; go test -race -count 2 ./peridotpath/caller passes.

--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -74,7 +74,11 @@
 		exchange.sendFailure(result)
 		return
 	}
-	AnswerUnread(exchange.writer, exchange.request, func() { exchange.sendFailure(result) })
+	AnswerUnread(exchange.writer, exchange.request, func() {
+		exchange.sendFailure(result)
+		// A caller that sends a body which is dropped takes no place of another request.
+		exchange.leave()
+	})
 }
 
 // sendFailure writes the failure into the answer.
--- a/peridotpath/caller/server.go
+++ b/peridotpath/caller/server.go
@@ -13,6 +13,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -147,6 +148,8 @@
 	isOpaque    bool
 	// bodyConsumed is set if no part of the body remains unread on the connection.
 	bodyConsumed bool
+	// leave ends the request's part in the number of active requests. It may be called twice.
+	leave func()
 }
 
 // writeGracePeriod is how long after a request's deadline its answer may still be
@@ -171,8 +174,9 @@
 func (server *Server) newHandler(serve func(*exchange) *peridotpath.Result) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		server.activeCount.Add(1)
-		defer server.activeCount.Add(-1)
-		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrivedAt: time.Now()}
+		leave := sync.OnceFunc(func() { server.activeCount.Add(-1) })
+		defer leave()
+		exchange := &exchange{id: requestID(request), request: request, writer: writer, arrivedAt: time.Now(), leave: leave}
 		exchange.bodyConsumed = request.ContentLength == 0
 		writer.Header().Set(HeaderRequestID, string(exchange.id))
 		if server.IsStopping() {
--- a/peridotpath/caller/unread_test.go
+++ b/peridotpath/caller/unread_test.go
@@ -73,3 +73,36 @@
 		})
 	}
 }
+
+// A refused caller still sends its body, which is dropped. It must not take the place of another
+// request: callers without a key could keep all others out.
+func TestRefusedCallerHoldsNoPlace(t *testing.T) {
+	is := is.New(t)
+	config := &peridotpath.Config{Customers: []peridotpath.Customer{{ID: "desk", KeySHA256: peridotpath.HashKey(apiKey)}}}
+	config.Defaults()
+	config.Index()
+	server := &caller.Server{
+		Log: zerolog.Nop(), ActiveConfig: func() *peridotpath.Config { return config }, MaxActiveRequests: 1,
+		BodyReader: caller.NewBodyReader(1<<20, 4<<20, 100*time.Millisecond),
+	}
+	front := httptest.NewServer(routesHandler(t, server))
+	defer front.Close()
+	stalled, err := net.Dial("tcp", front.Listener.Addr().String())
+	is.NoErr(err)
+	defer stalled.Close()
+	_ = stalled.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = fmt.Fprint(stalled, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusUnauthorized)
+	time.Sleep(20 * time.Millisecond)
+	request, err := http.NewRequest(http.MethodGet, front.URL+"/v1/models", http.NoBody)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err = http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusOK)
+}
