soak: a peer that is killed ends the connections that it carries

Calls that must not be repeated end at 502, streams whose resumption fails break off. Excused only while the link between the instance and an endpoint of the request was disturbed and another instance was killed after the endpoint received it (for a 502: after it was sent). A peer that stops or freezes excuses nothing, and without a disturbed link neither does one that is killed.

--- a/soak/ending.go
+++ b/soak/ending.go
@@ -77,7 +77,8 @@
 // before its time is up. The silence of an endpoint is no reason to end a request sooner.
 func (fleet *fleet) checkEnding(ending ending) {
 	fault := ending.fault()
-	if fault == "" || !ending.Instance.ranBetween(ending.SentAt.Add(-killSlack), ending.endedAt) {
+	instance := ending.Instance
+	if fault == "" || instance.wasKilledBetween(ending.SentAt.Add(-killSlack), ending.endedAt) || instance.wasPausedBetween(ending.SentAt, ending.endedAt) {
 		return
 	}
 	fleet.checker.mutex.Lock()
@@ -122,17 +123,26 @@
 		return true
 	}
 	hasBroken := func(arrival requestArrival) bool {
-		return arrival.endpoint.proxy.wasResetBetween(netip.Addr{}, arrival.at, ending.endedAt)
+		return arrival.endpoint.proxy.wasResetBetween(netip.Addr{}, arrival.at, ending.endedAt) || fleet.hasLostCarrier(ending, arrival.endpoint, arrival.at)
 	}
 	if slices.ContainsFunc(checker.arrivals[ending.ID], hasBroken) {
 		return true
 	}
-	// An attempt whose connection is reset before the endpoint reads the request may have run.
+	// An attempt whose connection ends before the endpoint reads the request may have run.
 	return ending.reply.IsComplete && slices.ContainsFunc(fleet.endpoints, func(endpoint *endpoint) bool {
-		return endpoint.proxy.wasResetBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt)
+		return endpoint.proxy.wasResetBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt) || fleet.hasLostCarrier(ending, endpoint, ending.SentAt)
 	})
 }
 
+// hasLostCarrier reports whether the link between the instance of a request and an endpoint was
+// disturbed, so that a peer carried the connection, and a peer was killed after a time.
+func (fleet *fleet) hasLostCarrier(ending ending, endpoint *endpoint, since time.Time) bool {
+	isPeerKilled := slices.ContainsFunc(fleet.instances, func(peer *instance) bool {
+		return peer != ending.Instance && peer.wasKilledBetween(since, ending.endedAt)
+	})
+	return isPeerKilled && endpoint.proxy.wasDisturbedBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt)
+}
+
 // hadShortTimeout reports whether a request ended when a short timeout was up that its route may
 // have had. The caller holds the mutex.
 func (checker *checker) hadShortTimeout(ending ending) bool {
--- a/soak/process.go
+++ b/soak/process.go
@@ -145,13 +145,18 @@
 	}
 }
 
-// ranBetween reports whether the process was neither killed nor paused between two times.
-func (instance *instance) ranBetween(from, until time.Time) bool {
+// wasKilledBetween reports whether the process was killed between two times.
+func (instance *instance) wasKilledBetween(from, until time.Time) bool {
 	instance.mutex.Lock()
 	defer instance.mutex.Unlock()
-	isWithin := func(at time.Time) bool { return !at.Before(from) && !at.After(until) }
-	isPaused := func(pause span) bool { return pause.overlaps(from, until) }
-	return !slices.ContainsFunc(instance.killedAt, isWithin) && !slices.ContainsFunc(instance.pauses, isPaused)
+	return slices.ContainsFunc(instance.killedAt, func(at time.Time) bool { return !at.Before(from) && !at.After(until) })
+}
+
+// wasPausedBetween reports whether the process did not run for a while between two times.
+func (instance *instance) wasPausedBetween(from, until time.Time) bool {
+	instance.mutex.Lock()
+	defer instance.mutex.Unlock()
+	return slices.ContainsFunc(instance.pauses, func(pause span) bool { return pause.overlaps(from, until) })
 }
 
 // closedCallersAt reports whether the process was stopping at a time and closed the connections of
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -48,15 +48,23 @@
 	// disturbedUntil is when the link was last disturbed; in the future while it is.
 	disturbedUntil time.Time
 	conns          map[net.Conn]bool
-	// resets are the spans in which connections are reset.
-	resets []connReset
+	// disturbances are the spans in which a link is not healthy.
+	disturbances []disturbance
 }
 
-// connReset is a span in which connections of a client are reset; those of all clients if source
+// disturbance is a span in which the link of a client is not healthy; those of all clients if source
 // is the zero address.
-type connReset struct {
+type disturbance struct {
 	span
 	source netip.Addr
+	state  link
+}
+
+// concerns reports whether the disturbance is one of the client's link between two times. The zero
+// address stands for any client.
+func (disturbance *disturbance) concerns(source netip.Addr, from, until time.Time) bool {
+	isOfClient := !source.IsValid() || !disturbance.source.IsValid() || disturbance.source == source
+	return isOfClient && disturbance.overlaps(from, until)
 }
 
 // listen starts the proxy on a free port, which it reuses after stop.
@@ -75,7 +83,7 @@
 	defer proxy.mutex.Unlock()
 	listener, err := net.Listen("tcp", proxy.address.String())
 	proxy.listener = listener
-	proxy.recordReset(netip.Addr{}, proxy.link)
+	proxy.recordLink(netip.Addr{}, proxy.link)
 	return err
 }
 
@@ -85,7 +93,7 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.listener.Close()
-	proxy.recordReset(netip.Addr{}, linkReset)
+	proxy.recordLink(netip.Addr{}, linkReset)
 	for conn := range proxy.conns {
 		reset(conn)
 	}
@@ -121,7 +129,7 @@
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
 	proxy.link, proxy.disturbedUntil = link, time.Now()
-	proxy.recordReset(netip.Addr{}, link)
+	proxy.recordLink(netip.Addr{}, link)
 	if link != linkHealthy {
 		proxy.disturbedUntil = time.Now().Add(time.Hour)
 	}
@@ -132,28 +140,34 @@
 	}
 }
 
-// recordReset records whether connections of a client are reset from now on. The caller holds the
-// mutex.
-func (proxy *proxy) recordReset(source netip.Addr, state link) {
+// recordLink records the state of a client's link from now on. The caller holds the mutex.
+func (proxy *proxy) recordLink(source netip.Addr, state link) {
 	now := time.Now()
-	for i := range proxy.resets {
-		if reset := &proxy.resets[i]; reset.source == source && reset.until.IsZero() {
-			reset.until = now
+	for i := range proxy.disturbances {
+		if disturbance := &proxy.disturbances[i]; disturbance.source == source && disturbance.until.IsZero() {
+			disturbance.until = now
 		}
 	}
-	if state == linkReset || state == linkNewReset {
-		proxy.resets = append(proxy.resets, connReset{span: span{from: now}, source: source})
+	if state != linkHealthy {
+		proxy.disturbances = append(proxy.disturbances, disturbance{span: span{from: now}, source: source, state: state})
 	}
 }
 
+// wasDisturbedBetween reports whether the link of a client was not healthy between two times.
+func (proxy *proxy) wasDisturbedBetween(source netip.Addr, from, until time.Time) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return slices.ContainsFunc(proxy.disturbances, func(disturbance disturbance) bool { return disturbance.concerns(source, from, until) })
+}
+
 // wasResetBetween reports whether connections of a client, or of any if source is the zero
 // address, were reset between two times.
 func (proxy *proxy) wasResetBetween(source netip.Addr, from, until time.Time) bool {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
-	return slices.ContainsFunc(proxy.resets, func(reset connReset) bool {
-		concerns := !source.IsValid() || !reset.source.IsValid() || reset.source == source
-		return concerns && reset.overlaps(from, until)
+	return slices.ContainsFunc(proxy.disturbances, func(disturbance disturbance) bool {
+		isReset := disturbance.state == linkReset || disturbance.state == linkNewReset
+		return isReset && disturbance.concerns(source, from, until)
 	})
 }
 
@@ -172,7 +186,7 @@
 		proxy.sourceLinks = map[netip.Addr]link{}
 	}
 	proxy.sourceLinks[source] = state
-	proxy.recordReset(source, state)
+	proxy.recordLink(source, state)
 	if state != linkReset {
 		return
 	}
