--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -164,6 +164,9 @@
 	running.Wait()
 	for route, count := range load.counts {
 		t.Logf("%s: %s", route, count)
+		if float64(count.served) < minServedShare*float64(count.sent) {
+			t.Errorf("%s: %d of %d served, want %.2f at least", route, count.served, count.sent, minServedShare)
+		}
 	}
 	violations := fleet.checker.takeViolations()
 	t.Logf("%d requests were dealt with otherwise than promised", len(violations))
