readings: a call to a peer counts only time in which this process runs

An instance that is short of processor time took its own standstill for a peer that does not answer, and read the store instead. The limit is now the one that probes of endpoints have.

--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -24,7 +24,7 @@
 // PathPrefix is the URL path prefix of the service.
 const PathPrefix = "/peer"
 
-// fetchTimeout bounds one call to a peer; after it, the store is read.
+// fetchTimeout bounds one call to a peer, in time that this process runs; after it, the store is read.
 const fetchTimeout = 400 * time.Millisecond
 
 // RemoteFetchDelay is about the time to fetch a change from a peer in another data centre and to
@@ -110,7 +110,7 @@
 // FetchRouting fetches the routing from a peer. If the peer keeps the snapshot that this
 // instance has, only the difference is transferred.
 func FetchRouting(ctx context.Context, peer netip.AddrPort, have RoutingSnapshot) (RoutingSnapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := clock.WithRunningTimeout(ctx, fetchTimeout)
 	defer cancel()
 	response, err := client(peer).Routing(ctx, &wire.RoutingQuery{Have: uint64(have.Version)})
 	if err != nil {
@@ -130,7 +130,7 @@
 // FetchEndpoints fetches the list of endpoints from a peer. If the peer keeps the snapshot
 // that this instance has, only the changes are transferred.
 func FetchEndpoints(ctx context.Context, peer netip.AddrPort, have EndpointsSnapshot) (EndpointsSnapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := clock.WithRunningTimeout(ctx, fetchTimeout)
 	defer cancel()
 	response, err := client(peer).Endpoints(ctx, &wire.EndpointsQuery{Content: have.ContentHash})
 	if err != nil {
