relay: an unusable second answer ends no stream, a late event hides no unresponsive engine

A status below 500 in answer to a resumed stream ended the first attempt before it was known that it cannot be relayed.

--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -116,9 +116,10 @@
 }
 
 // suspect records why no answer is expected any more. The first reason stays until an event arrives,
-// unless the attempt was merely late.
+// unless the attempt was merely late, or its endpoint is unresponsive, which decides about the memory
+// that is reserved for it.
 func (contender *contender) suspect(doubt failover.Doubt, err error) {
-	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate {
+	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate || doubt == failover.DoubtUnresponsive {
 		contender.doubt, contender.doubtErr = doubt, err
 	}
 }
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -308,7 +308,7 @@
 	if result.outcome != outcomeDone {
 		return result.outcome, result.err
 	}
-	if result.answer.Status < statusFirstFailure {
+	if result.answer.Status < statusFirstFailure && !exchange.streamBegun {
 		for _, other := range race.running {
 			if other != result.contender {
 				other.cancel(errOtherAnswered)
--- /dev/null
+++ b/peridotpath/relay/race_test.go
@@ -0,0 +1,68 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/relay/relaytest"
+	"peridotpath.example/peridotpath/retrybudget"
+)
+
+// A begun stream is silent for a while and another endpoint answers its resumption with a status
+// below 500. That answer cannot be relayed, and the first attempt must not be ended for it.
+func TestUnusableAnswerDoesNotEndBegunStream(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusGone, http.StatusNoContent, http.StatusInternalServerError} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first := timedStream(io.EOF, timedPart{300 * time.Millisecond, events12}, timedPart{2700 * time.Millisecond, events34})
+				other := answer(status, "cannot resume", nil)
+				endpoints := &scriptedEndpoints{steps: []step{first, other, other, other}}
+				fixture := relaytest.NewFixture(endpoints.send, &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
+				outcome := fixture.Send(t.Context(), "short", nil)
+				is.Equal(outcome.Body, events12+events34)
+				is.True(!outcome.Aborted)
+			})
+		})
+	}
+}
+
+// An engine sends an event and loses its power. Its next event is overdue before its probes have
+// failed. The memory reserved at its helpers must be released all the same, though no other attempt
+// may follow.
+func TestReservationsOfBegunStreamAreReleasedWhenPrimaryIsUnreachable(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &failingEngines{}
+		fixture := newFailingFixture(t, engines)
+		fixture.Relay.RetryBudget = &retrybudget.Budget{Window: time.Second, Instances: func() int { return 1 }}
+		fixture.Relay.Send = func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
+			engines.mutex.Lock()
+			engines.failed, engines.firstReservations = call.Endpoint.ID, map[string]bool{}
+			for _, helper := range call.Helpers {
+				engines.firstReservations[helper.ReservationID] = true
+			}
+			engines.mutex.Unlock()
+			return timedStream(errors.New("not reached"), timedPart{100 * time.Millisecond, events12}, timedPart{time.Hour, ""})(ctx, call)
+		}
+		began := time.Now()
+		outcome := fixture.Send(t.Context(), "long", func(request *relay.Request) {
+			request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 600_000, 100, 30*time.Second
+		})
+		time.Sleep(200 * time.Millisecond)
+		engines.mutex.Lock()
+		defer engines.mutex.Unlock()
+		t.Logf("events %d, took %v, released after %v", outcome.Events, outcome.Took, engines.firstReleasedAt.Sub(began))
+		is.True(len(engines.firstReservations) > 0)
+		is.True(engines.firstReleasedAt.Sub(began) < 4*time.Second)
+	})
+}
