--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -116,9 +116,10 @@
 }
 
 // suspect records why no answer is expected any more. The first reason stays until an event arrives,
-// unless the attempt was merely late, or is now known to be lost.
+// unless the attempt was merely late. That the endpoint is unresponsive replaces any other: it
+// decides about the memory that is reserved for the attempt.
 func (contender *contender) suspect(doubt failover.Doubt, err error) {
-	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate || doubt == failover.DoubtGone {
+	if contender.doubt == failover.DoubtNone || contender.doubt == failover.DoubtLate || doubt == failover.DoubtUnresponsive {
 		contender.doubt, contender.doubtErr = doubt, err
 	}
 }
