relay, failover: taken back: one refused probe ends no attempt

Found in review: where an instance's own link refuses new connections and open ones live on, one refused probe over that link would end a stream that works. A refused probe counts as an unanswered one again. TestUnresponsiveEngineKeepsItsRequest stays.

--- a/peridotpath/failover/failover.go
+++ b/peridotpath/failover/failover.go
@@ -21,14 +21,11 @@
 	DoubtUnresponsive
 	// DoubtLinkLost means that this instance's own links carry nothing, as far as it knows.
 	DoubtLinkLost
-	// DoubtGone means that the endpoint's process has ended: its address refuses connections or
-	// belongs to another endpoint.
-	DoubtGone
 	// DoubtLate means that a plain call is not answered by its target, or its endpoint is no longer listed.
 	DoubtLate
 )
 
-var doubtNames = [...]string{"", "overdue", "unresponsive", "link_lost", "gone", "late"}
+var doubtNames = [...]string{"", "overdue", "unresponsive", "link_lost", "late"}
 
 // String returns the name of the doubt in logs and metrics; empty for none.
 func (doubt Doubt) String() string { return doubtNames[doubt] }
@@ -53,8 +50,6 @@
 		// Other requests need the memory, and must get it back soon after the endpoint has
 		// lost its power.
 		return attempt.HoldsMemory
-	case DoubtGone:
-		return true
 	}
 	return false
 }
--- a/peridotpath/relay/doubt.go
+++ b/peridotpath/relay/doubt.go
@@ -16,8 +16,6 @@
 		return failover.DoubtUnresponsive
 	case errors.Is(err, errLinkStalled):
 		return failover.DoubtLinkLost
-	case errors.Is(err, errGone):
-		return failover.DoubtGone
 	}
 	return failover.DoubtNone
 }
--- a/peridotpath/relay/liveness.go
+++ b/peridotpath/relay/liveness.go
@@ -29,10 +29,7 @@
 	maxFailedProbes = 2
 )
 
-var (
-	errUnresponsive = errors.New("endpoint did not answer consecutive liveness probes")
-	errGone         = errors.New("endpoint has ended")
-)
+var errUnresponsive = errors.New("endpoint did not answer consecutive liveness probes")
 
 // livenessProbe probes an engine that sends no events.
 type livenessProbe struct {
@@ -49,8 +46,8 @@
 	check := func(ctx context.Context) error { return race.exchange.relay.checkLiveness(ctx, contender.attemptState) }
 	go func() {
 		defer close(probe.done)
-		if doubt, err := probe.run(ctx, check); doubt != failover.DoubtNone {
-			race.reportSuspicion(contender, doubt, err)
+		if err := probe.run(ctx, check); err != nil {
+			race.reportSuspicion(contender, failover.DoubtUnresponsive, err)
 		}
 	}()
 	return probe
@@ -65,8 +62,8 @@
 	return relay.Check(ctx, attempt.plan.Primary)
 }
 
-// run probes until ctx ends, or until the engine is unresponsive or found to have ended.
-func (probe *livenessProbe) run(ctx context.Context, check func(context.Context) error) (failover.Doubt, error) {
+// run probes until ctx ends, and then returns nil, or until the engine is unresponsive.
+func (probe *livenessProbe) run(ctx context.Context, check func(context.Context) error) error {
 	failed := 0
 	for clock.SleepContext(ctx, probeInterval) {
 		if probe.eventSeen.Swap(false) {
@@ -76,18 +73,15 @@
 		probeCtx, stop := clock.WithRunningTimeout(ctx, probeTimeout)
 		err := check(probeCtx)
 		stop()
-		switch {
-		case err == nil:
+		if err == nil {
 			failed = 0
 			continue
-		case ErrEndpointGone.Has(err):
-			return failover.DoubtGone, errors.Join(errGone, err)
 		}
 		if failed++; failed >= maxFailedProbes {
-			return failover.DoubtUnresponsive, errors.Join(errUnresponsive, err)
+			return errors.Join(errUnresponsive, err)
 		}
 	}
-	return failover.DoubtNone, nil
+	return nil
 }
 
 // recordEvent records an event of the engine, which replaces the next probe.
