reach: the own link is dialled again when peers are asked

A dial whose packet was dropped is sent again after a second, while a peer that dials 100 ms later gets through at once: the end of a silence looked like a lost link. TestRetransmittedDialIsNoLossOfLinks: 15 of 96 lengths of a drop gave a cut-off before, none now. Found in review.

--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -108,7 +108,11 @@
 	case <-time.After(peersAskedAfter):
 	}
 	if !slices.ContainsFunc(sightings, (*sighting).isAnswered) {
+		// A packet that was dropped is sent again after a second only: the own link is dialled once
+		// more at the time at which the peers dial, so that both meet the same endpoints.
+		again := dialer.startProbes(ctx, sightings)
 		dialer.probeThroughPeers(peersCtx, sightings, carriers)
+		<-again
 	}
 	<-ended
 	dialer.recordSightings(sightings, time.Now())
