relay: no endpoint is ejected for the own links or for a caller that leaves

Peers were told that sound endpoints fail: after a second answer that a peer carried (the way of the winner was looked at, not that of the silent attempt), after an attempt that was doubted for the own links only, and for each attempt of a caller that left.

--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -87,7 +87,10 @@
 	case outcomeFailed, outcomeBroken:
 		exchange.sentCount++
 		exchange.mayHaveRun = true
-		exchange.ejectFailed(key, now)
+		if givenUp != failover.DoubtLinkLost && !errors.Is(ctx.Err(), context.Canceled) {
+			// Neither this instance's links nor a caller that leaves are the endpoint's fault.
+			exchange.ejectFailed(key, now)
+		}
 	case outcomeUnsent, outcomeMisdirected:
 		exchange.ejectFailed(key, now)
 	}
--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -120,7 +120,10 @@
 	default:
 		winner = "second"
 		if key := first.plan.Primary.Key(); !exchange.route.Streaming && !first.failed && !first.answered.Load() && exchange.relay.silentEndpoints.recordSilence(key) {
+			// Whether the own link is to blame depends on the way of the silent attempt.
+			exchange.attemptState = first.attemptState
 			exchange.ejectFailed(key, now)
+			exchange.attemptState = last.attemptState
 		}
 	}
 	telemetry.CountSecondAttemptWinner(winner)
