relay: a late call whose answer has begun is not sent again

The doubt of a late call stayed after the head of its answer, so that a second endpoint got it as soon as one had room. Found in review. TestLateCallWhoseAnswerHasBegunIsNotSentAgain failed.

--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -71,6 +71,9 @@
 
 // checkLate suspects the first contender when a second endpoint is due.
 func (race *race) checkLate(now time.Time) {
+	if race.first.doubt == failover.DoubtLate && race.first.answered.Load() {
+		race.first.doubt, race.first.doubtErr = failover.DoubtNone, nil
+	}
 	if !race.mayJoinLate() {
 		return
 	}
