relay: an attempt that goes on after a doubt about the links counts as load again

Its entry was removed when the links were taken for lost, and others saw an idle engine for the rest of the stream. Found in review.

--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -24,7 +24,8 @@
 	reservations []*reservation.Reservation
 	// sent reports that the endpoint may have received the request, answered that the head of an
 	// answer has arrived.
-	sent, answered atomic.Bool
+	// unloaded reports that it does not count as load.
+	sent, answered, unloaded atomic.Bool
 	// doubt is why no answer is expected, doubtErr the error that goes with it.
 	doubt    failover.Doubt
 	doubtErr error
--- a/peridotpath/relay/link.go
+++ b/peridotpath/relay/link.go
@@ -22,12 +22,13 @@
 	if notifyStalled == nil {
 		return func() {}
 	}
-	loads := race.exchange.relay.LoadTracker
+	loads, inFlight := race.exchange.relay.LoadTracker, contender.inFlight
 	return notifyStalled(func() {
 		if _, isCarried := contender.link.Peer(); isCarried {
 			return
 		}
-		loads.RemoveInFlight(contender.inFlight)
+		loads.RemoveInFlight(inFlight)
+		contender.unloaded.Store(true)
 		if (failover.Attempt{Doubt: failover.DoubtLinkLost, WasSent: contender.sent.Load()}).MustEnd() {
 			contender.cancel(errLinkStalled)
 			return
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -216,6 +216,12 @@
 	contender.recordProgress(now)
 	if contender.eventCount == 1 {
 		exchange.recordFirstEvent()
+	}
+	if contender.unloaded.Swap(false) {
+		contender.inFlight = exchange.relay.LoadTracker.AddInFlight(contender.plan.InFlight(exchange.placementWork(now), now))
+		exchange.relay.LoadTracker.MarkDecoding(contender.inFlight)
+	}
+	if contender.eventCount == 1 {
 		exchange.relay.LoadTracker.MarkDecoding(contender.inFlight)
 	}
 	exchange.beginStream(progress.answer)
