relay, placement: another attempt is planned without the load of the request itself

A long prompt whose primary had lost its power got no second attempt: its own parts made every engine look busy, and it waited for its deadline of 15 s (2.8 s before the race). A suspected request waited likewise, since only those without suspicion could join; a customer above its share counted as refused each 50 ms; a retry was lost when the memory for an attempt could not be reserved. Found in review.

--- a/peridotpath/placement/load.go
+++ b/peridotpath/placement/load.go
@@ -96,14 +96,21 @@
 
 // Snapshot returns the load of every endpoint that has a request or is slow.
 func (tracker *LoadTracker) Snapshot(now time.Time) LoadSnapshot {
+	return tracker.SnapshotWithout(now, nil)
+}
+
+// SnapshotWithout returns the load without that of some requests of this instance.
+func (tracker *LoadTracker) SnapshotWithout(now time.Time, without []InFlightNumber) LoadSnapshot {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if tracker.startedAt.IsZero() {
 		tracker.startedAt = now
 	}
 	snapshot := LoadSnapshot{loads: map[peridotpath.EndpointKey]*Load{}, queuedPrefill: tracker.queuedPrefill(now)}
-	for _, request := range tracker.local {
-		snapshot.add(request, now)
+	for number, request := range tracker.local {
+		if !slices.Contains(without, number) {
+			snapshot.add(request, now)
+		}
 	}
 	for _, peer := range tracker.unexpiredPeers(now) {
 		for i := range peer.inFlight {
--- a/peridotpath/relay/join.go
+++ b/peridotpath/relay/join.go
@@ -44,7 +44,7 @@
 	}
 	added := exchange.exclude(race.runningKeys())
 	plan, found := race.planJoined(now)
-	if !found || !race.takeRetry(now) || !exchange.beginInFlight(plan, now) {
+	if !found || !race.takeRetry(now) || !exchange.mayTrySuspect(now) || !exchange.beginInFlight(plan, now) {
 		exchange.include(added)
 		exchange.attemptState = race.current.attemptState
 		return
@@ -77,6 +77,7 @@
 		return
 	}
 	race.remove(contender, err)
+	race.retry.isHeld = true
 	exchange.attemptState = contender.attemptState
 	exchange.recordFailure(race.ctx, outcome, err)
 	exchange.attemptState = race.current.attemptState
@@ -97,15 +98,29 @@
 // the links are concerned.
 func (exchange *exchange) mayJoinNow(now time.Time) bool {
 	relay := exchange.relay
-	switch {
-	case exchange.judge(now).State != quarantine.Clear:
+	switch exchange.judge(now).State {
+	case quarantine.Quarantined, quarantine.OnTrial:
 		return false
-	case exchange.customer != "" && !relay.Routing.KeysUsable():
+	}
+	if exchange.customer != "" && !relay.Routing.KeysUsable() {
 		return false
 	}
 	return relay.CanReach == nil || relay.CanReach()
 }
 
+// mayTrySuspect reports whether a request that is suspected of crashing endpoints may be sent once
+// more: no other attempt at the suspect is in flight in the fleet, or it has waited for maxTrialWait.
+func (exchange *exchange) mayTrySuspect(now time.Time) bool {
+	verdict := exchange.judge(now)
+	if verdict.State == quarantine.Clear {
+		return true
+	}
+	if exchange.trialWaitSince.IsZero() {
+		exchange.trialWaitSince = now
+	}
+	return exchange.relay.Quarantine.ReserveTrial(verdict.Suspect, now) || now.Sub(exchange.trialWaitSince) > maxTrialWait
+}
+
 // exclude keeps endpoints out of the next placements, and returns those that were not yet.
 func (exchange *exchange) exclude(keys []peridotpath.EndpointKey) (added []peridotpath.EndpointKey) {
 	if exchange.excluded == nil {
@@ -129,7 +144,7 @@
 // planJoined plans another attempt that can be sent now.
 func (race *race) planJoined(now time.Time) (placement.Plan, bool) {
 	exchange := race.exchange
-	work, snapshot := exchange.placementWork(now), exchange.relay.LoadTracker.Snapshot(now)
+	work, snapshot := exchange.placementWork(now), exchange.relay.LoadTracker.SnapshotWithout(now, race.inFlight())
 	candidates := exchange.candidates(now)
 	if exchange.spec.Engine == nil {
 		if race.isOnlyLate() {
@@ -137,10 +152,6 @@
 		}
 		return placement.PlanPlain(work, candidates, snapshot)
 	}
-	candidates, snapshot, refusal := exchange.admitByShare(candidates, snapshot, now)
-	if refusal != nil || len(candidates) == 0 {
-		return placement.Plan{}, false
-	}
 	plan, found := placement.PlanPrompt(placement.Model{Rates: exchange.spec.Engine}, work, candidates, snapshot)
 	isQueued := exchange.prefillTime > maxUnqueuedPrefill && exchange.route.TTFTTarget >= minQueuedTTFT
 	return plan, found && (!isQueued || placement.IsWorthDispatching(plan, work, 0))
@@ -171,6 +182,16 @@
 	return false
 }
 
+// inFlight returns the entries of the contenders in the load. Their own attempt must not look like
+// the load of others: the engines that it may be sent to again are those that have its parts.
+func (race *race) inFlight() []placement.InFlightNumber {
+	var numbers []placement.InFlightNumber
+	for _, contender := range race.running {
+		numbers = append(numbers, contender.inFlight)
+	}
+	return numbers
+}
+
 // isOnlyLate reports whether all contenders in doubt are calls that are merely late.
 func (race *race) isOnlyLate() bool {
 	for _, contender := range race.running {
