--- a/soak/ending.go
+++ b/soak/ending.go
@@ -123,26 +123,17 @@
 		return true
 	}
 	hasBroken := func(arrival requestArrival) bool {
-		return arrival.endpoint.proxy.wasResetBetween(netip.Addr{}, arrival.at, ending.endedAt) || fleet.hasLostCarrier(ending, arrival.endpoint, arrival.at)
+		return arrival.endpoint.proxy.wasResetBetween(netip.Addr{}, arrival.at, ending.endedAt)
 	}
 	if slices.ContainsFunc(checker.arrivals[ending.ID], hasBroken) {
 		return true
 	}
 	// An attempt whose connection ends before the endpoint reads the request may have run.
 	return ending.reply.IsComplete && slices.ContainsFunc(fleet.endpoints, func(endpoint *endpoint) bool {
-		return endpoint.proxy.wasResetBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt) || fleet.hasLostCarrier(ending, endpoint, ending.SentAt)
+		return endpoint.proxy.wasResetBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt)
 	})
 }
 
-// hasLostCarrier reports whether the link between the instance of a request and an endpoint was
-// disturbed, so that a peer carried the connection, and a peer was killed after a time.
-func (fleet *fleet) hasLostCarrier(ending ending, endpoint *endpoint, since time.Time) bool {
-	isPeerKilled := slices.ContainsFunc(fleet.instances, func(peer *instance) bool {
-		return peer != ending.Instance && peer.wasKilledBetween(since, ending.endedAt)
-	})
-	return isPeerKilled && endpoint.proxy.wasDisturbedBetween(ending.Instance.IngressAddress.Addr(), ending.SentAt, ending.endedAt)
-}
-
 // hadShortTimeout reports whether a request ended when a short timeout was up that its route may
 // have had. The caller holds the mutex.
 func (checker *checker) hadShortTimeout(ending ending) bool {
--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -93,6 +93,10 @@
 			fixture.fleet.checker.shortTimeouts = []span{{from: fixture.ending.SentAt}}
 		}},
 		{"peer killed", brokenStream, true, func(fixture *endingFixture) { fixture.killPeer() }},
+		{"peer killed that carries", brokenStream, true, func(fixture *endingFixture) {
+			fixture.endpoint.proxy.setSourceLink(instanceAddress(0), linkBlackhole)
+			fixture.killPeer()
+		}},
 		{"peer stopped that carries", brokenStream, true, func(fixture *endingFixture) {
 			fixture.endpoint.proxy.setSourceLink(instanceAddress(0), linkBlackhole)
 			fixture.fleet.instances[1].recordSignal(syscall.SIGTERM, fixture.ending.endedAt)
@@ -150,10 +154,6 @@
 			fixture.fleet.checker.arrivals = nil
 			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
 		}},
-		{"peer killed that carries", brokenStream, func(fixture *endingFixture) {
-			fixture.endpoint.proxy.setSourceLink(instanceAddress(0), linkBlackhole)
-			fixture.killPeer()
-		}},
 		{"its time is up", lateGateway, func(fixture *endingFixture) {
 			fixture.ending.endedAt = fixture.ending.SentAt.Add(clientTimeout - endSlack/2)
 		}},
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -153,13 +153,6 @@
 	}
 }
 
-// wasDisturbedBetween reports whether the link of a client was not healthy between two times.
-func (proxy *proxy) wasDisturbedBetween(source netip.Addr, from, until time.Time) bool {
-	proxy.mutex.Lock()
-	defer proxy.mutex.Unlock()
-	return slices.ContainsFunc(proxy.disturbances, func(disturbance disturbance) bool { return disturbance.concerns(source, from, until) })
-}
-
 // wasResetBetween reports whether connections of a client, or of any if source is the zero
 // address, were reset between two times.
 func (proxy *proxy) wasResetBetween(source netip.Addr, from, until time.Time) bool {
