--- a/peridotpath/relay/doubtful_attempts_test.go
+++ b/peridotpath/relay/doubtful_attempts_test.go
@@ -130,11 +130,11 @@
 			time.AfterFunc(900*time.Millisecond, stalled)
 			return func() {}
 		}
-		inFlight := -1
-		time.AfterFunc(1500*time.Millisecond, func() { inFlight = len(fixture.LoadTracker.LocalInFlight()) })
+		var inFlight atomic.Int64
+		time.AfterFunc(1500*time.Millisecond, func() { inFlight.Store(int64(len(fixture.LoadTracker.LocalInFlight()))) })
 		outcome := fixture.Send(t.Context(), "short", nil)
 		is.True(outcome.Ended)
-		is.Equal(inFlight, 1)
+		is.Equal(inFlight.Load(), int64(1))
 	})
 }
 
