--- a/peridotpath/relay/race_test.go
+++ b/peridotpath/relay/race_test.go
@@ -66,3 +66,48 @@
 		is.True(engines.firstReleasedAt.Sub(began) < 4*time.Second)
 	})
 }
+
+// The primary of a prompt that holds memory at other engines is silent for longer than its probes are
+// waited for, and goes on. No other attempt may follow. The memory must be released as if the primary
+// had lost its power, and the answer must still be relayed, of a begun stream too.
+func TestSilentPrimaryKeepsItsRequestWithoutItsMemory(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		parts []timedPart
+		want  string
+	}{
+		{"before its first event", []timedPart{{3300 * time.Millisecond, events12 + events34}}, events12 + events34},
+		{"within its stream", []timedPart{{100 * time.Millisecond, events12}, {3300 * time.Millisecond, events34}}, events12 + events34},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engines := &failingEngines{}
+				fixture := newFailingFixture(t, engines)
+				fixture.Relay.RetryBudget = &retrybudget.Budget{Window: time.Second, Instances: func() int { return 1 }}
+				fixture.Relay.Send = func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
+					engines.mutex.Lock()
+					engines.calls++
+					engines.failed, engines.firstReservations = call.Endpoint.ID, map[string]bool{}
+					for _, helper := range call.Helpers {
+						engines.firstReservations[helper.ReservationID] = true
+					}
+					engines.mutex.Unlock()
+					return timedStream(io.EOF, test.parts...)(ctx, call)
+				}
+				began := time.Now()
+				outcome := fixture.Send(t.Context(), "long", func(request *relay.Request) {
+					request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 600_000, 100, 30*time.Second
+				})
+				engines.mutex.Lock()
+				defer engines.mutex.Unlock()
+				t.Logf("code %v, %d events after %v, released after %v", outcome.Result.Code, outcome.Events, outcome.Took, engines.firstReleasedAt.Sub(began))
+				is.Equal(outcome.Body, test.want)
+				is.True(outcome.Ended)
+				is.Equal(engines.calls, 1)
+				is.True(len(engines.firstReservations) > 0)
+				is.True(engines.firstReleasedAt.Sub(began) < 3*time.Second) // as where the primary has lost its power
+			})
+		})
+	}
+}
