relay: a silent primary keeps its request and gives back the memory it holds elsewhere

Cause: two unanswered probes ended an attempt that held memory at other engines, so that they got the memory back in time, also where no other attempt could follow: the last case of work in hand that is given up on a suspicion. Evidence: TestSilentPrimaryKeepsItsRequestWithoutItsMemory failed in both cases (endpoint_failed after 2.8 s, an answer after 3.3 s). Ruled out: a longer time before the memory is given back, as two tests want it back within three seconds. Change: failover decides on the memory and on the attempt apart. The memory is given back as soon as before; the attempt goes on, and another one joins at the next check, when the memory is free. A primary that needs the memory refuses with a promise or breaks off, as it would after the end. Result: both cases pass, as do all other tests of relay and failover; memory_released logs it. The test that wanted the attempt ended is replaced by one that wants it kept and the memory given back, for the same states.

--- a/peridotpath/failover/failover.go
+++ b/peridotpath/failover/failover.go
@@ -42,16 +42,16 @@
 // MustEnd reports whether the attempt is ended although it may still be answered, and although
 // no other one may follow.
 func (attempt Attempt) MustEnd() bool {
-	switch attempt.Doubt {
-	case DoubtLinkLost:
-		// The endpoint has nothing of the request yet, so that nothing is lost.
-		return !attempt.WasSent
-	case DoubtUnresponsive:
-		// Other requests need the memory, and must get it back soon after the endpoint has
-		// lost its power.
-		return attempt.HoldsMemory
-	}
-	return false
+	// The endpoint has nothing of the request yet, so that nothing is lost.
+	return attempt.Doubt == DoubtLinkLost && !attempt.WasSent
+}
+
+// MustReleaseMemory reports whether the memory at other endpoints is given back although the attempt
+// may still be answered. Other requests must get it soon after the endpoint has lost its power,
+// and the request no longer depends on this attempt alone once another one has joined. An
+// endpoint that goes on without that memory answers, or refuses with a promise.
+func (attempt Attempt) MustReleaseMemory() bool {
+	return attempt.Doubt == DoubtUnresponsive && attempt.HoldsMemory
 }
 
 // Request is the state of a request whose attempts are running.
--- a/peridotpath/failover/failover_test.go
+++ b/peridotpath/failover/failover_test.go
@@ -7,17 +7,19 @@
 )
 
 // An attempt whose endpoint is merely silent is cancelled before another one is sure, or one that
-// keeps the memory of other requests from them is not.
-func TestAttemptIsEndedOnlyForOthersMemory(t *testing.T) {
+// keeps the memory of other requests from them keeps it.
+func TestAttemptInDoubtGoesOnWithoutOthersMemory(t *testing.T) {
 	for _, doubt := range []failover.Doubt{failover.DoubtNone, failover.DoubtOverdue, failover.DoubtUnresponsive, failover.DoubtLinkLost, failover.DoubtLate} {
 		for _, attempt := range []failover.Attempt{
 			{Doubt: doubt, WasSent: true}, {Doubt: doubt, WasSent: true, HoldsMemory: true},
 			{Doubt: doubt}, {Doubt: doubt, HoldsMemory: true},
 		} {
-			want := doubt == failover.DoubtUnresponsive && attempt.HoldsMemory || doubt == failover.DoubtLinkLost && !attempt.WasSent
-			if have := attempt.MustEnd(); have != want {
+			if have, want := attempt.MustEnd(), doubt == failover.DoubtLinkLost && !attempt.WasSent; have != want {
 				t.Errorf("%+v: must end is %t, want %t", attempt, have, want)
 			}
+			if have, want := attempt.MustReleaseMemory(), doubt == failover.DoubtUnresponsive && attempt.HoldsMemory; have != want {
+				t.Errorf("%+v: must release memory is %t, want %t", attempt, have, want)
+			}
 		}
 	}
 }
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -165,11 +165,13 @@
 	}
 }
 
-// check ends the contenders that must be ended, and lets another one join those in doubt.
+// check ends the contenders that must be ended, gives back the memory of others, and lets another
+// contender join those in doubt, which may need that memory and comes at the next check then.
 func (race *race) check(now time.Time) {
 	if race.ctx.Err() != nil {
 		return
 	}
+	hasReleased := false
 	for _, contender := range race.running {
 		if left, hasTimeout := contender.untilOverdue(now); hasTimeout && left <= 0 {
 			contender.suspect(failover.DoubtOverdue, errStalled)
@@ -177,9 +179,13 @@
 		if contender.state().MustEnd() {
 			contender.cancel(contender.doubtErr)
 		}
+		if contender.state().MustReleaseMemory() {
+			race.releaseMemory(contender, now)
+			hasReleased = true
+		}
 	}
 	race.checkLate(now)
-	if race.request().MayJoin() {
+	if !hasReleased && race.request().MayJoin() {
 		race.join(now)
 	}
 }
@@ -339,6 +345,18 @@
 	return outcomeDone, nil
 }
 
+// releaseMemory gives back the memory at other engines of a contender that goes on.
+func (race *race) releaseMemory(contender *contender, now time.Time) {
+	relay, request := race.exchange.relay, race.exchange.request
+	if relay.ServedSampler.Allow(now) {
+		relay.Log.Info().Str("request", string(request.ID)).Str("endpoint", string(contender.plan.Primary.ID)).
+			Stringer("doubt", contender.doubt).Int("reservations", len(contender.reservations)).
+			Dur("silent", now.Sub(contender.progressAt)).Msg("memory_released")
+	}
+	relay.Reservations.ReleaseAsync(contender.reservations)
+	contender.reservations = nil
+}
+
 // remove removes a contender and ends it.
 func (race *race) remove(contender *contender, reason error) {
 	if at := slices.Index(race.running, contender); at >= 0 {
