quarantine: an earlier crash of an endpoint explains no later one

Cause: a crash was known by its endpoint alone. Once a body was barred, its crashes explained for ten minutes whatever crashed the same endpoints later, so that a fatal part that came beside it was never barred where the body had crashed most endpoints; and the last crash of an endpoint was that of whichever fact was read last. The new test TestEarlierCrashesExplainNoLaterOnes failed on the code before. Change: a crash explains another one, or is shared with it, only where it is not earlier by more than the time in which all instances see one crash (a second, less than an endpoint takes to be back).

--- a/peridotpath/quarantine/evidence.go
+++ b/peridotpath/quarantine/evidence.go
@@ -12,10 +12,10 @@
 // evidence is the set of facts for a decision.
 type evidence struct {
 	suspects map[peridotpath.Fingerprint]*suspect
-	// crashedAt is when endpoints crashed, under any request.
+	// crashedAt is when endpoints last crashed, under any request.
 	crashedAt map[peridotpath.EndpointKey]time.Time
-	// explanations are the quarantined suspects under which an endpoint crashed.
-	explanations map[peridotpath.EndpointKey][]peridotpath.Fingerprint
+	// explanations are the crashes of an endpoint under quarantined suspects.
+	explanations map[peridotpath.EndpointKey][]explanation
 	// readAt is when the facts were read, version the version of their table.
 	readAt  time.Time
 	version uint64
@@ -47,6 +47,19 @@
 	age time.Duration
 }
 
+// explanation is the last crash of an endpoint under a quarantined suspect.
+type explanation struct {
+	suspect peridotpath.Fingerprint
+	crash   crash
+}
+
+// mayBeSame reports whether the later crashes of an endpoint under another suspect, of which only
+// the last is known, may include this one. An earlier one is another crash: the endpoint was back
+// since.
+func (crash crash) mayBeSame(last crash) bool {
+	return !last.at.Before(crash.at.Add(-maxDetectionSpread))
+}
+
 // isSentAfter reports whether the request is known to have been sent after a time.
 func (crash crash) isSentAfter(at time.Time) bool {
 	return crash.age > 0 && crash.at.Add(-crash.age).After(at)
@@ -67,6 +80,9 @@
 	// minEvidenceAge is the shortest time between two readings of facts that peers report: in
 	// a series of crashes they report many, and a reading costs up to a millisecond.
 	minEvidenceAge = 20 * time.Millisecond
+	// maxDetectionSpread bounds the time between the first and the last instance that sees the same
+	// crash. Endpoints take longer to be back.
+	maxDetectionSpread = time.Second
 	// maxEvidenceAge is the time after which evidence is read again although no fact has
 	// changed, since facts expire.
 	maxEvidenceAge = time.Second
@@ -110,15 +126,15 @@
 	return evidence
 }
 
-// explain collects the quarantined suspects under which endpoints have crashed.
+// explain collects the crashes of endpoints under quarantined suspects.
 func (evidence *evidence) explain(now time.Time) {
-	evidence.explanations = map[peridotpath.EndpointKey][]peridotpath.Fingerprint{}
+	evidence.explanations = map[peridotpath.EndpointKey][]explanation{}
 	for key, suspect := range evidence.suspects {
 		if _, isQuarantined := evidence.term(key, now); !isQuarantined {
 			continue
 		}
-		for endpoint := range suspect.crashes {
-			evidence.explanations[endpoint] = append(evidence.explanations[endpoint], key)
+		for endpoint, crash := range suspect.crashes {
+			evidence.explanations[endpoint] = append(evidence.explanations[endpoint], explanation{key, crash})
 		}
 	}
 }
@@ -141,7 +157,9 @@
 func (evidence *evidence) addCrash(fact *facts.Fact) {
 	suspect, endpoint := evidence.at(fact.Subject), peridotpath.EndpointKey(fact.Detail)
 	suspect.isPart = fact.Kind == facts.KindPartCrashed
-	evidence.crashedAt[endpoint] = fact.ObservedAt
+	if fact.ObservedAt.After(evidence.crashedAt[endpoint]) {
+		evidence.crashedAt[endpoint] = fact.ObservedAt
+	}
 	if fact.ObservedAt.After(suspect.survivedAt) {
 		age := time.Duration(min(fact.Value, maxCrashAge.Seconds()) * float64(time.Second))
 		suspect.crashes[endpoint] = crash{at: fact.ObservedAt, age: age}
@@ -248,11 +266,11 @@
 	return weight
 }
 
-// countShared counts the endpoints that crashed under both suspects.
-func countShared(first, second crashes) int {
+// countShared counts the crashes that may have happened under another suspect, too.
+func (crashes crashes) countShared(other crashes) int {
 	count := 0
-	for endpoint := range first {
-		if _, found := second[endpoint]; found {
+	for endpoint, crash := range crashes {
+		if last, found := other[endpoint]; found && crash.mayBeSame(last) {
 			count++
 		}
 	}
--- a/peridotpath/quarantine/part_test.go
+++ b/peridotpath/quarantine/part_test.go
@@ -225,3 +225,41 @@
 	fixture.crashUnder(1, prompt("many", many...))
 	is.Equal(len(fixture.Facts.ByKind(facts.KindPartCrashed, fixture.now)), 17) // 16 parts and the endpoint
 }
+
+// A body crashes most endpoints, the last ones by attempts that are in flight when it is quarantined,
+// and a new part crashes endpoints after that. The earlier crashes of the same endpoints must not
+// explain the later ones.
+func TestEarlierCrashesExplainNoLaterOnes(t *testing.T) {
+	is := is.New(t)
+	fixture := newWarmFixture("c0")
+	body := prompt("fatal body", "c0")
+	for endpoint := range peridotpath.EndpointKey(9) {
+		fixture.crashUnder(endpoint, body)
+		is.Equal(fixture.judge(body) == quarantine.Quarantined, endpoint >= 2)
+	}
+	fixture.advance(3 * time.Second) // the endpoints are back
+	for i := range 3 {
+		request := prompt(fmt.Sprint(i), "c0", "fa7a1")
+		is.True(fixture.judge(request) != quarantine.Quarantined)
+		fixture.crashUnder(peridotpath.EndpointKey(i), request)
+	}
+	is.Equal(fixture.judge(prompt("new", "c0", "fa7a1")), quarantine.Quarantined)
+	is.Equal(fixture.judge(prompt("new", "c0")), quarantine.Clear)
+}
+
+// Instances see the same crash at different times. A part that was there by chance must be explained
+// by a quarantined body also where its crash was seen later.
+func TestCrashIsExplainedThoughInstancesSeeItApart(t *testing.T) {
+	is := is.New(t)
+	fixture := newWarmFixture("c0")
+	body := prompt("fatal body", "c0")
+	for endpoint := range peridotpath.EndpointKey(3) {
+		fixture.crashUnder(endpoint, body)
+	}
+	is.Equal(fixture.judge(body), quarantine.Quarantined)
+	for endpoint := peridotpath.EndpointKey(3); endpoint < 7; endpoint++ {
+		fixture.crashUnder(endpoint, body)
+		fixture.crashUnder(endpoint, prompt(fmt.Sprint(endpoint), "c0", "new"))
+	}
+	is.True(fixture.judge(prompt("sound", "c0", "new")) != quarantine.Quarantined)
+}
--- a/peridotpath/quarantine/verdict.go
+++ b/peridotpath/quarantine/verdict.go
@@ -122,7 +122,7 @@
 	}
 	unexplained := crashes{}
 	for endpoint, crash := range evidence.completeCrashes(key, now) {
-		if !evidence.isExplained(endpoint, key) {
+		if !evidence.isExplained(endpoint, crash, key) {
 			unexplained[endpoint] = crash
 		}
 	}
@@ -141,10 +141,12 @@
 	return minCrashesToQuarantine
 }
 
-// isExplained reports whether an endpoint crashed under a quarantined suspect other than the
-// given one.
-func (evidence *evidence) isExplained(endpoint peridotpath.EndpointKey, key peridotpath.Fingerprint) bool {
-	return slices.ContainsFunc(evidence.explanations[endpoint], func(other peridotpath.Fingerprint) bool { return other != key })
+// isExplained reports whether the crash of an endpoint may have happened under a quarantined suspect
+// other than the given one.
+func (evidence *evidence) isExplained(endpoint peridotpath.EndpointKey, crash crash, key peridotpath.Fingerprint) bool {
+	return slices.ContainsFunc(evidence.explanations[endpoint], func(other explanation) bool {
+		return other.suspect != key && crash.mayBeSame(other.crash)
+	})
 }
 
 // otherCrashes returns the endpoints that have crashed since the first of a suspect's crashes,
@@ -158,8 +160,9 @@
 	}
 	others := crashes{}
 	for endpoint, at := range evidence.crashedAt {
-		if _, isOwn := own[endpoint]; !isOwn && !at.Before(first) && !evidence.isExplained(endpoint, key) {
-			others[endpoint] = crash{at: at}
+		other := crash{at: at}
+		if _, isOwn := own[endpoint]; !isOwn && !at.Before(first) && !evidence.isExplained(endpoint, other, key) {
+			others[endpoint] = other
 		}
 	}
 	return others
@@ -182,7 +185,7 @@
 		if _, isExplanation := evidence.term(other, now); isExplanation && !quarantined {
 			continue
 		}
-		if countShared(crashes, suspect.crashes) >= wanted {
+		if crashes.countShared(suspect.crashes) >= wanted {
 			return true
 		}
 	}
