relay: a stream whose engine ends after the last event is whole

Cause: an engine that sends the last event and ends before the end of its stream leaves a stream that is resumed after that event; the engine that resumes it has no event more, and an answer without events counted as broken whoever gave it, so that a whole stream was cut. Evidence: TestStreamWhoseEngineEndsAfterTheLastEventIsWhole/marked failed on the code before. Change: a resumed stream may end without an event where its end is marked by a length or a last chunk, and no other attempt at it goes on. An empty stream that is no resumption stays broken, and so does one that ends with its connection.

--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -81,7 +81,7 @@
 	switch {
 	case !answer.isFromEndpoint() || answer.NotRun:
 	case isStream && answer.Status == http.StatusOK:
-		result.outcome, result.err = contender.readEvents(answer, progresses)
+		result.outcome, result.err = contender.readEvents(answer, call.LastEventID != "", progresses)
 	default:
 		result.held, result.outcome, result.err = relay.readWhole(ctx, answer)
 	}
@@ -89,8 +89,8 @@
 
 // readEvents reports the events of a stream as they arrive, each of them whole. If the connection
 // fails within an event, its partial data is dropped, so that the stream can resume on another
-// endpoint.
-func (contender *contender) readEvents(answer *Answer, progresses chan<- progress) (outcome, error) {
+// endpoint. A stream that is resumed after its last event has no event more, only its end.
+func (contender *contender) readEvents(answer *Answer, isResumed bool, progresses chan<- progress) (outcome, error) {
 	report := func(event []byte, id string) bool {
 		select {
 		case progresses <- progress{contender, answer, event, id}:
@@ -106,7 +106,7 @@
 	for received := 0; ; received++ {
 		raw, id, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && received > 0:
+		case errors.Is(err, io.EOF) && (received > 0 || isResumed && answer.HasEnd):
 			return outcomeDone, nil
 		case err != nil:
 			return connectionOutcome(contender.ctx), errors.Join(err, context.Cause(contender.ctx))
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -14,6 +14,7 @@
 var (
 	errOtherAnswered = errors.New("another endpoint has answered this request")
 	errRaceOver      = errors.New("the attempts at this request have ended")
+	errNoEvents      = errors.New("resumed stream has no events, while another attempt goes on")
 )
 
 // noCheck is the time until the next check where none is due.
@@ -332,12 +333,16 @@
 	return exchange.relayWhole(result.answer, result.held.Body), nil
 }
 
-// finishStream ends the stream if its last event has been relayed.
+// finishStream ends the stream if its last event has been relayed. The end of a resumed stream that
+// has no event more says less than those that still run.
 func (race *race) finishStream(result *contenderResult) (outcome, error) {
 	exchange := race.exchange
 	if result.outcome != outcomeDone {
 		return result.outcome, result.err
 	}
+	if result.contender.eventCount == 0 && len(race.running) > 1 {
+		return outcomeErrored, errNoEvents
+	}
 	exchange.beginStream(result.answer)
 	exchange.recordBegun()
 	exchange.caller.End()
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -77,6 +77,9 @@
 	// Header is forwarded to the caller unchanged.
 	Header http.Header
 	Body   io.ReadCloser
+	// HasEnd reports that the end of the body is marked, by its length or a last chunk, so that it
+	// can't be taken for the end of its connection.
+	HasEnd bool
 	// NotRun reports that the endpoint guarantees not to have run the request.
 	NotRun bool
 	// Misdirected reports that the address belongs to another endpoint now.
