relay: a prompt beyond one engine is not held by silent engines for over twice its target

Cause: an order to reserve memory that is not answered costs 400 ms and counts as no attempt, so that such orders followed each other until the deadline; only the queue of short prompts knew how long a request may be held. Change: placement has one limit of holding (1.75 targets, as before for short prompts). After the first unanswered order it bounds the next ones, and then the request is refused with Retry-After. Orders that are answered with no are left alone.

--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -38,6 +38,16 @@
 	FewestHelpers bool
 }
 
+// maxHold is the time from arrival, in targets, after which a prompt that nothing could be sent for is
+// refused. No request is held for over twice its target in vain; the rest is for a poll.
+const maxHold = 1.75
+
+// UntilHoldLimit returns the time for which a prompt may still be held without being sent; negative
+// once it has been held for too long.
+func (work *Work) UntilHoldLimit() time.Duration {
+	return time.Duration(maxHold*float64(work.TTFTTarget)) - work.Waited
+}
+
 // FirstEventTimeout is the time until the client disconnects if the answer has not begun.
 func (work *Work) FirstEventTimeout() time.Duration {
 	if work.ClientTimeout > 0 {
--- a/peridotpath/placement/short_queue.go
+++ b/peridotpath/placement/short_queue.go
@@ -236,13 +236,9 @@
 	Draw float64
 }
 
-// maxShortHold is the time from arrival, in targets, after which a prompt that was not sent is
-// refused. No request is held for over twice its target in vain; the rest is for a poll.
-const maxShortHold = 1.75
-
 // Decide returns whether the prompt is sent now, waits or is refused.
 func (decision *ShortDecision) Decide() ShortVerdict {
-	if decision.Outlook.CannotFinish || float64(decision.Work.Waited) > maxShortHold*float64(decision.Work.TTFTTarget) {
+	if decision.Outlook.CannotFinish || decision.Work.UntilHoldLimit() < 0 {
 		return ShortRefuse
 	}
 	if decision.IsLate && decision.LateWait+decision.Outlook.TimeToFirstEvent > decision.Work.FirstEventTimeout() {
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -43,7 +43,14 @@
 	if exchange.customer != "" && !exchange.relay.Routing.KeysUsable() {
 		return outcomeUnsent, errKeysExpired
 	}
-	if outcome, err := race.begin(first, exchange.reserveMemory(first)); outcome != outcomeDone {
+	if left, isLimited := exchange.untilHoldLimit(first.sentAt); isLimited {
+		first.holdLimit = left
+	}
+	reserved := exchange.reserveMemory(first)
+	if reserved.isUnanswered {
+		exchange.unansweredReservations++
+	}
+	if outcome, err := race.begin(first, reserved); outcome != outcomeDone {
 		return outcome, err
 	}
 	return race.run()
@@ -81,6 +88,8 @@
 	contender    *contender
 	reservations []*reservation.Reservation
 	err          error
+	// isUnanswered reports that an engine did not answer in time.
+	isUnanswered bool
 }
 
 // reserveMemory reserves the KV cache that the attempt needs on engines other than the primary.
@@ -89,10 +98,17 @@
 	if len(contender.plan.HelperReservations) == 0 {
 		return reserved
 	}
-	reserved.reservations, reserved.err = exchange.relay.Reservations.Acquire(contender.ctx, contender.plan.HelperReservations)
+	ctx := contender.ctx
+	if contender.holdLimit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, contender.holdLimit)
+		defer cancel()
+	}
+	reserved.reservations, reserved.err = exchange.relay.Reservations.Acquire(ctx, contender.plan.HelperReservations)
 	var reserveError *reservation.ReserveError
 	if errors.As(reserved.err, &reserveError) {
 		exchange.relay.LoadTracker.EjectFull(reserveError.Endpoint, time.Now())
+		reserved.isUnanswered = reserveError.IsUnanswered()
 	}
 	return reserved
 }
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -75,6 +75,8 @@
 type attemptHistory struct {
 	// attemptCount counts all attempts, sentCount those that reached an endpoint.
 	attemptCount, sentCount int
+	// unansweredReservations counts the attempts that an engine's silence kept from being sent.
+	unansweredReservations int
 	// mayHaveRun reports that an attempt was sent and the endpoint did not guarantee
 	// that it had not run the request.
 	mayHaveRun bool
--- /dev/null
+++ b/peridotpath/relay/hold_test.go
@@ -0,0 +1,65 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/relay"
+	"peridotpath.example/peridotpath/relay/relaytest"
+)
+
+// maxTestHold is the time in targets after which a request that was not sent must be refused.
+const maxTestHold = 2
+
+// silentReservations makes the engines of a fixture leave orders to reserve memory unanswered until an
+// instant, and counts them.
+func silentReservations(fixture *relaytest.Fixture, silence time.Duration) *int {
+	calls, began := new(int), time.Now()
+	fixture.Relay.Reservations.Reserve = func(ctx context.Context, _ *peridotpath.Endpoint, _ string, _ peridotpath.Tokens, _ time.Duration) (bool, error) {
+		if *calls++; time.Since(began) >= silence {
+			return true, nil
+		}
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
+	return calls
+}
+
+// sendBeyondOneEngine sends a prompt that no engine holds alone, on a route with a target of 3 s.
+func sendBeyondOneEngine(t *testing.T, fixture *relaytest.Fixture) *relaytest.Outcome {
+	return fixture.Send(t.Context(), "long", func(request *relay.Request) {
+		request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 600_000, 20, 30*time.Second
+	})
+}
+
+// All engines leave orders to reserve memory unanswered. A prompt beyond one engine must not be held
+// until its client gives up: another instance may reach engines that answer.
+func TestPromptIsNotHeldBesideUnansweredReservations(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := relaytest.NewFixture(answer(200, events12, nil), &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3), relaytest.Endpoint(4), relaytest.Endpoint(5))
+		calls := silentReservations(fixture, time.Hour)
+		outcome := sendBeyondOneEngine(t, fixture)
+		t.Logf("code %v after %v, %d reservations", outcome.Result.Code, outcome.Took, *calls)
+		is.True(outcome.Took < maxTestHold*3*time.Second)
+		is.True(outcome.Result.RetryAfter > 0)
+		is.True(outcome.Result.Code != peridotpath.CodeEndpointFailed)
+	})
+}
+
+// Engines answer again while the first reservation is awaited: the prompt must still be sent.
+func TestPromptIsSentOnceReservationsAreAnswered(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := relaytest.NewFixture(answer(200, events12, nil), &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3), relaytest.Endpoint(4), relaytest.Endpoint(5))
+		silentReservations(fixture, 350*time.Millisecond)
+		outcome := sendBeyondOneEngine(t, fixture)
+		t.Logf("code %v after %v", outcome.Result.Code, outcome.Took)
+		is.Equal(outcome.Body, events12)
+	})
+}
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -132,7 +132,7 @@
 // request.
 func (exchange *exchange) checkRetry(ctx context.Context, outcome outcome) *peridotpath.Result {
 	if outcome.isUnattempted() {
-		return nil
+		return exchange.checkHold(time.Now())
 	}
 	final := exchange.finalResult(outcome)
 	if exchange.mayHaveRun && !exchange.route.Repeatable() {
@@ -159,6 +159,25 @@
 	return nil
 }
 
+// checkHold returns the refusal of a request that silent engines have kept from being sent for too
+// long; nil where it may be tried again. Another instance may have engines that answer.
+func (exchange *exchange) checkHold(now time.Time) *peridotpath.Result {
+	if left, isLimited := exchange.untilHoldLimit(now); isLimited && left <= 0 {
+		return exchange.refusal(peridotpath.CodeCannotFinish, shortRetryAfter)
+	}
+	return nil
+}
+
+// untilHoldLimit returns how long the request may still be held by reservations that are not
+// answered; false while none was or once it has been sent. The first one has its whole timeout.
+func (exchange *exchange) untilHoldLimit(now time.Time) (time.Duration, bool) {
+	if exchange.unansweredReservations == 0 || exchange.sentCount > 0 || exchange.streamBegun || exchange.lastEventID != "" || exchange.route.TTFTTarget == 0 {
+		return 0, false
+	}
+	work := exchange.placementWork(now)
+	return work.UntilHoldLimit(), true
+}
+
 // retryWaitLimit returns how long the request may wait for a lent retry: until its deadline, or
 // until its client disconnects since no event arrives. A stream that has begun is continued after
 // its deadline.
--- a/peridotpath/reservation/manager.go
+++ b/peridotpath/reservation/manager.go
@@ -95,6 +95,9 @@
 	return fmt.Sprintf("reservation: no memory reserved at endpoint %x: %v", uint64(reserveError.Endpoint), reserveError.cause)
 }
 
+// IsUnanswered reports that the endpoint did not answer, so that its memory may be free.
+func (reserveError *ReserveError) IsUnanswered() bool { return reserveError.cause != nil }
+
 // Acquire reserves all of the memory or none. Two prompts that each held a part would
 // otherwise deadlock.
 func (manager *Manager) Acquire(ctx context.Context, requests []MemoryRequest) ([]*Reservation, error) {
