relay: the probe of an endpoint that broke off holds up no other attempt

Cause: whether an endpoint has crashed was asked by the goroutine that relays the events of all attempts at a request, so that a stream that went on waited for up to 200 ms. Change: the attempt that broke off asks before it reports its end; a probe that outlasts its request is no longer waited for, and its answer is not taken for a crash.

--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -54,6 +54,9 @@
 	held      *answerbuffer.Buffer
 	outcome   outcome
 	err       error
+	// endedAt is when it ended, endpointGone whether its endpoint's process had ended by then.
+	endedAt      time.Time
+	endpointGone bool
 }
 
 // progress is the head of a contender's stream, or one event of it. event is nil for the head.
@@ -65,11 +68,16 @@
 }
 
 // run sends the call and reads the whole answer. It reports the events of a stream one by one, and
-// once how it has ended. It uses no state of the exchange.
+// once how it has ended. It uses no state of the exchange. An endpoint that broke off is probed here:
+// the race relays the events of other contenders meanwhile.
 func (contender *contender) run(relay *Relay, call *Call, isStream bool, progresses chan<- progress, results chan<- contenderResult) {
 	result := contenderResult{contender: contender}
-	defer func() { results <- result }()
 	ctx := contender.ctx
+	defer func() {
+		result.endedAt = time.Now()
+		result.endpointGone = result.outcome == outcomeBroken && relay.hasCrashed(ctx, call.Endpoint)
+		results <- result
+	}()
 	answer, err := relay.Send(ctx, call)
 	if err != nil {
 		if result.outcome, result.err = outcomeUnsent, err; !outbound.ErrNotSent.Has(err) {
--- a/peridotpath/relay/crash.go
+++ b/peridotpath/relay/crash.go
@@ -22,15 +22,20 @@
 // hasCrashed probes an endpoint whose connection failed and reports whether its process
 // has ended. A reset on the network, a lost answer and an error of the endpoint look the
 // same as a crash at first; only after a crash does its address refuse connections.
-// Concurrent calls for one endpoint share a probe.
+// Concurrent calls for one endpoint share a probe, which goes on when ctx ends; the answer is no then.
 func (relay *Relay) hasCrashed(ctx context.Context, endpoint *peridotpath.Endpoint) bool {
 	key := endpoint.Key()
-	crashed, _, _ := relay.crashProbes.Do(strconv.FormatUint(uint64(key), 36), func() (any, error) {
+	probe := relay.crashProbes.DoChan(strconv.FormatUint(uint64(key), 36), func() (any, error) {
 		ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 		defer stop()
 		err := relay.Check(ctx, endpoint)
 		relay.Log.Info().Str("endpoint", string(endpoint.ID)).Bool("gone", ErrEndpointGone.Has(err)).AnErr("answer", err).Msg("broken_off")
 		return ErrEndpointGone.Has(err), nil
 	})
-	return crashed.(bool)
+	select {
+	case result := <-probe:
+		return result.Val.(bool)
+	case <-ctx.Done():
+		return false
+	}
 }
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -69,6 +69,10 @@
 	// survivalRecorded reports that the attempt was recorded as one that did not crash
 	// its endpoint.
 	survivalRecorded bool
+	// endedAt is when the attempt ended by itself; endpointGone reports that its endpoint's process
+	// had ended by then.
+	endedAt      time.Time
+	endpointGone bool
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -59,7 +59,10 @@
 	if givenUp != failover.DoubtNone {
 		telemetry.CountAttemptGivenUp(givenUp.String())
 	}
-	crashed := outcome == outcomeBroken && exchange.relay.hasCrashed(ctx, exchange.plan.Primary)
+	crashed := outcome == outcomeBroken && exchange.endpointGone
+	if outcome == outcomeBroken {
+		failedAt = exchange.endedAt
+	}
 	exchange.relay.Log.Info().Str("request", string(exchange.request.ID)).Stringer("content", exchange.fingerprint()).
 		Str("endpoint", string(exchange.plan.Primary.ID)).Int("try", exchange.attemptCount).Bool("endpoint_gone", crashed).
 		Dur("took", time.Since(exchange.request.ArrivedAt)).Dur("waited", exchange.sentAt.Sub(exchange.request.ArrivedAt)).
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -293,6 +293,7 @@
 		return false, outcomeDone, nil
 	}
 	race.current, exchange.attemptState = contender, contender.attemptState
+	contender.endedAt, contender.endpointGone = result.endedAt, result.endpointGone
 	outcome, err := race.finish(result)
 	contender.failed, contender.wasAnswered = outcome != outcomeDone, outcome == outcomeDone
 	race.remove(contender, errRaceOver)
--- a/peridotpath/relay/race_test.go
+++ b/peridotpath/relay/race_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
@@ -111,3 +112,25 @@
 		})
 	}
 }
+
+// A stream is silent, another attempt joins it and breaks off, and the stream goes on. The probe that
+// tells whether the other endpoint has crashed must not keep its next event from the caller.
+func TestProbeOfBrokenEndpointDelaysNoOtherStream(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first := timedStream(io.EOF, timedPart{300 * time.Millisecond, events12}, timedPart{3050 * time.Millisecond, events34})
+		second := timedStream(errors.New("connection reset"), timedPart{time.Second, "id:"})
+		endpoints := &scriptedEndpoints{steps: []step{first, second}}
+		fixture := relaytest.NewFixture(endpoints.send, &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2))
+		fixture.Relay.Check = func(ctx context.Context, _ *peridotpath.Endpoint) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		outcome := fixture.Send(t.Context(), "short", nil)
+		t.Logf("ended after %v, %d calls", outcome.Took, len(endpoints.called()))
+		is.Equal(len(endpoints.called()), 2)
+		is.Equal(outcome.Body, events12+events34)
+		is.True(outcome.Took < 3100*time.Millisecond)
+		time.Sleep(200 * time.Millisecond) // the probe has ended
+	})
+}
