failover: the decision on a second endpoint stands with the others

relay had the pure decision whether a late call goes to a second endpoint beside the code that sends it. failover.LateCall takes it over, with its test and the limit of attempts as a field.

--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -16,40 +16,6 @@
 // not begun its answer is still listed, and between two attempts to find a second endpoint.
 const goneCheckInterval = 50 * time.Millisecond
 
-// secondAttempt is the state of a plain call that decides whether a second endpoint gets it.
-//
-// It matters for an endpoint that takes calls and does not answer, as one whose machine has lost
-// its network: 98 idempotent calls waited there until their deadline of 1.5 s. A second attempt
-// costs a free slot of another endpoint and one retry of the budget, which bounds the load that
-// these attempts add while all endpoints are slow.
-type secondAttempt struct {
-	// sinceArrival and sinceSent are the times since the request arrived and since it was sent.
-	sinceArrival, sinceSent time.Duration
-	target                  time.Duration
-	// answerBegun reports that the first endpoint has begun to answer, isGone that it is no
-	// longer listed.
-	answerBegun, isGone bool
-	// attemptCount and sentCount are as in attemptHistory, the first attempt included.
-	attemptCount, sentCount, maxAttempts int
-}
-
-// isDue reports whether the call should be sent to a second endpoint now. An attempt gets half
-// the target for itself: one that is made after a failure is not late from its first moment.
-func (second *secondAttempt) isDue() bool {
-	switch {
-	case second.answerBegun, second.attemptCount >= maxTotalAttempts, second.sentCount >= second.maxAttempts:
-		return false
-	case second.isGone:
-		return true
-	}
-	return second.timeUntilDue() <= 0
-}
-
-// timeUntilDue returns the time until the first endpoint has exceeded the target.
-func (second *secondAttempt) timeUntilDue() time.Duration {
-	return max(second.target-second.sinceArrival, second.target/2-second.sinceSent)
-}
-
 // freeCandidates returns the candidates that have a free slot. Where an endpoint's calls wait for
 // a slot, a second attempt would wait as the first one does, and add to the overload.
 func freeCandidates(candidates []placement.Candidate, snapshot placement.LoadSnapshot) []placement.Candidate {
@@ -77,7 +43,7 @@
 	if !race.mayJoinLate() {
 		return
 	}
-	if state := race.exchange.secondAttemptState(race.first, now); state.isDue() {
+	if race.exchange.lateCall(race.first, now).MayJoin() {
 		race.first.suspect(failover.DoubtLate, errLate)
 	}
 }
@@ -90,18 +56,18 @@
 		!race.lateJoined && !race.spareDenied && race.exchange.mayUseSecondEndpoint()
 }
 
-// secondAttemptState returns the state that decides about a second attempt.
-func (exchange *exchange) secondAttemptState(first *contender, now time.Time) *secondAttempt {
-	return &secondAttempt{
-		sinceArrival: now.Sub(exchange.request.ArrivedAt), sinceSent: now.Sub(first.sentAt), target: exchange.route.TTFTTarget,
-		answerBegun: first.answered.Load(), isGone: exchange.relay.AllEndpoints().ByKey(first.plan.Primary.Key()) == nil,
-		attemptCount: exchange.attemptCount, sentCount: exchange.sentCount + 1, maxAttempts: exchange.route.MaxAttempts,
+// lateCall returns the state that decides whether a second endpoint gets the call.
+func (exchange *exchange) lateCall(first *contender, now time.Time) failover.LateCall {
+	return failover.LateCall{
+		SinceArrival: now.Sub(exchange.request.ArrivedAt), SinceSent: now.Sub(first.sentAt), Target: exchange.route.TTFTTarget,
+		AnswerBegun: first.answered.Load(), IsGone: exchange.relay.AllEndpoints().ByKey(first.plan.Primary.Key()) == nil,
+		Attempts: exchange.attemptCount, MaxAttempts: maxTotalAttempts, Sent: exchange.sentCount + 1, MaxSent: exchange.route.MaxAttempts,
 	}
 }
 
 // nextSecondCheck returns the time until the next check whether a second attempt is due.
 func (exchange *exchange) nextSecondCheck(first *contender) time.Duration {
-	if due := exchange.secondAttemptState(first, time.Now()).timeUntilDue(); due > 0 {
+	if due := exchange.lateCall(first, time.Now()).UntilLate(); due > 0 {
 		return min(due, goneCheckInterval)
 	}
 	return goneCheckInterval
