failover: one decision whether a request gets a further attempt

Whether a request gets another attempt stood twice: after a failure in relay (checkRetry), and beside running attempts in failover (MayJoin), each with its own limits. failover.Request.Denied decides both, and names the reason that logs show.

--- a/peridotpath/failover/failover.go
+++ b/peridotpath/failover/failover.go
@@ -54,17 +54,39 @@
 	return attempt.Doubt == DoubtUnresponsive && attempt.HoldsMemory
 }
 
-// Request is the state of a request whose attempts are running.
+// Request is the state of a request that decides about further attempts.
 type Request struct {
 	Running []Attempt
-	// IsRepeatable reports that the request may run more than once.
-	IsRepeatable bool
+	// IsRepeatable reports that the request may run more than once, MayHaveRun that it may have run,
+	// or runs.
+	IsRepeatable, MayHaveRun bool
 	// Attempts counts all attempts, those that run included, and Sent those that may have
 	// reached an endpoint.
 	Attempts, MaxAttempts int
 	Sent, MaxSent         int
 }
 
+// Denial is why no further attempt may be made.
+type Denial string
+
+// The denials, by their names in logs.
+const (
+	DeniedNothing       Denial = ""
+	DeniedNotRepeatable Denial = "not_repeatable"
+	DeniedAttempts      Denial = "attempts"
+)
+
+// Denied returns why the request gets no further attempt, whether attempts run or have failed.
+func (request Request) Denied() Denial {
+	switch {
+	case request.MayHaveRun && !request.IsRepeatable:
+		return DeniedNotRepeatable
+	case request.Attempts >= request.MaxAttempts, request.Sent >= max(request.MaxSent, 1):
+		return DeniedAttempts
+	}
+	return DeniedNothing
+}
+
 // MayJoin reports whether another attempt may run beside those that run: all of them are in doubt,
 // and the request allows one more.
 func (request Request) MayJoin() bool {
@@ -73,5 +95,5 @@
 			return false
 		}
 	}
-	return len(request.Running) > 0 && request.IsRepeatable && request.Attempts < request.MaxAttempts && request.Sent < request.MaxSent
+	return len(request.Running) > 0 && request.Denied() == DeniedNothing
 }
--- a/peridotpath/failover/failover_test.go
+++ b/peridotpath/failover/failover_test.go
@@ -28,7 +28,7 @@
 // not one after the other without an end.
 func TestAnotherAttemptJoinsAttemptsInDoubt(t *testing.T) {
 	silent := failover.Request{
-		Running: []failover.Attempt{{Doubt: failover.DoubtOverdue, WasSent: true}}, IsRepeatable: true,
+		Running: []failover.Attempt{{Doubt: failover.DoubtOverdue, WasSent: true}}, IsRepeatable: true, MayHaveRun: true,
 		Attempts: 1, MaxAttempts: 5, Sent: 1, MaxSent: 2,
 	}
 	tests := []struct {
@@ -58,3 +58,25 @@
 		}
 	}
 }
+
+// An attempt has failed. A request that may have run and must not run twice gets no other one, and none
+// gets more than its route allows: a failure of all endpoints would multiply their load.
+func TestFurtherAttemptIsDenied(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		request failover.Request
+		want    failover.Denial
+	}{
+		{"never sent", failover.Request{Attempts: 1, MaxAttempts: 5, MaxSent: 2}, failover.DeniedNothing},
+		{"may have run", failover.Request{MayHaveRun: true, Attempts: 1, MaxAttempts: 5, Sent: 1, MaxSent: 2}, failover.DeniedNotRepeatable},
+		{"may run again", failover.Request{MayHaveRun: true, IsRepeatable: true, Attempts: 1, MaxAttempts: 5, Sent: 1, MaxSent: 2}, failover.DeniedNothing},
+		{"sent as often as allowed", failover.Request{IsRepeatable: true, Attempts: 2, MaxAttempts: 5, Sent: 2, MaxSent: 2}, failover.DeniedAttempts},
+		{"no number of attempts", failover.Request{IsRepeatable: true, Attempts: 1, MaxAttempts: 5, Sent: 1}, failover.DeniedAttempts},
+		{"no number of attempts, not sent", failover.Request{IsRepeatable: true, Attempts: 1, MaxAttempts: 5}, failover.DeniedNothing},
+		{"attempted as often as allowed", failover.Request{Attempts: 5, MaxAttempts: 5, MaxSent: 2}, failover.DeniedAttempts},
+	} {
+		if have := test.request.Denied(); have != test.want {
+			t.Errorf("%s: denied %q, want %q", test.name, have, test.want)
+		}
+	}
+}
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -138,12 +138,8 @@
 		return exchange.checkHold(time.Now())
 	}
 	final := exchange.finalResult(outcome)
-	if exchange.mayHaveRun && !exchange.route.Repeatable() {
-		exchange.denied = "not_repeatable"
-		return final
-	}
-	if exchange.attemptCount >= maxTotalAttempts || exchange.sentCount >= max(exchange.route.MaxAttempts, 1) {
-		exchange.denied = "attempts"
+	if denial := exchange.failoverState().Denied(); denial != failover.DeniedNothing {
+		exchange.denied = string(denial)
 		return final
 	}
 	// An attempt that reached no endpoint adds no load, so its retry takes nothing from
@@ -162,6 +158,14 @@
 	return nil
 }
 
+// failoverState returns the state that decides about further attempts while none runs.
+func (exchange *exchange) failoverState() failover.Request {
+	return failover.Request{
+		IsRepeatable: exchange.route.Repeatable(), MayHaveRun: exchange.mayHaveRun, Attempts: exchange.attemptCount, MaxAttempts: maxTotalAttempts,
+		Sent: exchange.sentCount, MaxSent: exchange.route.MaxAttempts,
+	}
+}
+
 // checkHold returns the refusal of a request that silent engines have kept from being sent for too
 // long; nil where it may be tried again. Another instance may have engines that answer.
 func (exchange *exchange) checkHold(now time.Time) *peridotpath.Result {
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -119,13 +119,10 @@
 	}
 }
 
-// request returns the state that decides whether another attempt joins.
+// request returns the state that decides whether another attempt joins those that run.
 func (race *race) request() failover.Request {
-	exchange := race.exchange
-	request := failover.Request{
-		IsRepeatable: exchange.route.Repeatable(), Attempts: exchange.attemptCount, MaxAttempts: maxTotalAttempts,
-		Sent: exchange.sentCount + len(race.running), MaxSent: exchange.route.MaxAttempts,
-	}
+	request := race.exchange.failoverState()
+	request.MayHaveRun, request.Sent = true, request.Sent+len(race.running)
 	for _, contender := range race.running {
 		request.Running = append(request.Running, contender.state())
 	}
