reach: a frozen peer is asked after the others

Cause: an instance that is cut off asks its peers in a fixed order for each connection, and a peer that stands still has a head start of 200 ms each time. A request that meets three endpoints that refuse is held for 0.6 s. Change: a peer that lets its head start pass is asked last for two seconds, or until it answers.

--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -49,6 +49,7 @@
 	// Probe asks an endpoint whether it is there.
 	Probe func(ctx context.Context, endpoint *peridotpath.Endpoint) error
 
+	peerOrder  peerOrder
 	suspicions chan netip.AddrPort
 }
 
@@ -67,7 +68,10 @@
 		if way.isDirect() {
 			return dialer.dialDirect(ctx, network, target)
 		}
-		return dialer.ThroughPeer(ctx, way.peer, target)
+		done := dialer.peerOrder.watch(way.peer)
+		conn, err := dialer.ThroughPeer(ctx, way.peer, target)
+		done(err)
+		return conn, err
 	})
 	switch {
 	case err != nil && dialer.Tracker.IsCutOff() && !tunnel.ErrUnreachable.Has(err):
@@ -139,7 +143,7 @@
 // waysThroughPeers returns a way through each of the first peers that carry connections.
 func (dialer *Dialer) waysThroughPeers(target netip.AddrPort) []way {
 	var ways []way
-	peers := dialer.Peers(target)
+	peers := dialer.peerOrder.sort(dialer.Peers(target), time.Now())
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
 		ways = append(ways, way{peer: peer, headStart: nextPeerAfter})
 	}
