relay: reservations of later attempts end with the hold of their request

Cause: the first reservation had its whole timeout also after attempts that had failed before and used up the time in which a request may be held. Evidence: soak on the code before: 439 ms at endpoints that refuse, then 400 ms for one reservation, refused after 0.84 s of a bound of 0.6 s. Change: only the first attempt's reservations have their whole timeout; those of later ones get what is left of the hold, 50 ms at least.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -43,9 +43,7 @@
 	if exchange.customer != "" && !exchange.relay.Routing.KeysUsable() {
 		return outcomeUnsent, errKeysExpired
 	}
-	if left, isLimited := exchange.untilHoldLimit(first.sentAt); isLimited {
-		first.holdLimit = left
-	}
+	first.reservationLimit = exchange.reservationLimit(first.sentAt)
 	reserved := exchange.reserveMemory(first)
 	if reserved.isUnanswered {
 		exchange.unansweredReservations++
@@ -99,9 +97,9 @@
 		return reserved
 	}
 	ctx := contender.ctx
-	if contender.holdLimit > 0 {
+	if contender.reservationLimit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, contender.holdLimit)
+		ctx, cancel = context.WithTimeout(ctx, contender.reservationLimit)
 		defer cancel()
 	}
 	reserved.reservations, reserved.err = exchange.relay.Reservations.Acquire(ctx, contender.plan.HelperReservations)
--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -22,8 +22,8 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	reservations []*reservation.Reservation
-	// holdLimit, when set, bounds the time for which its memory may be reserved.
-	holdLimit time.Duration
+	// reservationLimit, when set, bounds the time for which its reservations are awaited.
+	reservationLimit time.Duration
 	// sent reports that the endpoint may have received the request, answered that the head of an
 	// answer has arrived.
 	// unloaded reports that it does not count as load.
--- a/peridotpath/relay/hold_test.go
+++ b/peridotpath/relay/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
 )
@@ -63,3 +65,27 @@
 		is.Equal(outcome.Body, events12)
 	})
 }
+
+// Two endpoints cost most of the time in which a request may be held, since their connections do not
+// open. The reservation of the next attempt must not hold it for over twice its target then.
+func TestReservationAfterFailuresEndsWithTheHold(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		unsent := func(context.Context, *relay.Call) (*relay.Answer, error) {
+			time.Sleep(2850 * time.Millisecond)
+			return nil, outbound.ErrNotSent.Wrap(syscall.ECONNREFUSED)
+		}
+		fixture := relaytest.NewFixture(unsent, &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3), relaytest.Endpoint(4), relaytest.Endpoint(5))
+		calls, reserve := 0, fixture.Relay.Reservations.Reserve
+		fixture.Relay.Reservations.Reserve = func(ctx context.Context, endpoint *peridotpath.Endpoint, id string, tokens peridotpath.Tokens, ttl time.Duration) (bool, error) {
+			if calls++; calls <= 2 {
+				return reserve(ctx, endpoint, id, tokens, ttl)
+			}
+			<-ctx.Done()
+			return false, ctx.Err()
+		}
+		outcome := sendBeyondOneEngine(t, fixture)
+		t.Logf("code %v after %v, %d reservations", outcome.Result.Code, outcome.Took, calls)
+		is.True(outcome.Took < maxTestHold*3*time.Second)
+	})
+}
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -169,20 +169,33 @@
 // checkHold returns the refusal of a request that silent engines have kept from being sent for too
 // long; nil where it may be tried again. Another instance may have engines that answer.
 func (exchange *exchange) checkHold(now time.Time) *peridotpath.Result {
-	if left, isLimited := exchange.untilHoldLimit(now); isLimited && left <= 0 {
-		return exchange.refusal(peridotpath.CodeCannotFinish, shortRetryAfter)
+	if exchange.unansweredReservations == 0 || exchange.mayStillBeHeld() || exchange.untilHoldLimit(now) > 0 {
+		return nil
 	}
-	return nil
+	return exchange.refusal(peridotpath.CodeCannotFinish, shortRetryAfter)
 }
 
-// untilHoldLimit returns how long the request may still be held by reservations that are not
-// answered; false while none was or once it has been sent. The first one has its whole timeout.
-func (exchange *exchange) untilHoldLimit(now time.Time) (time.Duration, bool) {
-	if exchange.unansweredReservations == 0 || exchange.sentCount > 0 || exchange.streamBegun || exchange.lastEventID != "" || exchange.route.TTFTTarget == 0 {
-		return 0, false
-	}
+// mayStillBeHeld reports whether no limit of holding applies: the request was sent, or its route has
+// no target.
+func (exchange *exchange) mayStillBeHeld() bool {
+	return exchange.sentCount > 0 || exchange.streamBegun || exchange.lastEventID != "" || exchange.route.TTFTTarget == 0
+}
+
+func (exchange *exchange) untilHoldLimit(now time.Time) time.Duration {
 	work := exchange.placementWork(now)
-	return work.UntilHoldLimit(), true
+	return work.UntilHoldLimit()
+}
+
+// minReservationTime is how long a reservation is awaited at least. Engines answer within milliseconds.
+const minReservationTime = 50 * time.Millisecond
+
+// reservationLimit returns how long an attempt may await its reservations; zero for their own timeout,
+// which the first attempt has whole. Later ones come after failures that have used up time.
+func (exchange *exchange) reservationLimit(now time.Time) time.Duration {
+	if exchange.attemptCount <= 1 && exchange.unansweredReservations == 0 || exchange.mayStillBeHeld() {
+		return 0
+	}
+	return max(exchange.untilHoldLimit(now), minReservationTime)
 }
 
 // retryWaitLimit returns how long the request may wait for a lent retry: until its deadline, or
