relay: a prompt whose memory was released counts as no load until it goes on

Before, the end of the attempt removed it. Evidence: TestReleasedMemoryIsNoLoad failed: one entry in flight four seconds after the prompt was sent. Change: the entry is removed with the memory, and added again with the next event, as where the own links carry nothing.

--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -350,7 +350,9 @@
 	return outcomeDone, nil
 }
 
-// releaseMemory gives back the memory at other engines of a contender that goes on.
+// releaseMemory gives back the memory at other engines of a contender that goes on. It counts as load
+// again with its next event: until then all instances would take these engines for full, and the
+// deadline may be far away.
 func (race *race) releaseMemory(contender *contender, now time.Time) {
 	relay, request := race.exchange.relay, race.exchange.request
 	if relay.ServedSampler.Allow(now) {
@@ -360,6 +362,8 @@
 	}
 	relay.Reservations.ReleaseAsync(contender.reservations)
 	contender.reservations = nil
+	relay.LoadTracker.RemoveInFlight(contender.inFlight)
+	contender.unloaded.Store(true)
 }
 
 // remove removes a contender and ends it.
