relay: an order to reserve memory that this instance ends ejects no engine

Cause: the limit of holding ends the last order to reserve memory after whatever time is left, and an order without an answer has its engine ejected as full, though it had less time than it may take. Evidence: TestHoldLimitEjectsNoEngine failed: an engine that answers after 100 ms was ejected after 50 ms. Change: no ejection where the order was ended by the limit, the client or a lost link of this instance. Result: the tests of hold_test.go pass.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -107,7 +107,10 @@
 	reserved.reservations, reserved.err = exchange.relay.Reservations.Acquire(ctx, contender.plan.HelperReservations)
 	var reserveError *reservation.ReserveError
 	if errors.As(reserved.err, &reserveError) {
-		exchange.relay.LoadTracker.EjectFull(reserveError.Endpoint, time.Now())
+		if ctx.Err() == nil {
+			// An order that this instance has ended itself says nothing about the engine.
+			exchange.relay.LoadTracker.EjectFull(reserveError.Endpoint, time.Now())
+		}
 		reserved.isUnanswered = reserveError.IsUnanswered()
 	}
 	return reserved
--- a/peridotpath/relay/hold_test.go
+++ b/peridotpath/relay/hold_test.go
@@ -63,3 +63,33 @@
 		is.Equal(outcome.Body, events12)
 	})
 }
+
+// Engines are silent until just before the limit of holding, and then answer orders to reserve memory
+// after 100 ms. One whose order the limit ends before that must not be ejected as full.
+func TestHoldLimitEjectsNoEngine(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := relaytest.NewFixture(answer(200, events12, nil), &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3), relaytest.Endpoint(4), relaytest.Endpoint(5))
+		began := time.Now()
+		var answering []peridotpath.EndpointKey
+		fixture.Relay.Reservations.Reserve = func(ctx context.Context, endpoint *peridotpath.Endpoint, _ string, _ peridotpath.Tokens, _ time.Duration) (bool, error) {
+			var answers <-chan time.Time
+			if time.Since(began) > 5*time.Second {
+				answers, answering = time.After(100*time.Millisecond), append(answering, endpoint.Key())
+			}
+			select {
+			case <-answers:
+				return true, nil
+			case <-ctx.Done():
+				return false, ctx.Err()
+			}
+		}
+		outcome := sendBeyondOneEngine(t, fixture)
+		is.Equal(outcome.Result.Code, peridotpath.CodeCannotFinish) // the limit has ended the last order
+		is.True(len(answering) > 0)
+		ejected := fixture.LoadTracker.EjectedEndpoints(time.Now())
+		for _, key := range answering {
+			is.True(!ejected[key])
+		}
+	})
+}
