--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -69,6 +69,8 @@
 	// survivalRecorded reports that the attempt was recorded as one that did not crash
 	// its endpoint.
 	survivalRecorded bool
+	// memoryReleased reports that the memory at the helpers was given back before the attempt's end.
+	memoryReleased bool
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -101,8 +101,12 @@
 }
 
 // attributeRefusal ejects the endpoint that caused a refusal: the helper that the primary
-// could not reach, or else the primary, which is full.
+// could not reach, or else the primary, which is full. A refusal after this instance gave back
+// the memory at the helpers is nobody's fault: the helper that it names lacks the reservation.
 func (exchange *exchange) attributeRefusal(key peridotpath.EndpointKey, now time.Time) {
+	if exchange.memoryReleased {
+		return
+	}
 	for _, helper := range exchange.plan.Helpers {
 		if exchange.blamedHelper != "" && (exchange.blamedHelper == string(helper.ID) || exchange.blamedHelper == helper.Address.String()) {
 			exchange.relay.LoadTracker.EjectFailed(helper.Key(), now)
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -361,7 +361,7 @@
 			Dur("silent", now.Sub(contender.progressAt)).Msg("memory_released")
 	}
 	relay.Reservations.ReleaseAsync(contender.reservations)
-	contender.reservations = nil
+	contender.reservations, contender.memoryReleased = nil, true
 	relay.LoadTracker.RemoveInFlight(contender.inFlight)
 	contender.unloaded.Store(true)
 }
--- a/peridotpath/relay/released_memory_test.go
+++ b/peridotpath/relay/released_memory_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
@@ -73,3 +75,25 @@
 		is.Equal(len(fixture.LoadTracker.LocalInFlight()), 0)
 	})
 }
+
+// A silent primary goes on after the memory at its helpers was released, and refuses with a promise since
+// a helper lacks the reservation. The helper must not be ejected: this instance gave the memory back.
+func TestReleasedMemoryIsNoFaultOfTheHelper(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var helper *peridotpath.Endpoint
+		refusal := func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
+			helper = call.Helpers[0].Endpoint
+			time.Sleep(3300 * time.Millisecond)
+			return answer(http.StatusServiceUnavailable, "", func(answer *relay.Answer) {
+				answer.NotRun, answer.BlamedHelper = true, string(helper.ID)
+			})(ctx, call)
+		}
+		fixture := newSilentFixture(t, &failingEngines{}, refusal, noAnswer(), noAnswer())
+		fixture.Send(t.Context(), "long", promptBeyondOneEngine)
+		is.True(helper != nil)
+		for _, ejection := range fixture.LoadTracker.LocalEjections(time.Now()) {
+			is.True(ejection.Endpoint != helper.Key())
+		}
+	})
+}
