relay: the end of a resumption without events ends a stream whose engine is lost

Cause: an engine loses its power after the last event, or is silent and breaks off. Another one resumes the stream beside it and has only its end, which was dropped as that of an engine that knows less. With all attempts used, the whole stream was cut: at the deadline, or with the first engine's connection. Change: the end is kept until an event arrives, and ends the stream once the others have failed or answer no liveness probes. It is not used once the deadline has passed or the client has left.

--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -45,6 +45,9 @@
 	// lateJoined reports that a late call was joined, spareDenied that the budget had no retry
 	// for that.
 	lateJoined, spareDenied bool
+	// emptyEnd is the last resumption that ended without an event while others went on; nil if none
+	// has, or an event has arrived since.
+	emptyEnd *contenderResult
 }
 
 // suspicion is a doubt that another goroutine has about a contender.
@@ -162,6 +165,9 @@
 		}
 		now := time.Now()
 		race.check(now)
+		if race.emptyEnd != nil && race.ctx.Err() == nil && race.isOnlyUnresponsive() {
+			return race.endEmpty(), nil
+		}
 		timer.Reset(race.untilNextCheck(now))
 	}
 }
@@ -221,6 +227,7 @@
 	}
 	race.win(contender, now)
 	contender.recordProgress(now)
+	race.emptyEnd = nil
 	if contender.eventCount == 1 {
 		exchange.recordFirstEvent()
 	}
@@ -296,6 +303,10 @@
 	outcome, err := race.finish(result)
 	contender.failed, contender.wasAnswered = outcome != outcomeDone, outcome == outcomeDone
 	race.remove(contender, errRaceOver)
+	if outcome != outcomeDone && len(race.running) == 0 && race.emptyEnd != nil && race.ctx.Err() == nil {
+		exchange.recordFailure(race.ctx, outcome, err)
+		return true, race.endEmpty(), nil
+	}
 	if outcome == outcomeDone || len(race.running) == 0 {
 		race.logSecondAttempt(contender, time.Now())
 		return true, outcome, err
@@ -334,20 +345,43 @@
 }
 
 // finishStream ends the stream if its last event has been relayed. The end of a resumed stream that
-// has no event more says less than those that still run.
+// has no event more says less than those that still run, and is kept until they have failed.
 func (race *race) finishStream(result *contenderResult) (outcome, error) {
-	exchange := race.exchange
 	if result.outcome != outcomeDone {
 		return result.outcome, result.err
 	}
 	if result.contender.eventCount == 0 && len(race.running) > 1 {
+		race.emptyEnd = result
 		return outcomeErrored, errNoEvents
 	}
+	race.endStream(result)
+	return outcomeDone, nil
+}
+
+func (race *race) endStream(result *contenderResult) {
+	exchange := race.exchange
 	exchange.beginStream(result.answer)
 	exchange.recordBegun()
 	exchange.caller.End()
 	exchange.relay.LoadTracker.ClearEjection(exchange.plan.Primary.Key())
-	return outcomeDone, nil
+}
+
+// endEmpty ends the stream as its last resumption did, since those that went on have failed or are
+// unresponsive. Nothing has arrived since the event that it was resumed after.
+func (race *race) endEmpty() outcome {
+	exchange := race.exchange
+	for _, other := range slices.Clone(race.running) {
+		race.recordLost(other, true)
+	}
+	race.current = race.emptyEnd.contender
+	exchange.attemptState = race.current.attemptState
+	race.endStream(race.emptyEnd)
+	return outcomeDone
+}
+
+// isOnlyUnresponsive reports whether no contender answers its liveness probes.
+func (race *race) isOnlyUnresponsive() bool {
+	return !slices.ContainsFunc(race.running, func(contender *contender) bool { return contender.doubt != failover.DoubtUnresponsive })
 }
 
 // releaseMemory gives back the memory at other engines of a contender that goes on. It counts as load
--- a/peridotpath/relay/resumption_test.go
+++ b/peridotpath/relay/resumption_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
@@ -60,3 +62,35 @@
 		is.Equal(fixture.Send(t.Context(), "short", nil).Body, events12)
 	})
 }
+
+// An engine sends the last event and loses its power, or is silent and breaks off. Another engine resumes
+// the stream beside it and has no event more, and no third attempt is allowed. The end must reach the
+// caller, not a cut at the deadline.
+func TestResumptionWithoutEventsEndsStreamOfLostEngine(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		end       time.Duration
+		losePower bool
+	}{{"power lost", time.Hour, true}, {"broken off", 4 * time.Second, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first := timedStream(relaytest.ErrReset, timedPart{100 * time.Millisecond, events12}, timedPart{test.end, ""})
+				empty := answer(http.StatusOK, "", func(answer *relay.Answer) { answer.HasEnd = true })
+				endpoints := &scriptedEndpoints{steps: []step{first, empty, empty, empty}}
+				fixture := relaytest.NewFixture(endpoints.send, &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
+				if test.losePower {
+					fixture.Relay.Check = func(ctx context.Context, _ *peridotpath.Endpoint) error {
+						<-ctx.Done()
+						return ctx.Err()
+					}
+				}
+				outcome := fixture.Send(t.Context(), "short", nil)
+				t.Logf("ended %v after %v", outcome.Ended, outcome.Took)
+				is.Equal(outcome.Body, events12)
+				is.True(outcome.Ended)
+				is.True(outcome.Took < 5*time.Second)
+			})
+		})
+	}
+}
