relay: a stream cut within an event is not ended by a resumption without events

Cause: an engine breaks off within an event, whose part is dropped; a resumption that ends without an event then ended the stream as whole, although another event is known to follow. Evidence: TestResumptionWithoutEventsEndsNoStreamCutWithinAnEvent failed: a stream of two events and the beginning of a third one ended as complete. Change: the exchange keeps that an attempt broke off within an event until one arrives; until then a resumption without events counts as failed.

--- a/peridotpath/eventstream/eventstream.go
+++ b/peridotpath/eventstream/eventstream.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// IsWithinEvent reports, after an error, whether a part of another event had arrived.
+func (reader *Reader) IsWithinEvent() bool { return len(reader.event) > 0 }
+
 // readLine appends one line, including its terminator, to the event.
 func (reader *Reader) readLine() error {
 	for {
--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -111,6 +111,9 @@
 		case errors.Is(err, io.EOF) && (received > 0 || isResumed && answer.HasEnd):
 			return outcomeDone, nil
 		case err != nil:
+			if events.IsWithinEvent() {
+				err = errors.Join(errWithinEvent, err)
+			}
 			return connectionOutcome(contender.ctx), errors.Join(err, context.Cause(contender.ctx))
 		case !report(bytes.Clone(raw), id):
 			return outcomeFailed, context.Cause(contender.ctx)
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -99,6 +99,9 @@
 	streamBegun bool
 	lastEventID string
 	eventCount  int
+	// isNextEventKnown reports that an attempt broke off within the event after the last one, so that
+	// the stream is not whole yet.
+	isNextEventKnown bool
 	// lastEventAt is when the last event was sent, longestPause the longest time between
 	// two events.
 	lastEventAt  time.Time
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -14,7 +14,8 @@
 var (
 	errOtherAnswered = errors.New("another endpoint has answered this request")
 	errRaceOver      = errors.New("the attempts at this request have ended")
-	errNoEvents      = errors.New("resumed stream has no events, while another attempt goes on")
+	errNoEvents      = errors.New("resumed stream has no events, while another attempt goes on or had begun one")
+	errWithinEvent   = errors.New("stream broken off within an event")
 )
 
 // noCheck is the time until the next check where none is due.
@@ -227,7 +228,7 @@
 	}
 	race.win(contender, now)
 	contender.recordProgress(now)
-	race.emptyEnd = nil
+	race.emptyEnd, exchange.isNextEventKnown = nil, false
 	if contender.eventCount == 1 {
 		exchange.recordFirstEvent()
 	}
@@ -303,6 +304,9 @@
 	outcome, err := race.finish(result)
 	contender.failed, contender.wasAnswered = outcome != outcomeDone, outcome == outcomeDone
 	race.remove(contender, errRaceOver)
+	if errors.Is(err, errWithinEvent) {
+		race.emptyEnd, exchange.isNextEventKnown = nil, true
+	}
 	if outcome != outcomeDone && len(race.running) == 0 && race.emptyEnd != nil && race.ctx.Err() == nil {
 		exchange.recordFailure(race.ctx, outcome, err)
 		return true, race.endEmpty(), nil
@@ -345,11 +349,15 @@
 }
 
 // finishStream ends the stream if its last event has been relayed. The end of a resumed stream that
-// has no event more says less than those that still run, and is kept until they have failed.
+// has no event more says less than those that still run, and is kept until they have failed. It is
+// wrong where an attempt had begun to deliver another event.
 func (race *race) finishStream(result *contenderResult) (outcome, error) {
 	if result.outcome != outcomeDone {
 		return result.outcome, result.err
 	}
+	if result.contender.eventCount == 0 && race.exchange.isNextEventKnown {
+		return outcomeErrored, errNoEvents
+	}
 	if result.contender.eventCount == 0 && len(race.running) > 1 {
 		race.emptyEnd = result
 		return outcomeErrored, errNoEvents
--- a/peridotpath/relay/resumption_test.go
+++ b/peridotpath/relay/resumption_test.go
@@ -94,3 +94,18 @@
 		})
 	}
 }
+
+// An engine breaks off within an event, and others resume the stream with no event more. The stream is
+// known to go on, and must not be ended as if it were whole.
+func TestResumptionWithoutEventsEndsNoStreamCutWithinAnEvent(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		empty := answer(http.StatusOK, "", func(answer *relay.Answer) { answer.HasEnd = true })
+		endpoints := &scriptedEndpoints{steps: []step{cutAnswer(events12 + "id: 3\nda"), empty, empty, empty}}
+		fixture := relaytest.NewFixture(endpoints.send, &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
+		outcome := fixture.Send(t.Context(), "short", nil)
+		is.Equal(outcome.Body, events12)
+		is.True(!outcome.Ended)
+		is.True(outcome.Aborted)
+	})
+}
