relay: a test of a primary that goes on reads the load without a data race

Cause: the count of the load was written by a timer's goroutine and read by the test without order. Evidence: the race detector reported TestPrimaryThatGoesOnIsLoadAgain. Change: the count is atomic; what the test wants is the same.

--- a/peridotpath/relay/released_memory_test.go
+++ b/peridotpath/relay/released_memory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,11 +68,11 @@
 		is := is.New(t)
 		stream := timedStream(io.EOF, timedPart{3300 * time.Millisecond, events12}, timedPart{4300 * time.Millisecond, events34})
 		fixture := newSilentFixture(t, &failingEngines{}, stream)
-		loads := -1
-		time.AfterFunc(3800*time.Millisecond, func() { loads = len(fixture.LoadTracker.LocalInFlight()) })
+		var loads atomic.Int64
+		time.AfterFunc(3800*time.Millisecond, func() { loads.Store(int64(len(fixture.LoadTracker.LocalInFlight()))) })
 		outcome := fixture.Send(t.Context(), "long", promptBeyondOneEngine)
 		is.Equal(outcome.Body, events12+events34)
-		is.Equal(loads, 1)
+		is.Equal(loads.Load(), int64(1))
 		is.Equal(len(fixture.LoadTracker.LocalInFlight()), 0)
 	})
 }
