--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -73,6 +73,8 @@
 	// had ended by then.
 	endedAt      time.Time
 	endpointGone bool
+	// memoryReleased reports that the memory at the helpers was given back before the attempt's end.
+	memoryReleased bool
 }
 
 // attemptHistory is the history of a request's attempts, which decides about retries.
@@ -101,6 +103,9 @@
 	streamBegun bool
 	lastEventID string
 	eventCount  int
+	// isNextEventKnown reports that an attempt broke off within the event after the last one, so that
+	// the stream is not whole yet.
+	isNextEventKnown bool
 	// lastEventAt is when the last event was sent, longestPause the longest time between
 	// two events.
 	lastEventAt  time.Time
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -14,7 +14,8 @@
 var (
 	errOtherAnswered = errors.New("another endpoint has answered this request")
 	errRaceOver      = errors.New("the attempts at this request have ended")
-	errNoEvents      = errors.New("resumed stream has no events, while another attempt goes on")
+	errNoEvents      = errors.New("resumed stream has no events, while another attempt goes on or had begun one")
+	errWithinEvent   = errors.New("stream broken off within an event")
 )
 
 // noCheck is the time until the next check where none is due.
@@ -45,6 +46,9 @@
 	// lateJoined reports that a late call was joined, spareDenied that the budget had no retry
 	// for that.
 	lateJoined, spareDenied bool
+	// emptyEnd is the last resumption that ended without an event while others went on; nil if none
+	// has, or an event has arrived since.
+	emptyEnd *contenderResult
 }
 
 // suspicion is a doubt that another goroutine has about a contender.
@@ -159,6 +163,9 @@
 		}
 		now := time.Now()
 		race.check(now)
+		if race.emptyEnd != nil && race.ctx.Err() == nil && race.isOnlyUnresponsive() {
+			return race.endEmpty(), nil
+		}
 		timer.Reset(race.untilNextCheck(now))
 	}
 }
@@ -218,6 +225,7 @@
 	}
 	race.win(contender, now)
 	contender.recordProgress(now)
+	race.emptyEnd, exchange.isNextEventKnown = nil, false
 	if contender.eventCount == 1 {
 		exchange.recordFirstEvent()
 	}
@@ -294,6 +302,13 @@
 	outcome, err := race.finish(result)
 	contender.failed, contender.wasAnswered = outcome != outcomeDone, outcome == outcomeDone
 	race.remove(contender, errRaceOver)
+	if errors.Is(err, errWithinEvent) {
+		race.emptyEnd, exchange.isNextEventKnown = nil, true
+	}
+	if outcome != outcomeDone && len(race.running) == 0 && race.emptyEnd != nil && race.ctx.Err() == nil {
+		exchange.recordFailure(race.ctx, outcome, err)
+		return true, race.endEmpty(), nil
+	}
 	if outcome == outcomeDone || len(race.running) == 0 {
 		race.logSecondAttempt(contender, time.Now())
 		return true, outcome, err
@@ -332,23 +347,52 @@
 }
 
 // finishStream ends the stream if its last event has been relayed. The end of a resumed stream that
-// has no event more says less than those that still run.
+// has no event more says less than those that still run, and is kept until they have failed. It is
+// wrong where an attempt had begun to deliver another event.
 func (race *race) finishStream(result *contenderResult) (outcome, error) {
-	exchange := race.exchange
 	if result.outcome != outcomeDone {
 		return result.outcome, result.err
 	}
+	if result.contender.eventCount == 0 && race.exchange.isNextEventKnown {
+		return outcomeErrored, errNoEvents
+	}
 	if result.contender.eventCount == 0 && len(race.running) > 1 {
+		race.emptyEnd = result
 		return outcomeErrored, errNoEvents
 	}
+	race.endStream(result)
+	return outcomeDone, nil
+}
+
+func (race *race) endStream(result *contenderResult) {
+	exchange := race.exchange
 	exchange.beginStream(result.answer)
 	exchange.recordBegun()
 	exchange.caller.End()
 	exchange.relay.LoadTracker.ClearEjection(exchange.plan.Primary.Key())
-	return outcomeDone, nil
 }
 
-// releaseMemory gives back the memory at other engines of a contender that goes on.
+// endEmpty ends the stream as its last resumption did, since those that went on have failed or are
+// unresponsive. Nothing has arrived since the event that it was resumed after.
+func (race *race) endEmpty() outcome {
+	exchange := race.exchange
+	for _, other := range slices.Clone(race.running) {
+		race.recordLost(other, true)
+	}
+	race.current = race.emptyEnd.contender
+	exchange.attemptState = race.current.attemptState
+	race.endStream(race.emptyEnd)
+	return outcomeDone
+}
+
+// isOnlyUnresponsive reports whether no contender answers its liveness probes.
+func (race *race) isOnlyUnresponsive() bool {
+	return !slices.ContainsFunc(race.running, func(contender *contender) bool { return contender.doubt != failover.DoubtUnresponsive })
+}
+
+// releaseMemory gives back the memory at other engines of a contender that goes on. It counts as load
+// again with its next event: until then all instances would take these engines for full, and the
+// deadline may be far away.
 func (race *race) releaseMemory(contender *contender, now time.Time) {
 	relay, request := race.exchange.relay, race.exchange.request
 	if relay.ServedSampler.Allow(now) {
@@ -357,7 +401,9 @@
 			Dur("silent", now.Sub(contender.progressAt)).Msg("memory_released")
 	}
 	relay.Reservations.ReleaseAsync(contender.reservations)
-	contender.reservations = nil
+	contender.reservations, contender.memoryReleased = nil, true
+	relay.LoadTracker.RemoveInFlight(contender.inFlight)
+	contender.unloaded.Store(true)
 }
 
 // remove removes a contender and ends it.
