quarantine: reports of one crash may come two seconds apart

Cause: a second between the first and the last report of a crash was too little where an instance sees it late: a sound part that was at four crashes of a barred body, seen 1.3 s later, was barred. Evidence: the review's trial, now a case of TestCrashIsExplainedThoughReportsComeApart. The test's case without a spread stands beside two with one. Result: all three pass, as do the other tests of quarantine.

--- a/peridotpath/quarantine/evidence.go
+++ b/peridotpath/quarantine/evidence.go
@@ -80,9 +80,10 @@
 	// minEvidenceAge is the shortest time between two readings of facts that peers report: in
 	// a series of crashes they report many, and a reading costs up to a millisecond.
 	minEvidenceAge = 20 * time.Millisecond
-	// maxDetectionSpread bounds the time between the first and the last instance that sees the same
-	// crash. Endpoints take longer to be back.
-	maxDetectionSpread = time.Second
+	// maxDetectionSpread bounds the time between the first and the last report of the same crash: an
+	// instance may see it late, and reports do not count the time that they are under way. Endpoints
+	// take some seconds to be back.
+	maxDetectionSpread = 2 * time.Second
 	// maxEvidenceAge is the time after which evidence is read again although no fact has
 	// changed, since facts expire.
 	maxEvidenceAge = time.Second
--- a/peridotpath/quarantine/part_test.go
+++ b/peridotpath/quarantine/part_test.go
@@ -247,19 +247,24 @@
 	is.Equal(fixture.judge(prompt("new", "c0")), quarantine.Clear)
 }
 
-// Instances see the same crash at different times. A part that was there by chance must be explained
-// by a quarantined body also where its crash was seen later.
-func TestCrashIsExplainedThoughInstancesSeeItApart(t *testing.T) {
-	is := is.New(t)
-	fixture := newWarmFixture("c0")
-	body := prompt("fatal body", "c0")
-	for endpoint := range peridotpath.EndpointKey(3) {
-		fixture.crashUnder(endpoint, body)
-	}
-	is.Equal(fixture.judge(body), quarantine.Quarantined)
-	for endpoint := peridotpath.EndpointKey(3); endpoint < 7; endpoint++ {
-		fixture.crashUnder(endpoint, body)
-		fixture.crashUnder(endpoint, prompt(fmt.Sprint(endpoint), "c0", "new"))
+// Instances report the same crash at different times. A part that was there by chance must be explained
+// by a quarantined body also where its crash was reported later.
+func TestCrashIsExplainedThoughReportsComeApart(t *testing.T) {
+	for _, spread := range []time.Duration{0, 500 * time.Millisecond, 1300 * time.Millisecond} {
+		t.Run(spread.String(), func(t *testing.T) {
+			is := is.New(t)
+			fixture := newWarmFixture("c0")
+			body := prompt("fatal body", "c0")
+			for endpoint := range peridotpath.EndpointKey(3) {
+				fixture.crashUnder(endpoint, body)
+			}
+			is.Equal(fixture.judge(body), quarantine.Quarantined)
+			for endpoint := peridotpath.EndpointKey(3); endpoint < 7; endpoint++ {
+				fixture.crashUnder(endpoint, body)
+				fixture.advance(spread)
+				fixture.crashUnder(endpoint, prompt(fmt.Sprint(endpoint), "c0", "new"))
+			}
+			is.True(fixture.judge(prompt("sound", "c0", "new")) != quarantine.Quarantined)
+		})
 	}
-	is.True(fixture.judge(prompt("sound", "c0", "new")) != quarantine.Quarantined)
 }
