relay: the first reservation ends with a hold that is shorter than its timeout

Cause: with a target of 60 ms one unanswered reservation (400 ms) holds a prompt for seven targets. Change: the first reservation is bounded by the limit of holding as well, unless the prompt left its queue later than that.

--- a/peridotpath/relay/hold_test.go
+++ b/peridotpath/relay/hold_test.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// The target of a route is shorter than the timeout of a reservation: the first one must end with the
+// limit of holding, too.
+func TestFirstReservationEndsWithAShortHold(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fixture := relaytest.NewFixture(answer(200, events12, nil), &relaytest.Rates, relaytest.Endpoint(1), relaytest.Endpoint(2), relaytest.Endpoint(3))
+		silentReservations(fixture, time.Hour)
+		routing := relaytest.Routing(&relaytest.Rates)
+		for i := range routing.Routes {
+			routing.Routes[i].TTFTTarget = 60 * time.Millisecond
+		}
+		routing.Version++
+		fixture.Routing.Apply(routing, fixture.Routing.Now())
+		outcome := sendBeyondOneEngine(t, fixture)
+		t.Logf("code %v after %v", outcome.Result.Code, outcome.Took)
+		is.True(outcome.Took > 0)
+		is.True(outcome.Took < maxTestHold*60*time.Millisecond)
+	})
+}
+
 // Engines answer again while the first reservation is awaited: the prompt must still be sent.
 func TestPromptIsSentOnceReservationsAreAnswered(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -193,13 +193,15 @@
 // minReservationTime is how long a reservation is awaited at least. Engines answer within milliseconds.
 const minReservationTime = 50 * time.Millisecond
 
-// reservationLimit returns how long an attempt may await its reservations; zero for their own timeout,
-// which the first attempt has whole. Later ones come after failures that have used up time.
+// reservationLimit returns how long an attempt may await its reservations; zero for their own timeout.
+// A prompt that left its queue later than the limit of holding has that timeout in its first attempt.
 func (exchange *exchange) reservationLimit(now time.Time) time.Duration {
-	if exchange.attemptCount <= 1 && exchange.unansweredReservations == 0 || exchange.mayStillBeHeld() {
+	left := exchange.untilHoldLimit(now)
+	isFirst := exchange.attemptCount <= 1 && exchange.unansweredReservations == 0
+	if exchange.mayStillBeHeld() || isFirst && left <= 0 {
 		return 0
 	}
-	return max(exchange.untilHoldLimit(now), minReservationTime)
+	return max(left, minReservationTime)
 }
 
 // retryWaitLimit returns how long the request may wait for a lent retry: until its deadline, or
