shortqueue: a waiting prompt is decided about at its hold limit, not at the next poll

Cause: a prompt that is not the first of the queue of short prompts looks every 40 ms whether it has been held for 1.75 targets. With a target of 60 ms the limit is 105 ms, and the refusal came after up to 145 ms, beyond twice the target. TestQueuedShortPromptIsRefusedAtItsHoldLimit failed: 144 ms with a target of 60 ms, 61 ms with 30 ms. Change: a waiting prompt sleeps until its hold limit at most, and is refused at the limit, not after it.

--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -42,8 +42,8 @@
 // refused. No request is held for over twice its target in vain; the rest is for a poll.
 const maxHold = 1.75
 
-// UntilHoldLimit returns the time for which a prompt may still be held without being sent; negative
-// once it has been held for too long.
+// UntilHoldLimit returns the time for which a prompt may still be held without being sent; zero or
+// less once it has been held for so long.
 func (work *Work) UntilHoldLimit() time.Duration {
 	return time.Duration(maxHold*float64(work.TTFTTarget)) - work.Waited
 }
--- a/peridotpath/placement/short_queue.go
+++ b/peridotpath/placement/short_queue.go
@@ -238,7 +238,7 @@
 
 // Decide returns whether the prompt is sent now, waits or is refused.
 func (decision *ShortDecision) Decide() ShortVerdict {
-	if decision.Outlook.CannotFinish || decision.Work.UntilHoldLimit() < 0 {
+	if decision.Outlook.CannotFinish || decision.Work.UntilHoldLimit() <= 0 {
 		return ShortRefuse
 	}
 	if decision.IsLate && decision.LateWait+decision.Outlook.TimeToFirstEvent > decision.Work.FirstEventTimeout() {
--- a/peridotpath/relay/hold_test.go
+++ b/peridotpath/relay/hold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,8 +11,11 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/internal/virtual"
+	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/relay"
 	"peridotpath.example/peridotpath/relay/relaytest"
+	"peridotpath.example/peridotpath/shortqueue"
+	"peridotpath.example/peridotpath/telemetry"
 )
 
 // maxTestHold is the time in targets after which a request that was not sent must be refused.
@@ -63,3 +68,55 @@
 		is.Equal(outcome.Body, events12)
 	})
 }
+
+// All slots are taken, and short prompts arrive one after the other on a route whose target is little
+// longer than the interval at which waiting prompts check their limit. Each must be refused within
+// twice its target: one that yields to later arrivals and checks only at that interval is refused up to
+// 40 ms after its limit.
+func TestQueuedShortPromptIsRefusedAtItsHoldLimit(t *testing.T) {
+	const waiting, interval = 40, 7 * time.Millisecond
+	for _, target := range []time.Duration{30 * time.Millisecond, 50 * time.Millisecond, 60 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(fmt.Sprint(target), func(t *testing.T) {
+			virtual.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fixture := newFullFixture(target)
+				outcomes := make([]*relaytest.Outcome, waiting)
+				var all sync.WaitGroup
+				for i := range outcomes {
+					all.Go(func() {
+						time.Sleep(time.Duration(i) * interval)
+						outcomes[i] = fixture.Send(t.Context(), "short", func(request *relay.Request) {
+							request.ID = peridotpath.RequestID(fmt.Sprint(i))
+							request.PromptTokens, request.MaxAnswerTokens, request.Timeout = 1000, 20, 4*time.Second
+						})
+					})
+				}
+				all.Wait()
+				longest := time.Duration(0)
+				for _, outcome := range outcomes {
+					is.Equal(outcome.Result.Code, peridotpath.CodeCannotFinish)
+					longest = max(longest, outcome.Took)
+				}
+				t.Logf("longest hold %v", longest)
+				is.True(longest > target)             // some waited for a slot until their limit
+				is.True(longest < maxTestHold*target) // and none longer
+			})
+		})
+	}
+}
+
+// newFullFixture returns a fixture with a queue of short prompts, a route "short" with a target and
+// one engine, all slots of which are taken as far as the instance knows.
+func newFullFixture(target time.Duration) *relaytest.Fixture {
+	engine := relaytest.Endpoint(1)
+	fixture := relaytest.NewFixture(answer(200, events12, nil), &relaytest.Rates, engine)
+	table := relaytest.Routing(&relaytest.Rates)
+	table.Version = 8
+	table.Routes[0].TTFTTarget = target
+	fixture.Routing.Apply(table, fixture.Routing.Now())
+	fixture.Relay.ShortQueue = &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: 5}}
+	for range relaytest.Rates.BatchSize {
+		fixture.LoadTracker.AddInFlight(placement.InFlight{Parts: []placement.PrefillPart{{Endpoint: engine.Key()}}, SentAt: time.Now()})
+	}
+	return fixture
+}
--- a/peridotpath/relay/short_queue_exchange.go
+++ b/peridotpath/relay/short_queue_exchange.go
@@ -84,7 +84,7 @@
 			}
 		}
 		queue.Report(exchange.relay.reportShortWaits)
-		if !entry.Sleep(ctx, decision.IsFirst) {
+		if !entry.Sleep(ctx, decision.IsFirst, decision.Work.UntilHoldLimit()) {
 			return exchange.contextResult(ctx)
 		}
 	}
--- a/peridotpath/shortqueue/entry.go
+++ b/peridotpath/shortqueue/entry.go
@@ -48,14 +48,15 @@
 	entry.nextDraw = now.Add(max(newsAge, pollInterval))
 }
 
-// Sleep waits until the prompt is woken or its poll interval has passed. It returns false when the
-// context ends.
-func (entry *Entry) Sleep(ctx context.Context, isFirst bool) bool {
+// Sleep waits until the prompt is woken, its poll interval has passed or it has been held for as
+// long as it may be: with a target of 60 ms, idleInterval is longer than the margin after that. It
+// returns false when the context ends.
+func (entry *Entry) Sleep(ctx context.Context, isFirst bool, untilHoldLimit time.Duration) bool {
 	interval := idleInterval
 	if isFirst {
 		interval = pollInterval
 	}
-	timer := time.NewTimer(interval)
+	timer := time.NewTimer(min(interval, untilHoldLimit))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/peridotpath/shortqueue/shortqueue_test.go
+++ b/peridotpath/shortqueue/shortqueue_test.go
@@ -97,7 +97,7 @@
 		queue.Join(service, second)
 		slept := func(entry *shortqueue.Entry, isFirst bool) time.Duration {
 			since := time.Now()
-			is.True(entry.Sleep(t.Context(), isFirst))
+			is.True(entry.Sleep(t.Context(), isFirst, time.Second))
 			return time.Since(since)
 		}
 		is.Equal(slept(first, true), 10*time.Millisecond)
@@ -111,6 +111,27 @@
 	})
 }
 
+// A prompt must be decided about when it has been held for as long as it may be. At the next poll it
+// can be beyond twice its target.
+func TestPromptWakesAtItsHoldLimit(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, test := range []struct {
+			isFirst          bool
+			untilLimit, want time.Duration
+		}{
+			{false, 15 * time.Millisecond, 15 * time.Millisecond},
+			{true, 3 * time.Millisecond, 3 * time.Millisecond},
+			{false, time.Second, 40 * time.Millisecond},
+			{true, time.Second, 10 * time.Millisecond},
+		} {
+			entry, since := shortqueue.NewEntry(time.Now(), 0, time.Now()), time.Now()
+			is.True(entry.Sleep(t.Context(), test.isFirst, test.untilLimit))
+			is.Equal(time.Since(since), test.want)
+		}
+	})
+}
+
 // Prompts that lost a draw must not draw again by the same reports: each would take more than its
 // part of the free slots.
 func TestDrawsAreAsOftenAsNews(t *testing.T) {
