soak: requests beyond a rate limit count once the endpoint has named the limit

Cause: the check counted from 3.3 s after the limit was set at the endpoint, while a silent endpoint names it to nobody. No instance could know the limit. Change: the endpoint of the stand-in reports when an answer that names a limit begins, unless its sender has left. A request counts as before, from 3.3 s after the limit was set, if the limit was first named 300 ms before or earlier; all other conditions stay. A limit that is named late is kept until a whole window was checked, so that the check finds as much as before. An answer that names a limit is 5 ms later, in which the endpoint notices that the sender left during a silence.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,7 +78,7 @@
 	{"fatal_request", func(fleet *fleet, random *rand.Rand) func() {
 		return fleet.repeatFatalRequest(random, fmt.Sprintf("%s %x", fatalPrefix, random.Uint64()))
 	}},
-	{"limit", func(fleet *fleet, random *rand.Rand) func() { return fleet.announceLimit(random) }},
+	{"limit", func(fleet *fleet, random *rand.Rand) func() { return fleet.setLimit(random) }},
 	{"revoke", func(fleet *fleet, random *rand.Rand) func() {
 		fleet.revokeOldestKey(customers[random.IntN(len(customers))])
 		return func() {}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -154,6 +154,7 @@
 		OnArrival: func(arrival standin.Arrival) {
 			fleet.checker.recordArrival(endpoint, arrival, fleet.endpointsAt(arrival.Helpers))
 		},
+		OnRateLimit: func(limit string) { fleet.checker.recordNamedLimit(id, limit, time.Now()) },
 		OnBackoff: func(request peridotpath.RequestID, retryAfter string) {
 			fleet.checker.recordBackoff(id, request, retryAfter, time.Now())
 		},
