fairshare: tests of a burst at one of several instances, failing

Cause: the shares are computed, and usages reported, only when a request asks or a timer that an earlier computation has set ends. An instance without requests never reports, although peers do, and counts as having the same usages as the one with all requests. Change: tests only.

--- a/peridotpath/fairshare/peers_test.go
+++ b/peridotpath/fairshare/peers_test.go
@@ -235,3 +235,23 @@
 		is.True(!instances[1].OverShare(small, time.Now()))
 	})
 }
+
+// All requests arrive at one of six instances, as where callers reach the one next to them. An
+// instance where no prompt waits must report because a peer does, also if no request arrives there:
+// while it does not, it counts as having the same usages, the flood is admitted to a sixth of its part
+// of the slots, and the engines are idle.
+func TestInstancesWithoutRequestsReport(t *testing.T) {
+	runVirtual(t, func(is *is.I) {
+		instances := newInstances(6, small, large)
+		exchange(instances)
+		instances[0].floodPart(1)
+		for range 20 {
+			instances[0].findTaken()
+			time.Sleep(100 * time.Millisecond)
+			exchange(instances)
+		}
+		instances[0].findTaken()
+		is.Equal(instances[0].LoadTracker.UsageReporters(time.Now()), 5)
+		is.True(float64(instances[0].window(large, noLimit)) >= floodRoom())
+	})
+}
--- a/peridotpath/fairshare/replay_test.go
+++ b/peridotpath/fairshare/replay_test.go
@@ -274,3 +274,26 @@
 		is.Equal(results[small].refused, 0)
 	})
 }
+
+// The load of TestSmallCustomerBesideBurst arrives at one or two of six instances; the others have no
+// requests. The engines must be used as if it arrived at all, and the small customer is not refused.
+func TestBurstAtFewInstances(t *testing.T) {
+	for _, count := range []int{1, 2} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d/%d", count, seed), func(t *testing.T) {
+				runVirtual(t, func(is *is.I) {
+					replay := replay{
+						instances: newInstances(6, small, large), newsAge: 25 * time.Millisecond, measuredUntil: 10 * time.Second,
+						streams: []stream{{small, 0, 10 * time.Second, 20, count}, {large, 2 * time.Second, 7 * time.Second, 500, count}},
+					}
+					results := replay.run(seed)
+					t.Logf("small %+v", *results[small])
+					t.Logf("large %d, %d on time, %d served, %d refused", results[large].total, results[large].onTime, results[large].served, results[large].refused)
+					is.True(results[small].onTimePart() >= 0.95)
+					is.Equal(results[small].refused, 0)
+					is.True(float64(results[large].served) >= (0.6*sustained-20)*5*0.95)
+				})
+			})
+		}
+	}
+}
