--- a/peridotpath/shortqueue/shortqueue_test.go
+++ b/peridotpath/shortqueue/shortqueue_test.go
@@ -1,6 +1,7 @@
 package shortqueue_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -141,3 +142,66 @@
 	is.Equal(wait(true), 250*time.Millisecond)
 	is.Equal(wait(true), 125*time.Millisecond)
 }
+
+// Several own requests end at one engine. Each released slot must be used once: a slot that is
+// forgotten with the first is idle, one that is used again overfills the engine.
+func TestEachReleasedSlotOfAnEngineIsUsed(t *testing.T) {
+	is := is.New(t)
+	var queue shortqueue.Queue
+	all, now := candidates(4), time.Now()
+	plan(&queue, all, now) // slots are scarce from now on
+	for range 3 {
+		queue.Release(service, all[1].Key, now)
+	}
+	for range 3 {
+		own := plan(&queue, all, now)
+		is.True(own.IsOwnSlot)
+		is.Equal(own.Primary.ID, all[1].Endpoint.ID)
+		queue.Take(service, all[1].Key)
+	}
+	is.True(!plan(&queue, all, now).IsOwnSlot)
+}
+
+// All slots are taken by requests of this instance and its peers. The plan must say so, and still
+// name an engine: a prompt that is sent without a slot waits in an engine, where its order cannot be
+// changed, and one without a plan cannot be predicted.
+func TestPlanWithoutFreeSlot(t *testing.T) {
+	is := is.New(t)
+	var queue shortqueue.Queue
+	all, now := candidates(4), time.Now()
+	tracker := &placement.LoadTracker{}
+	for _, candidate := range all {
+		for range model.Rates.BatchSize {
+			tracker.AddInFlight(placement.InFlight{Parts: []placement.PrefillPart{{Endpoint: candidate.Key}}, PromptTokens: 5_000, SentAt: now, Decoding: true})
+		}
+	}
+	work := placement.Work{
+		PromptTokens: 5_000, AnswerTokens: 200, TTFTTarget: 300 * time.Millisecond, ITLTarget: 200 * time.Millisecond,
+		TimeLeft: 10 * time.Second, DataCentre: "a",
+	}
+	full := queue.Plan(service, model, work, all, tracker.Snapshot(now), now)
+	is.True(!full.HasSlot)
+	is.True(!full.IsOwnSlot)
+	is.True(full.Primary != nil)
+	is.Equal(full.Outlook.FreeSlots, 0)
+}
+
+// The client of a waiting prompt goes away. Its goroutine must end at once, also when it is woken at
+// the same moment, or the slot goes to nobody.
+func TestSleepEndsWithTheRequest(t *testing.T) {
+	virtual.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var queue shortqueue.Queue
+		now := time.Now()
+		entry := shortqueue.NewEntry(now, 0, now)
+		queue.Join(service, entry)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Millisecond)
+		defer cancel()
+		is.True(!entry.Sleep(ctx, true))
+		is.Equal(time.Since(now), 3*time.Millisecond)
+		queue.Update(service, entry, true, false, time.Now()) // wakes it
+		is.True(!entry.Sleep(ctx, true))
+		queue.Leave(service, entry, false, time.Now())
+		is.Equal(queue.Waiting(), int64(0))
+	})
+}
