--- a/peridotpath/shortqueue/shortqueue_test.go
+++ b/peridotpath/shortqueue/shortqueue_test.go
@@ -218,10 +218,10 @@
 		queue.Join(service, entry)
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Millisecond)
 		defer cancel()
-		is.True(!entry.Sleep(ctx, true))
+		is.True(!entry.Sleep(ctx, true, time.Second))
 		is.Equal(time.Since(now), 3*time.Millisecond)
 		queue.Update(service, entry, true, false, time.Now()) // wakes it
-		is.True(!entry.Sleep(ctx, true))
+		is.True(!entry.Sleep(ctx, true, time.Second))
 		queue.Leave(service, entry, false, time.Now())
 		is.Equal(queue.Waiting(), int64(0))
 	})
