soak: a 504 that no short timeout excuses names those that were near; the list is corrected

Cause: the entry of TestSilentEndpoints took 1.509 s for the short timeout of a change and suspected that an instance heard late of its end. The timeout is 0.9 s, and the check allows 0.6 s after it. Evidence: standin.ShortTimeout, shortTimeoutSlack; the product answers 504 from a deadline only (CodeDeadline in relay/outcome.go), so the request had 0.9 s and ended 0.609 s after them, or its span was missed otherwise. Change: the report of such a request says from when to when short timeouts were in force, relative to its start, so that the next one tells the two apart. No check or bound is changed.

--- a/soak/ending.go
+++ b/soak/ending.go
@@ -86,8 +86,8 @@
 	if fleet.isExcused(ending) {
 		return
 	}
-	fleet.checker.addViolation("%s, sent whole to %s on route %s, %s after %v of %v, though %s ran, its client waited and no endpoint of it broke off; it reached%s",
-		ending.ID, ending.Instance.ID, ending.Route, fault, ending.took().Round(time.Millisecond), ending.ClientTimeout, ending.Instance.ID, fleet.checker.describeArrivals(ending))
+	fleet.checker.addViolation("%s, sent whole to %s on route %s, %s after %v of %v, though %s ran, its client waited and no endpoint of it broke off; it reached%s%s",
+		ending.ID, ending.Instance.ID, ending.Route, fault, ending.took().Round(time.Millisecond), ending.ClientTimeout, ending.Instance.ID, fleet.checker.describeArrivals(ending), fleet.checker.describeShortTimeouts(ending))
 }
 
 func (ending *ending) took() time.Duration { return ending.endedAt.Sub(ending.SentAt) }
@@ -160,6 +160,24 @@
 	return text
 }
 
+// describeShortTimeouts names the spans of short timeouts that began before a request ended and were
+// in force at most MaxPropagationDelay and shortTimeoutSlack before it was sent. The caller holds the
+// mutex.
+func (checker *checker) describeShortTimeouts(ending ending) string {
+	text := ""
+	for _, short := range checker.shortTimeouts {
+		if !short.overlaps(ending.SentAt.Add(-standin.MaxPropagationDelay-shortTimeoutSlack), ending.endedAt) {
+			continue
+		}
+		until := "now"
+		if !short.until.IsZero() {
+			until = short.until.Sub(ending.SentAt).Round(time.Millisecond).String()
+		}
+		text += fmt.Sprintf("; timeouts of %v from %v to %v after it was sent", standin.ShortTimeout, short.from.Sub(ending.SentAt).Round(time.Millisecond), until)
+	}
+	return text
+}
+
 // recordAbort records that an endpoint broke off the stream of a request.
 func (checker *checker) recordAbort(id peridotpath.RequestID) {
 	checker.mutex.Lock()
--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -56,6 +57,22 @@
 	lateGateway  = &standin.Reply{Status: 504, IsComplete: true}
 )
 
+// A 504 of a request that a short timeout does not excuse is traced by how far it missed it.
+func TestReportNamesShortTimeouts(t *testing.T) {
+	is := is.New(t)
+	fixture := newEndingFixture(lateGateway)
+	sentAt := fixture.ending.SentAt
+	fixture.fleet.checker.shortTimeouts = []span{
+		{from: sentAt.Add(-9 * time.Second), until: sentAt.Add(-8 * time.Second)},
+		{from: sentAt.Add(-time.Second), until: sentAt.Add(500 * time.Millisecond)},
+		{from: sentAt.Add(time.Second)},
+	}
+	fixture.ending.endedAt = sentAt.Add(standin.ShortTimeout + shortTimeoutSlack + 9*time.Millisecond)
+	is.True(fixture.isReported())
+	violations, _, _ := fixture.fleet.checker.summary()
+	is.True(strings.HasSuffix(violations[0], "; timeouts of 900ms from -1s to 500ms after it was sent; timeouts of 900ms from 1s to now after it was sent"))
+}
+
 // A soak that takes a broken answer for a good one passes over the fault that it looks for.
 func TestEndingsAreReported(t *testing.T) {
 	tests := []struct {
