--- a/peridotpath/relay/liveness_test.go
+++ b/peridotpath/relay/liveness_test.go
@@ -34,13 +34,7 @@
 	engines.calls++
 	fails := engines.failed == "" && engines.calls == 1
 	if fails {
-		engines.failed = call.Endpoint.ID
-		engines.firstReservations = map[string]bool{}
-		for _, helper := range call.Helpers {
-			if helper.ReservationID != "" {
-				engines.firstReservations[helper.ReservationID] = true
-			}
-		}
+		engines.recordFirst(call)
 	}
 	engines.mutex.Unlock()
 	if fails {
@@ -49,6 +43,17 @@
 	return answer(200, "id: 1\ndata: x\n\n", nil)(ctx, call)
 }
 
+// recordFirst records the primary of the first attempt, which fails, and the reservations at its
+// helpers. The caller holds the mutex.
+func (engines *failingEngines) recordFirst(call *relay.Call) {
+	engines.failed, engines.firstReservations = call.Endpoint.ID, map[string]bool{}
+	for _, helper := range call.Helpers {
+		if helper.ReservationID != "" {
+			engines.firstReservations[helper.ReservationID] = true
+		}
+	}
+}
+
 func (engines *failingEngines) check(ctx context.Context, endpoint *peridotpath.Endpoint) error {
 	engines.mutex.Lock()
 	engines.checks++
--- a/peridotpath/relay/race_test.go
+++ b/peridotpath/relay/race_test.go
@@ -48,10 +48,7 @@
 		fixture.Relay.RetryBudget = &retrybudget.Budget{Window: time.Second, Instances: func() int { return 1 }}
 		fixture.Relay.Send = func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
 			engines.mutex.Lock()
-			engines.failed, engines.firstReservations = call.Endpoint.ID, map[string]bool{}
-			for _, helper := range call.Helpers {
-				engines.firstReservations[helper.ReservationID] = true
-			}
+			engines.recordFirst(call)
 			engines.mutex.Unlock()
 			return timedStream(errors.New("not reached"), timedPart{100 * time.Millisecond, events12}, timedPart{time.Hour, ""})(ctx, call)
 		}
@@ -89,10 +86,7 @@
 				fixture.Relay.Send = func(ctx context.Context, call *relay.Call) (*relay.Answer, error) {
 					engines.mutex.Lock()
 					engines.calls++
-					engines.failed, engines.firstReservations = call.Endpoint.ID, map[string]bool{}
-					for _, helper := range call.Helpers {
-						engines.firstReservations[helper.ReservationID] = true
-					}
+					engines.recordFirst(call)
 					engines.mutex.Unlock()
 					return timedStream(io.EOF, test.parts...)(ctx, call)
 				}
