outbound: what has not arrived of a request that is given up is dropped with its connection

Callers saw nothing of it; endpoints worked for callers that had left. An instance whose link is cut closes the connection of a request that its caller, a race or a deadline ends. The kernel keeps the bytes that were not acknowledged and sends them again until the link is back: the endpoint receives a whole request seconds after nobody wants it, together with all others of that cut.

Cause: every connection was closed in the ordinary way, whatever the other side had of the request. Class: giving up ends the work here, and not what is still on its way. All connections that this instance opens (requests, reservations, probes, the store, peers, tunnels) come from DialDirect, so that one place decides now: where a part of what was written is not acknowledged and no answer has begun, the connection is reset, which drops it; where all has arrived it is closed in the ordinary way, whose end is sent again until it arrives. Resetting always would be no mend: a reset is sent once, and an endpoint that has begun would never learn of the end. Where the kernel does not tell, connections are closed as before.

New: peridotpath_connections_given_up_total{arrived} counts what tells the hypotheses of the incident apart.

--- /dev/null
+++ b/peridotpath/outbound/conn.go
@@ -0,0 +1,106 @@
+package outbound
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+
+	"peridotpath.example/peridotpath/tcpinfo"
+	"peridotpath.example/peridotpath/telemetry"
+)
+
+// conn is a TCP connection that this instance has opened. When it is closed before an answer, what
+// the other side has not received is dropped with it: the kernel would go on sending it over a
+// link that is cut, and the other side would begin a request seconds after it was given up.
+type conn struct {
+	net.Conn
+
+	tcp *net.TCPConn
+	// written counts the bytes that were written, those of a call that has not returned included; isAnswered reports that something was received
+	// since the last of them.
+	written    atomic.Int64
+	isAnswered atomic.Bool
+	isClosed   atomic.Bool
+}
+
+// newConn returns a conn, or a connection that is not TCP unchanged.
+func newConn(opened net.Conn) net.Conn {
+	tcp, ok := opened.(*net.TCPConn)
+	if !ok {
+		return opened
+	}
+	return &conn{Conn: opened, tcp: tcp}
+}
+
+// SyscallConn gives access to the connection's socket.
+func (conn *conn) SyscallConn() (syscall.RawConn, error) { return conn.tcp.SyscallConn() }
+
+// Read reads from the connection.
+func (conn *conn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if count > 0 {
+		conn.isAnswered.Store(true)
+	}
+	return count, err
+}
+
+// Write writes to the connection.
+func (conn *conn) Write(data []byte) (int, error) {
+	conn.isAnswered.Store(false)
+	conn.written.Add(int64(len(data)))
+	count, err := conn.Conn.Write(data)
+	conn.written.Add(int64(count - len(data)))
+	return count, err
+}
+
+// Close closes the connection.
+func (conn *conn) Close() error {
+	if !conn.isClosed.Swap(true) && conn.written.Load() > 0 && !conn.isAnswered.Load() {
+		arrival := conn.arrival()
+		telemetry.CountConnectionGivenUp(arrival.String())
+		if arrival.mustDropRest() {
+			_ = conn.tcp.SetLinger(0)
+		}
+	}
+	return conn.Conn.Close()
+}
+
+// arrival returns how much of what was written has arrived.
+func (conn *conn) arrival() arrival {
+	left, isKnown := tcpinfo.Unacknowledged(conn.tcp)
+	return arrivalOf(conn.written.Load(), int64(left), isKnown)
+}
+
+// arrival is how much of what was written to a connection the other side has, as far as its kernel
+// has acknowledged it.
+type arrival int
+
+const (
+	arrivedUnknown arrival = iota
+	arrivedNone
+	arrivedPart
+	arrivedAll
+)
+
+var arrivalNames = [...]string{"unknown", "none", "part", "all"}
+
+// String returns the name of the arrival in metrics.
+func (arrival arrival) String() string { return arrivalNames[arrival] }
+
+// arrivalOf returns the arrival of written bytes, some of which are not acknowledged.
+func arrivalOf(written, unacknowledged int64, isKnown bool) arrival {
+	switch {
+	case !isKnown:
+		return arrivedUnknown
+	case unacknowledged == 0:
+		return arrivedAll
+	case unacknowledged >= written:
+		return arrivedNone
+	}
+	return arrivedPart
+}
+
+// mustDropRest reports whether the connection is reset, which drops what has not arrived. A reset is
+// sent once and may be lost: where all has arrived, the end of the connection is sent again until
+// it arrives, too, and ends what the other side has begun.
+func (arrival arrival) mustDropRest() bool { return arrival == arrivedNone || arrival == arrivedPart }
--- a/peridotpath/outbound/dial.go
+++ b/peridotpath/outbound/dial.go
@@ -79,9 +79,12 @@
 		dialer.LocalAddr = local
 	}
 	startedAt := time.Now()
-	conn, err := dialer.DialContext(ctx, network, address)
+	opened, err := dialer.DialContext(ctx, network, address)
 	telemetry.RecordDial(dialResult(ctx, err), time.Since(startedAt))
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return newConn(opened), nil
 }
 
 // dialResult names the result of a dial.
--- a/peridotpath/telemetry/dial.go
+++ b/peridotpath/telemetry/dial.go
@@ -40,6 +40,12 @@
 // CountDialThroughPeer counts a connection to an endpoint that a peer carries for this instance.
 func CountDialThroughPeer() { dialsThroughPeers.Inc() }
 
+// CountConnectionGivenUp counts a connection that this instance has closed before an answer, by how
+// much of what was written to it had arrived.
+func CountConnectionGivenUp(arrival string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_connections_given_up_total{arrived=%q}", arrival)).Inc()
+}
+
 // CountTunnel counts a connection that a peer has asked this instance to carry, by what came of
 // it.
 func CountTunnel(result string) {
