eventstream, engine: bytes that are no event end an attempt after 64 kB

An engine that sends blank lines or comments without end kept its request until the deadline, with a processor at work; comments were forwarded to the caller as events, and counted as progress of the attempt, so that no other one joined it.

Cause: the readers of events bound one event, and not what stands between two. Change: what has neither data nor an id is no event; it is left out, and ends the attempt beyond 64 kB, like a broken connection. The reader of `serve` had the same fault and has the same bound.

--- a/peridotpath/engine/events.go
+++ b/peridotpath/engine/events.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"peridotpath.example/peridotpath/eventstream"
 )
 
 const (
@@ -42,7 +44,7 @@
 func (eventReader *EventReader) Next() (Event, error) {
 	event := Event{Offset: -1}
 	eventReader.data = eventReader.data[:0]
-	hasData := false
+	hasData, fillerBytes := false, 0
 	for {
 		line, err := eventReader.readLine()
 		if err != nil {
@@ -53,9 +55,9 @@
 				event.Data = eventReader.data
 				return event, nil
 			}
-			continue
 		}
 		field, value, _ := bytes.Cut(line, []byte(":"))
+		isData := string(field) == "data"
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "data":
@@ -69,6 +71,13 @@
 				event.Offset = offset
 			}
 		}
+		if !isData {
+			// The line is followed by its ending.
+			fillerBytes += len(line) + 1
+		}
+		if fillerBytes > eventstream.MaxFillerBytes {
+			return Event{}, ErrFailed.New("no event within %d bytes", eventstream.MaxFillerBytes)
+		}
 		if len(eventReader.data) > maxEventBytes {
 			return Event{}, ErrFailed.New("event larger than %d bytes", maxEventBytes)
 		}
--- a/peridotpath/engine/events_test.go
+++ b/peridotpath/engine/events_test.go
@@ -55,6 +55,10 @@
 		{"id is not a number", "id: x\ndata: a\n\n", "-1:a", io.EOF},
 		{"comments", ": alive\n\ndata: a\n\n", "-1:a", io.EOF},
 		{"endless line", "data: " + strings.Repeat("a", 2<<20), "", nil},
+		{"endless blank lines", "data: a\n\n" + strings.Repeat("\n", 1<<20), "-1:a", nil},
+		{"endless comments", strings.Repeat(": alive\n\n", 1<<17), "", nil},
+		{"endless lines after data", "data: a\n" + strings.Repeat("event: x\n", 1<<17), "", nil},
+		{"long data", "data: " + strings.Repeat("a", 100<<10) + "\n\n", "-1:" + strings.Repeat("a", 100<<10), io.EOF},
 		{"endless event", strings.Repeat("data: "+strings.Repeat("a", 1000)+"\n", 2000), "", nil},
 	}
 	for _, test := range tests {
--- a/peridotpath/eventstream/eventstream.go
+++ b/peridotpath/eventstream/eventstream.go
@@ -20,12 +20,17 @@
 	eventBufferBytes = 4 << 10
 	// maxEventBytes bounds the memory of an event that an endpoint never terminates.
 	maxEventBytes = 1 << 20
+	// MaxFillerBytes bounds what an endpoint may send between two events that is none: blank lines,
+	// comments, and blocks without data or id. A broken endpoint sends such bytes without end.
+	MaxFillerBytes = 64 << 10
 )
 
 // Reader reads server-sent events whole and unchanged, so that they can be forwarded.
 type Reader struct {
 	buffered *bufio.Reader
 	event    []byte
+	// fillerBytes counts the bytes since the last event that belong to none.
+	fillerBytes int
 }
 
 // NewReader returns a Reader of the events of a stream.
@@ -33,30 +38,44 @@
 	return &Reader{buffered: bufio.NewReaderSize(stream, eventBufferBytes)}
 }
 
-// Next returns the next event, including its terminating empty line, and its id. It
-// returns io.EOF at the end, and io.ErrUnexpectedEOF if the stream ends within an event.
-// The returned slice is valid until the next call.
+// Next returns the next event, including its terminating empty line, and its id. What has
+// neither data nor an id is no event and is left out. It returns io.EOF at the end, and
+// io.ErrUnexpectedEOF if the stream ends within an event. The returned slice is valid until the
+// next call.
 func (reader *Reader) Next() (raw []byte, id string, err error) {
+	reader.fillerBytes = 0
+	for {
+		raw, id, isEvent, err := reader.nextBlock()
+		if err != nil || isEvent {
+			return raw, id, err
+		}
+		reader.fillerBytes += len(raw)
+		if reader.fillerBytes > MaxFillerBytes {
+			reader.event = reader.event[:0]
+			return nil, "", Error.New("no event within %d bytes", MaxFillerBytes)
+		}
+	}
+}
+
+// nextBlock returns the next lines up to an empty one, and whether they are an event.
+func (reader *Reader) nextBlock() (raw []byte, id string, isEvent bool, err error) {
 	reader.event = reader.event[:0]
 	for {
 		start := len(reader.event)
 		if err := reader.readLine(); err != nil {
 			if errors.Is(err, io.EOF) && len(reader.event) > 0 {
-				return nil, "", io.ErrUnexpectedEOF
+				return nil, "", false, io.ErrUnexpectedEOF
 			}
-			return nil, "", err
+			return nil, "", false, err
 		}
 		line := bytes.TrimRight(reader.event[start:], "\r\n")
 		if len(line) == 0 {
-			if start == 0 {
-				reader.event = reader.event[:0]
-				continue
-			}
-			return reader.event, id, nil
+			return reader.event, id, isEvent, nil
 		}
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(value))
+			id, isEvent = string(bytes.TrimSpace(value)), true
 		}
+		isEvent = isEvent || bytes.HasPrefix(line, []byte("data:"))
 	}
 }
 
--- a/peridotpath/eventstream/eventstream_test.go
+++ b/peridotpath/eventstream/eventstream_test.go
@@ -29,6 +29,26 @@
 	is.True(err != nil) // an unterminated event uses bounded memory
 }
 
+// An endpoint sends bytes that are no event without end: the reader would read them until the deadline
+// of the request, or forward them to the caller.
+func TestEndlessFillerIsAnError(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for _, filler := range []string{"\n", "\r\n", ": x\n\n", "event: ping\n\n", "retry: 10\r\n\r\n"} {
+		is := is.New(t)
+		few := strings.Repeat(filler, MaxFillerBytes/len(filler))
+		events := NewReader(strings.NewReader(few + event + few + event + few + few))
+		for range 2 {
+			raw, id, err := events.Next()
+			is.NoErr(err)
+			is.Equal(string(raw), event)
+			is.Equal(id, "1")
+		}
+		_, _, err := events.Next()
+		is.True(Error.Has(err))
+		is.True(!events.IsWithinEvent())
+	}
+}
+
 // The reader returns only whole, unchanged events of any stream.
 func FuzzRawEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
