disconnect: nothing is sent for a caller whose connection has ended

Cause: whether a caller has left is told by a goroutine of net/http, which runs late there, and not at all behind bytes of a caller's next request; what was queued meanwhile is sent. Class: a decision by a flag that another goroutine sets, where the state itself can be asked. The kernel is asked now (TCP_INFO): by outbound.Do before each request of a caller, in whatever way it is sent (first attempt, retry, resumed stream, second endpoint, reservation, through a peer, `serve`), and once more with each write on a connection that serves one request, since a dial may outlast the caller. The request's context ends at the same moment, so that all else of it ends, too. Keyed requests and probes that others share go on for their own sake (disconnect.Detach).

New: peridotpath_callers_found_gone_total. Where the kernel does not tell, nothing changes.

--- a/peridotpath/caller/once.go
+++ b/peridotpath/caller/once.go
@@ -8,6 +8,7 @@
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/claim"
+	"peridotpath.example/peridotpath/disconnect"
 )
 
 const (
@@ -32,7 +33,7 @@
 	}
 	// The claim has the request's deadline, but outlives the caller's connection: a
 	// retry after a lost connection must get the answer, not an unknown outcome.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), exchange.work.Deadline)
+	ctx, cancel := context.WithDeadline(disconnect.Detach(ctx), exchange.work.Deadline)
 	defer cancel()
 	verdict, err := server.Claims.Claim(ctx, exchange.customer.ID, keys[0], bodyHash(exchange.request, body))
 	if err != nil {
--- a/peridotpath/inbound/inbound.go
+++ b/peridotpath/inbound/inbound.go
@@ -19,6 +19,8 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"github.com/zeromicro/go-zero/rest/router"
+
+	"peridotpath.example/peridotpath/disconnect"
 )
 
 // Error is the class of this package's errors.
@@ -79,6 +81,7 @@
 		server.WriteTimeout = 0
 		server.MaxHeaderBytes = headerLimitFactor * listener.MaxHeaderBytes
 		server.ConnState = listener.answering.track
+		server.ConnContext = disconnect.WithConn
 		listener.server <- server
 	})
 	if errors.Is(err, http.ErrServerClosed) {
@@ -147,6 +150,9 @@
 }
 
 func (router *prefixRouter) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	ctx, stop := disconnect.Watch(request.Context())
+	defer stop()
+	request = request.WithContext(ctx)
 	prefix := router.listener.Prefix
 	if prefix != "" && strings.HasPrefix(request.URL.Path, prefix) {
 		router.listener.PrefixHandler.ServeHTTP(writer, request)
--- a/peridotpath/outbound/given_up_test.go
+++ b/peridotpath/outbound/given_up_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"peridotpath.example/peridotpath/disconnect"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/outbound/linktest"
 )
@@ -142,3 +143,48 @@
 	is.NoErr(err)
 	is.Equal(string(received), "request")
 }
+
+// A caller leaves while its request waits for a connection, or before: the endpoint would work for
+// nobody. The caller has sent a part of its next request, so that net/http does not notice.
+func TestNothingIsSentForCallerThatHasLeft(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		leaveWhileDials bool
+	}{{"before", false}, {"while a connection is opened", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			caller, endpoint := connect(t), connect(t)
+			leave := func() {
+				_, _ = io.WriteString(caller.client, "GET /")
+				caller.client.Close()
+				time.Sleep(20 * time.Millisecond)
+			}
+			dialled := false
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				dialled = true
+				leave()
+				return endpoint.client, nil
+			}
+			waiting, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			ctx, stop := disconnect.Watch(disconnect.WithConn(waiting, caller.server))
+			defer stop()
+			if !test.leaveWhileDials {
+				leave()
+			}
+			request, err := http.NewRequestWithContext(outbound.WithDial(ctx, dial), http.MethodPost, "http://127.0.0.1:1/run", bytes.NewReader([]byte("prompt")))
+			is.NoErr(err)
+			request.Close = true
+			response, err := outbound.Do(request)
+			if err == nil {
+				response.Body.Close()
+			}
+			is.True(err != nil)
+			is.Equal(dialled, test.leaveWhileDials)
+			is.Equal(errors.Is(context.Cause(ctx), disconnect.ErrLeft), true)
+			endpoint.client.Close()
+			received, _ := endpoint.received()
+			is.Equal(string(received), "")
+		})
+	}
+}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -13,6 +13,8 @@
 	"github.com/zeebo/errs"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"peridotpath.example/peridotpath/disconnect"
 )
 
 var (
@@ -43,12 +45,15 @@
 var configureOnce sync.Once
 
 // Do sends the request and returns the response once its headers are received. An error
-// is of class ErrNotSent or ErrNoResponse.
+// is of class ErrNotSent or ErrNoResponse. Nothing is sent for a caller that has left.
 //
 // It uses httpc's package function because httpc's named services have a circuit breaker,
 // whose rejections our metrics would not count.
 func Do(request *http.Request) (*http.Response, error) {
 	configureOnce.Do(configureClient)
+	if err := disconnect.Check(request.Context()); err != nil {
+		return nil, ErrNotSent.Wrap(err)
+	}
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
@@ -103,8 +108,12 @@
 // that nearly each request to a busy endpoint needs a new one, and it obeys proxy variables,
 // although addresses are IP addresses from the settings.
 func newTransport(reuses bool) *http.Transport {
+	dial := DialContext
+	if !reuses {
+		dial = dialForRequest
+	}
 	return &http.Transport{
-		DialContext:            DialContext,
+		DialContext:            dial,
 		DisableKeepAlives:      !reuses,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
--- a/peridotpath/relay/crash.go
+++ b/peridotpath/relay/crash.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/disconnect"
 )
 
 // ErrEndpointGone is the class of errors that prove that an endpoint's process has ended:
@@ -26,7 +27,7 @@
 func (relay *Relay) hasCrashed(ctx context.Context, endpoint *peridotpath.Endpoint) bool {
 	key := endpoint.Key()
 	probe := relay.crashProbes.DoChan(strconv.FormatUint(uint64(key), 36), func() (any, error) {
-		ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
+		ctx, stop := context.WithTimeout(disconnect.Detach(ctx), crashProbeTimeout)
 		defer stop()
 		err := relay.Check(ctx, endpoint)
 		relay.Log.Info().Str("endpoint", string(endpoint.ID)).Bool("gone", ErrEndpointGone.Has(err)).AnErr("answer", err).Msg("broken_off")
--- a/peridotpath/telemetry/dial.go
+++ b/peridotpath/telemetry/dial.go
@@ -35,8 +35,12 @@
 var (
 	dialsThroughPeers = metrics.NewCounter("peridotpath_dials_through_peers_total")
 	tunnelsOpen       = metrics.NewCounter("peridotpath_tunnels_open")
+	callersFoundGone  = metrics.NewCounter("peridotpath_callers_found_gone_total")
 )
 
+// CountCallerFoundGone counts a question before a send whose answer was that the caller has left.
+func CountCallerFoundGone() { callersFoundGone.Inc() }
+
 // CountDialThroughPeer counts a connection to an endpoint that a peer carries for this instance.
 func CountDialThroughPeer() { dialsThroughPeers.Inc() }
 
