soak: links that drop packets, and a check of what reaches endpoints after callers have left

The soak's proxies hold what they have read during a cut and deliver it afterwards, since their kernel has acknowledged it; callers that leave did so within 80 ms; nothing looked at what reaches an endpoint later. So no test saw the fault of this incident.

New: linkCut, by a socket filter on the proxy's side: packets of one instance are dropped, its kernel keeps what is not acknowledged and sends it again, and new connections hang. The checker compares each arrival with the time at which its client left (0.5 s, and the allowance for scheduling), in every run of the soak. What a proxy held back is excused.

--- a/peridotpath/outbound/linktest/linktest.go
+++ b/peridotpath/outbound/linktest/linktest.go
@@ -4,8 +4,10 @@
 package linktest
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
+	"net/netip"
 	"syscall"
 )
 
@@ -22,10 +24,33 @@
 	return control(conn, syscall.DetachLsf)
 }
 
-func control(conn net.Conn, use func(socket int) error) error {
-	tcp, ok := conn.(syscall.Conn)
+const (
+	// sourceOffset is the offset of the source address of an IPv4 packet, as socket filters see it.
+	networkHeader uint32 = 0xFFF00000
+	sourceOffset         = networkHeader + 12
+	// acceptAll is the number of bytes that a filter keeps of a packet that it accepts.
+	acceptAll uint32 = 0xFFFFFFFF
+)
+
+// CutSources makes the kernel drop all that arrives at a listener from IPv4 addresses, so that new
+// connections from there hang; none ends that. Connections that the listener accepts inherit it
+// until Cut or Heal is called for them.
+func CutSources(listener net.Listener, sources ...netip.Addr) error {
+	filter := []syscall.SockFilter{{Code: syscall.BPF_LD | syscall.BPF_W | syscall.BPF_ABS, K: sourceOffset}}
+	for i, source := range sources {
+		address := source.As4()
+		filter = append(filter, syscall.SockFilter{
+			Code: syscall.BPF_JMP | syscall.BPF_JEQ | syscall.BPF_K, Jt: uint8(len(sources) - i), K: binary.BigEndian.Uint32(address[:]),
+		})
+	}
+	filter = append(filter, syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K, K: acceptAll}, dropAll[0])
+	return control(listener, func(socket int) error { return syscall.AttachLsf(socket, filter) })
+}
+
+func control(socket any, use func(socket int) error) error {
+	tcp, ok := socket.(syscall.Conn)
 	if !ok {
-		return fmt.Errorf("linktest: expected a connection with a socket, got %T", conn)
+		return fmt.Errorf("linktest: expected a connection with a socket, got %T", socket)
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
--- a/soak/check.go
+++ b/soak/check.go
@@ -44,10 +44,12 @@
 	arrivals      map[peridotpath.RequestID][]requestArrival
 	aborted       map[peridotpath.RequestID]bool
 	shortTimeouts []span
-	store         *standin.Store
-	violations    []string
-	requests      int
-	served        int
+	// leftAt is when the client of a request left before its answer was whole.
+	leftAt     map[peridotpath.RequestID]time.Time
+	store      *standin.Store
+	violations []string
+	requests   int
+	served     int
 }
 
 type endpointRun struct {
@@ -66,7 +68,8 @@
 func newChecker(store *standin.Store) *checker {
 	return &checker{
 		retries: map[peridotpath.Service]*retryWindow{}, arrivals: map[peridotpath.RequestID][]requestArrival{}, aborted: map[peridotpath.RequestID]bool{},
-		store: store, drainedSince: map[peridotpath.DataCentre]time.Time{}, cold: map[peridotpath.EndpointID]*coldEndpoint{},
+		leftAt: map[peridotpath.RequestID]time.Time{},
+		store:  store, drainedSince: map[peridotpath.DataCentre]time.Time{}, cold: map[peridotpath.EndpointID]*coldEndpoint{},
 		runs: map[peridotpath.RequestID][]endpointRun{}, revokedAt: map[peridotpath.APIKey]time.Time{},
 		crashes: map[string][]time.Time{}, quarantinedRuns: map[string]int{}, limits: map[peridotpath.EndpointID]*limitedEndpoint{},
 		toldLeaving: map[sender]time.Time{}, backoffs: map[sender]*askedBackoff{}, saysLeaving: map[peridotpath.EndpointID]bool{}, leavingSince: map[peridotpath.EndpointID]time.Time{}, sentRequests: map[peridotpath.RequestID]sentRequest{},
@@ -128,6 +131,7 @@
 	if sent.Instance == nil {
 		return
 	}
+	checker.checkArrivalAfterLeaving(endpoint, &sent, now)
 	checker.recordLimitedArrival(endpoint.ID, &sent, now)
 	checker.arrivals[sent.ID] = append(checker.arrivals[sent.ID], requestArrival{endpoint, now})
 	checker.recordRetry(endpoint.Service, &sent, now)
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -68,6 +68,9 @@
 	if err == nil {
 		ending.reply = reply
 	}
+	if ending.clientErr != nil {
+		fleet.checker.recordLeft(request.ID, ending.endedAt)
+	}
 	fleet.checkEnding(ending)
 	return ending.reply
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"peridotpath.example/peridotpath/outbound/linktest"
 )
 
 // link is the state of the network that a proxy simulates.
@@ -27,6 +29,9 @@
 	linkReset
 	// linkNewReset resets new connections; open ones go on.
 	linkNewReset
+	// linkCut drops all packets of a client: its kernel keeps what is not acknowledged and sends it
+	// again. It is for single clients only.
+	linkCut
 )
 
 const (
@@ -164,6 +169,17 @@
 	})
 }
 
+// hasHeldBetween reports whether the proxy held back data of a client between two times, which it had
+// acknowledged.
+func (proxy *proxy) hasHeldBetween(source netip.Addr, from, until time.Time) bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return slices.ContainsFunc(proxy.disturbances, func(disturbance disturbance) bool {
+		holds := disturbance.state == linkSlow || disturbance.state == linkBlackhole || disturbance.state == linkOneWay
+		return holds && disturbance.concerns(source, from, until)
+	})
+}
+
 // hasSettledSince reports whether the link has been undisturbed since the time.
 func (proxy *proxy) hasSettledSince(since time.Time) bool {
 	proxy.mutex.Lock()
@@ -180,6 +196,12 @@
 	}
 	proxy.sourceLinks[source] = state
 	proxy.recordLink(source, state)
+	proxy.cutSources()
+	for conn := range proxy.conns {
+		if sourceOf(conn) == source {
+			setCut(conn, state == linkCut)
+		}
+	}
 	if state != linkReset {
 		return
 	}
@@ -190,6 +212,28 @@
 	}
 }
 
+// cutSources makes new connections of the clients hang whose links are cut. The caller holds the mutex.
+func (proxy *proxy) cutSources() {
+	var sources []netip.Addr
+	for source, state := range proxy.sourceLinks {
+		if state == linkCut {
+			sources = append(sources, source)
+		}
+	}
+	// It fails only for a listener that is closed.
+	_ = linktest.CutSources(proxy.listener, sources...)
+}
+
+// setCut makes the kernel drop what arrives on a connection, or ends that.
+func setCut(conn net.Conn, isCut bool) {
+	// Both fail for a connection that is closed, and the second one where nothing is dropped.
+	if isCut {
+		_ = linktest.Cut(conn)
+		return
+	}
+	_ = linktest.Heal(conn)
+}
+
 // currentLink returns the state of the link of the client with an address.
 func (proxy *proxy) currentLink(source netip.Addr) link {
 	proxy.mutex.Lock()
@@ -241,6 +285,8 @@
 		proxy.trackConn(end, true)
 		defer proxy.trackConn(end, false)
 	}
+	// The connection has the filter that the listener had when it was opened.
+	setCut(conn, proxy.currentLink(source) == linkCut)
 	ended := make(chan struct{}, 2)
 	go func() { proxy.forward(ctx, upstream, conn, source, false); ended <- struct{}{} }()
 	go func() { proxy.forward(ctx, conn, upstream, source, true); ended <- struct{}{} }()
@@ -285,7 +331,7 @@
 		case now == linkSlow:
 			time.Sleep(linkDelay)
 			return ctx.Err() == nil
-		case now == linkBlackhole, now == linkOneWay && toClient:
+		case now == linkBlackhole, (now == linkOneWay || now == linkCut) && toClient:
 			time.Sleep(linkPollInterval)
 			if ctx.Err() != nil {
 				return false
