tunnel: a peer ends the endpoint's connection though the endpoint reads nothing

A caller of an instance that is cut off leaves while the peer that carries its request waits for the endpoint to read: the peer looks at the client's side again only once the endpoint has read all that the peer holds, so that the request is delivered for nobody, after any time.

Cause: one goroutine copies, and does not read the client while it writes.

--- a/peridotpath/tunnel/server.go
+++ b/peridotpath/tunnel/server.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"peridotpath.example/peridotpath/tcpinfo"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -24,11 +26,16 @@
 	// writeTimeout bounds a write to a client: one that lost its power reads nothing, and closes
 	// nothing.
 	writeTimeout = time.Minute
+	// clientCheckInterval is how often a tunnel whose endpoint reads nothing asks whether its client is
+	// still there.
+	clientCheckInterval = 100 * time.Millisecond
 	// BytesPerTunnel bounds the memory that a tunnel takes: two buffers of its own, those of
 	// net/http and the stacks of its goroutines.
 	BytesPerTunnel = 64 << 10
 )
 
+var errClientGone = Error.New("client has closed its connection")
+
 // Server carries connections for other instances. Set the exported fields before use.
 type Server struct {
 	// IsEndpoint reports whether an endpoint is known at the address. Connections to other
@@ -150,7 +157,7 @@
 	go func() {
 		defer close(toEndpoint)
 		// The client ends its side only when it gives the request up, which the endpoint must see.
-		_, _ = io.CopyBuffer(endpoint, onlyReader{fromClient}, make([]byte, bufferBytes))
+		_ = copyToEndpoint(endpoint, client, fromClient)
 		endpoint.Close()
 	}()
 	if err := copyToClient(client, endpoint); err != nil {
@@ -160,8 +167,39 @@
 	<-toEndpoint
 }
 
-// onlyReader hides the WriteTo of a reader, so that it is copied through the buffer given.
-type onlyReader struct{ io.Reader }
+// copyToEndpoint copies what the client sends until it ends its side, also where the endpoint reads
+// nothing: what it has not received by then is not sent any more.
+func copyToEndpoint(endpoint, client net.Conn, fromClient io.Reader) error {
+	buffer := make([]byte, bufferBytes)
+	for {
+		count, err := fromClient.Read(buffer)
+		if count > 0 {
+			if err := writeWhileThere(endpoint, client, buffer[:count]); err != nil {
+				return err
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeWhileThere writes to the endpoint until the client has closed its connection.
+func writeWhileThere(endpoint, client net.Conn, data []byte) error {
+	socket, hasSocket := client.(syscall.Conn)
+	for len(data) > 0 {
+		_ = endpoint.SetWriteDeadline(time.Now().Add(clientCheckInterval))
+		count, err := endpoint.Write(data)
+		data = data[count:]
+		switch {
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			return err
+		case err != nil && hasSocket && tcpinfo.HasPeerClosed(socket):
+			return errClientGone
+		}
+	}
+	return nil
+}
 
 // copyToClient copies what the endpoint sends in chunks, and marks its end. It returns an error if
 // the endpoint's connection broke.
--- a/peridotpath/tunnel/tunnel_test.go
+++ b/peridotpath/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/tcpinfo"
 	"peridotpath.example/peridotpath/tunnel"
 )
 
@@ -154,6 +155,27 @@
 	is.True(!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
+// A request that its caller has given up waits at the peer for an endpoint that reads nothing: it is
+// delivered, and run for nobody, once the endpoint reads on.
+func TestEndOfClientReachesEndpointThatReadsNothing(t *testing.T) {
+	is := is.New(t)
+	client, endpoint := startCarrying(t, nil).connect(t)
+	request := make([]byte, 64<<20)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = client.Write(request)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	client.Close()
+	<-written
+	time.Sleep(500 * time.Millisecond)
+	is.True(tcpinfo.HasPeerClosed(endpoint.(syscall.Conn))) // before the endpoint reads on
+	received, err := io.ReadAll(endpoint)
+	is.True(err != nil) // a reset
+	is.True(len(received) < len(request)/2)
+}
+
 // A caller of the instance that is cut off is told that an endpoint is gone though only the peer
 // could not help, or waits for a peer that will not.
 func TestTunnelIsNotOpened(t *testing.T) {
