soak: callers leave early and links drop packets in seeded runs

The random soak had callers that leave within 80 ms or not at all, and no link that drops packets, so that the fault of this incident was not among its faults. With -leave, on by default, half of the callers wait for 150 to 900 ms only, and packets of instances are dropped to all endpoints or to some.

--- a/soak/departure.go
+++ b/soak/departure.go
@@ -1,13 +1,37 @@
 package main
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"peridotpath.example/peridotpath"
 )
 
-// maxArrivalAfterLeaving is how long after its client has left a request may still reach an endpoint.
-const maxArrivalAfterLeaving = 500 * time.Millisecond
+const (
+	// maxArrivalAfterLeaving is how long after its client has left a request may still reach an
+	// endpoint.
+	maxArrivalAfterLeaving = 500 * time.Millisecond
+	// A client that leaves early waits for minPatience to maxPatience.
+	minPatience, maxPatience = 150 * time.Millisecond, 900 * time.Millisecond
+)
+
+// departureFaults are added to faults by options.departs.
+var departureFaults = []fault{
+	{"packets_dropped", func(fleet *fleet, random *rand.Rand) func() {
+		return fleet.cutOff(linkCut, random.Perm(len(fleet.instances))[:1+random.IntN(len(fleet.instances))]...)
+	}},
+	{"packets_dropped_to_some", func(fleet *fleet, random *rand.Rand) func() {
+		var some []*endpoint
+		for _, number := range random.Perm(len(fleet.endpoints))[:1+random.IntN(len(fleet.endpoints)-1)] {
+			some = append(some, fleet.endpoints[number])
+		}
+		return fleet.cutOffFrom(linkCut, random.IntN(len(fleet.instances)), some)
+	}},
+}
+
+func randomPatience(random *rand.Rand) time.Duration {
+	return minPatience + time.Duration(random.Int64N(int64(maxPatience-minPatience)))
+}
 
 // recordLeft records that the client of a request has closed its connection before the answer was
 // whole.
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// leavingRate is the number of requests a second at each instance whose callers leave early, after
-	// minPatience to maxPatience.
-	leavingRate              = 40
-	minPatience, maxPatience = 150 * time.Millisecond, 900 * time.Millisecond
+	// leavingRate is the number of requests a second at each instance whose callers leave early.
+	leavingRate = 40
 	// afterCut is the time after a cut in which what the kernel kept would arrive.
 	afterCut = 3 * time.Second
 )
@@ -39,7 +37,7 @@
 			if count%2 == 0 {
 				request.Route, request.PromptTokens, request.Parts = standin.RouteStream, 2000, soundParts(id)
 			}
-			patience := minPatience + time.Duration(random.Int64N(int64(maxPatience-minPatience)))
+			patience := randomPatience(random)
 			run.load.running.Go(func() {
 				ctx, leave := context.WithTimeout(context.Background(), patience)
 				defer leave()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -55,6 +55,8 @@
 	storeSnapshots []standin.Snapshot
 	keys           map[peridotpath.CustomerID][]peridotpath.APIKey
 	background     sync.WaitGroup
+	// callersLeave makes many callers leave early. It is set before the load begins.
+	callersLeave bool
 	// probeCount numbers the probes for their request IDs.
 	probeCount atomic.Int64
 	// renewalPaused stops renewEndpoints from writing entries.
--- a/soak/load.go
+++ b/soak/load.go
@@ -70,5 +70,8 @@
 		// The client disconnects.
 		time.AfterFunc(time.Duration(random.IntN(80))*time.Millisecond, cancel)
 	}
+	if fleet.callersLeave && random.IntN(2) == 0 {
+		defer time.AfterFunc(randomPatience(random), cancel).Stop()
+	}
 	fleet.checker.recordReply(id, fleet.exchange(ctx, client, instance, customer, request))
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -47,6 +47,7 @@
 	parts := flag.Bool("parts", true, "sends prompts with a part that crashes endpoints; false plays older seeds as they were")
 	scarce := flag.Bool("scarce", true, "lets one customer flood an instance and engines become slow; false plays older seeds as they were")
 	silent := flag.Bool("silent", true, "lets endpoints be silent for a while and go on; false plays older seeds as they were")
+	leave := flag.Bool("leave", true, "lets callers leave early and links drop packets; false plays older seeds as they were")
 	back := flag.Bool("back", false, "lets the store come back from older copies")
 	folder := flag.String("folder", "", "where logs go; else a new temporary folder")
 	flag.Usage = func() { fmt.Fprint(os.Stderr, usage) }
@@ -65,7 +66,7 @@
 	defer stop()
 	failed := 0
 	for _, seed := range list {
-		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back, announces: *announce, drains: *drain, cutsOff: *cut, fatalParts: *parts, isScarce: *scarce, silences: *silent}, os.Stdout)
+		violations, err := soak(ctx, options{binary: *program, folder: *folder, seed: seed, faultTime: *span, restoresStore: *back, announces: *announce, drains: *drain, cutsOff: *cut, fatalParts: *parts, isScarce: *scarce, silences: *silent, departs: *leave}, os.Stdout)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
@@ -133,6 +134,8 @@
 	isScarce bool
 	// silences adds endpoints that are silent for a while and go on to the faults.
 	silences bool
+	// departs lets many callers leave early, and adds links that drop packets to the faults.
+	departs bool
 }
 
 // soak makes one run and returns the violations that it found.
@@ -157,6 +160,7 @@
 		return nil, err
 	}
 	defer fleet.close(cancel)
+	fleet.callersLeave = options.departs
 	if !fleet.eventually(startTimeout, fleet.allReady) {
 		return nil, fmt.Errorf("seed %d: not ready after %v, logs in %s", seed, startTimeout, folder)
 	}
@@ -192,6 +196,9 @@
 	if options.silences {
 		faultKinds = append(slices.Clone(faultKinds), silenceFaults...)
 	}
+	if options.departs {
+		faultKinds = append(slices.Clone(faultKinds), departureFaults...)
+	}
 	fleet.injectFaults(faultCtx, faultKinds, random, func(name string) { faultNames = append(faultNames, name) })
 	stopFaults()
 	if signalCtx.Err() != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,9 @@
 // or break streams off, in 592 beside reloads and a cut, in 687 beside reloads and a stop.
 var silentSeeds = []uint64{592, 687}
 
+// departureSeeds are those of runs in which callers leave early and links drop packets.
+var departureSeeds = []uint64{58, 581}
+
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
 	binary := buildPeridotd(t)
@@ -75,6 +78,9 @@
 	for _, seed := range silentSeeds {
 		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true, cutsOff: true, silences: true})
 	}
+	for _, seed := range departureSeeds {
+		play(options{binary: binary, folder: t.TempDir(), seed: seed, faultTime: 6 * time.Second, announces: true, drains: true, cutsOff: true, silences: true, departs: true})
+	}
 }
 
 // buildPeridotd builds the program under test and returns its path.
