relay: a caller that leaves while a connection is opened ejects no sound endpoint

Where many callers leave early, endpoints that work were avoided by all instances: each attempt whose caller left before its connection was open counted as a failure of the endpoint, and was told to all peers. In the seconds after a loss of all instances, or behind a link that hangs, that takes away room exactly when it is short.

Cause: an attempt that ends unsent is taken for a connection that failed, also where this side has ended it. Change: package failover decides; an attempt that the caller or the deadline ends counts only after 500 ms without a connection, so that endpoints without power are still avoided though callers leave before the 2 s of a dial.

Evidence: TestCallersThatLeaveDoNotEjectEndpoints (virtual time): one endpoint ejected after 20 ms before, none after; one after a second, as before.

--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -94,7 +94,12 @@
 			// Neither this instance's links nor a caller that leaves are the endpoint's fault.
 			exchange.ejectFailed(key, now)
 		}
-	case outcomeUnsent, outcomeMisdirected:
+	case outcomeUnsent:
+		unsent := failover.UnsentAttempt{IsEndedHere: ctx.Err() != nil, Waited: now.Sub(exchange.sentAt)}
+		if unsent.BlamesEndpoint() {
+			exchange.ejectFailed(key, now)
+		}
+	case outcomeMisdirected:
 		exchange.ejectFailed(key, now)
 	}
 	if exchange.excluded == nil {
