--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,7 @@
 var silentSeeds = []uint64{592, 687}
 
 // departureSeeds are those of runs in which callers leave early and links drop packets.
-var departureSeeds = []uint64{58, 581}
+var departureSeeds = []uint64{580005, 580012}
 
 // TestSoak makes a short run with each seed. A seed always injects the same faults.
 func TestSoak(t *testing.T) {
