fairshare: instances without requests report their usages while a peer's prompts wait

Of a flood that came to one of six instances 254 to 257 requests were served in 5 s where 361 are wanted, while engines were idle: an instance that has no requests computed no shares and reported nothing, and a silent peer counts as having what the flooded one has.

Cause: shares are computed, and usages reported, only as a request asks. Change: each report of a peer at which prompts wait makes the instance compute its shares, as often as requests do (50 ms), and so report. It reports no waiting time, so that instances do not keep each other reporting.

The fixtures of fairshare and relaytest are wired as the instance is; no check is changed.

--- a/peridotpath/fairshare/divider.go
+++ b/peridotpath/fairshare/divider.go
@@ -86,6 +86,15 @@
 	divider.recordWait(now)
 }
 
+// Update computes the shares if that is due. It is called when a peer reports that prompts wait
+// there: without the usages of an instance that has no requests itself, the peer would assume there
+// what it sees at itself, and leave engines idle.
+func (divider *Divider) Update(now time.Time) {
+	divider.mutex.Lock()
+	defer divider.mutex.Unlock()
+	divider.update(now)
+}
+
 // recordWait is RecordWait for a caller that holds the mutex.
 func (divider *Divider) recordWait(now time.Time) {
 	if divider.waitedAt.IsZero() || now.Sub(divider.waitedAt) >= scarcityHold {
--- a/peridotpath/fairshare/fixture_test.go
+++ b/peridotpath/fairshare/fixture_test.go
@@ -96,13 +96,12 @@
 		})
 	}
 	endpoints.Apply(listing, time.Hour)
-	return &instance{
-		Divider: &fairshare.Divider{
-			Log: zerolog.Nop(), Sampler: &telemetry.LogSampler{PerSecond: 5}, LoadTracker: &placement.LoadTracker{},
-			Routing: state, Endpoints: endpoints.Current,
-		},
-		id: peridotpath.InstanceID(fmt.Sprintf("edge-%d", number)),
+	divider := &fairshare.Divider{
+		Log: zerolog.Nop(), Sampler: &telemetry.LogSampler{PerSecond: 5}, LoadTracker: &placement.LoadTracker{},
+		Routing: state, Endpoints: endpoints.Current,
 	}
+	divider.LoadTracker.OnPeerWaits = divider.Update
+	return &instance{Divider: divider, id: peridotpath.InstanceID(fmt.Sprintf("edge-%d", number))}
 }
 
 // newInstances returns instances in front of the same engines.
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -199,6 +199,7 @@
 		Log: log, Sampler: &telemetry.LogSampler{PerSecond: fairShareLogLinesPerSecond}, LoadTracker: instance.loads,
 		Routing: instance.routing, Endpoints: instance.cellEndpoints,
 	}
+	instance.loads.OnPeerWaits = instance.relay.FairShare.Update
 	instance.createFollowers()
 	instance.createListeners()
 	instance.setGauges()
--- a/peridotpath/placement/load_tracker.go
+++ b/peridotpath/placement/load_tracker.go
@@ -51,6 +51,8 @@
 	OnChange func()
 	// ReportedSlowdowns, when set, returns the slowdown factor of each engine known to be slow.
 	ReportedSlowdowns func(now time.Time) map[peridotpath.EndpointKey]float64
+	// OnPeerWaits, when set, is called after each report of a peer at which prompts wait.
+	OnPeerWaits func(now time.Time)
 
 	mutex sync.Mutex
 	// startedAt is when this instance began to receive reports, or the time of its first load
@@ -170,6 +172,14 @@
 
 // ApplyPeerReport replaces what is stored for a peer with a newer report.
 func (tracker *LoadTracker) ApplyPeerReport(report PeerReport, now time.Time) {
+	tracker.storePeerReport(&report, now)
+	waits := func(usage CustomerUsage) bool { return usage.Waiting > 0 }
+	if tracker.OnPeerWaits != nil && slices.ContainsFunc(report.Usages, waits) {
+		tracker.OnPeerWaits(now)
+	}
+}
+
+func (tracker *LoadTracker) storePeerReport(report *PeerReport, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	if tracker.peers == nil {
@@ -185,10 +195,10 @@
 	}
 	if previous != nil && previous.incarnation == report.Incarnation {
 		current.lastNumber, current.lastQueued = previous.lastNumber, previous.lastQueued
-		tracker.observePeerPrefill(previous, &report, now)
+		tracker.observePeerPrefill(previous, report, now)
 		tracker.updateReportLag(previous.lastNumber, report.InFlight, now)
 	} else {
-		tracker.observePeerPrefill(nil, &report, now)
+		tracker.observePeerPrefill(nil, report, now)
 	}
 	for i := range report.InFlight {
 		current.lastNumber = max(current.lastNumber, report.InFlight[i].Number)
--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -129,6 +129,7 @@
 		Log: zerolog.Nop(), Sampler: &telemetry.LogSampler{PerSecond: 5}, LoadTracker: fixture.LoadTracker,
 		Routing: fixture.Routing, Endpoints: fixture.Directory.Current,
 	}
+	fixture.LoadTracker.OnPeerWaits = fixture.Relay.FairShare.Update
 	return fixture
 }
 
