fairshare: peers that expire one after the other count on as peers that fall silent together

An instance that no longer receives its peers' digests took itself for the only one and admitted 7 to 14 prompts of a flood where 5 are wanted: peers whose last digests came within a heartbeat of 250 ms expire one by one, never more than half of them at once.

Cause: each step was compared with the one before, not with the state before the first.

No check is changed.

--- a/peridotpath/fairshare/divider.go
+++ b/peridotpath/fairshare/divider.go
@@ -26,8 +26,6 @@
 	// maxReportedUsages bounds the customers in a digest; those with the most engine time are
 	// reported.
 	maxReportedUsages = 64
-	// peersMemory is how long peers count that have all fallen silent together.
-	peersMemory = 30 * time.Second
 )
 
 // Divider divides scarce engine time between customers. Its verdicts apply while prompts wait here
@@ -64,9 +62,7 @@
 	// with the load.
 	updateTimer *time.Timer
 
-	// peerCount is the number of peers, as of peersSeenAt.
-	peerCount   int
-	peersSeenAt time.Time
+	peers peerCounter
 
 	customers  customerWeights
 	computedAt time.Time
@@ -115,7 +111,7 @@
 		return divider.isInForce
 	}
 	divider.computedAt = now
-	divider.updatePeerCount(now)
+	divider.peers.update(divider.LoadTracker.LivePeerCount(now), now)
 	reported := divider.LoadTracker.PeerUsages(now)
 	peersWait := false
 	for _, usage := range reported {
@@ -136,17 +132,6 @@
 	return true
 }
 
-// updatePeerCount updates the number of peers. When most of them fall silent together, this
-// instance more probably does not receive their digests than that they have all ended, and they
-// count for peersMemory: an instance that took itself for the only one would admit the whole share
-// of a flood.
-func (divider *Divider) updatePeerCount(now time.Time) {
-	live := divider.LoadTracker.LivePeerCount(now)
-	if 2*live >= divider.peerCount || now.Sub(divider.peersSeenAt) > peersMemory {
-		divider.peerCount, divider.peersSeenAt = live, now
-	}
-}
-
 // queuedByCustomer returns the prefill time of this instance's queued prompts by customer.
 func (divider *Divider) queuedByCustomer() map[placement.CustomerHash]time.Duration {
 	queued := map[placement.CustomerHash]time.Duration{}
@@ -192,7 +177,7 @@
 // reported yet are assumed to have the same usages as this instance: when a flood begins, each
 // instance sees its own part first.
 func (divider *Divider) judge(local []placement.CustomerUsage, reported map[placement.CustomerHash]placement.CustomerUsage, now time.Time) {
-	silent := divider.peerCount - divider.LoadTracker.UsageReporters(now)
+	silent := divider.peers.count - divider.LoadTracker.UsageReporters(now)
 	divider.partHere = make(map[placement.CustomerHash]float64, len(local))
 	totals := make(map[placement.CustomerHash]placement.CustomerUsage, len(local)+len(reported))
 	for customer, usage := range reported {
