--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -12,6 +12,7 @@
 	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/eventstream"
 	"peridotpath.example/peridotpath/failover"
+	"peridotpath.example/peridotpath/liveness"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/reservation"
 )
@@ -41,7 +42,7 @@
 	answer           *Answer
 	// failed reports that the attempt has ended without an answer, wasAnswered that it has answered.
 	failed, wasAnswered bool
-	probe               *livenessProbe
+	probe               *liveness.Probe
 	// stops end the watches of the attempt.
 	stops []func()
 }
@@ -144,7 +145,7 @@
 	contender.progressAt, contender.eventTimeout = now, contender.nextEventTimeout
 	contender.eventCount++
 	if contender.probe != nil {
-		contender.probe.recordEvent()
+		contender.probe.RecordEvent()
 	}
 }
 
--- a/peridotpath/relay/doubt.go
+++ b/peridotpath/relay/doubt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath/failover"
+	"peridotpath.example/peridotpath/liveness"
 )
 
 // doubtOf returns the doubt for which this instance ended an attempt with the error.
@@ -12,7 +13,7 @@
 	switch {
 	case errors.Is(err, errStalled):
 		return failover.DoubtOverdue
-	case errors.Is(err, errUnresponsive):
+	case errors.Is(err, liveness.ErrUnresponsive):
 		return failover.DoubtUnresponsive
 	case errors.Is(err, errLinkStalled):
 		return failover.DoubtLinkLost
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -209,22 +209,19 @@
 	return max(left, minReservationTime)
 }
 
-// retryWaitLimit returns how long the request may wait for a lent retry: until its deadline, or
-// until its client disconnects since no event arrives. A stream that has begun is continued after
-// its deadline.
+// retryWaitLimit returns how long the request may wait for a lent retry.
 func (exchange *exchange) retryWaitLimit(now time.Time) time.Duration {
-	limit := retrybudget.MaxWait
-	if !exchange.streamBegun {
-		limit = min(limit, exchange.deadline.Sub(now))
-	}
-	if idleTimeout := exchange.route.ClientIdleTimeout; exchange.route.Streaming && idleTimeout > 0 {
-		lastHeard := exchange.request.ArrivedAt
-		if exchange.streamBegun {
-			lastHeard = exchange.lastEventAt
-		}
-		limit = min(limit, idleTimeout-now.Sub(lastHeard))
+	wait := failover.RetryWait{
+		Longest: retrybudget.MaxWait, TimeLeft: exchange.deadline.Sub(now), HasBegun: exchange.streamBegun,
+		SinceHeard: now.Sub(exchange.request.ArrivedAt),
+	}
+	if exchange.streamBegun {
+		wait.SinceHeard = now.Sub(exchange.lastEventAt)
+	}
+	if exchange.route.Streaming {
+		wait.ClientIdleTimeout = exchange.route.ClientIdleTimeout
 	}
-	return limit
+	return wait.Limit()
 }
 
 func (exchange *exchange) finalResult(outcome outcome) *peridotpath.Result {
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -342,7 +342,7 @@
 			}
 		}
 	}
-	exchange.relay.silentEndpoints.recordAnswer(result.contender.plan.Primary.Key())
+	exchange.relay.silentCalls.RecordAnswer(result.contender.plan.Primary.Key())
 	return exchange.relayWhole(result.answer, result.held.Body), nil
 }
 
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -13,6 +13,7 @@
 	"peridotpath.example/peridotpath/availability"
 	"peridotpath.example/peridotpath/booking"
 	"peridotpath.example/peridotpath/directory"
+	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/fairshare"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
@@ -79,8 +80,8 @@
 	// aborts the request without a cancellation by this instance.
 	EngineStallTime time.Duration
 
-	crashProbes     singleflight.Group
-	silentEndpoints silentEndpoints
+	crashProbes singleflight.Group
+	silentCalls failover.SilentCalls
 }
 
 const (
--- a/peridotpath/relay/second_endpoint.go
+++ b/peridotpath/relay/second_endpoint.go
@@ -3,10 +3,8 @@
 import (
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
-	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/telemetry"
@@ -88,7 +86,7 @@
 		winner = "first"
 	default:
 		winner = "second"
-		if key := first.plan.Primary.Key(); !exchange.route.Streaming && !first.failed && !first.answered.Load() && exchange.relay.silentEndpoints.recordSilence(key) {
+		if key := first.plan.Primary.Key(); !exchange.route.Streaming && !first.failed && !first.answered.Load() && exchange.relay.silentCalls.RecordSilence(key) {
 			// Whether the own link is to blame depends on the way of the silent attempt.
 			exchange.attemptState = first.attemptState
 			exchange.ejectFailed(key, now)
@@ -103,35 +101,3 @@
 			Str("winner", winner).Msg("second_attempt")
 	}
 }
-
-// maxSilentCalls is the number of consecutive calls to an endpoint that another one answered
-// first, without the beginning of an answer, after which the endpoint is ejected. Since these
-// calls are cancelled, the endpoint would otherwise look idle and attract more of them.
-const maxSilentCalls = 2
-
-// maxSilentEndpoints bounds the endpoints that are counted; those that left the fleet stay.
-const maxSilentEndpoints = 1024
-
-// silentEndpoints counts for each endpoint the consecutive calls that it was silent on.
-type silentEndpoints struct {
-	mutex  sync.Mutex
-	counts map[peridotpath.EndpointKey]int
-}
-
-// recordSilence counts a call, and reports whether the endpoint is to be ejected.
-func (silent *silentEndpoints) recordSilence(key peridotpath.EndpointKey) bool {
-	silent.mutex.Lock()
-	defer silent.mutex.Unlock()
-	if silent.counts == nil || len(silent.counts) >= maxSilentEndpoints {
-		silent.counts = map[peridotpath.EndpointKey]int{}
-	}
-	silent.counts[key]++
-	return silent.counts[key] >= maxSilentCalls
-}
-
-// recordAnswer records that the endpoint has answered.
-func (silent *silentEndpoints) recordAnswer(key peridotpath.EndpointKey) {
-	silent.mutex.Lock()
-	defer silent.mutex.Unlock()
-	delete(silent.counts, key)
-}
