reach: an endpoint is told the end of a request as soon as it answers again after a cut

Engines worked on for callers that had left during a cut, for seconds after their links were back: the end of a connection that is closed meanwhile is sent again by the kernel at intervals that double (after a cut of 4 s up to 3 s later, after 12 s up to 12 s). In those seconds the living come back to engines whose slots are taken by the departed.

Cause: after closing there is no way to send the end sooner. When the endpoint answers on a connection that was opened later, the link works and the kept one is reset, which takes one packet. Connections whose bytes have not all arrived are reset at once, as before this. TCP_USER_TIMEOUT was weighed: it drops the connection without a word. A reset for all kept ones at `links_restored` was weighed: a link that is still cut would lose it.

New: peridotpath_ends_told_after_cut_total.

--- a/peridotpath/outbound/conn.go
+++ b/peridotpath/outbound/conn.go
@@ -65,6 +65,19 @@
 	return conn.Conn.Close()
 }
 
+// CloseWrite ends this side of the connection.
+func (conn *conn) CloseWrite() error { return conn.tcp.CloseWrite() }
+
+// HasArrived reports whether the other side has all that was written, as far as the kernel tells.
+func (conn *conn) HasArrived() bool { return conn.arrival() == arrivedAll }
+
+// Reset closes the connection at once, so that the other side learns of it with a single packet.
+func (conn *conn) Reset() error {
+	conn.isClosed.Store(true)
+	_ = conn.tcp.SetLinger(0)
+	return conn.Conn.Close()
+}
+
 // arrival returns how much of what was written has arrived.
 func (conn *conn) arrival() arrival {
 	left, isKnown := tcpinfo.Unacknowledged(conn.tcp)
--- a/peridotpath/outbound/linktest/linktest.go
+++ b/peridotpath/outbound/linktest/linktest.go
@@ -9,19 +9,23 @@
 	"net"
 	"net/netip"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // dropAll is a socket filter that accepts no byte of any packet.
-var dropAll = []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K, K: 0}}
+var dropAll = []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 
 // Cut makes the kernel drop all that arrives on the connection. Both ends are cut by a call for each.
 func Cut(conn net.Conn) error {
-	return control(conn, func(socket int) error { return syscall.AttachLsf(socket, dropAll) })
+	return control(conn, func(socket int) error { return attach(socket, dropAll) })
 }
 
 // Heal ends a cut.
 func Heal(conn net.Conn) error {
-	return control(conn, syscall.DetachLsf)
+	return control(conn, func(socket int) error {
+		return unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+	})
 }
 
 const (
@@ -36,15 +40,20 @@
 // connections from there hang; none ends that. Connections that the listener accepts inherit it
 // until Cut or Heal is called for them.
 func CutSources(listener net.Listener, sources ...netip.Addr) error {
-	filter := []syscall.SockFilter{{Code: syscall.BPF_LD | syscall.BPF_W | syscall.BPF_ABS, K: sourceOffset}}
+	filter := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: sourceOffset}}
 	for i, source := range sources {
 		address := source.As4()
-		filter = append(filter, syscall.SockFilter{
-			Code: syscall.BPF_JMP | syscall.BPF_JEQ | syscall.BPF_K, Jt: uint8(len(sources) - i), K: binary.BigEndian.Uint32(address[:]),
+		filter = append(filter, unix.SockFilter{
+			Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: uint8(len(sources) - i), K: binary.BigEndian.Uint32(address[:]),
 		})
 	}
-	filter = append(filter, syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K, K: acceptAll}, dropAll[0])
-	return control(listener, func(socket int) error { return syscall.AttachLsf(socket, filter) })
+	filter = append(filter, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: acceptAll}, dropAll[0])
+	return control(listener, func(socket int) error { return attach(socket, filter) })
+}
+
+func attach(socket int, filter []unix.SockFilter) error {
+	program := &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	return unix.SetsockoptSockFprog(socket, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
 }
 
 func control(socket any, use func(socket int) error) error {
--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -51,6 +51,7 @@
 
 	peerOrder  peerOrder
 	suspicions chan netip.AddrPort
+	farewells  farewells
 }
 
 // Init prepares the dialer for use.
--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -72,7 +72,8 @@
 			startedAt := time.Now()
 			probed := dialer.probe(ctx, dialer.Sample(sampleSize, target), carriersPerRound)
 			dialer.Tracker.EndRound(startedAt, probed, time.Now())
-		case <-ticker.C:
+		case now := <-ticker.C:
+			dialer.farewells.expire(now)
 			dialer.followUp(ctx)
 		}
 	}
--- a/peridotpath/reach/watch.go
+++ b/peridotpath/reach/watch.go
@@ -21,9 +21,11 @@
 	mutex sync.Mutex
 	// writtenAt is when the request was written that has no answer yet; zero if there is none.
 	writtenAt time.Time
-	silence   *time.Timer
-	answered  bool
-	closed    bool
+	// activeAt is when something was last written or received.
+	activeAt time.Time
+	silence  *time.Timer
+	answered bool
+	closed   bool
 }
 
 // Write writes to the connection.
@@ -48,9 +50,14 @@
 // Close closes the connection.
 func (conn *watchedConn) Close() error {
 	conn.mutex.Lock()
+	isFirst, now := !conn.closed, time.Now()
+	isSilent := !conn.activeAt.IsZero() && now.Sub(conn.activeAt) >= silentAfter
 	conn.closed = true
 	conn.stopAwaiting()
 	conn.mutex.Unlock()
+	if isFirst && isSilent && conn.dialer.farewells.add(conn.Conn, conn.target, now) {
+		return nil
+	}
 	return conn.Conn.Close()
 }
 
@@ -58,10 +65,11 @@
 func (conn *watchedConn) awaitAnswer() {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
+	writtenAt := time.Now()
+	conn.activeAt = writtenAt
 	if conn.closed || !conn.writtenAt.IsZero() {
 		return
 	}
-	writtenAt := time.Now()
 	conn.writtenAt = writtenAt
 	conn.silence = time.AfterFunc(silentAfter, func() { conn.dialer.suspectSilence(conn.target, writtenAt) })
 }
@@ -70,7 +78,7 @@
 func (conn *watchedConn) recordAnswer() {
 	conn.mutex.Lock()
 	writtenAt, isFirst := conn.writtenAt, !conn.answered
-	conn.answered = true
+	conn.answered, conn.activeAt = true, time.Now()
 	conn.stopAwaiting()
 	conn.mutex.Unlock()
 	if !writtenAt.IsZero() {
@@ -78,6 +86,7 @@
 	}
 	if isFirst {
 		conn.dialer.Tracker.RecordFirstAnswer(conn.target, conn.openedAt, time.Now())
+		conn.dialer.farewells.recordAnswer(conn.target, conn.openedAt)
 	}
 }
 
--- a/peridotpath/tcpinfo/tcpinfo.go
+++ b/peridotpath/tcpinfo/tcpinfo.go
@@ -20,18 +20,32 @@
 // HasPeerClosed reports whether the other side has closed or reset a connection, also where bytes
 // that it sent before are unread. It returns false where the kernel does not tell.
 func HasPeerClosed(conn syscall.Conn) bool {
-	hasClosed := false
+	state, isKnown := stateOf(conn)
+	if !isKnown {
+		return false
+	}
+	switch state {
+	case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT:
+		return true
+	}
+	return false
+}
+
+// AwaitsEnd reports whether the end of this side of a connection was sent and is not acknowledged.
+func AwaitsEnd(conn syscall.Conn) bool {
+	state, isKnown := stateOf(conn)
+	return isKnown && state == unix.BPF_TCP_FIN_WAIT1
+}
+
+// stateOf returns the state of a connection; false where the kernel does not tell.
+func stateOf(conn syscall.Conn) (state uint8, isKnown bool) {
 	control(conn, func(socket int) {
 		info, err := unix.GetsockoptTCPInfo(socket, unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		switch info.State {
-		case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT:
-			hasClosed = true
+		if err == nil {
+			state, isKnown = info.State, true
 		}
 	})
-	return hasClosed
+	return state, isKnown
 }
 
 // control calls use with the connection's socket, unless this side has closed it.
--- a/peridotpath/telemetry/dial.go
+++ b/peridotpath/telemetry/dial.go
@@ -35,9 +35,14 @@
 var (
 	dialsThroughPeers = metrics.NewCounter("peridotpath_dials_through_peers_total")
 	tunnelsOpen       = metrics.NewCounter("peridotpath_tunnels_open")
+	endsToldAfterCut  = metrics.NewCounter("peridotpath_ends_told_after_cut_total")
 	callersFoundGone  = metrics.NewCounter("peridotpath_callers_found_gone_total")
 )
 
+// CountEndToldAfterCut counts a connection that was given up over a link that carried nothing, and
+// whose end the endpoint was told once it answered again.
+func CountEndToldAfterCut() { endsToldAfterCut.Inc() }
+
 // CountCallerFoundGone counts a question before a send whose answer was that the caller has left.
 func CountCallerFoundGone() { callersFoundGone.Inc() }
 
