--- a/peridotpath/reach/dialer.go
+++ b/peridotpath/reach/dialer.go
@@ -51,7 +51,7 @@
 
 	peerOrder  peerOrder
 	suspicions chan netip.AddrPort
-	farewells  farewells
+	lingering  lingeringConns
 }
 
 // Init prepares the dialer for use.
--- a/peridotpath/reach/farewell_test.go
+++ b/peridotpath/reach/lingering_test.go
@@ -52,7 +52,18 @@
 	client, server := connect()
 	is.NoErr(linktest.Cut(server))
 	time.Sleep(400 * time.Millisecond)
+	read := make(chan error, 1)
+	go func() {
+		_, err := client.Read(make([]byte, 1))
+		read <- err
+	}()
 	is.NoErr(client.Close())
+	select {
+	case err := <-read:
+		is.True(err != nil)
+	case <-time.After(time.Second):
+		t.Error("who reads the connection waits on after it is closed")
+	}
 	time.Sleep(3800 * time.Millisecond)
 	is.NoErr(linktest.Heal(server))
 	healedAt := time.Now()
--- a/peridotpath/reach/probe.go
+++ b/peridotpath/reach/probe.go
@@ -73,7 +73,7 @@
 			probed := dialer.probe(ctx, dialer.Sample(sampleSize, target), carriersPerRound)
 			dialer.Tracker.EndRound(startedAt, probed, time.Now())
 		case now := <-ticker.C:
-			dialer.farewells.expire(now)
+			dialer.lingering.expire(now)
 			dialer.followUp(ctx)
 		}
 	}
--- a/peridotpath/reach/watch.go
+++ b/peridotpath/reach/watch.go
@@ -55,7 +55,7 @@
 	conn.closed = true
 	conn.stopAwaiting()
 	conn.mutex.Unlock()
-	if isFirst && isSilent && conn.dialer.farewells.add(conn.Conn, conn.target, now) {
+	if isFirst && isSilent && conn.dialer.lingering.add(conn.Conn, conn.target, now) {
 		return nil
 	}
 	return conn.Conn.Close()
@@ -86,7 +86,7 @@
 	}
 	if isFirst {
 		conn.dialer.Tracker.RecordFirstAnswer(conn.target, conn.openedAt, time.Now())
-		conn.dialer.farewells.recordAnswer(conn.target, conn.openedAt)
+		conn.dialer.lingering.recordAnswer(conn.target, conn.openedAt)
 	}
 }
 
