outbound: an end that was sent in a cut is not dropped when its connection is closed

A lingering connection that is closed after 30 s without an answer was reset: the end of a connection counts as a byte that is not acknowledged, so that Close took it for a part of the request that had not arrived. An endpoint whose link is cut for longer would never learn that its caller has left.

Change: CloseWrite decides; Close then leaves the end to the kernel. Evidence: TestEndThatWasSentInCutIsNotDropped, i/o timeout before, the end of the connection now.

--- a/peridotpath/outbound/conn.go
+++ b/peridotpath/outbound/conn.go
@@ -16,11 +16,12 @@
 	net.Conn
 
 	tcp *net.TCPConn
-	// written counts the bytes that were written, those of a call that has not returned included; isAnswered reports that something was received
-	// since the last of them.
-	written    atomic.Int64
+	// written counts the bytes that were written, those of a call that has not returned included.
+	written atomic.Int64
+	// isAnswered reports that something was received since the last write.
 	isAnswered atomic.Bool
-	isClosed   atomic.Bool
+	// isEnded reports that this side has ended, so that nothing is left to decide.
+	isEnded atomic.Bool
 }
 
 // newConn returns a conn, or a connection that is not TCP unchanged.
@@ -55,7 +56,7 @@
 
 // Close closes the connection.
 func (conn *conn) Close() error {
-	if !conn.isClosed.Swap(true) && conn.written.Load() > 0 && !conn.isAnswered.Load() {
+	if !conn.isEnded.Swap(true) && conn.written.Load() > 0 && !conn.isAnswered.Load() {
 		arrival := conn.arrival()
 		telemetry.CountConnectionGivenUp(arrival.String())
 		if arrival.mustDropRest() {
@@ -65,15 +66,19 @@
 	return conn.Conn.Close()
 }
 
-// CloseWrite ends this side of the connection.
-func (conn *conn) CloseWrite() error { return conn.tcp.CloseWrite() }
+// CloseWrite ends this side of the connection. Close then leaves it to the kernel to send this end
+// until it arrives.
+func (conn *conn) CloseWrite() error {
+	conn.isEnded.Store(true)
+	return conn.tcp.CloseWrite()
+}
 
 // HasArrived reports whether the other side has all that was written, as far as the kernel tells.
 func (conn *conn) HasArrived() bool { return conn.arrival() == arrivedAll }
 
 // Reset closes the connection at once, so that the other side learns of it with a single packet.
 func (conn *conn) Reset() error {
-	conn.isClosed.Store(true)
+	conn.isEnded.Store(true)
 	_ = conn.tcp.SetLinger(0)
 	return conn.Conn.Close()
 }
--- a/peridotpath/outbound/given_up_test.go
+++ b/peridotpath/outbound/given_up_test.go
@@ -109,6 +109,24 @@
 	is.Equal(string(received), "request")
 }
 
+// The end of a connection is sent while its link is cut, and the connection is closed before that has
+// arrived: the end counts as a byte that was not acknowledged, and must not be dropped.
+func TestEndThatWasSentInCutIsNotDropped(t *testing.T) {
+	is := is.New(t)
+	pair := connect(t)
+	_, err := io.WriteString(pair.client, "request")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	pair.cut(t)
+	is.NoErr(pair.client.(interface{ CloseWrite() error }).CloseWrite())
+	time.Sleep(20 * time.Millisecond)
+	is.NoErr(pair.client.Close())
+	pair.heal(t)
+	received, err := pair.received()
+	is.NoErr(err) // the end of the connection
+	is.Equal(string(received), "request")
+}
+
 // An endpoint that reads slowly gets the rest of a request that was given up, and runs it.
 func TestRestOfRequestGivenUpIsDropped(t *testing.T) {
 	is := is.New(t)
