--- a/review/standins/case_refused.go
+++ b/review/standins/case_refused.go
@@ -52,7 +52,7 @@
 				w.note("%s: REFUSED: the client got %d, which promises that it has not run, and it ran %d times", id, r.status, len(runs))
 			}
 		}
-		if r.err != nil || r.header.Get("Connection") == "close" {
+		if r.err != nil || r.closes {
 			c.close()
 			c = w.connect(node)
 		}
--- a/review/standins/case_status.go
+++ b/review/standins/case_status.go
@@ -64,7 +64,7 @@
 			broken++
 			w.note("%s: MIXED: the client got the success %d with the signature %q, where the replica had answered with a failure", id, r.status, r.signature())
 		}
-		if r.err != nil || r.header.Get("Connection") == "close" {
+		if r.err != nil || r.closes {
 			c.close()
 			c = w.connect(node)
 		}
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -300,7 +300,9 @@
 	header          http.Header
 	body            []byte
 	complete        bool
-	err             error
+	// closes reports that the answer asks for the connection to be closed.
+	closes bool
+	err    error
 }
 
 func (r *reply) signature() string {
@@ -351,7 +353,7 @@
 		r.err = err
 		return r
 	}
-	r.status, r.header = response.StatusCode, response.Header
+	r.status, r.header, r.closes = response.StatusCode, response.Header, response.Close
 	r.body, r.err = io.ReadAll(response.Body)
 	r.complete = r.err == nil
 	return r
