outbound: a response without a final status is no response

Cause: net/http's client takes any three digits for a status, and any version. Nothing asked for a final status of HTTP/1.x, so 000 to 099, a final 101 and 600 to 999 were answers of the endpoint: its signature, announcements and "not executed" counted, a stream ended as a complete and empty one.

Change: outbound.Do, which sends every request of the system, checks the version and the status of each response. What is no final response is ErrNoResponse: the server may have run the request. So a request that may run once ends with our own 502, one that may be repeated is tried elsewhere, and the endpoint is ejected as for any malformed answer.

A status that is spoiled to another valid one (500 to 200) can't be told from an answer.

--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -22,7 +22,7 @@
 	// the request was not executed.
 	ErrNotSent = errs.Class("not sent")
 	// ErrNoResponse means that the request may have been executed, but no response was
-	// received.
+	// received, or one that is none by the protocol.
 	ErrNoResponse = errs.Class("answer lost")
 )
 
@@ -59,7 +59,7 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := httpc.DoRequest(request)
 	if err == nil {
-		return response, nil
+		return accept(response)
 	}
 	if sent.Load() {
 		return nil, ErrNoResponse.Wrap(err)
@@ -67,6 +67,15 @@
 	return nil, ErrNotSent.Wrap(err)
 }
 
+// accept returns the response if it is one.
+func accept(response *http.Response) (*http.Response, error) {
+	if err := checkResponse(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
 // Doer implements the HTTP client interface of generated code with the function Do.
 type Doer struct{}
 
