--- a/peridotpath/relay/ending.go
+++ b/peridotpath/relay/ending.go
@@ -26,8 +26,8 @@
 			caller.Answer(status, header, body)
 		},
 		Begin: func(status int, header http.Header) {
-			ending.begun = true
 			caller.Begin(status, header)
+			ending.begun = true
 		},
 		Event: caller.Event,
 		End: func() {
