caller: a truncated answer to an HTTP/1.0 client ends with a reset

What callers would see: a stream that broke off looks complete to a client that speaks HTTP/1.0.

Cause: such an answer has neither a length nor chunks; its end is the end of the connection. http.ErrAbortHandler closes the connection as after a complete answer.

Change: caller.Abort resets the connection of a client before HTTP/1.1 whose answer has no length. What arrived before the reset can still be read.

--- a/peridotpath/caller/failure.go
+++ b/peridotpath/caller/failure.go
@@ -68,7 +68,7 @@
 	if exchange.isOpaque {
 		// A partial answer of a plain service would look complete if the connection
 		// closed normally, so the connection is aborted.
-		panic(http.ErrAbortHandler)
+		Abort(exchange.writer, exchange.request)
 	}
 	if exchange.bodyConsumed {
 		exchange.sendFailure(result)
