shutdown: whatever waits when an instance stops is answered before it exits

Cause: the time of the exit is known at SIGTERM, and nothing that waits asked for it. The shutdown waited for running requests until grace - 0.2 s and then ended the process. The class of fault: a wait that no end of the process bounds; the prefill queue is the one that waits longest.

Change: package shutdown has one Notice of the exit, which the shutdown begins at SIGTERM. - Each request takes its context from it. Plans, the outlooks of both queues and calls to plain services are refused at once where the answer would be whole only after the exit.

--- a/peridotpath/booking/booking.go
+++ b/peridotpath/booking/booking.go
@@ -114,6 +114,28 @@
 	return at.Sub(now), true
 }
 
+// handOverDelay is the time until a request returns that an exiting instance hands over. Other
+// instances hear of it before.
+const handOverDelay = 150 * time.Millisecond
+
+// HandOver books the return of a request whose instance exits while it waits, and returns the time
+// until then. It keeps its place: the capacity that it needs was promised to it before.
+func (ledger *Ledger) HandOver(fingerprint peridotpath.Fingerprint, work time.Duration, now time.Time) time.Duration {
+	booked := Return{Fingerprint: fingerprint, At: now.Add(handOverDelay), Work: work, IsOwn: true}
+	ledger.mutex.Lock()
+	ledger.expire(now)
+	_, isKnown := ledger.returns[fingerprint]
+	isKept := isKnown || len(ledger.returns) < maxBookings
+	if isKept {
+		ledger.store(booked)
+	}
+	ledger.mutex.Unlock()
+	if isKept && ledger.Announce != nil {
+		ledger.Announce(booked, now)
+	}
+	return handOverDelay
+}
+
 // Claim reports whether a request returns at its booked time, and marks the booking as used.
 func (ledger *Ledger) Claim(fingerprint peridotpath.Fingerprint, now time.Time) bool {
 	ledger.mutex.Lock()
--- a/peridotpath/booking/booking_test.go
+++ b/peridotpath/booking/booking_test.go
@@ -207,3 +207,24 @@
 		is.True(!valid)
 	}
 }
+
+// An instance exits while a prompt waits in its queue. The prompt returns at another instance, and would
+// wait there behind those that have come since.
+func TestHandedOverPromptKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	other := &booking.Ledger{}
+	ledger := &booking.Ledger{Announce: func(booked booking.Return, at time.Time) {
+		received, valid := booking.ReturnOf(booking.FactOf(booked, at))
+		is.True(valid)
+		other.Receive(received, at.Add(25*time.Millisecond))
+	}}
+	wait, booked := ledger.Book(request(1, now), now)
+	is.True(booked)
+	now = now.Add(wait)
+	is.True(ledger.Claim(fingerprint(1), now)) // it has returned once, and waits
+	wait = ledger.HandOver(fingerprint(1), 4*time.Second, now)
+	is.True(wait > 0 && wait < time.Second)
+	is.True(other.Claim(fingerprint(1), now.Add(wait)))
+	is.True(!other.Claim(fingerprint(1), now.Add(wait)))
+}
--- a/peridotpath/caller/body.go
+++ b/peridotpath/caller/body.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/shutdown"
 )
 
 // BodyReader reads request bodies and bounds the total memory that they use.
@@ -24,6 +25,8 @@
 	// ReadTimeout bounds the time between two reads of a body; a stalled sender
 	// would otherwise hold memory without limit.
 	ReadTimeout time.Duration
+	// ExitNotice announces the exit of the process; nil where it never exits.
+	ExitNotice *shutdown.Notice
 
 	memory *semaphore.Weighted
 }
@@ -129,11 +132,14 @@
 
 // readAll reads the body to its end.
 func (bodyBuffer *bodyBuffer) readAll(controller *http.ResponseController, body io.Reader) *peridotpath.Result {
+	notice := bodyBuffer.reader.ExitNotice
+	stop := notice.AfterFunc(func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer stop()
 	for {
 		if len(bodyBuffer.data) == cap(bodyBuffer.data) && !bodyBuffer.reserve(int64(cap(bodyBuffer.data))) {
 			return bodyMemoryResult()
 		}
-		_ = controller.SetReadDeadline(earlier(bodyBuffer.reader.readDeadline(bodyBuffer.startedAt, len(bodyBuffer.data)), bodyBuffer.deadline))
+		_ = controller.SetReadDeadline(bodyBuffer.nextReadDeadline())
 		err := bodyBuffer.readPiece(body)
 		switch {
 		case len(bodyBuffer.data) > int(bodyBuffer.reader.MaxBodySize):
@@ -141,12 +147,21 @@
 		case errors.Is(err, io.EOF):
 			_ = controller.SetReadDeadline(time.Time{})
 			return nil
+		case err != nil && notice.IsOver():
+			return &peridotpath.Result{Code: peridotpath.CodeStopping, RetryAfter: shutdown.RetryAfter}
 		case err != nil:
 			return &peridotpath.Result{Code: peridotpath.CodeBodyIncomplete, Detail: err.Error()}
 		}
 	}
 }
 
+// nextReadDeadline returns until when the next piece must arrive.
+func (bodyBuffer *bodyBuffer) nextReadDeadline() time.Time {
+	next := earlier(bodyBuffer.reader.readDeadline(bodyBuffer.startedAt, len(bodyBuffer.data)), bodyBuffer.deadline)
+	answerBy, _ := bodyBuffer.reader.ExitNotice.AnswerBy()
+	return earlier(next, answerBy)
+}
+
 // readPiece reads once into the buffer's spare capacity.
 func (bodyBuffer *bodyBuffer) readPiece(body io.Reader) error {
 	length := len(bodyBuffer.data)
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -33,6 +33,7 @@
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/shortqueue"
+	"peridotpath.example/peridotpath/shutdown"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 	"peridotpath.example/peridotpath/tunnel"
@@ -140,6 +141,7 @@
 	readiness           readiness
 	activeRequests      atomic.Int64
 	stopping            atomic.Bool
+	exitNotice          shutdown.Notice
 	// closing reports that no further request is accepted.
 	closing           atomic.Bool
 	callerListener    *inbound.Listener
@@ -193,7 +195,7 @@
 		Bookings:   instance.bookings, AdmissionSampler: &telemetry.LogSampler{PerSecond: admissionLogLinesPerSecond},
 		OnOverdueFirstEvent: instance.prober.ProbeOverdue, EngineStallTime: settings.StallTime,
 		RoutingReady: instance.startup.routingReady, StartDone: instance.startup.finished,
-		RetryBudget: instance.retryBudget,
+		RetryBudget: instance.retryBudget, ExitNotice: &instance.exitNotice,
 	}
 	instance.relay.FairShare = &fairshare.Divider{
 		Log: log, Sampler: &telemetry.LogSampler{PerSecond: fairShareLogLinesPerSecond}, LoadTracker: instance.loads,
--- a/peridotpath/instance/instance_test.go
+++ b/peridotpath/instance/instance_test.go
@@ -115,6 +115,12 @@
 // startInstanceWithIngress starts an instance with a handler of callers' requests, and waits until
 // it is ready.
 func startInstanceWithIngress(t *testing.T, grace time.Duration, ingress func(instance.IngressDependencies) http.Handler, changes ...func(*instance.Settings)) *runningInstance {
+	t.Helper()
+	return startAdaptedInstance(t, grace, func(adapter *instance.Adapter) { adapter.Ingress = ingress }, changes...)
+}
+
+// startAdaptedInstance starts an instance with a changed adapter, and waits until it is ready.
+func startAdaptedInstance(t *testing.T, grace time.Duration, adapt func(*instance.Adapter), changes ...func(*instance.Settings)) *runningInstance {
 	t.Helper()
 	addresses := freePorts(t, 5)
 	running := &runningInstance{stop: make(chan os.Signal, 1), ended: make(chan error, 1), release: make(chan struct{})}
@@ -139,8 +145,8 @@
 			}
 			return &relay.Answer{Status: 200, Header: http.Header{}, MatchesRequest: true, Body: io.NopCloser(strings.NewReader("done"))}, nil
 		},
-		Ingress: ingress,
 	}
+	adapt(&adapter)
 	go func() { running.ended <- instance.New(running.settings, adapter, zerolog.Nop()).Run(running.stop) }()
 	for range 1000 {
 		if running.status("/ready", running.settings.ReadyAddress) == http.StatusOK {
--- a/peridotpath/instance/listen.go
+++ b/peridotpath/instance/listen.go
@@ -31,6 +31,7 @@
 func (instance *Instance) createListeners() {
 	settings := instance.Settings
 	bodies := caller.NewBodyReader(initialMaxBodyBytes, peridotpath.Bytes(bodyMemoryShare*float64(settings.Memory)), bodyReadTimeout)
+	bodies.ExitNotice = &instance.exitNotice
 	handler := instance.Adapter.Ingress(IngressDependencies{
 		Relay: instance.relay, Bodies: bodies, Closing: instance.closing.Load,
 		Stopping: func() bool { return instance.stopping.Load() || instance.shouldMoveCallers() },
--- a/peridotpath/instance/shutdown.go
+++ b/peridotpath/instance/shutdown.go
@@ -15,6 +15,9 @@
 	maxDeregistrationShare = 0.4
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 200 * time.Millisecond
+	// answerMarginShare is the share of the grace period, before the exit, in which nothing runs but
+	// the answers of requests that end then are written.
+	answerMarginShare = 0.05
 	// activePollInterval is the interval at which a shutdown checks for requests that still
 	// run.
 	activePollInterval = 20 * time.Millisecond
@@ -22,14 +25,16 @@
 
 // shutDown performs a planned shutdown: it reports not ready, serves requests until the
 // load balancer has moved callers to other instances, then accepts no more and lets running
-// requests finish.
+// requests finish. Those that have not ended shortly before the exit are ended with an answer.
 func (instance *Instance) shutDown(ctx context.Context) {
 	startedAt, grace := time.Now(), instance.Settings.Grace
+	exitAt := startedAt.Add(grace - exitMargin)
 	instance.stopping.Store(true)
+	instance.exitNotice.Begin(exitAt.Add(-time.Duration(answerMarginShare * float64(grace))))
 	instance.Log.Info().Int64("active", instance.activeRequests.Load()).Dur("grace", grace).Msg("stopping")
 	time.Sleep(min(deregistrationDelay, time.Duration(maxDeregistrationShare*float64(grace))))
 	instance.closing.Store(true)
-	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(grace-exitMargin))
+	ctx, cancel := context.WithDeadline(ctx, exitAt)
 	defer cancel()
 	instance.drainCallers(ctx)
 	instance.Log.Info().Int64("active", instance.activeRequests.Load()).Dur("took", time.Since(startedAt)).Msg("callers_closed")
--- a/peridotpath/placement/admission.go
+++ b/peridotpath/placement/admission.go
@@ -11,6 +11,8 @@
 	Work Work
 	// UntilPrefilled is the time until the prompts ahead and this one have been prefilled.
 	UntilPrefilled time.Duration
+	// Decode is the time from the first event to the last one.
+	Decode time.Duration
 	// IsBooked is set where the request was refused before and returned at the booked time.
 	IsBooked bool
 	// IsResumed is set where the client has received a part of the answer.
@@ -36,6 +38,8 @@
 	QueueWait QueueVerdict = iota
 	// QueueHopeless: the client gives up before the first event.
 	QueueHopeless
+	// QueueExit: the answer would end after this process has exited.
+	QueueExit
 	// QueueTimeout: the prompt is late, and the rest of its time is for a retry.
 	QueueTimeout
 )
@@ -47,6 +51,8 @@
 	switch {
 	case outlook.UntilPrefilled > work.FirstEventTimeout():
 		return QueueHopeless
+	case work.EndsAfterExit(outlook.UntilPrefilled + outlook.Decode):
+		return QueueExit
 	case outlook.IsBooked, !outlook.MissesTarget():
 		return QueueWait
 	case work.Waited > time.Duration(maxLateQueueShare*float64(work.Waited+work.TimeLeft)):
--- a/peridotpath/placement/model.go
+++ b/peridotpath/placement/model.go
@@ -54,6 +54,11 @@
 	return time.Duration(iterations) * iteration
 }
 
+// ShortestDecodeTime returns the decode time of the work's answer on an engine that runs nothing else.
+func (model Model) ShortestDecodeTime(work Work) time.Duration {
+	return model.DecodeTime(work.AnswerTokens, model.IterationTime(1, work.PromptTokens))
+}
+
 // valueUnitTokens is the prompt length whose answer has the value 1. valueExponent is
 // how value grows with length. An equal value for all lengths (exponent 0) would starve
 // long prompts, and a value per token (exponent 1) would starve short ones.
--- a/peridotpath/placement/plain.go
+++ b/peridotpath/placement/plain.go
@@ -6,9 +6,13 @@
 const maxLoadFactor = 3
 
 // PlanPlain chooses the endpoint of a plain service with the fewest requests per slot
-// (weighted least-request). It returns false where all are at their limit.
+// (weighted least-request). It returns false where all are at their limit, and where this process
+// exits before an answer is due: how long a call takes is not known, but for the target of its route.
 func PlanPlain(work Work, candidates []Candidate, snapshot LoadSnapshot) (Plan, bool) {
 	best, found := Plan{}, false
+	if work.EndsAfterExit(work.TTFTTarget) {
+		return best, false
+	}
 	for i := range candidates {
 		candidate := &candidates[i]
 		load := snapshot.At(candidate.Key)
--- a/peridotpath/placement/plan.go
+++ b/peridotpath/placement/plan.go
@@ -28,6 +28,8 @@
 	// ClientTimeout is the time until the client times out if no event arrives; zero
 	// where that is not known.
 	ClientTimeout time.Duration
+	// UntilExit is the time until this process writes no more answers; zero while it does not exit.
+	UntilExit time.Duration
 	// MaxPrefillDelay, when set, limits the plan to engines that can start their prefill
 	// within this time.
 	MaxPrefillDelay time.Duration
@@ -48,6 +50,12 @@
 	return time.Duration(maxHold*float64(work.TTFTTarget)) - work.Waited
 }
 
+// EndsAfterExit reports whether an answer that takes a time until it is whole ends after this process
+// has exited.
+func (work *Work) EndsAfterExit(untilWhole time.Duration) bool {
+	return work.UntilExit > 0 && untilWhole > work.UntilExit
+}
+
 // FirstEventTimeout is the time until the client disconnects if the answer has not begun.
 func (work *Work) FirstEventTimeout() time.Duration {
 	if work.ClientTimeout > 0 {
@@ -177,7 +185,7 @@
 			continue
 		}
 		decode := model.DecodeTime(work.AnswerTokens, max(primary.iteration, model.IterationTime(1, work.PromptTokens)))
-		if !isFeasible(plan, work, decode) {
+		if !isFeasible(plan, work, decode) || work.EndsAfterExit(plan.TimeToFirstEvent+decode) {
 			continue
 		}
 		if !found || plan.Cost < best.Cost {
--- a/peridotpath/placement/short_queue.go
+++ b/peridotpath/placement/short_queue.go
@@ -49,6 +49,8 @@
 	CannotFinish bool
 	// TimeToFirstEvent is the time to first event on an engine with a free slot.
 	TimeToFirstEvent time.Duration
+	// Decode is the time from the first event to the last one.
+	Decode time.Duration
 	// Unseen is the estimated number of requests that peers have sent but not reported.
 	Unseen float64
 	// NewsAge is the time until peers know of a request of this instance.
@@ -97,8 +99,8 @@
 		slices.Sort(times)
 		outlook.TimeToFirstEvent = times[int(quickEngineShare*float64(len(times)))]
 	}
-	decode := model.DecodeTime(work.AnswerTokens, model.IterationTime(1, work.PromptTokens))
-	outlook.CannotFinish = !isFeasible(Plan{TimeToFirstEvent: outlook.TimeToFirstEvent}, work, decode)
+	outlook.Decode = model.ShortestDecodeTime(work)
+	outlook.CannotFinish = !isFeasible(Plan{TimeToFirstEvent: outlook.TimeToFirstEvent}, work, outlook.Decode)
 	return outlook
 }
 
@@ -205,9 +207,13 @@
 	ShortSend ShortVerdict = iota
 	ShortWait
 	ShortRefuse
+	// ShortExit: the answer would end after this process has exited.
+	ShortExit
 )
 
-func (verdict ShortVerdict) String() string { return [...]string{"sent", "waits", "refused"}[verdict] }
+func (verdict ShortVerdict) String() string {
+	return [...]string{"sent", "waits", "refused", "exit"}[verdict]
+}
 
 // ShortDecision is the input of the decision about a short prompt.
 //
@@ -244,6 +250,9 @@
 	if decision.IsLate && decision.LateWait+decision.Outlook.TimeToFirstEvent > decision.Work.FirstEventTimeout() {
 		return ShortRefuse
 	}
+	if decision.Work.EndsAfterExit(decision.untilWhole()) {
+		return ShortExit
+	}
 	if !decision.IsFirst || !decision.HasSlot {
 		return ShortWait
 	}
@@ -253,6 +262,15 @@
 	return ShortWait
 }
 
+// untilWhole returns the predicted time until the answer is whole.
+func (decision *ShortDecision) untilWhole() time.Duration {
+	untilWhole := decision.Outlook.TimeToFirstEvent + decision.Outlook.Decode
+	if decision.IsLate {
+		untilWhole += decision.LateWait
+	}
+	return untilWhole
+}
+
 // drawOdds is the number of free slots for each expected taker of one. Takers choose at random: at
 // 1.4, three in ten find their slot taken in the same draw, and half of the slots remain free until
 // the next one. More takers overfill engines, fewer leave slots unused.
--- a/peridotpath/relay/admission.go
+++ b/peridotpath/relay/admission.go
@@ -25,9 +25,10 @@
 // queueOutlook predicts for a queued prompt when it will have been prefilled.
 func (exchange *exchange) queueOutlook(prefillAhead time.Duration, isBooked bool, now time.Time) placement.QueueOutlook {
 	capacity := exchange.relay.LoadTracker.PrefillCapacity(exchange.engineCount, now)
+	work := exchange.placementWork(now)
 	return placement.QueueOutlook{
-		Work: exchange.placementWork(now), UntilPrefilled: time.Duration(float64(prefillAhead+exchange.prefillTime) / max(capacity, 1)),
-		IsBooked: isBooked, IsResumed: exchange.streamBegun,
+		Work: work, UntilPrefilled: time.Duration(float64(prefillAhead+exchange.prefillTime) / max(capacity, 1)),
+		Decode: placement.Model{Rates: exchange.spec.Engine}.ShortestDecodeTime(work), IsBooked: isBooked, IsResumed: exchange.streamBegun,
 	}
 }
 
@@ -35,8 +36,11 @@
 // waiting.
 func (exchange *exchange) refuseQueued(outlook *placement.QueueOutlook, now time.Time) *peridotpath.Result {
 	verdict := outlook.Decide()
-	if verdict == placement.QueueWait {
+	switch verdict {
+	case placement.QueueWait:
 		return nil
+	case placement.QueueExit:
+		return exchange.refuseForExit(now)
 	}
 	code, reason := peridotpath.CodeCannotFinish, telemetry.RefusedAtOnce
 	if verdict == placement.QueueTimeout {
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -42,6 +42,8 @@
 	// trialWaitSince is when the request first waited for a quarantine trial. All of its
 	// attempts together wait for at most maxTrialWait.
 	trialWaitSince time.Time
+	// wasQueued reports that the request has waited in the prefill queue.
+	wasQueued bool
 	// hasBegun reports that an endpoint has begun to answer the request in one of its attempts
 	// and did not crash at once.
 	hasBegun bool
@@ -196,7 +198,11 @@
 		work := exchange.placementWork(now)
 		plan, found := placement.PlanPrompt(model, work, candidates, snapshot)
 		if !found {
-			return exchange.refusal(peridotpath.CodeCannotFinish, max(shortRetryAfter, placement.TimeToFreeSlot(model, work, candidates, snapshot)))
+			retryAfter := max(shortRetryAfter, placement.TimeToFreeSlot(model, work, candidates, snapshot))
+			return exchange.refuseUnplanned(work, retryAfter, func(work placement.Work) bool {
+				_, found := placement.PlanPrompt(model, work, candidates, snapshot)
+				return found
+			})
 		}
 		if exchange.beginInFlight(plan, now) {
 			return nil
@@ -211,9 +217,13 @@
 		if len(candidates) == 0 {
 			return exchange.noEndpointRefusal()
 		}
-		plan, found := placement.PlanPlain(exchange.placementWork(now), candidates, exchange.relay.LoadTracker.Snapshot(now))
+		work, snapshot := exchange.placementWork(now), exchange.relay.LoadTracker.Snapshot(now)
+		plan, found := placement.PlanPlain(work, candidates, snapshot)
 		if !found {
-			return exchange.refusal(peridotpath.CodeCannotFinish, shortRetryAfter)
+			return exchange.refuseUnplanned(work, shortRetryAfter, func(work placement.Work) bool {
+				_, found := placement.PlanPlain(work, candidates, snapshot)
+				return found
+			})
 		}
 		if exchange.beginInFlight(plan, now) {
 			return nil
@@ -254,7 +264,7 @@
 		PromptTokens: exchange.request.PromptTokens, AnswerTokens: answer,
 		TTFTTarget: exchange.route.TTFTTarget, ITLTarget: exchange.route.ITLTarget,
 		Waited: now.Sub(exchange.request.ArrivedAt), TimeLeft: timeLeft, ClientTimeout: exchange.untilClientTimeout(now), DataCentre: exchange.relay.DataCentre,
-		FewestHelpers: exchange.blamedHelper != "",
+		FewestHelpers: exchange.blamedHelper != "", UntilExit: exchange.relay.ExitNotice.TimeLeft(now),
 	}
 }
 
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -8,6 +8,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/failover"
 	"peridotpath.example/peridotpath/retrybudget"
+	"peridotpath.example/peridotpath/shutdown"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -124,12 +125,14 @@
 	exchange.relay.LoadTracker.EjectFull(key, now)
 }
 
-// contextResult returns the result of a request whose deadline has passed or whose
-// caller has disconnected; nil while the request may continue.
+// contextResult returns the result of a request whose deadline has passed, whose caller has
+// disconnected or that the exit of this process ends; nil while the request may continue.
 func (exchange *exchange) contextResult(ctx context.Context) *peridotpath.Result {
 	switch {
 	case ctx.Err() == nil:
 		return nil
+	case shutdown.HasEnded(ctx):
+		return exchange.refuseForExit(time.Now())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		if !exchange.mayHaveRun {
 			return &peridotpath.Result{Code: peridotpath.CodeCannotFinish, RetryAfter: shortRetryAfter}
@@ -212,7 +215,7 @@
 // retryWaitLimit returns how long the request may wait for a lent retry.
 func (exchange *exchange) retryWaitLimit(now time.Time) time.Duration {
 	wait := failover.RetryWait{
-		Longest: retrybudget.MaxWait, TimeLeft: exchange.deadline.Sub(now), HasBegun: exchange.streamBegun,
+		Longest: retrybudget.MaxWait, TimeLeft: exchange.timeLeft(now), HasBegun: exchange.streamBegun,
 		SinceHeard: now.Sub(exchange.request.ArrivedAt),
 	}
 	if exchange.streamBegun {
--- a/peridotpath/relay/prefill_queue.go
+++ b/peridotpath/relay/prefill_queue.go
@@ -47,6 +47,7 @@
 	prompt.Target = exchange.request.ArrivedAt.Add(exchange.route.TTFTTarget)
 	prompt.Booked = exchange.claimReturn(time.Now())
 	entry := tracker.Join(prompt)
+	exchange.wasQueued = true
 	defer tracker.Dequeue(entry)
 	for {
 		if result := exchange.checkQuarantine(); result != nil {
@@ -75,6 +76,12 @@
 				telemetry.CountPrefillPlaced(prefillTime)
 				return nil
 			}
+			if !found && isKeptByExit(work, func(work placement.Work) bool {
+				_, found := exchange.planDispatch(model, work, candidates, entry, now)
+				return found
+			}) {
+				return exchange.refuseForExit(now)
+			}
 			// The head of the queue waits for KV cache, or for engines with less
 			// interference cost. Later prompts must not wait with it (head-of-line
 			// blocking).
--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -21,6 +21,7 @@
 	"peridotpath.example/peridotpath/retrybudget"
 	"peridotpath.example/peridotpath/routing"
 	"peridotpath.example/peridotpath/shortqueue"
+	"peridotpath.example/peridotpath/shutdown"
 	"peridotpath.example/peridotpath/telemetry"
 	"peridotpath.example/peridotpath/throttle"
 )
@@ -79,6 +80,8 @@
 	// of the same prompt becomes unreachable. After this time the blocked engine resumes or
 	// aborts the request without a cancellation by this instance.
 	EngineStallTime time.Duration
+	// ExitNotice announces the exit of the process; nil where it never exits.
+	ExitNotice *shutdown.Notice
 
 	crashProbes singleflight.Group
 	silentCalls failover.SilentCalls
@@ -106,6 +109,8 @@
 	ending := &ending{}
 	defer ending.finish(relay, request, caller)
 	caller = ending.track(caller)
+	ctx, release := relay.ExitNotice.WithContext(ctx)
+	defer release()
 	relay.awaitRouting(ctx, request)
 	exchange, refusal := relay.admit(request, caller)
 	if refusal != nil {
