soak: a request that waited at an instance until it exited is not excused

The case that it is for is a request that crosses the close of its connection and is read by nobody. Such a connection ends within the users' loss_slack_ms (200 ms) of the request's last byte; what ends later was read.

The check is stricter: TestEndingsAreReported has the case of a prompt that waited, which was excused before; the case of TestExcusedEndingsAreNotReported says when its request was written.

--- a/soak/ending.go
+++ b/soak/ending.go
@@ -26,6 +26,9 @@
 	// killSlack is how long a process that is killed may take to end. A request can still be
 	// written to a kept connection of it.
 	killSlack = schedulingSlack
+	// crossingSlack is how long after it was written a request may meet the close of its connection
+	// that crosses it: the users' loss_slack_ms.
+	crossingSlack = 200 * time.Millisecond
 )
 
 // requestArrival is the receipt of a request by an endpoint, or by a helper of it.
@@ -119,8 +122,9 @@
 	checker := fleet.checker
 	if ending.reply == nil {
 		// A request can still be written to a connection while an instance that stops closes it
-		// unread, and its client may send it again.
-		return len(checker.arrivals[ending.ID]) == 0 && ending.clientErr == nil && ending.Instance.closedCallersAt(ending.endedAt)
+		// unread, and its client may send it again. One that waited there was read.
+		return len(checker.arrivals[ending.ID]) == 0 && ending.clientErr == nil && ending.Instance.closedCallersAt(ending.endedAt) &&
+			ending.endedAt.Sub(ending.wroteAt) <= crossingSlack
 	}
 	if checker.aborted[ending.ID] || ending.took() >= ending.ClientTimeout-endSlack || checker.hadShortTimeout(ending) {
 		return true
--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -129,6 +129,10 @@
 		{"closed connection of an instance that stops, after the request was sent on", nil, true, func(fixture *endingFixture) {
 			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
 		}},
+		{"closed connection of an instance that stops, at which the request waited", nil, true, func(fixture *endingFixture) {
+			fixture.fleet.checker.arrivals = nil
+			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
+		}},
 		{"closed connection after a reset", nil, true, func(fixture *endingFixture) { fixture.endpoint.proxy.setLink(linkReset) }},
 	}
 	for _, test := range tests {
@@ -169,6 +173,7 @@
 		}},
 		{"instance that stops closes its connections", nil, func(fixture *endingFixture) {
 			fixture.fleet.checker.arrivals = nil
+			fixture.ending.wroteAt = fixture.ending.endedAt.Add(-crossingSlack)
 			fixture.ending.Instance.recordSignal(syscall.SIGTERM, fixture.ending.endedAt.Add(-standin.StopServeTime))
 		}},
 		{"its time is up", lateGateway, func(fixture *endingFixture) {
