relay: prompts that leave at a stop past their target return when there is capacity

Cause: every prompt that left the queue for the exit went ahead of new ones at the next instance, also one that could no longer meet its target, which counts as fresh there: it took the engines of prompts that could. And streams that would have ended in the last 0.4 s were aborted.

Change: a prompt keeps its place only if it can still meet its target; another one is booked for when there is capacity, as any that is refused. What runs is ended 0.1 s before the exit.

--- a/peridotpath/instance/shutdown.go
+++ b/peridotpath/instance/shutdown.go
@@ -15,9 +15,8 @@
 	maxDeregistrationShare = 0.4
 	// exitMargin is how long before the end of the grace period the process exits.
 	exitMargin = 200 * time.Millisecond
-	// answerMarginShare is the share of the grace period, before the exit, in which nothing runs but
-	// the answers of requests that end then are written.
-	answerMarginShare = 0.05
+	// answerMargin is how long before the exit requests are ended, so that their answers are written.
+	answerMargin = 100 * time.Millisecond
 	// activePollInterval is the interval at which a shutdown checks for requests that still
 	// run.
 	activePollInterval = 20 * time.Millisecond
@@ -30,7 +29,7 @@
 	startedAt, grace := time.Now(), instance.Settings.Grace
 	exitAt := startedAt.Add(grace - exitMargin)
 	instance.stopping.Store(true)
-	instance.exitNotice.Begin(exitAt.Add(-time.Duration(answerMarginShare * float64(grace))))
+	instance.exitNotice.Begin(exitAt.Add(-answerMargin))
 	instance.Log.Info().Int64("active", instance.activeRequests.Load()).Dur("grace", grace).Msg("stopping")
 	time.Sleep(min(deregistrationDelay, time.Duration(maxDeregistrationShare*float64(grace))))
 	instance.closing.Store(true)
--- a/peridotpath/relay/admission.go
+++ b/peridotpath/relay/admission.go
@@ -40,7 +40,7 @@
 	case placement.QueueWait:
 		return nil
 	case placement.QueueExit:
-		return exchange.refuseForExit(now)
+		return exchange.refuseQueuedForExit(outlook, now)
 	}
 	code, reason := peridotpath.CodeCannotFinish, telemetry.RefusedAtOnce
 	if verdict == placement.QueueTimeout {
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -42,8 +42,6 @@
 	// trialWaitSince is when the request first waited for a quarantine trial. All of its
 	// attempts together wait for at most maxTrialWait.
 	trialWaitSince time.Time
-	// wasQueued reports that the request has waited in the prefill queue.
-	wasQueued bool
 	// hasBegun reports that an endpoint has begun to answer the request in one of its attempts
 	// and did not crash at once.
 	hasBegun bool
--- a/peridotpath/relay/exit.go
+++ b/peridotpath/relay/exit.go
@@ -21,18 +21,21 @@
 
 // refuseForExit returns the result of a request that this instance can't answer before it exits. One
 // that was not sent is refused, so that its caller turns to another instance.
-func (exchange *exchange) refuseForExit(now time.Time) *peridotpath.Result {
+func (exchange *exchange) refuseForExit() *peridotpath.Result {
 	telemetry.CountExitRefusal(exchange.mayHaveRun)
-	return exchange.refusal(peridotpath.CodeStopping, max(shutdown.RetryAfter, exchange.handOver(now)))
+	return exchange.refusal(peridotpath.CodeStopping, shutdown.RetryAfter)
 }
 
-// handOver keeps the place of a prompt that leaves the prefill queue for its return at another
-// instance, and returns the time until then; zero for other requests.
-func (exchange *exchange) handOver(now time.Time) time.Duration {
-	if exchange.relay.Bookings == nil || exchange.mayHaveRun || !exchange.wasQueued {
-		return 0
+// refuseQueuedForExit returns the result of a prompt that leaves the prefill queue because this process
+// exits. One that can still meet its target keeps its place at other instances; one that can't
+// returns when there is capacity, like any other that is refused.
+func (exchange *exchange) refuseQueuedForExit(outlook *placement.QueueOutlook, now time.Time) *peridotpath.Result {
+	telemetry.CountExitRefusal(exchange.mayHaveRun)
+	bookings := exchange.relay.Bookings
+	if exchange.mayHaveRun || bookings == nil || outlook.MissesTarget() {
+		return exchange.refusal(peridotpath.CodeStopping, exchange.bookReturn(outlook, now))
 	}
-	return exchange.relay.Bookings.HandOver(exchange.fingerprint(), exchange.prefillTime, now)
+	return exchange.refusal(peridotpath.CodeStopping, bookings.HandOver(exchange.fingerprint(), exchange.prefillTime, now))
 }
 
 // isKeptByExit reports whether a request for which no plan was found has one where this process does
@@ -48,7 +51,7 @@
 // refuseUnplanned returns the result of a request for which no plan was found.
 func (exchange *exchange) refuseUnplanned(work placement.Work, retryAfter time.Duration, isPlanned func(work placement.Work) bool) *peridotpath.Result {
 	if isKeptByExit(work, isPlanned) {
-		return exchange.refuseForExit(time.Now())
+		return exchange.refuseForExit()
 	}
 	return exchange.refusal(peridotpath.CodeCannotFinish, retryAfter)
 }
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -132,7 +132,7 @@
 	case ctx.Err() == nil:
 		return nil
 	case shutdown.HasEnded(ctx):
-		return exchange.refuseForExit(time.Now())
+		return exchange.refuseForExit()
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		if !exchange.mayHaveRun {
 			return &peridotpath.Result{Code: peridotpath.CodeCannotFinish, RetryAfter: shortRetryAfter}
--- a/peridotpath/relay/prefill_queue.go
+++ b/peridotpath/relay/prefill_queue.go
@@ -47,7 +47,6 @@
 	prompt.Target = exchange.request.ArrivedAt.Add(exchange.route.TTFTTarget)
 	prompt.Booked = exchange.claimReturn(time.Now())
 	entry := tracker.Join(prompt)
-	exchange.wasQueued = true
 	defer tracker.Dequeue(entry)
 	for {
 		if result := exchange.checkQuarantine(); result != nil {
@@ -80,7 +79,7 @@
 				_, found := exchange.planDispatch(model, work, candidates, entry, now)
 				return found
 			}) {
-				return exchange.refuseForExit(now)
+				return exchange.refuseQueuedForExit(&outlook, now)
 			}
 			// The head of the queue waits for KV cache, or for engines with less
 			// interference cost. Later prompts must not wait with it (head-of-line
--- a/peridotpath/relay/short_queue_exchange.go
+++ b/peridotpath/relay/short_queue_exchange.go
@@ -71,7 +71,7 @@
 		planned, decision := exchange.decideShort(model, entry, candidates, now)
 		switch verdict = decision.Decide(); verdict {
 		case placement.ShortExit:
-			return exchange.refuseForExit(now)
+			return exchange.refuseForExit()
 		case placement.ShortRefuse:
 			return exchange.refusal(peridotpath.CodeCannotFinish, decision.RetryAfter())
 		case placement.ShortSend:
