instance: a stop does not wait for its tasks beyond the exit

Cause: once all callers are answered, the instance waits for its background tasks without a bound. A task that waits for a silent store or peer keeps the process until it is killed. Where a request still ran at the exit, the process ended at once; since waiting requests are answered, it hardly ever does.

Change: the wait ends at the time of the exit, and the log line "stopped" is a warning then.

Result: TestStopDoesNotWaitForSilentStore did not exit within twice the grace period before, and passes.

--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -322,22 +322,33 @@
 		return err
 	case <-stop:
 	}
-	instance.shutDown(ctx)
+	exitAt := instance.shutDown(ctx)
 	if active := instance.activeRequests.Load(); active > 0 {
 		// The shutdown of go-zero would wait for them beyond the grace period.
 		instance.Log.Warn().Int64("active", active).Msg("stopped")
 		return nil
 	}
 	cancel()
-	for range tasks {
-		<-ended
-	}
-	inbound.RunShutdownHooks()
-	<-metricsDone
-	var err error
-	for range listeners {
-		err = errs.Combine(err, <-failed)
+	stopped := make(chan error, 1)
+	go func() {
+		for range tasks {
+			<-ended
+		}
+		inbound.RunShutdownHooks()
+		<-metricsDone
+		var err error
+		for range listeners {
+			err = errs.Combine(err, <-failed)
+		}
+		stopped <- err
+	}()
+	select {
+	case err := <-stopped:
+		instance.Log.Info().Msg("stopped")
+		return err
+	case <-time.After(time.Until(exitAt)):
+		// A task that waits for the store or a peer would keep the process until it is killed.
+		instance.Log.Warn().Int("tasks", len(tasks)).Msg("stopped")
+		return nil
 	}
-	instance.Log.Info().Msg("stopped")
-	return err
 }
--- a/peridotpath/instance/shutdown.go
+++ b/peridotpath/instance/shutdown.go
@@ -24,10 +24,11 @@
 
 // shutDown performs a planned shutdown: it reports not ready, serves requests until the
 // load balancer has moved callers to other instances, then accepts no more and lets running
-// requests finish. Those that have not ended shortly before the exit are ended with an answer.
-func (instance *Instance) shutDown(ctx context.Context) {
+// requests finish. Those that have not ended shortly before the exit are ended with an answer. It
+// returns when the process must exit.
+func (instance *Instance) shutDown(ctx context.Context) (exitAt time.Time) {
 	startedAt, grace := time.Now(), instance.Settings.Grace
-	exitAt := startedAt.Add(grace - exitMargin)
+	exitAt = startedAt.Add(grace - exitMargin)
 	instance.stopping.Store(true)
 	instance.exitNotice.Begin(exitAt.Add(-answerMargin))
 	instance.Log.Info().Int64("active", instance.activeRequests.Load()).Dur("grace", grace).Msg("stopping")
@@ -45,6 +46,7 @@
 	_ = instance.readinessListener.Close(ctx)
 	_ = instance.snapshotListener.Close(ctx)
 	_ = instance.metricsListener.Close(ctx)
+	return exitAt
 }
 
 // drainCallers accepts no new connections and waits until the answers of running requests are
--- a/peridotpath/instance/shutdown_test.go
+++ b/peridotpath/instance/shutdown_test.go
@@ -16,6 +16,7 @@
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/instance"
+	"peridotpath.example/peridotpath/keyvalue"
 	"peridotpath.example/peridotpath/relay"
 )
 
@@ -112,3 +113,35 @@
 	is.Equal(seen[http.StatusServiceUnavailable], waiting+1) // refused, as not run
 	is.Equal(seen[http.StatusBadGateway], 1)                 // it may have run
 }
+
+// A task waits for a store that is silent when the instance is stopped. The process would be there until
+// it is killed, with what it has not written.
+func TestStopDoesNotWaitForSilentStore(t *testing.T) {
+	const grace = 2 * time.Second
+	is := is.New(t)
+	var isSilent atomic.Bool
+	goesOn, called := make(chan struct{}), make(chan struct{}, 100)
+	defer close(goesOn)
+	running := startAdaptedInstance(t, grace, func(adapter *instance.Adapter) {
+		adapter.Ingress = relayingIngress
+		get := adapter.Store.GetIfChanged
+		adapter.Store.GetIfChanged = func(ctx context.Context, key string, expect keyvalue.Version) (keyvalue.Entry, bool, error) {
+			if isSilent.Load() {
+				called <- struct{}{}
+				<-goesOn
+			}
+			return get(ctx, key, expect)
+		}
+	})
+	isSilent.Store(true)
+	<-called
+	stoppedAt := time.Now()
+	running.stop <- os.Interrupt
+	select {
+	case err := <-running.ended:
+		is.NoErr(err)
+		is.True(time.Since(stoppedAt) < grace)
+	case <-time.After(2 * grace):
+		t.Error("the instance did not exit")
+	}
+}
