--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
-	"net"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -37,9 +37,9 @@
 	leases    map[uint64]lease
 	revision  uint64
 	lastLease uint64
-	// Answers, when set, decides by the caller's address whether a call is answered; one that is
-	// not is held until its connection ends, as behind a partition.
-	Answers func(from string) bool
+	// era counts how often the store came back from an older copy, and isAway is set while it is away.
+	era    int
+	isAway bool
 }
 
 // NewStore returns an empty store.
@@ -105,15 +105,13 @@
 
 // ServeHTTP serves one call.
 func (store *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	host, _, _ := net.SplitHostPort(request.RemoteAddr)
-	if store.Answers != nil && !store.Answers(host) {
-		<-request.Context().Done()
-		return
-	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	if store.isAway {
+		panic(http.ErrAbortHandler)
+	}
 	store.expire()
-	writer.Header().Set("Store-Era", "0")
+	writer.Header().Set("Store-Era", strconv.Itoa(store.era))
 	switch {
 	case request.URL.Path == "/api/kv-key":
 		item, found := store.items[request.URL.Query().Get("key")]
@@ -223,3 +221,34 @@
 	}
 	reply(writer, http.StatusOK, map[string]any{"revision": store.revision})
 }
+
+// Copy is a copy of the store.
+type Copy struct {
+	items               map[string]Item
+	leases              map[uint64]lease
+	revision, lastLease uint64
+}
+
+// Copy returns a copy of what the store holds now.
+func (store *Store) Copy() Copy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return Copy{items: maps.Clone(store.items), leases: maps.Clone(store.leases), revision: store.revision, lastLease: store.lastLease}
+}
+
+// Leave makes the store close each connection without an answer.
+func (store *Store) Leave() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.isAway = true
+}
+
+// Return makes the store come back from a copy. The leases in the copy have run on meanwhile.
+func (store *Store) Return(from Copy) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.isAway = false
+	store.items, store.leases = maps.Clone(from.items), maps.Clone(from.leases)
+	store.revision, store.lastLease = from.revision, from.lastLease
+	store.era++
+}
