--- a/review/standins-2/twice.go
+++ b/review/standins-2/twice.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -50,19 +49,3 @@
 	}
 	world.Finish(repeated > 0, "TWICE: of %d requests that may run once at most, %d were served, and %d ran twice", saves, served, repeated)
 }
-
-// save sends the requests of a case, every fifth with a body that the service does not accept.
-func (world *World) save(instances []*Instance) {
-	var clients sync.WaitGroup
-	for i := range saves {
-		body := "a correction"
-		if i%badEvery == 0 {
-			body = badBody
-		}
-		clients.Go(func() {
-			world.Ask(instances[i%len(instances)], "POST", "/save/1", casesHost, casesKey, body, 3*time.Second)
-		})
-		time.Sleep(saveInterval)
-	}
-	clients.Wait()
-}
