outbound: the end of a connection that was reset is an error

Callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written.

Cause: the kernel reports a reset once. Where a write that waits receives ECONNRESET, the read that comes next gets 0 bytes, which net/http takes for the end of an answer without a length. Which of the two comes first is chance.

Change: the connection that outbound opens, which endpoints, engines, the store, peers and the far side of tunnels all use, keeps the error with which the kernel ended it. An end that follows it is that error. A write may hold the error and not have returned yet: a read that gets the end of a socket that is closed in both directions waits for it. EPIPE is no break: the other side had ended before, so that what it sent has all arrived.

--- a/peridotpath/outbound/conn.go
+++ b/peridotpath/outbound/conn.go
@@ -1,7 +1,10 @@
 package outbound
 
 import (
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -22,6 +25,10 @@
 	isAnswered atomic.Bool
 	// isEnded reports that this side has ended, so that nothing is left to decide.
 	isEnded atomic.Bool
+	// writing is held by a write until its error is recorded.
+	writing sync.Mutex
+	// failure is the error with which the kernel has ended the connection, if a call has received it.
+	failure atomic.Pointer[error]
 }
 
 // newConn returns a conn, or a connection that is not TCP unchanged.
@@ -36,24 +43,60 @@
 // SyscallConn gives access to the connection's socket.
 func (conn *conn) SyscallConn() (syscall.RawConn, error) { return conn.tcp.SyscallConn() }
 
-// Read reads from the connection.
+// Read reads from the connection. It returns io.EOF only if the other side has ended the connection.
 func (conn *conn) Read(data []byte) (int, error) {
 	count, err := conn.Conn.Read(data)
 	if count > 0 {
 		conn.isAnswered.Store(true)
 	}
+	if errors.Is(err, io.EOF) {
+		return count, conn.endOfRead()
+	}
+	conn.recordFailure(err)
 	return count, err
 }
 
+// endOfRead returns the error of a read that got the end: the kernel reports a reset once, and once a
+// write has received it, a read gets the end. The write may not have returned yet.
+func (conn *conn) endOfRead() error {
+	if tcpinfo.IsClosed(conn.tcp) {
+		// The write that has received the error waits for nothing else.
+		conn.writing.Lock()
+		defer conn.writing.Unlock()
+	}
+	if failure := conn.failure.Load(); failure != nil {
+		return *failure
+	}
+	return io.EOF
+}
+
 // Write writes to the connection.
 func (conn *conn) Write(data []byte) (int, error) {
+	conn.writing.Lock()
+	defer conn.writing.Unlock()
 	conn.isAnswered.Store(false)
 	conn.written.Add(int64(len(data)))
 	count, err := conn.Conn.Write(data)
 	conn.written.Add(int64(count - len(data)))
+	conn.recordFailure(err)
 	return count, err
 }
 
+// recordFailure keeps the error of a call if the connection broke with it.
+func (conn *conn) recordFailure(err error) {
+	if isBreak(err) {
+		conn.failure.CompareAndSwap(nil, &err)
+	}
+}
+
+// isBreak reports whether an error is the kernel's report that a connection broke, with what the other
+// side has sent perhaps lost. EPIPE is none: the other side had ended the connection before it
+// broke, or the break was reported before.
+func isBreak(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
+
 // Close closes the connection.
 func (conn *conn) Close() error {
 	if !conn.isEnded.Swap(true) && conn.written.Load() > 0 && !conn.isAnswered.Load() {
--- a/peridotpath/tcpinfo/tcpinfo.go
+++ b/peridotpath/tcpinfo/tcpinfo.go
@@ -42,6 +42,13 @@
 	return false
 }
 
+// IsClosed reports whether a connection is over in both directions: it was reset or timed out, or both
+// sides have ended it. It returns false where the kernel does not tell.
+func IsClosed(conn syscall.Conn) bool {
+	state, isKnown := stateOf(conn)
+	return isKnown && state == unix.BPF_TCP_CLOSE
+}
+
 // AwaitsEnd reports whether the end of this side of a connection was sent and is not acknowledged.
 func AwaitsEnd(conn syscall.Conn) bool {
 	state, isKnown := stateOf(conn)
--- a/peridotpath/tunnel/tunnel_test.go
+++ b/peridotpath/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/outbound/linktest"
 	"peridotpath.example/peridotpath/tcpinfo"
 	"peridotpath.example/peridotpath/tunnel"
 )
@@ -144,6 +145,51 @@
 	}
 }
 
+// uploadThroughTunnel returns the client's end of a tunnel in which a long upload waits, and the end of an
+// endpoint that reads nothing.
+func uploadThroughTunnel(t *testing.T, wrap func(net.Conn) net.Conn) (client, endpoint net.Conn) {
+	t.Helper()
+	listener, err := linktest.ListenSmall(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	carrying := startCarrying(t, func(server *tunnel.Server) {
+		dial := server.Dial
+		server.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return wrap(conn), nil
+		}
+	})
+	carrying.endpoint.Close()
+	carrying.endpoint = listener
+	client, endpoint = carrying.connect(t)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_, _ = client.Write(make([]byte, linktest.BodyBytes))
+	}()
+	t.Cleanup(func() {
+		client.Close()
+		<-written
+	})
+	return client, endpoint
+}
+
+// An endpoint resets its connection while a peer writes an upload to it, and the peer marks the part
+// that it has read of an answer as whole.
+func TestResetOfUploadThroughTunnelIsNotTheEnd(t *testing.T) {
+	is := is.New(t)
+	client, endpoint := uploadThroughTunnel(t, func(conn net.Conn) net.Conn { return linktest.WriteFirst(conn, len("part")) })
+	linktest.AnswerThenReset(endpoint, "part")
+	text, err := io.ReadAll(client)
+	is.Equal(string(text), "part")
+	is.True(err != nil)
+}
+
 // A request that its caller has given up goes on at the endpoint.
 func TestEndOfClientReachesEndpoint(t *testing.T) {
 	is := is.New(t)
