outbound: a response with a malformed field name is none

Callers saw: an endpoint's answer has one wrong byte in the name of a field, "Transfer-Encoding : chunked" or "Transfer Encoding: chunked". The caller gets a signed 200 with the chunks' sizes in its body. A refusal beside such a line was believed too: a request that may run once could run at a second endpoint.

Cause: net/http's client reads names with blanks on purpose, and gives them no meaning. By RFC 9112, 5.1, a response with a blank before the colon is rejected or mended by a proxy. Nothing asked whether the names are tokens.

Control bytes, bytes above ASCII, a tab before the colon and lines without a name or a colon were no response before; the cases stay.

Change: checkResponse, which every response of the system passes (answers, probes, orders, the store, peers, engines of serve), takes names by the grammar of tokens only (httpguts). A line whose name is unknown beside a right length is refused as well: one wrong byte may have made it of a field that frames the body or says whether the request has run.

One look at the names of each head, none at its body.

--- a/peridotpath/outbound/response.go
+++ b/peridotpath/outbound/response.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The final statuses of HTTP/1.1. An informational status precedes a response and is none itself.
@@ -12,8 +14,8 @@
 )
 
 // checkResponse returns an error if the bytes of a server form no final response of HTTP/1.x. net/http
-// accepts any three digits as a status, and any version. Such a response says nothing: the server
-// may have run the request.
+// accepts any three digits as a status, any version, and names with blanks. Such a response says
+// nothing: the server may have run the request.
 func checkResponse(response *http.Response) error {
 	switch status := response.StatusCode; {
 	case response.ProtoMajor != 1:
@@ -23,9 +25,23 @@
 	case status == http.StatusNoContent && announcesBody(response):
 		return ErrNoResponse.New("status %d in the response, which announces a body", status)
 	}
+	if name, isFound := malformedName(response.Header); isFound {
+		return ErrNoResponse.New("field name %.64q in the response, expected a token", name)
+	}
 	return nil
 }
 
+// malformedName returns the name of a field that is no token. What the field would mean is not known:
+// it may frame the body, or say whether the request has run.
+func malformedName(header http.Header) (name string, isFound bool) {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // announcesBody reports whether the headers promise a body. net/http drops that of a status without
 // one, so that a response with a wrong status would look complete.
 func announcesBody(response *http.Response) bool {
--- a/peridotpath/outbound/status_test.go
+++ b/peridotpath/outbound/status_test.go
@@ -79,3 +79,46 @@
 		})
 	}
 }
+
+// net/http takes a name with a blank in it for one that it does not know: a line that frames the body has
+// no effect, and what the server sent as chunks is relayed as a body, or its refusal is believed.
+func TestResponsesWithMalformedFieldNamesAreNone(t *testing.T) {
+	const chunks = "\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
+	tests := []struct {
+		name, response string
+		isOne          bool
+	}{
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked" + chunks, false},
+		{"blanks before the colon", "HTTP/1.1 200 OK\r\nContent-Length  : 4\r\n\r\ndone", false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked" + chunks, false},
+		{"blank in a name beside a length", "HTTP/1.1 200 OK\r\nX Loa d: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"blank in a name of a failure", "HTTP/1.1 503 Full\r\nX-No te: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"blank in a name after an informational response", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"tab before the colon", "HTTP/1.1 200 OK\r\nContent-Length\t: 4\r\n\r\ndone", false},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX-\x01Load: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"zero byte in a name", "HTTP/1.1 200 OK\r\nX-\x00Load: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"deletion in a name", "HTTP/1.1 200 OK\r\nX-\x7fLoad: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"carriage return in a name", "HTTP/1.1 200 OK\r\nX-\rLoad: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"byte above ASCII in a name", "HTTP/1.1 200 OK\r\nX-\xe7Load: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"separator in a name", "HTTP/1.1 200 OK\r\nX-(Load): 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\ndone", false},
+		{"no colon", "HTTP/1.1 200 OK\r\nContent-Length\r\n\r\ndone", false},
+		{"no name", "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 4\r\n\r\ndone", false},
+		{"every byte of a token", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 4\r\n\r\ndone", true},
+		{"blanks around a value", "HTTP/1.1 200 OK\r\nContent-Length: \t4 \r\n\r\ndone", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+respond(t, test.response), nil)
+			is.NoErr(err)
+			request.Close = true
+			response, err := outbound.Do(request)
+			if err == nil {
+				response.Body.Close()
+			}
+			is.Equal(err == nil, test.isOne)
+			is.Equal(outbound.ErrNoResponse.Has(err), !test.isOne) // the server may have run the request
+		})
+	}
+}
