outbound: a transfer coding in HTTP/1.0 makes a response none

Callers saw: an endpoint's answer in chunks has one wrong byte in its version, HTTP/1.0. The caller gets a signed 200 with the chunks' sizes in its body.

Cause: net/http removes Transfer-Encoding from a response of HTTP/1.0 and reads its body until the connection ends. By RFC 9112, 6.1, its framing is faulty. The field is gone when the response is handed over, so that no check could see it.

Change: the connections of the transports observe the heads of responses as they arrive, from the moment that a request gets the connection: the beginning of each line, nothing of the body. checkResponse asks the observation. Sound HTTP/1.0, with a length or until the end of the connection, is served as before.

--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -4,6 +4,8 @@
 package outbound
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -55,11 +57,19 @@
 		return nil, ErrNotSent.Wrap(err)
 	}
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	var head atomic.Pointer[responseHead]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*responseConn); ok {
+				head.Store(conn.awaitResponse())
+			}
+		},
+		WroteHeaders: func() { sent.Store(true) },
+	}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := httpc.DoRequest(request)
 	if err == nil {
-		return accept(response)
+		return accept(response, head.Load())
 	}
 	if sent.Load() {
 		return nil, ErrNoResponse.Wrap(err)
@@ -67,9 +77,9 @@
 	return nil, ErrNotSent.Wrap(err)
 }
 
-// accept returns the response if it is one.
-func accept(response *http.Response) (*http.Response, error) {
-	if err := checkResponse(response); err != nil {
+// accept returns the response if it is one. The head is nil where it was not observed.
+func accept(response *http.Response, head *responseHead) (*http.Response, error) {
+	if err := checkResponse(response, head); err != nil {
 		response.Body.Close()
 		return nil, err
 	}
@@ -122,7 +132,13 @@
 		dial = dialForRequest
 	}
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &responseConn{Conn: conn}, nil
+		},
 		DisableKeepAlives:      !reuses,
 		MaxIdleConns:           maxIdleConnections,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
--- a/peridotpath/outbound/response.go
+++ b/peridotpath/outbound/response.go
@@ -14,14 +14,16 @@
 )
 
 // checkResponse returns an error if the bytes of a server form no final response of HTTP/1.x. net/http
-// accepts any three digits as a status, any version, and names with blanks. Such a response says
-// nothing: the server may have run the request.
-func checkResponse(response *http.Response) error {
+// accepts any three digits as a status, any version, names with blanks, and ignores a transfer coding in
+// HTTP/1.0. Such a response says nothing: the server may have run the request.
+func checkResponse(response *http.Response, head *responseHead) error {
 	switch status := response.StatusCode; {
 	case response.ProtoMajor != 1:
 		return ErrNoResponse.New("version %q in the response, expected HTTP/1.x", response.Proto)
 	case status < minFinalStatus || status > maxFinalStatus:
 		return ErrNoResponse.New("status %03d in the response, expected %d to %d", status, minFinalStatus, maxFinalStatus)
+	case head != nil && head.hasTransferCoding && !response.ProtoAtLeast(1, 1):
+		return ErrNoResponse.New("transfer coding in a response of %s, expected HTTP/1.1", response.Proto)
 	case status == http.StatusNoContent && announcesBody(response):
 		return ErrNoResponse.New("status %d in the response, which announces a body", status)
 	}
--- a/peridotpath/outbound/status_test.go
+++ b/peridotpath/outbound/status_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,8 +37,9 @@
 	return listener.Addr().String()
 }
 
-// net/http takes any three digits for a status. A status line with a wrong byte is then relayed as an
-// answer, or decides about a write or an order as if the server had said so.
+// net/http takes any three digits for a status, and ignores the chunks of HTTP/1.0. A status line with a
+// wrong byte is then relayed as an answer, with the chunks' sizes in its body, or decides about a write or an order
+// as if the server had said so.
 func TestResponsesWithoutFinalStatusAreNone(t *testing.T) {
 	const rest = " X\r\nContent-Length: 0\r\n\r\n"
 	tests := []struct {
@@ -60,6 +62,17 @@
 		{"HTTP/1.1 204 X\r\n\r\n", true},
 		{"HTTP/1.1 204" + rest, true},
 		{"HTTP/1.1 304 X\r\nContent-Length: 3\r\n\r\n", true},
+		{"HTTP/1.0 200 X\r\n\r\nuntil the end", true},
+		{"HTTP/1.0 200 X\r\nX-Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n", true},
+		{"HTTP/1.0 200 X\r\nContent-Length: 29\r\n\r\n\r\nTransfer-Encoding: chunked\r\n", true},
+		{"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true},
+		{"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false},
+		{"HTTP/1.0 200 X\r\nContent-Length: 3\r\ntransfer-encoding:chunked\r\n\r\nabc", false},
+		{"HTTP/1.0 200 X\nTransfer-Encoding: chunked\n\n3\r\nabc\r\n0\r\n\r\n", false},
+		{"HTTP/1.0 200 X\r\nX-Long: " + strings.Repeat("x", 8000) + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"HTTP/1.1 103 X\r\nLink: y\r\n\r\nHTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"HTTP/1.0  100  X\r\n\r\nHTTP/1.0  200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"HTTP/1.0 100 X\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.0 200 X\r\n\r\nuntil the end", true},
 		{"HTTP/1.1 599" + rest, true},
 		{"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200" + rest, true},
 		{"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000" + rest, false},
