tunnel: a peer's answer opens a tunnel by its status and whole names only

What would be seen: one wrong byte in a peer's answer opens a tunnel that the peer has refused, or says that a sound endpoint refuses connections. Requests are sent where nobody carries them, or the endpoint is ejected.

Cause: opening a tunnel reads its answer by itself, past the check that all other responses pass, and looked at one field only.

Change: the names of the answer's fields pass the check of outbound, and a result counts with the status that the server of tunnels sends beside it: 101 for an open one, 502 for an endpoint that is not reached.

The answers of sound peers are unchanged.

--- a/peridotpath/outbound/response.go
+++ b/peridotpath/outbound/response.go
@@ -27,21 +27,18 @@
 	case status == http.StatusNoContent && announcesBody(response):
 		return ErrNoResponse.New("status %d in the response, which announces a body", status)
 	}
-	if name, isFound := malformedName(response.Header); isFound {
-		return ErrNoResponse.New("field name %.64q in the response, expected a token", name)
-	}
-	return nil
+	return CheckNames(response.Header)
 }
 
-// malformedName returns the name of a field that is no token. What the field would mean is not known:
-// it may frame the body, or say whether the request has run.
-func malformedName(header http.Header) (name string, isFound bool) {
+// CheckNames returns an error of class ErrNoResponse if the name of a field is no token. What the field
+// would mean is not known: it may frame the body, or say whether the request has run.
+func CheckNames(header http.Header) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return name, true
+			return ErrNoResponse.New("field name %.64q in the response, expected a token", name)
 		}
 	}
-	return "", false
+	return nil
 }
 
 // announcesBody reports whether the headers promise a body. net/http drops that of a status without
--- a/peridotpath/tunnel/client.go
+++ b/peridotpath/tunnel/client.go
@@ -62,16 +62,27 @@
 		return nil, Error.Wrap(err)
 	}
 	defer response.Body.Close()
-	switch result := result(response.Header.Get(headerResult)); result {
-	case resultOpened:
-		return reader, nil
-	case resultRefused:
-		return nil, ErrUnreachable.Wrap(syscall.ECONNREFUSED)
-	case resultUnreachable:
-		return nil, ErrUnreachable.New("%s from %s", address, peer)
-	default:
-		return nil, Error.New("%s declined %s: status %d, result %q", peer, address, response.StatusCode, result)
+	if err := checkOpened(response, peer, address); err != nil {
+		return nil, err
+	}
+	return reader, nil
+}
+
+// checkOpened returns an error unless the peer's answer is that the tunnel is open.
+func checkOpened(response *http.Response, peer, address netip.AddrPort) error {
+	if err := outbound.CheckNames(response.Header); err != nil {
+		return Error.Wrap(err)
+	}
+	status, result := response.StatusCode, result(response.Header.Get(headerResult))
+	switch {
+	case status == http.StatusSwitchingProtocols && result == resultOpened:
+		return nil
+	case status == http.StatusBadGateway && result == resultRefused:
+		return ErrUnreachable.Wrap(syscall.ECONNREFUSED)
+	case status == http.StatusBadGateway && result == resultUnreachable:
+		return ErrUnreachable.New("%s from %s", address, peer)
 	}
+	return Error.New("%s declined %s: status %d, result %q", peer, address, status, result)
 }
 
 // clientConn is the client's end of a tunnel.
