tunnel: the head of a peer's answer is bounded

What would be seen: a peer in trouble answers the request for a tunnel with a head without an end. The instance keeps what arrives until its timeout, and with a few such tunnels at once runs out of memory; the requests of all its callers end with it.

Cause: opening a tunnel reads the head from the connection itself, where net/http's transport would bound it.

Change: a head may have 16 KB; that of a sound peer has under 200.

--- a/peridotpath/tunnel/client.go
+++ b/peridotpath/tunnel/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -16,8 +17,12 @@
 	"peridotpath.example/peridotpath/outbound"
 )
 
-// openTimeout bounds opening a tunnel. A peer limits its own connection to the endpoint to less.
-const openTimeout = 600 * time.Millisecond
+const (
+	// openTimeout bounds opening a tunnel. A peer limits its own connection to the endpoint to less.
+	openTimeout = 600 * time.Millisecond
+	// maxHeadBytes bounds the head of a peer's answer.
+	maxHeadBytes = 16 << 10
+)
 
 // Client opens tunnels.
 type Client struct {
@@ -56,7 +61,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	reader := bufio.NewReader(limited)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -65,6 +71,7 @@
 	if err := checkOpened(response, peer, address); err != nil {
 		return nil, err
 	}
+	limited.N = math.MaxInt64
 	return reader, nil
 }
 
--- a/peridotpath/tunnel/opening_test.go
+++ b/peridotpath/tunnel/opening_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -61,3 +63,32 @@
 		})
 	}
 }
+
+// A peer in trouble sends a head without an end: what arrives until the timeout is kept in memory.
+func TestHeadOfPeerIsBounded(t *testing.T) {
+	// kernelBytes is what the kernels of both sides hold of a connection.
+	const kernelBytes = 16 << 20
+	for name, piece := range map[string]string{"one line": "x", "lines": "X-Fill: y\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			peer := startPeer(t, func(conn net.Conn) {
+				total, text := 0, strings.Repeat(piece, 4<<10)
+				_, err := io.WriteString(conn, "HTTP/1.1 101 X\r\nPeridotpath-Tunnel-Result: opened\r\nX-Fill: ")
+				for err == nil && total < 1<<30 {
+					var count int
+					count, err = io.WriteString(conn, text)
+					total += count
+				}
+				sent <- total
+			})
+			client := &tunnel.Client{Dial: outbound.DialDirect}
+			startedAt := time.Now()
+			_, err := client.Open(t.Context(), peer, netip.MustParseAddrPort("127.0.0.1:9"))
+			is.True(tunnel.Error.Has(err))
+			total := <-sent
+			t.Logf("%d bytes were sent in %v", total, time.Since(startedAt))
+			is.True(total <= kernelBytes)
+		})
+	}
+}
