outbound: replies that generated code reads whole are bounded

Cause: the clients that twirp generates read a reply whole, and nothing bounds it; the readers of our own of the store's, the membership's and engines' replies do.

Change: outbound.Doer bounds the body, by what the protocol's largest reply may hold, after it is unpacked where it is compressed. All five clients use it; the two copies of its adapter and of the operator API's client are one now.

--- a/peridotctl/console.go
+++ b/peridotctl/console.go
@@ -18,8 +18,8 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"peridotpath.example/peridotpath/operator"
 	pb "peridotpath.example/peridotpath/operator/operatorpb"
-	"peridotpath.example/peridotpath/outbound"
 )
 
 // console holds the streams, settings and dependencies shared by all commands.
@@ -76,7 +76,7 @@
 		if err != nil {
 			return nil, &exitError{exitUsage, "--servers: " + err.Error()}
 		}
-		clients = append(clients, pb.NewOperatorProtobufClient("http://"+address.String(), outbound.Doer{}))
+		clients = append(clients, operator.Connect(address))
 	}
 	return clients, nil
 }
--- a/peridotd/operate.go
+++ b/peridotd/operate.go
@@ -12,7 +12,6 @@
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/operator"
 	pb "peridotpath.example/peridotpath/operator/operatorpb"
-	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
@@ -73,7 +72,7 @@
 
 // operatorClient returns a client of the instance's operator API.
 func operatorClient(instance peridotpath.Instance) pb.Operator {
-	return pb.NewOperatorProtobufClient("http://"+instance.Peer.String(), outbound.Doer{})
+	return operator.Connect(instance.Peer)
 }
 
 func queryRevision(ctx context.Context, instance peridotpath.Instance, document config.DocumentName) *pb.InstanceRevision {
--- a/peridotpath/gossip/registrar_service.go
+++ b/peridotpath/gossip/registrar_service.go
@@ -15,6 +15,9 @@
 // RegistrarPathPrefix is the URL path prefix under which RegistrarHandler is served.
 const RegistrarPathPrefix = "/registrar"
 
+// maxReplyBytes bounds a registrar's reply, which lists the instances of a fleet with some 20 bytes each.
+const maxReplyBytes = 4 << 20
+
 // RegistrarHandler returns the HTTP handler through which instances join a registrar.
 func RegistrarHandler(registry *Registry) http.Handler {
 	return wire.NewRegistrarServer(registrarService{registry}, twirp.WithServerPathPrefix(RegistrarPathPrefix))
@@ -36,7 +39,7 @@
 // JoinThrough asks a registrar to register an instance, and to keep it registered.
 func JoinThrough(ctx context.Context, registrar Peer, request JoinRequest) (JoinReply, error) {
 	address := netip.AddrPortFrom(registrar.Address.Addr(), registrar.SnapshotPort)
-	client := wire.NewRegistrarProtobufClient("http://"+address.String(), httpClient{}, twirp.WithClientPathPrefix(RegistrarPathPrefix))
+	client := wire.NewRegistrarProtobufClient("http://"+address.String(), outbound.Doer{MaxReply: maxReplyBytes}, twirp.WithClientPathPrefix(RegistrarPathPrefix))
 	reply, err := client.Join(ctx, &wire.JoinRequest{
 		Instance: encodeInstance(request.Instance), DataCentre: string(request.Instance.DataCentre), Content: request.Content,
 	})
@@ -46,12 +49,6 @@
 	return decodeReply(reply), nil
 }
 
-// httpClient sends requests to peers.
-type httpClient struct{}
-
-// Do sends the request and returns the response, with its body to be read.
-func (httpClient) Do(request *http.Request) (*http.Response, error) { return outbound.Do(request) }
-
 func encodeReply(reply JoinReply) *wire.JoinReply {
 	encoded := &wire.JoinReply{Accepted: reply.Accepted, Full: reply.Full, Content: reply.List.Content}
 	byName := map[peridotpath.DataCentre]*wire.DataCentre{}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -86,12 +86,6 @@
 	return response, nil
 }
 
-// Doer implements the HTTP client interface of generated code with the function Do.
-type Doer struct{}
-
-// Do sends the request.
-func (Doer) Do(request *http.Request) (*http.Response, error) { return Do(request) }
-
 // configureClient configures the default client, which httpc uses. Redirects are not followed:
 // an endpoint must not divert a request to another server.
 func configureClient() {
--- a/peridotpath/peer/service.go
+++ b/peridotpath/peer/service.go
@@ -18,6 +18,10 @@
 // maxLongPoll bounds the wait time that a peer may request.
 const maxLongPoll = 30 * time.Second
 
+// maxReplyBytes bounds an instance's reply: all documents of the configuration, compressed, as the store
+// would list them.
+const maxReplyBytes = 64 << 20
+
 // PathPrefix is the URL path prefix of the protocol's methods.
 const PathPrefix = wire.PeerPathPrefix
 
@@ -87,7 +91,7 @@
 type Client struct{}
 
 func (client *Client) connect(address netip.AddrPort) wire.Peer {
-	return wire.NewPeerProtobufClient("http://"+address.String(), outbound.Doer{})
+	return wire.NewPeerProtobufClient("http://"+address.String(), outbound.Doer{MaxReply: maxReplyBytes})
 }
 
 // Exchange sends a digest to an instance and returns the digest in its reply.
--- a/peridotpath/readings/compress.go
+++ b/peridotpath/readings/compress.go
@@ -15,13 +15,8 @@
 // to send it to a few of them than the fetch timeout, and all of them read the store.
 func compressed(handler http.Handler) http.Handler { return gzhttp.GzipHandler(handler) }
 
-// httpClient sends requests to peers and accepts compressed responses.
-type httpClient struct{}
-
-// Do sends the request and returns the response, with its body to be read.
-func (httpClient) Do(request *http.Request) (*http.Response, error) {
-	return gzhttp.Transport(roundTripper{}, gzhttp.TransportEnableZstd(false)).RoundTrip(request)
-}
+// httpClient sends requests to peers and accepts compressed responses. The bound holds for what they unpack to.
+var httpClient = outbound.Doer{MaxReply: maxReplyBytes, Send: gzhttp.Transport(roundTripper{}, gzhttp.TransportEnableZstd(false)).RoundTrip}
 
 // roundTripper adapts outbound.Do to http.RoundTripper.
 type roundTripper struct{}
--- a/peridotpath/readings/readings.go
+++ b/peridotpath/readings/readings.go
@@ -38,6 +38,9 @@
 // maxRoutingBytes bounds an unpacked routing. It is a multiple of what the store accepts.
 const maxRoutingBytes = 8 << 20
 
+// maxReplyBytes bounds a reply of a peer: a routing, or the entries of all endpoints.
+const maxReplyBytes = 2 * maxRoutingBytes
+
 // Server serves snapshots to peers. NewestRouting and NewestEndpoints return false before the
 // first read of the store; RoutingByVersion and EndpointsByHash return false for a snapshot
 // that is not kept.
@@ -104,7 +107,7 @@
 }
 
 func client(peer netip.AddrPort) wire.Readings {
-	return wire.NewReadingsProtobufClient("http://"+peer.String(), httpClient{}, twirp.WithClientPathPrefix(PathPrefix))
+	return wire.NewReadingsProtobufClient("http://"+peer.String(), httpClient, twirp.WithClientPathPrefix(PathPrefix))
 }
 
 // FetchRouting fetches the routing from a peer. If the peer keeps the snapshot that this
