outbound: heads of responses are bounded by what they take once parsed

Cause: the transport bounds the length of a head, 64 KB, and net/http's map of its lines takes 300 bytes a line and more. Nothing bounded the sum for responses, as clientconn does for requests.

Change: the observation of a head, which each connection of the transports has, counts its bytes and lines with those of informational heads before it, and the connection fails beyond 128 KB by clientconn's estimate: 64 KB in long lines as before, or some 400 lines. A whole head beyond it is no response.

--- a/peridotpath/clientconn/conn_test.go
+++ b/peridotpath/clientconn/conn_test.go
@@ -213,7 +213,7 @@
 	is.NoErr(err)
 	is.Equal(statuses(conn, 1), []int{http.StatusRequestHeaderFieldsTooLarge})
 
-	small := startBound(t, Limits{Connections: 10, HeadMemory: headMemory(2000, 20)}, HeadLimits{})
+	small := startBound(t, Limits{Connections: 10, HeadMemory: HeadMemory(2000, 20)}, HeadLimits{})
 	serving := small.dial(t)
 	_, err = io.WriteString(serving, "GET /slow HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 1500)+"\r\n\r\n")
 	is.NoErr(err)
--- a/peridotpath/clientconn/limits.go
+++ b/peridotpath/clientconn/limits.go
@@ -93,8 +93,8 @@
 	memoryPerHeadLine = 300
 )
 
-// headMemory returns what a head of so many bytes and lines takes at most once it is parsed.
-func headMemory(bytes, lines int) peridotpath.Bytes {
+// HeadMemory returns what a head of so many bytes and lines takes at most once it is parsed.
+func HeadMemory(bytes, lines int) peridotpath.Bytes {
 	return peridotpath.Bytes(bytes*memoryPerHeadByte + lines*memoryPerHeadLine)
 }
 
--- a/peridotpath/clientconn/pool.go
+++ b/peridotpath/clientconn/pool.go
@@ -147,7 +147,7 @@
 // receive records what has arrived of a head; net/http may hold more of it if hasReadAhead is set. It
 // reports false if the connection must end.
 func (pool *Pool) receive(conn *Conn, bytes, lines int, hasReadAhead, isWhole bool) bool {
-	memory := headMemory(bytes, lines)
+	memory := HeadMemory(bytes, lines)
 	if hasReadAhead {
 		memory += readAheadMemory
 	}
--- a/peridotpath/outbound/outbound.go
+++ b/peridotpath/outbound/outbound.go
@@ -57,11 +57,11 @@
 		return nil, ErrNotSent.Wrap(err)
 	}
 	var sent atomic.Bool
-	var head atomic.Pointer[responseHead]
+	head := &responseHead{}
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*responseConn); ok {
-				head.Store(conn.awaitResponse())
+				head = conn.awaitResponse()
 			}
 		},
 		WroteHeaders: func() { sent.Store(true) },
@@ -69,7 +69,7 @@
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 	response, err := httpc.DoRequest(request)
 	if err == nil {
-		return accept(response, head.Load())
+		return accept(response, head)
 	}
 	if sent.Load() {
 		return nil, ErrNoResponse.Wrap(err)
@@ -77,7 +77,7 @@
 	return nil, ErrNotSent.Wrap(err)
 }
 
-// accept returns the response if it is one. The head is nil where it was not observed.
+// accept returns the response if it is one.
 func accept(response *http.Response, head *responseHead) (*http.Response, error) {
 	if err := checkResponse(response, head); err != nil {
 		response.Body.Close()
@@ -131,7 +131,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &responseConn{Conn: conn}, nil
+			return newResponseConn(conn), nil
 		},
 		DisableKeepAlives:      !reuses,
 		MaxIdleConns:           maxIdleConnections,
--- a/peridotpath/outbound/response.go
+++ b/peridotpath/outbound/response.go
@@ -22,11 +22,14 @@
 		return ErrNoResponse.New("version %q in the response, expected HTTP/1.x", response.Proto)
 	case status < minFinalStatus || status > maxFinalStatus:
 		return ErrNoResponse.New("status %03d in the response, expected %d to %d", status, minFinalStatus, maxFinalStatus)
-	case head != nil && head.hasTransferCoding && !response.ProtoAtLeast(1, 1):
+	case head.hasTransferCoding && !response.ProtoAtLeast(1, 1):
 		return ErrNoResponse.New("transfer coding in a response of %s, expected HTTP/1.1", response.Proto)
 	case status == http.StatusNoContent && announcesBody(response):
 		return ErrNoResponse.New("status %d in the response, which announces a body", status)
 	}
+	if err := head.checkMemory(); err != nil {
+		return err
+	}
 	return CheckNames(response.Header)
 }
 
--- a/peridotpath/outbound/response_head.go
+++ b/peridotpath/outbound/response_head.go
@@ -4,8 +4,15 @@
 	"bytes"
 	"net"
 	"sync/atomic"
+
+	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/clientconn"
 )
 
+// maxHeadMemory bounds what the heads of a response, informational ones included, take once they are parsed.
+// The transport bounds their length only: 64 KB of short lines take megabytes.
+const maxHeadMemory = 2 * maxResponseHeaderBytes
+
 // observedLineBytes is how much of a line of a head is kept, in bytes. It holds a status line up to its status,
 // and the name of a transfer coding.
 const observedLineBytes = 32
@@ -16,6 +23,8 @@
 	line       [observedLineBytes]byte
 	lineLength int
 	lineNumber int
+	// totalBytes and totalLines are those of all heads of the response.
+	totalBytes, totalLines int
 	// isInformational reports that another head follows this one.
 	isInformational   bool
 	hasTransferCoding bool
@@ -28,6 +37,7 @@
 	for len(piece) > 0 && !head.isWhole {
 		line, rest, isEnded := bytes.Cut(piece, []byte("\n"))
 		head.lineLength += copy(head.line[head.lineLength:], line)
+		head.totalBytes += len(piece) - len(rest)
 		piece = rest
 		if isEnded {
 			head.endLine()
@@ -35,7 +45,21 @@
 	}
 }
 
+// memory returns what the heads take once they are parsed, as far as they have arrived.
+func (head *responseHead) memory() peridotpath.Bytes {
+	return clientconn.HeadMemory(head.totalBytes, head.totalLines)
+}
+
+// checkMemory returns an error if the heads take too much.
+func (head *responseHead) checkMemory() error {
+	if memory := head.memory(); memory > maxHeadMemory {
+		return ErrNoResponse.New("head of %d lines and %d bytes in the response, expected at most %d bytes of memory", head.totalLines, head.totalBytes, maxHeadMemory)
+	}
+	return nil
+}
+
 func (head *responseHead) endLine() {
+	head.totalLines++
 	line := bytes.TrimSuffix(head.line[:head.lineLength], []byte("\r"))
 	switch {
 	case head.lineNumber == 0:
@@ -44,7 +68,7 @@
 		name, _, _ := bytes.Cut(line, []byte(":"))
 		head.hasTransferCoding = head.hasTransferCoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	case head.isInformational:
-		*head = responseHead{}
+		*head = responseHead{totalBytes: head.totalBytes, totalLines: head.totalLines}
 		return
 	default:
 		head.isWhole = true
@@ -65,10 +89,16 @@
 type responseConn struct {
 	net.Conn
 
-	// head observes the response that is awaited; nil before the first request.
+	// head observes the response that is awaited.
 	head atomic.Pointer[responseHead]
 }
 
+func newResponseConn(conn net.Conn) *responseConn {
+	observed := &responseConn{Conn: conn}
+	observed.awaitResponse()
+	return observed
+}
+
 // awaitResponse begins a response with the next byte that arrives, and returns what observes its head.
 func (conn *responseConn) awaitResponse() *responseHead {
 	head := &responseHead{}
@@ -76,11 +106,13 @@
 	return head
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It fails within a head that takes too much memory.
 func (conn *responseConn) Read(data []byte) (int, error) {
-	count, err := conn.Conn.Read(data)
-	if head := conn.head.Load(); head != nil {
-		head.observe(data[:count])
+	if err := conn.head.Load().checkMemory(); err != nil {
+		return 0, err
 	}
+	count, err := conn.Conn.Read(data)
+	// A request may have got the connection meanwhile.
+	conn.head.Load().observe(data[:count])
 	return count, err
 }
--- a/peridotpath/outbound/response_head_test.go
+++ b/peridotpath/outbound/response_head_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +89,35 @@
 		is.True(outbound.ErrNoResponse.Has(err))
 	}
 }
+
+// A server in trouble sends a head of short lines: net/http bounds its length, and its parsed lines take
+// a hundred times as much. A head that is whole is refused as well: its answer would hold the memory.
+func TestHeadsOfManyLinesAreNoResponse(t *testing.T) {
+	const status, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 4\r\n\r\ndone"
+	const hint = "HTTP/1.1 103 X\r\nLink: x\r\n\r\n"
+	lines := func(count int) string {
+		var text strings.Builder
+		for number := range count {
+			fmt.Fprintf(&text, "X%x:\r\n", number)
+		}
+		return text.String()
+	}
+	for _, test := range []struct {
+		name, response string
+		isOne          bool
+	}{
+		{"few lines", status + lines(100) + end, true},
+		{"long lines", status + strings.Repeat("X-Long: "+strings.Repeat("x", 1000)+"\r\n", 40) + end, true},
+		{"many lines", status + lines(1000) + end, false},
+		{"many lines in one piece", status + lines(440) + end, false},
+		{"few informational responses", strings.Repeat(hint, 10) + status + end, true},
+		{"many informational responses", strings.Repeat(hint, 500) + status + end, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := get(t, serveInTurn(t, len(test.response), test.response))
+			is.Equal(err == nil, test.isOne)
+			is.Equal(outbound.ErrNoResponse.Has(err), !test.isOne)
+		})
+	}
+}
--- a/soak/crowd/instance.go
+++ b/soak/crowd/instance.go
@@ -58,6 +58,8 @@
 	exited     chan struct{}
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	// listeners are those of faulty endpoints.
+	listeners []net.Listener
 }
 
 // New starts the stand-ins and chooses the addresses of an instance.
@@ -211,6 +213,9 @@
 		<-instance.exited
 	}
 	instance.cancel()
+	for _, listener := range instance.listeners {
+		listener.Close()
+	}
 	instance.background.Wait()
 }
 
