eventstream: large events share the memory of answers

What would be seen (the operators' report of bytes without end): endpoints in trouble begin an event in each of their streams and go on with it slowly, without an end. The instance keeps a megabyte of each until the requests end, and runs out of memory.

Cause: an event is bounded at 1 MB by itself; nothing bounds the sum over the streams. Whole answers are bounded together, by the pool of answerbuffer.

Change: an event beyond 64 KB takes what it and the copy that is relayed need from the pool of whole answers. Where none is left, the stream ends as one whose event is too large does, and may go on at another endpoint. The memory is given back before the next event.

`serve` reads events by its own reader, whose streams are bounded one by one only: open.

--- a/peridotpath/answerbuffer/answerbuffer.go
+++ b/peridotpath/answerbuffer/answerbuffer.go
@@ -43,6 +43,13 @@
 	return &Pool{shared: semaphore.NewWeighted(shared), single: semaphore.NewWeighted(1), sharedSize: shared}
 }
 
+// TryReserve takes memory beside that of answers, in bytes, and reports whether there was any left. It is
+// not waited for: the parts of a stream that are held meanwhile would have no end.
+func (pool *Pool) TryReserve(bytes int64) bool { return pool.shared.TryAcquire(bytes) }
+
+// Unreserve gives memory of TryReserve back.
+func (pool *Pool) Unreserve(bytes int64) { pool.shared.Release(bytes) }
+
 // Buffer holds an answer's body in the memory of a Pool.
 type Buffer struct {
 	// Body is the body as far as it was read. It is valid until Release.
--- a/peridotpath/eventstream/eventstream.go
+++ b/peridotpath/eventstream/eventstream.go
@@ -23,12 +23,31 @@
 	// MaxFillerBytes bounds what an endpoint may send between two events that is none: blank lines,
 	// comments, and blocks without data or id. A broken endpoint sends such bytes without end.
 	MaxFillerBytes = 64 << 10
+	// ownEventBytes is the size of events that take no memory from Reader.Memory.
+	ownEventBytes = 64 << 10
+	// copiesOfEvent counts the event and the copy of it that is forwarded.
+	copiesOfEvent = 2
 )
 
-// Reader reads server-sent events whole and unchanged, so that they can be forwarded.
+// Memory bounds what all streams take for events that are large.
+type Memory interface {
+	// TryReserve takes memory, in bytes, and reports whether there was any left.
+	TryReserve(bytes int64) bool
+	// Unreserve gives memory back.
+	Unreserve(bytes int64)
+}
+
+// Reader reads server-sent events whole and unchanged, so that they can be forwarded. Set the exported fields
+// before the first call of Next.
 type Reader struct {
+	// Memory is shared with other streams; nil bounds each event by itself only. Many streams whose events do not
+	// end take as many times the largest event.
+	Memory Memory
+
 	buffered *bufio.Reader
 	event    []byte
+	// reserved is what was taken from Memory, in bytes.
+	reserved int64
 	// fillerBytes counts the bytes since the last event that belong to none.
 	fillerBytes int
 }
@@ -44,6 +63,7 @@
 // next call.
 func (reader *Reader) Next() (raw []byte, id string, err error) {
 	reader.fillerBytes = 0
+	reader.Close()
 	for {
 		raw, id, isEvent, err := reader.nextBlock()
 		if err != nil || isEvent {
@@ -57,6 +77,14 @@
 	}
 }
 
+// Close gives the memory of the last event back.
+func (reader *Reader) Close() {
+	if reader.reserved > 0 {
+		reader.Memory.Unreserve(reader.reserved)
+		reader.event, reader.reserved = nil, 0
+	}
+}
+
 // nextBlock returns the next lines up to an empty one, and whether they are an event.
 func (reader *Reader) nextBlock() (raw []byte, id string, isEvent bool, err error) {
 	reader.event = reader.event[:0]
@@ -86,12 +114,32 @@
 func (reader *Reader) readLine() error {
 	for {
 		part, err := reader.buffered.ReadSlice('\n')
-		reader.event = append(reader.event, part...)
-		if len(reader.event) > maxEventBytes {
+		if size := len(reader.event) + len(part); size > maxEventBytes {
 			return Error.New("event larger than %d bytes", maxEventBytes)
+		} else if err := reader.grow(size); err != nil {
+			return err
 		}
+		reader.event = append(reader.event, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
 }
+
+// grow makes room for an event of a size. It fails if the streams have no memory left for it.
+func (reader *Reader) grow(size int) error {
+	if size <= cap(reader.event) {
+		return nil
+	}
+	size = min(max(size, 2*cap(reader.event)), maxEventBytes)
+	if needed := int64(copiesOfEvent * size); reader.Memory != nil && size > ownEventBytes {
+		if !reader.Memory.TryReserve(needed - reader.reserved) {
+			return Error.New("no memory is left for an event of %d bytes", size)
+		}
+		reader.reserved = needed
+	}
+	larger := make([]byte, len(reader.event), size)
+	copy(larger, reader.event)
+	reader.event = larger
+	return nil
+}
--- a/peridotpath/eventstream/eventstream_test.go
+++ b/peridotpath/eventstream/eventstream_test.go
@@ -72,3 +72,48 @@
 		}
 	})
 }
+
+// fixedMemory is a Memory of a number of bytes.
+type fixedMemory struct{ left int64 }
+
+func (memory *fixedMemory) TryReserve(bytes int64) bool {
+	if bytes > memory.left {
+		return false
+	}
+	memory.left -= bytes
+	return true
+}
+
+func (memory *fixedMemory) Unreserve(bytes int64) { memory.left += bytes }
+
+// Many streams send events that do not end: each is bounded, and their sum ends the process.
+func TestLargeEventsShareMemory(t *testing.T) {
+	is := is.New(t)
+	const room = 2 * copiesOfEvent * maxEventBytes
+	memory := &fixedMemory{left: room}
+	large := "data: " + strings.Repeat("x", maxEventBytes-8) + "\n\n"
+	open := func(text string) *Reader {
+		reader := NewReader(strings.NewReader(text))
+		reader.Memory = memory
+		return reader
+	}
+	first, second, third := open(large+large), open(large), open(large)
+	for _, reader := range []*Reader{first, second} {
+		raw, _, err := reader.Next()
+		is.NoErr(err)
+		is.Equal(len(raw), len(large))
+	}
+	_, _, err := third.Next()
+	is.True(Error.Has(err))
+	third.Close()
+	_, _, err = open("data: small\n\n").Next()
+	is.NoErr(err) // an ordinary event needs no memory of others
+	_, _, err = first.Next()
+	is.NoErr(err) // its own memory is given back before the next event
+	first.Close()
+	second.Close()
+	second.Close()
+	is.Equal(memory.left, int64(room))
+	_, _, err = open(large).Next()
+	is.NoErr(err)
+}
--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -92,7 +92,7 @@
 	switch {
 	case !answer.isFromEndpoint() || answer.NotRun:
 	case isStream && answer.Status == http.StatusOK:
-		result.outcome, result.err = contender.readEvents(answer, call.LastEventID != "", progresses)
+		result.outcome, result.err = contender.readEvents(relay.AnswerMemory, answer, call.LastEventID != "", progresses)
 	default:
 		result.held, result.outcome, result.err = relay.readWhole(ctx, answer)
 	}
@@ -101,7 +101,7 @@
 // readEvents reports the events of a stream as they arrive, each of them whole. If the connection
 // fails within an event, its partial data is dropped, so that the stream can resume on another
 // endpoint. A stream that is resumed after its last event has no event more, only its end.
-func (contender *contender) readEvents(answer *Answer, isResumed bool, progresses chan<- progress) (outcome, error) {
+func (contender *contender) readEvents(memory eventstream.Memory, answer *Answer, isResumed bool, progresses chan<- progress) (outcome, error) {
 	report := func(event []byte, id string) bool {
 		select {
 		case progresses <- progress{contender, answer, event, id}:
@@ -114,6 +114,8 @@
 		return outcomeFailed, context.Cause(contender.ctx)
 	}
 	events := eventstream.NewReader(answer.Body)
+	events.Memory = memory
+	defer events.Close()
 	for received := 0; ; received++ {
 		raw, id, err := events.Next()
 		switch {
--- a/soak/crowd/faulty_test.go
+++ b/soak/crowd/faulty_test.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// faultyEngines and faultyPlain are as many endpoints as the users' small deployments have.
-	faultyEngines, faultyPlain = 14, 6
+	// faultyEngines and faultyPlain are as many endpoints as a small deployment has.
+	faultyEngines, faultyPlain = 21, 6
 	// callersBeside is the number of clients that have a request open at all times.
-	callersBeside = 300
+	callersBeside = 400
 	slowPause     = 100 * time.Millisecond
 )
 
