soak/crowd: requests that come late in a grace period are answered

A real instance is stopped by SIGTERM in calm, with a grace period of 8 s, alone and beside six changes of the configuration, one a second. In each round of 100 ms from 0 to 7.8 s six requests are sent on connections that were opened before: not idempotent with 50, 1500 and 5500 ms of work, idempotent, two streams of two seconds and more.

With the process killed 3.5 s after the stop in place of SIGTERM the test fails. Connections that a peer carries and prompts in the queue are not part of it; relay's exit tests have the latter.

--- a/soak/crowd/instance.go
+++ b/soak/crowd/instance.go
@@ -48,7 +48,10 @@
 
 	// IsServe runs `peridotd serve`, which has settings of its own and needs no store to listen.
 	IsServe bool
+	// OnExecution is called by the stand-ins of endpoints at the start of each execution, if it is set before Start.
+	OnExecution func(standin.Execution)
 
+	endpoints  []*standin.Endpoint
 	store      *standin.Store
 	storeAt    netip.AddrPort
 	binary     string
@@ -126,7 +129,8 @@
 }
 
 func (instance *Instance) addEndpoint(ctx context.Context, id peridotpath.EndpointID, service peridotpath.Service) error {
-	endpoint, born := &standin.Endpoint{ID: id, Service: service, Slots: 16, OnExecution: func(standin.Execution) {}}, time.Now()
+	endpoint, born := &standin.Endpoint{ID: id, Service: service, Slots: 16, OnExecution: instance.handleExecution}, time.Now()
+	instance.endpoints = append(instance.endpoints, endpoint)
 	address, err := instance.serve(ctx, endpoint)
 	if err != nil {
 		return err
@@ -140,6 +144,12 @@
 	return nil
 }
 
+func (instance *Instance) handleExecution(execution standin.Execution) {
+	if instance.OnExecution != nil {
+		instance.OnExecution(execution)
+	}
+}
+
 // WriteRouting writes the routing under a new version, with changes.
 func (instance *Instance) WriteRouting(changes ...standin.RoutingChange) {
 	instance.version++
