--- a/soak/crowd/instance.go
+++ b/soak/crowd/instance.go
@@ -26,6 +26,8 @@
 	engineService peridotpath.Service = "llm"
 	plainService  peridotpath.Service = "app"
 
+	plainEndpoint peridotpath.EndpointID = "i-1"
+
 	instanceID peridotpath.InstanceID = "edge-0"
 	// firstPort and lastPort lie below the kernel's ephemeral range and the ports of the soak.
 	firstPort, lastPort = 21_000, 22_000
@@ -51,7 +53,7 @@
 	// OnExecution is called by the stand-ins of endpoints at the start of each execution, if it is set before Start.
 	OnExecution func(standin.Execution)
 
-	endpoints  []*standin.Endpoint
+	endpoints  map[peridotpath.EndpointID]*standin.Endpoint
 	store      *standin.Store
 	storeAt    netip.AddrPort
 	binary     string
@@ -77,13 +79,13 @@
 	instance := &Instance{
 		Callers: netip.AddrPortFrom(ip, ports[0]), Readiness: netip.AddrPortFrom(ip, ports[1]), Peers: netip.AddrPortFrom(ip, ports[2]+1),
 		Metrics: netip.AddrPortFrom(ip, metricsPort), Limits: limits,
-		store: &standin.Store{}, binary: binary, folder: folder, cancel: cancel,
+		store: &standin.Store{}, endpoints: map[peridotpath.EndpointID]*standin.Endpoint{}, binary: binary, folder: folder, cancel: cancel,
 	}
 	instance.storeAt, err = instance.serve(ctx, instance.store)
 	if err != nil {
 		return nil, err
 	}
-	for id, service := range map[peridotpath.EndpointID]peridotpath.Service{"i-0": engineService, "i-1": plainService} {
+	for id, service := range map[peridotpath.EndpointID]peridotpath.Service{"i-0": engineService, plainEndpoint: plainService} {
 		if err := instance.addEndpoint(ctx, id, service); err != nil {
 			return nil, err
 		}
@@ -130,7 +132,7 @@
 
 func (instance *Instance) addEndpoint(ctx context.Context, id peridotpath.EndpointID, service peridotpath.Service) error {
 	endpoint, born := &standin.Endpoint{ID: id, Service: service, Slots: 16, OnExecution: instance.handleExecution}, time.Now()
-	instance.endpoints = append(instance.endpoints, endpoint)
+	instance.endpoints[id] = endpoint
 	address, err := instance.serve(ctx, endpoint)
 	if err != nil {
 		return err
