--- a/peridotpath/outbound/given_up_test.go
+++ b/peridotpath/outbound/given_up_test.go
@@ -29,6 +29,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return connectTo(t, listener)
+}
+
+// connectTo returns the first connection to the listener, which it closes.
+func connectTo(t *testing.T, listener net.Listener) pair {
+	t.Helper()
 	defer listener.Close()
 	client, err := outbound.DialDirect(t.Context(), "tcp", listener.Addr().String())
 	if err != nil {
--- a/peridotpath/outbound/reset_test.go
+++ b/peridotpath/outbound/reset_test.go
@@ -23,20 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	client, err := outbound.DialDirect(t.Context(), "tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		client.Close()
-		server.Close()
-	})
-	return pair{client, server}
+	return connectTo(t, listener)
 }
 
 // upload writes more than the other end takes and returns a channel that reports the end of the write.
--- a/peridotpath/outbound/status_test.go
+++ b/peridotpath/outbound/status_test.go
@@ -37,6 +37,21 @@
 	return listener.Addr().String()
 }
 
+// checkIsResponse checks whether the bytes of a server are taken for a response.
+func checkIsResponse(t *testing.T, bytes string, isOne bool) {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+respond(t, bytes), nil)
+	is.NoErr(err)
+	request.Close = true
+	response, err := outbound.Do(request)
+	if err == nil {
+		response.Body.Close()
+	}
+	is.Equal(err == nil, isOne)
+	is.Equal(outbound.ErrNoResponse.Has(err), !isOne) // the server may have run the request
+}
+
 // net/http takes any three digits for a status, and ignores the chunks of HTTP/1.0. A status line with a
 // wrong byte is then relayed as an answer, with the chunks' sizes in its body, or decides about a write or an order
 // as if the server had said so.
@@ -79,16 +94,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.response, func(t *testing.T) {
-			is := is.New(t)
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+respond(t, test.response), nil)
-			is.NoErr(err)
-			request.Close = true
-			response, err := outbound.Do(request)
-			if err == nil {
-				response.Body.Close()
-			}
-			is.Equal(err == nil, test.isOne)
-			is.Equal(outbound.ErrNoResponse.Has(err), !test.isOne) // the server may have run the request
+			checkIsResponse(t, test.response, test.isOne)
 		})
 	}
 }
@@ -122,16 +128,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+respond(t, test.response), nil)
-			is.NoErr(err)
-			request.Close = true
-			response, err := outbound.Do(request)
-			if err == nil {
-				response.Body.Close()
-			}
-			is.Equal(err == nil, test.isOne)
-			is.Equal(outbound.ErrNoResponse.Has(err), !test.isOne) // the server may have run the request
+			checkIsResponse(t, test.response, test.isOne)
 		})
 	}
 }
