--- a/soak/crowd/instance.go
+++ b/soak/crowd/instance.go
@@ -291,36 +291,6 @@
 	return len(entries)
 }
 
-// UnreadBytes returns the bytes that have arrived on the connections that the process has accepted and
-// that it has not read. The platform counts them as its memory.
-func (instance *Instance) UnreadBytes() int64 {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	// Addresses are in the byte order of the machine, which is little-endian on all that are supported.
-	ip := instance.Callers.Addr().As4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
-	total := int64(0)
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) < 10 || !strings.HasPrefix(fields[1], local) || fields[3] == listenState || fields[9] == unacceptedInode {
-			continue
-		}
-		_, unread, _ := strings.Cut(fields[4], ":")
-		bytes, _ := strconv.ParseInt(unread, 16, 64)
-		total += bytes
-	}
-	return total
-}
-
-const (
-	// listenState is the state of a listening socket, whose queue counts connections.
-	listenState = "0A"
-	// unacceptedInode is that of a connection which nobody has accepted.
-	unacceptedInode = "0"
-)
-
 // Metric returns the value of a metric of the process.
 func (instance *Instance) Metric(name string) (float64, error) {
 	client := http.Client{Timeout: requestTimeout}
