serve: answers of engines share a bound on memory

Cause: dispatch read up to 16 MiB of each whole answer, engine.EventReader held 2 MiB of each event, and a stream held 16 events of any size back before its first content. Each was bounded by itself, their sum by nothing. relay has answerbuffer and eventstream.Memory for this; `serve` asked neither.

Change: the dispatcher reads whole answers by answerbuffer.Pool, whose largest answer is a parameter now (8 MB at relay, 16 MiB at `serve`, as before). engine.EventReader parses the events that eventstream.Reader bounds, in place, instead of a second reader of lines. Events without content are held up to 64 KB. The new setting limits.answer_memory_bytes is half of body_memory_bytes, at least 32 MiB.

Not played against a real process of `serve`.

--- a/peridotd/daemon.go
+++ b/peridotd/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/caller"
 	"peridotpath.example/peridotpath/claim"
 	"peridotpath.example/peridotpath/clientconn"
@@ -87,6 +88,7 @@
 		Scheduler: daemon.scheduler, Log: log, ResumeWindow: resumeWindow,
 		Send: daemon.engines.Send, Resume: daemon.engines.Resume, Cancel: daemon.engines.Cancel,
 		SendPlain: (&service.Client{Do: daemon.links.do}).Send, OnEndpointDraining: daemon.fleet.view.RecordRefusal, OnEndpointBackoff: daemon.scheduler.BackOff,
+		AnswerMemory: answerbuffer.NewPool(settings.Limits.AnswerMemoryBytes, dispatch.MaxWholeAnswer),
 	}
 	daemon.claims = &claim.Ledger{
 		Store: daemon.keyValue, Instance: settings.InstanceID, Incarnation: incarnation,
--- a/peridotpath/answerbuffer/answerbuffer.go
+++ b/peridotpath/answerbuffer/answerbuffer.go
@@ -16,12 +16,8 @@
 	"peridotpath.example/peridotpath"
 )
 
-const (
-	// maxAnswerBytes bounds an answer that is not streamed; it is buffered whole.
-	maxAnswerBytes = 8 << 20
-	// answerPiece is the memory that an answer of undeclared length takes at a time.
-	answerPiece = 64 << 10
-)
+// answerPiece is the memory that an answer of undeclared length takes at a time, in bytes.
+const answerPiece = 64 << 10
 
 // ErrTooLarge is the error of an answer that is larger than a buffer may be.
 var ErrTooLarge = errors.New("answer exceeds the buffer limit")
@@ -33,14 +29,15 @@
 	// single is held by the one answer that may exceed the shared memory. Without it, answers of
 	// undeclared length that wait for more while they hold some would wait for one another.
 	single *semaphore.Weighted
-	// sharedSize is the size of the shared memory in bytes.
-	sharedSize int64
+	// sharedSize is the size of the shared memory in bytes, maxAnswer that of the largest answer.
+	sharedSize, maxAnswer int64
 }
 
-// NewPool returns a bound of size bytes, which is at least that of one answer.
-func NewPool(size peridotpath.Bytes) *Pool {
-	shared := max(int64(size)-maxAnswerBytes, answerPiece)
-	return &Pool{shared: semaphore.NewWeighted(shared), single: semaphore.NewWeighted(1), sharedSize: shared}
+// NewPool returns a bound of size bytes, which is at least that of one answer. An answer larger than maxAnswer
+// is refused.
+func NewPool(size, maxAnswer peridotpath.Bytes) *Pool {
+	shared := max(int64(size-maxAnswer), answerPiece)
+	return &Pool{shared: semaphore.NewWeighted(shared), single: semaphore.NewWeighted(1), sharedSize: shared, maxAnswer: int64(maxAnswer)}
 }
 
 // TryReserve takes memory beside that of answers, in bytes, and reports whether there was any left. It is
@@ -68,7 +65,7 @@
 	buffer := &Buffer{pool: pool}
 	size := int64(answerPiece)
 	if length, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64); err == nil && length >= 0 {
-		if length > maxAnswerBytes {
+		if length > pool.maxAnswer {
 			return buffer, ErrTooLarge
 		}
 		// One byte more than declared, so that the end is read without growing the buffer.
@@ -76,7 +73,7 @@
 	}
 	for {
 		if len(buffer.Body) == cap(buffer.Body) {
-			if err := buffer.grow(ctx, min(size, maxAnswerBytes+1-int64(cap(buffer.Body)))); err != nil {
+			if err := buffer.grow(ctx, min(size, pool.maxAnswer+1-int64(cap(buffer.Body)))); err != nil {
 				return buffer, err
 			}
 			size = int64(cap(buffer.Body))
@@ -84,7 +81,7 @@
 		count, err := body.Read(buffer.Body[len(buffer.Body):cap(buffer.Body)])
 		buffer.Body = buffer.Body[:len(buffer.Body)+count]
 		switch {
-		case len(buffer.Body) > maxAnswerBytes:
+		case int64(len(buffer.Body)) > pool.maxAnswer:
 			return buffer, ErrTooLarge
 		case errors.Is(err, io.EOF):
 			return buffer, nil
--- a/peridotpath/answerbuffer/answerbuffer_test.go
+++ b/peridotpath/answerbuffer/answerbuffer_test.go
@@ -16,8 +16,11 @@
 	"peridotpath.example/peridotpath/internal/virtual"
 )
 
-// smallestMemory is the answers' share of an instance with 184 MB.
-const smallestMemory = 27 << 20
+const (
+	// smallestMemory is the answers' share of an instance with 184 MB.
+	smallestMemory = 27 << 20
+	maxAnswerBytes = 8 << 20
+)
 
 // Many callers read large answers slowly. The answers held for them must not exceed the bound, none
 // may be cut, and answers that hold a part must not wait for one another forever.
@@ -26,7 +29,7 @@
 		t.Run("declared "+strconv.FormatBool(declared), func(t *testing.T) {
 			virtual.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				memory := NewPool(smallestMemory)
+				memory := NewPool(smallestMemory, maxAnswerBytes)
 				var mutex sync.Mutex
 				held, most, delivered := 0, 0, 0
 				add := func(bytes int) {
@@ -83,7 +86,7 @@
 func TestAnswerThatWaitsForMemoryEndsWithItsCaller(t *testing.T) {
 	virtual.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		memory := NewPool(maxAnswerBytes + answerPiece)
+		memory := NewPool(maxAnswerBytes+answerPiece, maxAnswerBytes)
 		first, err := memory.Read(t.Context(), http.Header{}, &trickle{left: maxAnswerBytes})
 		is.NoErr(err)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -102,7 +105,7 @@
 func TestAnswerBeyondTheLimitIsRefused(t *testing.T) {
 	for _, header := range []http.Header{{}, {"Content-Length": {strconv.Itoa(maxAnswerBytes + 1)}}} {
 		is := is.New(t)
-		held, err := NewPool(smallestMemory).Read(t.Context(), header, bytes.NewReader(make([]byte, maxAnswerBytes+1)))
+		held, err := NewPool(smallestMemory, maxAnswerBytes).Read(t.Context(), header, bytes.NewReader(make([]byte, maxAnswerBytes+1)))
 		is.True(errors.Is(err, ErrTooLarge))
 		held.Release()
 	}
--- a/peridotpath/dispatch/dispatch.go
+++ b/peridotpath/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/service"
@@ -71,6 +72,9 @@
 	// OnEndpointBackoff, when set, is called for an endpoint that refuses work and wants none
 	// for a time.
 	OnEndpointBackoff func(now time.Time, endpoint peridotpath.EndpointID, delay time.Duration)
+	// AnswerMemory bounds the memory of all answers that are held whole, and of large events of streams. nil
+	// means defaultAnswerMemory.
+	AnswerMemory *answerbuffer.Pool
 	// ResumeWindow is how long a stream stays resumable after its caller disconnected.
 	ResumeWindow time.Duration
 
@@ -80,9 +84,18 @@
 	initOnce         sync.Once
 }
 
-// initChannels makes the channels once, in whichever of Run and Do is called first.
-func (dispatcher *Dispatcher) initChannels() {
+// MaxWholeAnswer bounds an answer that is not a stream, in bytes.
+const MaxWholeAnswer peridotpath.Bytes = 16 << 20
+
+// defaultAnswerMemory is the memory of answers where none is set, in bytes.
+const defaultAnswerMemory = 8 * MaxWholeAnswer
+
+// init fills fields that are not set and makes the channels once, in whichever of Run and Do is called first.
+func (dispatcher *Dispatcher) init() {
 	dispatcher.initOnce.Do(func() {
+		if dispatcher.AnswerMemory == nil {
+			dispatcher.AnswerMemory = answerbuffer.NewPool(defaultAnswerMemory, MaxWholeAnswer)
+		}
 		dispatcher.queueWakeups = make(chan struct{}, 1)
 		dispatcher.cancellations = make(chan cancellation, maxPendingCancellations)
 	})
@@ -94,7 +107,7 @@
 
 // Run advances the queue and cancels abandoned streams until ctx ends.
 func (dispatcher *Dispatcher) Run(ctx context.Context) error {
-	dispatcher.initChannels()
+	dispatcher.init()
 	cancellationsDone := make(chan struct{})
 	go func() {
 		defer close(cancellationsDone)
--- a/peridotpath/dispatch/prompt.go
+++ b/peridotpath/dispatch/prompt.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerbuffer"
 	"peridotpath.example/peridotpath/decide"
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/strictjson"
 	"peridotpath.example/peridotpath/telemetry"
 )
 
-// maxWholeAnswerSize bounds an answer that is not a stream, in bytes.
-const maxWholeAnswerSize = 16 << 20
-
 // Do runs a prompt and returns nil when the whole answer was delivered. ctx
 // ends when the caller disconnects.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request *Request, sink *Sink) *peridotpath.Result {
@@ -67,11 +65,15 @@
 // partial answer never reaches a caller as a success.
 func (dispatcher *Dispatcher) relayWhole(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
 	work := request.Work
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswerSize))
-	if ctx.Err() != nil {
+	held, err := dispatcher.AnswerMemory.Read(ctx, answer.Header, answer.Body)
+	defer held.Release()
+	body := held.Body
+	switch {
+	case ctx.Err() != nil:
 		return attempt{outcome: decide.Abandoned, result: contextEndedResult(ctx, work, false)}
-	}
-	if err != nil {
+	case errors.Is(err, answerbuffer.ErrTooLarge):
+		return failedAttempt(work, telemetry.RetryBadAnswer, peridotpath.CodeBadAnswer, err.Error())
+	case err != nil:
 		return failedAttempt(work, telemetry.RetryFailed, peridotpath.CodeEndpointFailed, err.Error())
 	}
 	if !strictjson.Valid(body) || !answerHasContent(body) {
--- a/peridotpath/dispatch/relay.go
+++ b/peridotpath/dispatch/relay.go
@@ -45,14 +45,19 @@
 	contentSent bool
 	// heldEvents has the events without content that came before the first token.
 	heldEvents [][]byte
-	tokens     peridotpath.Tokens
+	// heldBytes is the size of heldEvents.
+	heldBytes int
+	tokens    peridotpath.Tokens
 }
 
 // usageField occurs in the event with the token usage, which is sent on request.
 var usageField = []byte(`"usage":{`)
 
-// maxHeldEvents bounds the events that are held back before the first content.
-const maxHeldEvents = 16
+const (
+	// maxHeldEvents and maxHeldBytes bound the events that are held back before the first content.
+	maxHeldEvents = 16
+	maxHeldBytes  = 64 << 10
+)
 
 // relayStream relays a stream to its end and resumes it where it is interrupted.
 func (dispatcher *Dispatcher) relayStream(ctx context.Context, request *Request, endpoint peridotpath.Endpoint, answer *engine.Answer, sink *Sink) attempt {
@@ -66,7 +71,7 @@
 // ContinueStream relays a stream that a caller resumes by cursor, from the event
 // after the given offset on.
 func (dispatcher *Dispatcher) ContinueStream(ctx context.Context, work *decide.Work, endpoint peridotpath.Endpoint, id string, after int64, sink *Sink) *peridotpath.Result {
-	dispatcher.initChannels()
+	dispatcher.init()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	stream := &stream{dispatcher: dispatcher, work: work, endpoint: endpoint, id: id, sink: sink, nextOffset: after + 1}
@@ -87,7 +92,9 @@
 	resumesWithoutEvents := 0
 	for {
 		offsetBefore := stream.nextOffset
-		complete, err := stream.relayEvents(ctx, engine.NewEventReader(answer.Body))
+		events := engine.NewEventReader(answer.Body, stream.dispatcher.AnswerMemory)
+		complete, err := stream.relayEvents(ctx, events)
+		events.Close()
 		answer.Body.Close()
 		if complete {
 			return stream.finish()
@@ -157,7 +164,8 @@
 		return stream.sink.WriteEvent(event.Offset, event.Data)
 	}
 	stream.heldEvents = append(stream.heldEvents, append([]byte{}, event.Data...))
-	if !eventHasContent(event.Data) && len(stream.heldEvents) < maxHeldEvents {
+	stream.heldBytes += len(event.Data)
+	if !eventHasContent(event.Data) && len(stream.heldEvents) < maxHeldEvents && stream.heldBytes < maxHeldBytes {
 		return nil
 	}
 	stream.contentSent = true
--- a/peridotpath/dispatch/run.go
+++ b/peridotpath/dispatch/run.go
@@ -13,7 +13,7 @@
 // runAttempts places the work, attempts it at the endpoint, and retries where that is
 // safe.
 func (dispatcher *Dispatcher) runAttempts(ctx context.Context, work *decide.Work, maySend func() error, attemptAt func(context.Context, decide.Decision) attempt) *peridotpath.Result {
-	dispatcher.initChannels()
+	dispatcher.init()
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
 	decision := dispatcher.awaitDecision(ctx, work, func() decide.Decision {
--- a/peridotpath/engine/enginetest/engine_test.go
+++ b/peridotpath/engine/enginetest/engine_test.go
@@ -66,7 +66,7 @@
 // readEvents reads up to maxEvents events and returns their text, the last offset and whether the
 // stream is complete.
 func readEvents(answer *engine.Answer, maxEvents int) (string, int64, bool) {
-	events := engine.NewEventReader(answer.Body)
+	events := engine.NewEventReader(answer.Body, nil)
 	var text strings.Builder
 	last := int64(-1)
 	for range maxEvents {
--- a/peridotpath/engine/events.go
+++ b/peridotpath/engine/events.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -10,14 +9,6 @@
 	"peridotpath.example/peridotpath/eventstream"
 )
 
-const (
-	// eventBufferBytes is the read buffer of each stream; it holds several typical events.
-	eventBufferBytes = 4 << 10
-	// maxEventBytes bounds the size of an event, and so the memory that an endpoint can
-	// take up by never ending a line.
-	maxEventBytes = 1 << 20
-)
-
 // Event is one server-sent event. Data is valid until the next call of Next.
 type Event struct {
 	// Offset is the event's number in its stream, from the id field, or -1 if there
@@ -29,83 +20,66 @@
 
 // EventReader is a reader of server-sent events.
 type EventReader struct {
-	reader *bufio.Reader
-	line   []byte
-	data   []byte
+	events *eventstream.Reader
 }
 
-// NewEventReader returns a reader of the server-sent events in stream.
-func NewEventReader(stream io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(stream, eventBufferBytes)}
+// NewEventReader returns a reader of the server-sent events in stream, whose large events take memory; nil
+// bounds each event by itself only.
+func NewEventReader(stream io.Reader, memory eventstream.Memory) *EventReader {
+	events := eventstream.NewReader(stream)
+	events.Memory = memory
+	return &EventReader{events: events}
 }
 
+// Close gives the memory of the last event back.
+func (eventReader *EventReader) Close() { eventReader.events.Close() }
+
 // Next returns the next event that has data, or io.EOF at the end of the stream. An
 // event that is not terminated by an empty line is dropped, as it may be incomplete.
 func (eventReader *EventReader) Next() (Event, error) {
 	event := Event{Offset: -1}
-	eventReader.data = eventReader.data[:0]
-	hasData, fillerBytes := false, 0
+	fillerBytes := 0
 	for {
-		line, err := eventReader.readLine()
-		if err != nil {
+		raw, _, err := eventReader.events.Next()
+		switch {
+		case errors.Is(err, io.ErrUnexpectedEOF) && eventReader.events.IsWithinEvent():
+			return Event{}, io.EOF
+		case eventstream.Error.Has(err):
+			return Event{}, ErrFailed.Wrap(err)
+		case err != nil:
 			return Event{}, err
+		case event.parse(raw):
+			return event, nil
 		}
-		if len(line) == 0 {
-			if hasData {
-				event.Data = eventReader.data
-				return event, nil
-			}
+		fillerBytes += len(raw)
+		if fillerBytes > eventstream.MaxFillerBytes {
+			return Event{}, ErrFailed.New("no event within %d bytes", eventstream.MaxFillerBytes)
 		}
-		field, value, _ := bytes.Cut(line, []byte(":"))
-		isData := string(field) == "data"
+	}
+}
+
+// parse reads the fields of an event and reports whether it has data. The data replace the beginning of raw:
+// they are shorter than their lines.
+func (event *Event) parse(raw []byte) (hasData bool) {
+	data := raw[:0]
+	for len(raw) > 0 {
+		var line []byte
+		line, raw, _ = bytes.Cut(raw, []byte("\n"))
+		field, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(field) {
 		case "data":
 			if hasData {
-				eventReader.data = append(eventReader.data, '\n')
+				data = append(data, '\n')
 			}
-			eventReader.data = append(eventReader.data, value...)
+			data = append(data, value...)
 			hasData = true
 		case "id":
 			if offset, err := strconv.ParseInt(string(value), 10, 64); err == nil && offset >= 0 {
 				event.Offset = offset
 			}
 		}
-		if !isData {
-			// The line is followed by its ending.
-			fillerBytes += len(line) + 1
-		}
-		if fillerBytes > eventstream.MaxFillerBytes {
-			return Event{}, ErrFailed.New("no event within %d bytes", eventstream.MaxFillerBytes)
-		}
-		if len(eventReader.data) > maxEventBytes {
-			return Event{}, ErrFailed.New("event larger than %d bytes", maxEventBytes)
-		}
-	}
-}
-
-// readLine returns one line without its line ending. The line is valid until the next call.
-func (eventReader *EventReader) readLine() ([]byte, error) {
-	eventReader.line = eventReader.line[:0]
-	for {
-		part, err := eventReader.reader.ReadSlice('\n')
-		if err == nil && len(eventReader.line) == 0 {
-			return trimLineEnding(part), nil
-		}
-		eventReader.line = append(eventReader.line, part...)
-		if err == nil {
-			return trimLineEnding(eventReader.line), nil
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, err
-		}
-		if len(eventReader.line) > maxEventBytes {
-			return nil, ErrFailed.New("line larger than %d bytes", maxEventBytes)
-		}
 	}
-}
-
-func trimLineEnding(line []byte) []byte {
-	line = bytes.TrimSuffix(line, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r"))
+	event.Data = data
+	return hasData
 }
--- a/peridotpath/engine/events_test.go
+++ b/peridotpath/engine/events_test.go
@@ -23,7 +23,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		events := engine.NewEventReader(bytes.NewReader(text))
+		events := engine.NewEventReader(bytes.NewReader(text), nil)
 		total := 0
 		for {
 			event, err := events.Next()
@@ -57,6 +57,8 @@
 		{"endless line", "data: " + strings.Repeat("a", 2<<20), "", nil},
 		{"endless blank lines", "data: a\n\n" + strings.Repeat("\n", 1<<20), "-1:a", nil},
 		{"endless comments", strings.Repeat(": alive\n\n", 1<<17), "", nil},
+		{"endless ids", strings.Repeat("id: 1\n\n", 1<<17), "", nil},
+		{"id before its data", "id: 3\n\ndata: a\n\n", "3:a", io.EOF},
 		{"endless lines after data", "data: a\n" + strings.Repeat("event: x\n", 1<<17), "", nil},
 		{"long data", "data: " + strings.Repeat("a", 100<<10) + "\n\n", "-1:" + strings.Repeat("a", 100<<10), io.EOF},
 		{"endless event", strings.Repeat("data: "+strings.Repeat("a", 1000)+"\n", 2000), "", nil},
@@ -64,7 +66,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			events := engine.NewEventReader(strings.NewReader(test.text))
+			events := engine.NewEventReader(strings.NewReader(test.text), nil)
 			var have []string
 			var err error
 			for {
--- a/peridotpath/instance/instance.go
+++ b/peridotpath/instance/instance.go
@@ -107,6 +107,8 @@
 	// answerMemoryShare is the share of the process memory that answers which are buffered whole
 	// may take.
 	answerMemoryShare = 0.15
+	// maxAnswerBytes bounds an answer that is not streamed; it is buffered whole.
+	maxAnswerBytes = 8 << 20
 	// memoryLimitShare is the share of the process memory that is set as the soft limit of
 	// the garbage collector. The rest is for stacks, buffers and kernel memory.
 	memoryLimitShare = 0.7
@@ -190,7 +192,7 @@
 	instance.relay = &relay.Relay{
 		Instance: settings.InstanceID, DataCentre: settings.DataCentre, Log: log, Routing: instance.routing,
 		Endpoints: instance.cellEndpoints, AllEndpoints: instance.directory.Current, LoadTracker: instance.loads, Send: linked.Send, Check: linked.Check, CheckDirectly: adapter.Check, CanReach: instance.dialer.CanReach, IsCutOff: instance.reachability.IsCutOff, NotifyStalled: instance.reachability.NotifyStalled,
-		AnswerMemory:  answerbuffer.NewPool(peridotpath.Bytes(answerMemoryShare * float64(settings.Memory))),
+		AnswerMemory:  answerbuffer.NewPool(peridotpath.Bytes(answerMemoryShare*float64(settings.Memory)), maxAnswerBytes),
 		ServedSampler: &telemetry.LogSampler{PerSecond: servedLogLinesPerSecond}, DespiteSampler: &telemetry.LogSampler{PerSecond: despiteLogLinesPerSecond},
 		Reservations: instance.reservations, Quarantine: instance.quarantine, Throttle: instance.throttle, Availability: instance.availability,
 		ShortQueue: &shortqueue.Queue{LogSampler: &telemetry.LogSampler{PerSecond: queuedLogLinesPerSecond}},
--- a/peridotpath/relay/relaytest/fixture.go
+++ b/peridotpath/relay/relaytest/fixture.go
@@ -106,7 +106,7 @@
 	fixture.Routing.Apply(Routing(engine), fixture.Routing.Now())
 	fixture.Directory.Apply(directory.Listing{Endpoints: endpoints}, fixture.Routing.Now())
 	fixture.Relay = &relay.Relay{
-		AnswerMemory: answerbuffer.NewPool(32 << 20),
+		AnswerMemory: answerbuffer.NewPool(32<<20, 8<<20),
 		Instance:     "edge-1", DataCentre: "a", Log: zerolog.Nop(), Routing: fixture.Routing,
 		Endpoints: fixture.Directory.Current, AllEndpoints: fixture.Directory.Current, LoadTracker: fixture.LoadTracker, Send: send, Quarantine: quarantined,
 		Throttle:       &throttle.Throttle{SenderID: rand.Uint64(), Facts: fixture.Facts, Log: zerolog.Nop()},
--- a/peridotpath/settings/settings.go
+++ b/peridotpath/settings/settings.go
@@ -49,6 +49,9 @@
 	MaxHeaderBytes peridotpath.Bytes `json:"max_header_bytes,omitempty"`
 	// HeadMemoryBytes bounds the memory of the heads of all callers' requests together.
 	HeadMemoryBytes peridotpath.Bytes `json:"head_memory_bytes,omitempty"`
+	// AnswerMemoryBytes bounds the memory of the answers of engines that are held whole, and of large events of
+	// streams, together.
+	AnswerMemoryBytes peridotpath.Bytes `json:"answer_memory_bytes,omitempty"`
 	// MaxConnections bounds the number of callers' connections.
 	MaxConnections int `json:"max_connections,omitempty"`
 }
@@ -76,8 +79,12 @@
 	defaultBodyMemoryBytes = 256 * mebibyte
 	defaultMaxHeaderBytes  = 64 * kibibyte
 	// headMemoryDivisor divides the memory of bodies into that of heads, where none is set.
-	headMemoryDivisor       = 4
-	minHeadMemoryBytes      = 4 * mebibyte
+	headMemoryDivisor  = 4
+	minHeadMemoryBytes = 4 * mebibyte
+	// answerMemoryDivisor divides the memory of bodies into that of answers, where none is set.
+	answerMemoryDivisor = 2
+	// minAnswerMemoryBytes fits the largest answer, and others beside it.
+	minAnswerMemoryBytes    = 32 * mebibyte
 	defaultMaxConnections   = 20_000
 	defaultBalancerNoticeMS = 5_000
 	defaultHandoverMS       = 1_000
@@ -113,6 +120,7 @@
 	peridotpath.SetDefault(&limits.MaxBodyBytes, defaultMaxBodyBytes)
 	peridotpath.SetDefault(&limits.MaxHeaderBytes, defaultMaxHeaderBytes)
 	peridotpath.SetDefault(&limits.HeadMemoryBytes, max(minHeadMemoryBytes, limits.BodyMemoryBytes/headMemoryDivisor))
+	peridotpath.SetDefault(&limits.AnswerMemoryBytes, max(minAnswerMemoryBytes, limits.BodyMemoryBytes/answerMemoryDivisor))
 	peridotpath.SetDefault(&limits.MaxConnections, defaultMaxConnections)
 	peridotpath.SetDefault(&drain.BalancerNoticeMS, defaultBalancerNoticeMS)
 	peridotpath.SetDefault(&drain.HandoverMS, defaultHandoverMS)
@@ -131,6 +139,7 @@
 	faults.Range("limits.max_body_bytes", int64(limits.MaxBodyBytes), mebibyte, 64*mebibyte)
 	faults.Range("limits.max_header_bytes", int64(limits.MaxHeaderBytes), 4*kibibyte, mebibyte)
 	faults.Range("limits.head_memory_bytes", int64(limits.HeadMemoryBytes), minHeadMemoryBytes, 64*gibibyte)
+	faults.Range("limits.answer_memory_bytes", int64(limits.AnswerMemoryBytes), minAnswerMemoryBytes, 64*gibibyte)
 	faults.Range("limits.max_connections", int64(limits.MaxConnections), 10, 1_000_000)
 	faults.Range("drain.balancer_notice_ms", int64(drain.BalancerNoticeMS), 1, 120_000)
 	faults.Range("drain.handover_ms", int64(drain.HandoverMS), 1, 120_000)
--- a/peridotpath/settings/settings_test.go
+++ b/peridotpath/settings/settings_test.go
@@ -61,8 +61,9 @@
 		{"limit below another limit", `268435456`, `1048576`, `limits.body_memory_bytes: is 1048576, must be from 16777216 to 68719476736`},
 		{"negative", `20000`, `-1`, `limits.max_connections: is -1, must be from 10 to 1000000`},
 		{"no room for heads", `67108864`, `4096`, `limits.head_memory_bytes: is 4096, must be from 4194304 to 68719476736`},
+		{"no room for answers", `134217728`, `4096`, `limits.answer_memory_bytes: is 4096, must be from 33554432 to 68719476736`},
 		{"level", `"info"`, `"loud"`, `log_level: is "loud", must be debug, info, warn or error`},
-		{"malformed JSON", `"config_readers": 2,`, `"config_readers": ,`, `$: line 19: invalid character ',' looking for beginning of value`},
+		{"malformed JSON", `"config_readers": 2,`, `"config_readers": ,`, `$: line 20: invalid character ',' looking for beginning of value`},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
