outbound, tunnel: an answer that came before a failed write is read

What callers saw: an endpoint refuses a long upload with a length and closes without reading the rest. The caller gets 502, and a request that may not be repeated looks as if it may have run.

Cause: with bytes unread, the endpoint's kernel makes the close a reset. net/http ends a request whose write has failed at once, also if the answer has arrived and waits to be read. At a peer that carries, the failed write closes the endpoint's connection.

A tunnel leaves its endpoint's connection open for the reader, unless its client is the side that ended.

A part without a length that a reset cuts is still none. A test holds that a request whose write has failed ends with its context.

--- a/peridotpath/outbound/linktest/reset.go
+++ b/peridotpath/outbound/linktest/reset.go
@@ -21,6 +21,8 @@
 	BodyBytes = 16 << 20
 	// maxOrderWait bounds the wait of one side of a connection for the other, for tests that fail.
 	maxOrderWait = 5 * time.Second
+	// closeTime is longer than a caller takes to close a connection whose write has failed.
+	closeTime = 50 * time.Millisecond
 )
 
 // ListenSmall listens on a loopback port. The connections that it accepts hold little that is not read.
@@ -59,7 +61,9 @@
 	net.Conn
 
 	// unread is the number of bytes that are read before a read waits for the write to fail.
-	unread            int
+	unread int
+	// readDelay is the time from then to the read.
+	readDelay         time.Duration
 	failed, ended     chan struct{}
 	failOnce, endOnce sync.Once
 }
@@ -70,15 +74,26 @@
 	return &writeFirstConn{Conn: conn, unread: count, failed: make(chan struct{}), ended: make(chan struct{})}
 }
 
+// FailFirst returns the connection with a fixed order for its end: nothing is read until a write has failed, and
+// its caller has had the time to close the connection.
+func FailFirst(conn net.Conn) net.Conn {
+	ordered := &writeFirstConn{Conn: conn, readDelay: closeTime, failed: make(chan struct{}), ended: make(chan struct{})}
+	ordered.endRead()
+	return ordered
+}
+
+func (conn *writeFirstConn) endRead() { conn.endOnce.Do(func() { close(conn.ended) }) }
+
 // Read reads from the connection.
 func (conn *writeFirstConn) Read(data []byte) (int, error) {
 	if conn.unread <= 0 {
 		await(conn.failed)
+		time.Sleep(conn.readDelay)
 	}
 	count, err := conn.Conn.Read(data)
 	conn.unread -= count
 	if err != nil {
-		conn.endOnce.Do(func() { close(conn.ended) })
+		conn.endRead()
 	}
 	return count, err
 }
--- a/peridotpath/outbound/reset_test.go
+++ b/peridotpath/outbound/reset_test.go
@@ -87,9 +87,9 @@
 }
 
 // postLong sends a long upload over connections of the dial.
-func postLong(t *testing.T, address string, dial outbound.Dial) (body string, err error) {
+func postLong(ctx context.Context, t *testing.T, address string, dial outbound.Dial) (body string, err error) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(outbound.WithDial(t.Context(), dial), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, linktest.BodyBytes)))
+	request, err := http.NewRequestWithContext(outbound.WithDial(ctx, dial), http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, linktest.BodyBytes)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 	const answer = "HTTP/1.1 200 OK\r\n\r\npart"
 	is := is.New(t)
 	address := serveOnce(t, func(conn net.Conn) { linktest.AnswerThenReset(conn, answer) })
-	_, err := postLong(t, address, func(ctx context.Context, network, address string) (net.Conn, error) {
+	_, err := postLong(t.Context(), t, address, func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := outbound.DialDirect(ctx, network, address)
 		if err != nil {
 			return nil, err
@@ -152,9 +152,66 @@
 				time.Sleep(100 * time.Millisecond)
 				conn.Close()
 			})
-			body, err := postLong(t, address, outbound.DialDirect)
+			body, err := postLong(t.Context(), t, address, outbound.DialDirect)
 			is.NoErr(err)
 			is.Equal(body, "refused")
 		})
 	}
 }
+
+// A server refuses a long upload and closes without reading the rest, which its kernel makes a reset: the write
+// fails before the answer is read, and the request ends without it.
+func TestAnswerBeforeFailedWriteArrives(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 413 Too Large\r\nContent-Length: 7\r\n\r\nrefused",
+		"HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nrefused\r\n0\r\n\r\n",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			address := serveOnce(t, func(conn net.Conn) { linktest.AnswerThenReset(conn, answer) })
+			body, err := postLong(t.Context(), t, address, func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := outbound.DialDirect(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return linktest.FailFirst(conn), nil
+			})
+			is.NoErr(err)
+			is.Equal(body, "refused")
+		})
+	}
+}
+
+// A write has failed and waits for the answer of a server that sends none: the request must end with its context.
+func TestFailedWriteEndsWithItsRequest(t *testing.T) {
+	is := is.New(t)
+	address := serveOnce(t, linktest.Reset)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	_, err := postLong(ctx, t, address, func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := outbound.DialDirect(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return silentConn{Conn: conn, closed: make(chan struct{})}, nil
+	})
+	is.True(outbound.ErrNoResponse.Has(err))
+	is.True(time.Since(begun) < 5*time.Second)
+}
+
+// silentConn is a connection whose reads wait until it is closed.
+type silentConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (conn silentConn) Read([]byte) (int, error) {
+	<-conn.closed
+	return 0, net.ErrClosed
+}
+
+func (conn silentConn) Close() error {
+	close(conn.closed)
+	return conn.Conn.Close()
+}
--- a/peridotpath/outbound/response_head.go
+++ b/peridotpath/outbound/response_head.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"net"
-	"sync/atomic"
 
 	"peridotpath.example/peridotpath"
 	"peridotpath.example/peridotpath/clientconn"
@@ -84,35 +82,3 @@
 	code, _, _ := bytes.Cut(bytes.TrimLeft(status, " "), []byte(" "))
 	return len(code) == 3 && code[0] == '1' && string(code) != "101"
 }
-
-// responseConn is a connection of a transport, which observes the heads of its responses.
-type responseConn struct {
-	net.Conn
-
-	// head observes the response that is awaited.
-	head atomic.Pointer[responseHead]
-}
-
-func newResponseConn(conn net.Conn) *responseConn {
-	observed := &responseConn{Conn: conn}
-	observed.awaitResponse()
-	return observed
-}
-
-// awaitResponse begins a response with the next byte that arrives, and returns what observes its head.
-func (conn *responseConn) awaitResponse() *responseHead {
-	head := &responseHead{}
-	conn.head.Store(head)
-	return head
-}
-
-// Read reads from the connection. It fails within a head that takes too much memory.
-func (conn *responseConn) Read(data []byte) (int, error) {
-	if err := conn.head.Load().checkMemory(); err != nil {
-		return 0, err
-	}
-	count, err := conn.Conn.Read(data)
-	// A request may have got the connection meanwhile.
-	conn.head.Load().observe(data[:count])
-	return count, err
-}
--- a/peridotpath/tunnel/server.go
+++ b/peridotpath/tunnel/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath/tcpinfo"
 	"peridotpath.example/peridotpath/telemetry"
@@ -34,7 +35,10 @@
 	BytesPerTunnel = 64 << 10
 )
 
-var errClientGone = Error.New("client has closed its connection")
+var (
+	errClientGone    = Error.New("client has closed its connection")
+	errEndpointWrite = errs.Class("tunnel: write to the endpoint")
+)
 
 // Server carries connections for other instances. Set the exported fields before use.
 type Server struct {
@@ -156,9 +160,11 @@
 	toEndpoint := make(chan struct{})
 	go func() {
 		defer close(toEndpoint)
-		// The client ends its side only when it gives the request up, which the endpoint must see.
-		_ = copyToEndpoint(endpoint, client, fromClient)
-		endpoint.Close()
+		// The client ends its side only when it gives the request up, which the endpoint must see. An endpoint
+		// that reads no more may have answered.
+		if err := copyToEndpoint(endpoint, client, fromClient); !errEndpointWrite.Has(err) {
+			endpoint.Close()
+		}
 	}()
 	if err := copyToClient(client, endpoint); err != nil {
 		breakOff(client)
@@ -168,7 +174,8 @@
 }
 
 // copyToEndpoint copies what the client sends until it ends its side, also where the endpoint reads
-// nothing: what it has not received by then is not sent any more.
+// nothing: what it has not received by then is not sent any more. It returns an error of class errEndpointWrite
+// if the endpoint's connection broke.
 func copyToEndpoint(endpoint, client net.Conn, fromClient io.Reader) error {
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -193,7 +200,7 @@
 		data = data[count:]
 		switch {
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
-			return err
+			return errEndpointWrite.Wrap(err)
 		case err != nil && hasSocket && tcpinfo.HasPeerClosed(socket):
 			return errClientGone
 		}
--- a/peridotpath/tunnel/tunnel_test.go
+++ b/peridotpath/tunnel/tunnel_test.go
@@ -190,6 +190,17 @@
 	is.True(err != nil)
 }
 
+// An endpoint refuses a long upload and closes without reading the rest: the peer's write fails before the answer
+// is read, and the answer is lost.
+func TestAnswerBeforeFailedWritePassesTunnel(t *testing.T) {
+	is := is.New(t)
+	client, endpoint := uploadThroughTunnel(t, linktest.FailFirst)
+	linktest.AnswerThenReset(endpoint, "refused")
+	is.Equal(readText(t, client, len("refused")), "refused")
+	_, err := client.Read(make([]byte, 1))
+	is.True(err != nil && !errors.Is(err, io.EOF)) // where it ends is not known
+}
+
 // A request that its caller has given up goes on at the endpoint.
 func TestEndOfClientReachesEndpoint(t *testing.T) {
 	is := is.New(t)
