answerhead, relay: a refusal is believed only where its head does not deny it

Cause: decodeAnswer took "not run" and "another endpoint has the address" from three digits. The field that states "not run" was believed as well beside a signature, a success or the id of another request.

Evidence: the case's record has one answer 421, signed and with the request's id, before the second run.

Change: package answerhead decides over status, signature, echoed id, field and named endpoint, apart from input and output. What contradicts itself may have run: 502, or another attempt where it may be repeated. It announces nothing and sets no limit. The log line attempt_failed has the head.

--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -26,9 +26,10 @@
 )
 
 var (
-	errStalled        = errors.New("stream timed out waiting for the next event")
-	errAnswerMismatch = errors.New("answer belongs to another endpoint or request")
-	errKeysExpired    = errors.New("API keys expired: the routing was not confirmed within the key lifetime")
+	errStalled             = errors.New("stream timed out waiting for the next event")
+	errAnswerMismatch      = errors.New("answer belongs to another endpoint or request")
+	errContradictoryAnswer = errors.New("answer states both that the request has run and that it has not")
+	errKeysExpired         = errors.New("API keys expired: the routing was not confirmed within the key lifetime")
 )
 
 // attempt sends the request to the planned endpoints, and to others beside them while these are in
@@ -57,6 +58,7 @@
 // checkAnswer records what the head of an answer announces. It returns outcomeDone if the answer
 // is the endpoint's own to this request.
 func (exchange *exchange) checkAnswer(answer *Answer) (outcome, error) {
+	exchange.head = &answer.Head
 	exchange.recordRateLimit(answer)
 	exchange.recordAnnouncement(answer)
 	switch {
@@ -65,7 +67,10 @@
 	case answer.NotRun:
 		exchange.blamedHelper = answer.BlamedHelper
 		return outcomeRefused, nil
-	case !answer.MatchesRequest:
+	case answer.Head.IsContradictory():
+		telemetry.CountUnprovenAnswer("contradictory")
+		return outcomeFailed, errContradictoryAnswer
+	case !answer.isRelayed():
 		return outcomeFailed, errAnswerMismatch
 	}
 	return outcomeDone, nil
--- a/peridotpath/relay/contender.go
+++ b/peridotpath/relay/contender.go
@@ -90,7 +90,7 @@
 	contender.answered.Store(true)
 	result.answer = answer
 	switch {
-	case !answer.isFromEndpoint() || answer.NotRun:
+	case !answer.isRelayed():
 	case isStream && answer.Status == http.StatusOK:
 		result.outcome, result.err = contender.readEvents(relay.AnswerMemory, answer, call.LastEventID != "", progresses)
 	default:
--- a/peridotpath/relay/exchange.go
+++ b/peridotpath/relay/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerhead"
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/placement"
 	"peridotpath.example/peridotpath/quarantine"
@@ -73,6 +74,8 @@
 	// had ended by then.
 	endedAt      time.Time
 	endpointGone bool
+	// head is the head of the answer; nil while none has arrived.
+	head *answerhead.Head
 	// memoryReleased reports that the memory at the helpers was given back before the attempt's end.
 	memoryReleased bool
 }
--- a/peridotpath/relay/outcome.go
+++ b/peridotpath/relay/outcome.go
@@ -116,6 +116,9 @@
 		Stringer("outcome", outcome).Str("given_up", givenUp.String()).Dur("silent", exchange.silentFor(failedAt)).
 		Int("events", exchange.eventCount).Str("carrier", exchange.carrier()).
 		Str("route", string(exchange.route.Name)).Str("customer", string(exchange.customer)).Str("parts", exchange.partsForLog()).Err(err)
+	if exchange.head != nil {
+		event = event.Stringer("head", exchange.head)
+	}
 	telemetry.AddLeftOut(event, leftOut).Msg("attempt_failed")
 }
 
--- a/peridotpath/relay/race.go
+++ b/peridotpath/relay/race.go
@@ -252,6 +252,7 @@
 func (race *race) recordHead(contender *contender) {
 	exchange := race.exchange
 	exchange.attemptState = contender.attemptState
+	exchange.head = &contender.answer.Head
 	exchange.recordRateLimit(contender.answer)
 	exchange.recordAnnouncement(contender.answer)
 	exchange.attemptState = race.current.attemptState
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerhead"
 	"peridotpath.example/peridotpath/availability"
 )
 
@@ -80,6 +81,8 @@
 	// HasEnd reports that the end of the body is marked, by its length or a last chunk, so that it
 	// can't be taken for the end of its connection.
 	HasEnd bool
+	// Head is what the head of the answer proves, the basis of the three fields after it.
+	Head answerhead.Head
 	// NotRun reports that the endpoint guarantees not to have run the request.
 	NotRun bool
 	// Misdirected reports that the address belongs to another endpoint now.
@@ -98,9 +101,17 @@
 }
 
 // isFromEndpoint reports whether the endpoint itself gave the answer, as opposed to another
-// one at its address.
+// one at its address. A 421 that does not tell which one did says nothing about the endpoint.
 func (answer *Answer) isFromEndpoint() bool {
-	return !answer.Misdirected && (answer.NotRun || answer.MatchesRequest)
+	if answer.Misdirected || answer.Status == http.StatusMisdirectedRequest {
+		return false
+	}
+	return answer.NotRun || answer.MatchesRequest
+}
+
+// isRelayed reports whether the body of the answer may go to the caller.
+func (answer *Answer) isRelayed() bool {
+	return answer.MatchesRequest && !answer.Misdirected && !answer.NotRun
 }
 
 // Caller receives the answer. One of Refuse, Answer and Begin is called first, once.
--- a/peridotpath/telemetry/relay.go
+++ b/peridotpath/telemetry/relay.go
@@ -48,6 +48,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_attempts_failed_total{outcome=%q}", outcome)).Inc()
 }
 
+// CountUnprovenAnswer counts an answer after which the request may have run although part of its
+// head says that it has not, by the reason.
+func CountUnprovenAnswer(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("peridotpath_answers_unproven_total{reason=%q}", reason)).Inc()
+}
+
 // CountAttemptGivenUp counts an attempt that this instance ended although its endpoint had not
 // failed, by the reason.
 func CountAttemptGivenUp(reason string) {
