relay: a refusal without a proof does not reach the caller as a refusal

What callers saw: an endpoint runs a request that may run once and answers with its own 500, 422 or 409; a wrong byte makes it a 503, 429 or 408. The caller gets this status, which promises that the request has not run, and sends it once more.

Change: Head.IsUnprovenRefusal; such an answer ends at 502 without a signature, or in another attempt where the request may be repeated.

--- a/peridotpath/answerhead/head.go
+++ b/peridotpath/answerhead/head.go
@@ -45,10 +45,20 @@
 	return fmt.Sprintf("status=%d signed=%v id=%v not_run=%v named=%q", head.Status, head.IsSigned, head.Echo, head.StatesNotRun, string(head.Named))
 }
 
+// PromisesNotRun reports whether callers take the status for the promise that the request has
+// not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // IsContradictory reports whether the head states both that the request has run and that it has
 // not, as after one wrong byte. Such a head proves nothing.
 func (head *Head) IsContradictory() bool {
-	deniesRun := head.StatesNotRun || head.isMisdirected()
+	deniesRun := head.StatesNotRun || PromisesNotRun(head.Status)
 	isSuccess := head.Status < http.StatusMultipleChoices
 	return deniesRun && head.IsSigned || head.StatesNotRun && (isSuccess || head.Echo == EchoOther)
 }
@@ -71,6 +81,12 @@
 	return head.isMisdirected() && head.ProvesNotRun() && (head.namesOther() || isBare)
 }
 
+// IsUnprovenRefusal reports whether the status promises to callers what the head does not prove. To
+// pass it on would make a caller repeat what may have run.
+func (head *Head) IsUnprovenRefusal() bool {
+	return PromisesNotRun(head.Status) && !head.ProvesNotRun()
+}
+
 // AnswersRequest reports whether the endpoint that was meant answers the request that was sent, be it
 // with a refusal. A success has a signature.
 func (head *Head) AnswersRequest() bool {
--- a/peridotpath/answerhead/head_test.go
+++ b/peridotpath/answerhead/head_test.go
@@ -20,44 +20,49 @@
 	// false
 }
 
-// TestHeads guards against a request that runs twice, since one wrong byte made a refusal of an
-// answer.
+// TestHeads guards against a request that runs twice, and a caller that is told "not run" of what
+// has run, since one wrong byte made a refusal of an answer.
 func TestHeads(t *testing.T) {
-	type proof struct{ notRun, isOther, answers, isContradictory bool }
+	type proof struct{ notRun, isOther, isUnproven, answers, isContradictory bool }
 	const own, none, other = answerhead.EchoOwn, answerhead.EchoNone, answerhead.EchoOther
 	for name, test := range map[string]struct {
 		head answerhead.Head
 		want proof
 	}{
-		"success":                                 {answerhead.Head{Status: 200, IsSigned: true, Echo: own}, proof{answers: true}},
-		"success without a signature":             {answerhead.Head{Status: 200, Echo: own}, proof{}},
-		"success of another request":              {answerhead.Head{Status: 200, IsSigned: true, Echo: other}, proof{}},
-		"failure after the run":                   {answerhead.Head{Status: 500, IsSigned: true, Echo: own}, proof{answers: true}},
-		"failure without a signature":             {answerhead.Head{Status: 500, Echo: own}, proof{answers: true}},
-		"success that denies the run":             {answerhead.Head{Status: 200, IsSigned: true, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
-		"success that denies the run, unsigned":   {answerhead.Head{Status: 200, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
-		"failure after the run that denies it":    {answerhead.Head{Status: 500, IsSigned: true, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
-		"full":                                    {answerhead.Head{Status: 503, Echo: own, StatesNotRun: true}, proof{notRun: true, answers: true}},
-		"full, without the id":                    {answerhead.Head{Status: 503, StatesNotRun: true}, proof{notRun: true}},
-		"full, of another request":                {answerhead.Head{Status: 503, Echo: other, StatesNotRun: true}, proof{isContradictory: true}},
-		"429":                                     {answerhead.Head{Status: 429, Echo: own, StatesNotRun: true}, proof{notRun: true, answers: true}},
-		"400 without the id":                      {answerhead.Head{Status: 400, StatesNotRun: true}, proof{notRun: true}},
-		"another endpoint":                        {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
-		"another endpoint, without the id":        {answerhead.Head{Status: 421, StatesNotRun: true, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
-		"another endpoint, by its name":           {answerhead.Head{Status: 421, Echo: own, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
-		"421 that names no endpoint":              {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a"}, proof{notRun: true, answers: true}},
-		"421 of the endpoint itself":              {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a", Named: "a"}, proof{notRun: true, answers: true}},
-		"421 of another request":                  {answerhead.Head{Status: 421, Echo: other, Endpoint: "a", Named: "b"}, proof{}},
-		"421 without anything":                    {answerhead.Head{Status: 421, Endpoint: "a"}, proof{notRun: true, isOther: true}},
-		"421 after the run":                       {answerhead.Head{Status: 421, IsSigned: true, Echo: own, Endpoint: "a"}, proof{isContradictory: true}},
-		"421 after the run, without the id":       {answerhead.Head{Status: 421, IsSigned: true, Endpoint: "a"}, proof{isContradictory: true}},
-		"421 after the run, signature misspelled": {answerhead.Head{Status: 421, Echo: own, Endpoint: "a"}, proof{answers: true}},
-		"421 after the run that names the other":  {answerhead.Head{Status: 421, IsSigned: true, Echo: own, Endpoint: "a", Named: "b"}, proof{isContradictory: true}},
+		"success":                                  {answerhead.Head{Status: 200, IsSigned: true, Echo: own}, proof{answers: true}},
+		"success without a signature":              {answerhead.Head{Status: 200, Echo: own}, proof{}},
+		"success of another request":               {answerhead.Head{Status: 200, IsSigned: true, Echo: other}, proof{}},
+		"failure after the run":                    {answerhead.Head{Status: 500, IsSigned: true, Echo: own}, proof{answers: true}},
+		"failure without a signature":              {answerhead.Head{Status: 500, Echo: own}, proof{answers: true}},
+		"success that denies the run":              {answerhead.Head{Status: 200, IsSigned: true, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
+		"success that denies the run, unsigned":    {answerhead.Head{Status: 200, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
+		"failure after the run that denies it":     {answerhead.Head{Status: 500, IsSigned: true, Echo: own, StatesNotRun: true}, proof{isContradictory: true}},
+		"full":                                     {answerhead.Head{Status: 503, Echo: own, StatesNotRun: true}, proof{notRun: true, answers: true}},
+		"full, without the id":                     {answerhead.Head{Status: 503, StatesNotRun: true}, proof{notRun: true}},
+		"full, of another request":                 {answerhead.Head{Status: 503, Echo: other, StatesNotRun: true}, proof{isUnproven: true, isContradictory: true}},
+		"429":                                      {answerhead.Head{Status: 429, Echo: own, StatesNotRun: true}, proof{notRun: true, answers: true}},
+		"400 without the id":                       {answerhead.Head{Status: 400, StatesNotRun: true}, proof{notRun: true}},
+		"503 after the run":                        {answerhead.Head{Status: 503, IsSigned: true, Echo: own}, proof{isUnproven: true, isContradictory: true}},
+		"429 after the run":                        {answerhead.Head{Status: 429, IsSigned: true, Echo: own}, proof{isUnproven: true, isContradictory: true}},
+		"408 after the run":                        {answerhead.Head{Status: 408, IsSigned: true, Echo: own}, proof{isUnproven: true, isContradictory: true}},
+		"503 with neither signature nor statement": {answerhead.Head{Status: 503, Echo: own}, proof{isUnproven: true, answers: true}},
+		"503 without anything":                     {answerhead.Head{Status: 503}, proof{isUnproven: true}},
+		"another endpoint":                         {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
+		"another endpoint, without the id":         {answerhead.Head{Status: 421, StatesNotRun: true, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
+		"another endpoint, by its name":            {answerhead.Head{Status: 421, Echo: own, Endpoint: "a", Named: "b"}, proof{notRun: true, isOther: true}},
+		"421 that names no endpoint":               {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a"}, proof{notRun: true, answers: true}},
+		"421 of the endpoint itself":               {answerhead.Head{Status: 421, Echo: own, StatesNotRun: true, Endpoint: "a", Named: "a"}, proof{notRun: true, answers: true}},
+		"421 of another request":                   {answerhead.Head{Status: 421, Echo: other, Endpoint: "a", Named: "b"}, proof{isUnproven: true}},
+		"421 without anything":                     {answerhead.Head{Status: 421, Endpoint: "a"}, proof{notRun: true, isOther: true}},
+		"421 after the run":                        {answerhead.Head{Status: 421, IsSigned: true, Echo: own, Endpoint: "a"}, proof{isUnproven: true, isContradictory: true}},
+		"421 after the run, without the id":        {answerhead.Head{Status: 421, IsSigned: true, Endpoint: "a"}, proof{isUnproven: true, isContradictory: true}},
+		"421 after the run, signature misspelled":  {answerhead.Head{Status: 421, Echo: own, Endpoint: "a"}, proof{isUnproven: true, answers: true}},
+		"421 after the run that names the other":   {answerhead.Head{Status: 421, IsSigned: true, Echo: own, Endpoint: "a", Named: "b"}, proof{isUnproven: true, isContradictory: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			head := test.head
-			is.Equal(proof{head.ProvesNotRun(), head.IsFromOtherEndpoint(), head.AnswersRequest(), head.IsContradictory()}, test.want)
+			is.Equal(proof{head.ProvesNotRun(), head.IsFromOtherEndpoint(), head.IsUnprovenRefusal(), head.AnswersRequest(), head.IsContradictory()}, test.want)
 		})
 	}
 }
@@ -68,7 +73,7 @@
 		for _, head := range headsOf(status) {
 			notRun := head.ProvesNotRun()
 			switch {
-			case notRun && (head.IsContradictory() || head.IsSigned):
+			case notRun && (head.IsUnprovenRefusal() || head.IsContradictory() || head.IsSigned):
 				t.Fatalf("%+v proves that the request has not run, and is in doubt", head)
 			case head.IsFromOtherEndpoint() && (!notRun || head.AnswersRequest()):
 				t.Fatalf("%+v is of another endpoint, and answers the request or may be of a run", head)
--- a/peridotpath/relay/attempt.go
+++ b/peridotpath/relay/attempt.go
@@ -29,6 +29,7 @@
 	errStalled             = errors.New("stream timed out waiting for the next event")
 	errAnswerMismatch      = errors.New("answer belongs to another endpoint or request")
 	errContradictoryAnswer = errors.New("answer states both that the request has run and that it has not")
+	errUnprovenRefusal     = errors.New("refusal does not state that the request has not run")
 	errKeysExpired         = errors.New("API keys expired: the routing was not confirmed within the key lifetime")
 )
 
@@ -70,6 +71,9 @@
 	case answer.Head.IsContradictory():
 		telemetry.CountUnprovenAnswer("contradictory")
 		return outcomeFailed, errContradictoryAnswer
+	case answer.Head.IsUnprovenRefusal():
+		telemetry.CountUnprovenAnswer("refusal")
+		return outcomeFailed, errUnprovenRefusal
 	case !answer.isRelayed():
 		return outcomeFailed, errAnswerMismatch
 	}
--- a/peridotpath/relay/request.go
+++ b/peridotpath/relay/request.go
@@ -111,7 +111,7 @@
 
 // isRelayed reports whether the body of the answer may go to the caller.
 func (answer *Answer) isRelayed() bool {
-	return answer.MatchesRequest && !answer.Misdirected && !answer.NotRun
+	return answer.MatchesRequest && !answer.Misdirected && !answer.NotRun && !answer.Head.IsUnprovenRefusal()
 }
 
 // Caller receives the answer. One of Refuse, Answer and Begin is called first, once.
