engine, service: a success that states that nothing has run may have run

What was seen: a plain service's success with X-Not-Run was taken for a refusal, and the call was made again at another replica. An engine's success with it counted as a success.

Cause: as of the forged refusals: the field was believed whatever the rest of the head says.

Change: both ask answerhead, as the relay does; such an answer is a failure after which the call may have run.

Result: TestSuccessThatDeniesTheRunIsNoRefusal and three rows of TestSendClassifiesFailures fail on the code before and pass.

--- a/peridotpath/engine/client.go
+++ b/peridotpath/engine/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerhead"
 	"peridotpath.example/peridotpath/outbound"
 )
 
@@ -86,7 +87,8 @@
 	if err != nil {
 		return nil, ErrFailed.Wrap(err)
 	}
-	if response.StatusCode == http.StatusOK {
+	head := answerhead.Head{Status: response.StatusCode, StatesNotRun: response.Header.Get(HeaderNotRun) != ""}
+	if response.StatusCode == http.StatusOK && !head.IsContradictory() {
 		return &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body,
 			StreamID: response.Header.Get(HeaderStreamID),
@@ -94,6 +96,9 @@
 	}
 	defer response.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	if head.IsContradictory() {
+		return nil, ErrFailed.New("a success states that the request has not run: %v", &head)
+	}
 	return nil, refusalError(response, string(text))
 }
 
--- a/peridotpath/engine/client_test.go
+++ b/peridotpath/engine/client_test.go
@@ -37,6 +37,9 @@
 		{"gone", 410, "", nil, &engine.ErrStreamGone},
 		{"not found", 404, "", nil, &engine.ErrStreamGone},
 		{"redirect", 302, "", nil, &engine.ErrFailed},
+		{"success that denies the run", 200, "true", nil, &engine.ErrFailed},
+		{"success that denies the run, leaving", 200, engine.NotRunLeaving, nil, &engine.ErrFailed},
+		{"accepted, and denied", 202, "true", nil, &engine.ErrFailed},
 		{"no connection", 0, "", notSent, &engine.ErrNotConnected},
 		{"connection lost", 0, "", io.ErrUnexpectedEOF, &engine.ErrFailed},
 	}
--- a/peridotpath/service/service.go
+++ b/peridotpath/service/service.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"peridotpath.example/peridotpath"
+	"peridotpath.example/peridotpath/answerhead"
 	"peridotpath.example/peridotpath/outbound"
 )
 
@@ -91,7 +92,8 @@
 }
 
 // Send sends the call and returns once the response headers have arrived. Any status is the
-// service's own response, except for a refusal with HeaderNotRun.
+// service's own response, except for a refusal with HeaderNotRun. A success with it contradicts
+// itself: the call may have run.
 func (client *Client) Send(ctx context.Context, address netip.AddrPort, call *Request) (*http.Response, error) {
 	body := onceReader{bytes.NewReader(call.Body)}
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address.String()+call.Target, body)
@@ -113,6 +115,10 @@
 		return response, nil
 	}
 	response.Body.Close()
+	head := answerhead.Head{Status: response.StatusCode, StatesNotRun: true}
+	if !head.ProvesNotRun() {
+		return nil, ErrFailed.New("a success states that the call has not run: %v", &head)
+	}
 	if notRun == NotRunLeaving {
 		return nil, ErrRefused.Wrap(ErrLeaving.New("status %d", response.StatusCode))
 	}
