relay: a service of weight 0 gets no requests when the others have no endpoint

Cause: pickService added the weights of the services that have a taker. Where the sum is 0, it returned the first service of the route, whatever its weight.

Without a positive weight a request is refused at once, 503 with Retry-After.

--- a/peridotpath/relay/relay.go
+++ b/peridotpath/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -164,7 +163,11 @@
 			exchange.priority = holder.Priority
 		}
 	}
-	exchange.service = relay.pickService(route)
+	service, found := relay.pickService(route)
+	if !found {
+		return nil, &peridotpath.Result{Code: peridotpath.CodeNoEndpoint, RetryAfter: longRetryAfter, Detail: "no service of the route has a share"}
+	}
+	exchange.service = service
 	exchange.spec = table.ServiceSpec(exchange.service)
 	exchange.deadline = request.ArrivedAt.Add(requestTimeout(request, route))
 	return exchange, nil
@@ -202,28 +205,3 @@
 
 // isCutOff reports whether this instance is known to reach no endpoint over its own links.
 func (relay *Relay) isCutOff() bool { return relay.IsCutOff != nil && relay.IsCutOff() }
-
-// pickService picks one of the route's services at random by weight, among those that
-// have an endpoint that takes requests; the first one where none has.
-func (relay *Relay) pickService(route *peridotpath.Route) peridotpath.Service {
-	snapshot, now := relay.Endpoints(), time.Now()
-	total := 0
-	var eligible []peridotpath.Backend
-	for _, backend := range route.Backends {
-		if relay.hasTaker(snapshot.ForService(backend.Service), now) {
-			eligible = append(eligible, backend)
-			total += backend.Weight
-		}
-	}
-	if total == 0 {
-		return route.Backends[0].Service
-	}
-	pick := rand.IntN(total)
-	for _, backend := range eligible {
-		if pick < backend.Weight {
-			return backend.Service
-		}
-		pick -= backend.Weight
-	}
-	return route.Backends[0].Service
-}
--- a/peridotpath/route.go
+++ b/peridotpath/route.go
@@ -17,18 +17,12 @@
 	RoutingVersion uint64
 )
 
-// Backend is a service to which a Route sends a weighted share of its requests.
-type Backend struct {
-	Service Service
-	Weight  int
-}
-
 // Route is the policy for requests to one host and path prefix.
 type Route struct {
 	Name       RouteName
 	Host       Host
 	PathPrefix string
-	// Backends has at least one entry; weights may be zero.
+	// Backends has at least one entry; the weights of some or all may be zero.
 	Backends []Backend
 	// Streaming is set where answers are event streams.
 	Streaming bool
