platform, tunnel, outbound, engine: tests of answers that stop anywhere

The report: an endpoint stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body, framed as whole. It does not happen here.

None is taken for whole, and no refusal is believed.

Change: tests only; the product is as it was.

--- a/peridotpath/engine/client_test.go
+++ b/peridotpath/engine/client_test.go
@@ -14,6 +14,7 @@
 
 	"peridotpath.example/peridotpath/engine"
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/outbound/rawtest"
 )
 
 // Each failed attempt must get the class that states whether its request may have run. If
@@ -60,3 +61,20 @@
 		})
 	}
 }
+
+// An engine stops anywhere within the head of its answer: a refusal that is not whole would let the request run at
+// another engine, and a success would be an answer without content.
+func TestHeadThatStopsIsAFailure(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 503 Full\r\nX-Not-Run: true\r\nRetry-After: 3\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Stream-Id: s1\r\nContent-Type: text/event-stream\r\n\r\n",
+	} {
+		is := is.New(t)
+		for length := range len(head) {
+			client, prompt := &engine.Client{}, &engine.Request{ID: "r1", Path: engine.PathCompletions, Deadline: time.Now()}
+			_, err := client.Send(t.Context(), rawtest.Respond(t, head[:length]), prompt)
+			is.True(engine.ErrFailed.Has(err))
+			is.True(!engine.ErrRefused.Has(err))
+		}
+	}
+}
--- a/peridotpath/outbound/status_test.go
+++ b/peridotpath/outbound/status_test.go
@@ -1,9 +1,7 @@
 package outbound_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,37 +9,14 @@
 	"github.com/matryer/is"
 
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/outbound/rawtest"
 )
 
-// respond starts a server that sends the same bytes to each request and closes the connection. It
-// returns the server's address.
-func respond(t *testing.T, response string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, response)
-			}
-			conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // checkIsResponse checks whether the bytes of a server are taken for a response.
 func checkIsResponse(t *testing.T, bytes string, isOne bool) {
 	t.Helper()
 	is := is.New(t)
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+respond(t, bytes), nil)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+rawtest.Respond(t, bytes).String(), nil)
 	is.NoErr(err)
 	request.Close = true
 	response, err := outbound.Do(request)
@@ -132,3 +107,37 @@
 		})
 	}
 }
+
+// A peer, the store or an engine stops anywhere within its answer: a reply that generated code reads whole is taken
+// for whole.
+func TestReplyThatStopsIsNone(t *testing.T) {
+	const reply = "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 4\r\n\r\nword"
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nword\r\n0\r\n\r\n"
+	for _, whole := range []string{reply, chunked} {
+		for length := range len(whole) {
+			text, err := readReply(t, whole[:length])
+			if err == nil {
+				t.Errorf("%q is read whole of %q, expected an error", text, whole[:length])
+			}
+		}
+		text, err := readReply(t, whole)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(text, "word")
+	}
+}
+
+func readReply(t *testing.T, bytes string) (text string, err error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+rawtest.Respond(t, bytes).String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	response, err := outbound.Doer{MaxReply: 64}.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
--- a/peridotpath/service/service_test.go
+++ b/peridotpath/service/service_test.go
@@ -33,7 +33,8 @@
 			header.Set(service.HeaderNotRun, test.notRun)
 			return &http.Response{StatusCode: test.status, Header: header, Body: io.NopCloser(strings.NewReader("done"))}, nil
 		}}
-		_, err := client.Send(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), &service.Request{Method: http.MethodPost, Target: "/", Header: http.Header{}})
+		call := &service.Request{Method: http.MethodPost, Target: "/", Header: http.Header{}}
+		_, err := client.Send(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), call) //nolint:bodyclose // there is no response
 		is.Equal(service.ErrRefused.Has(err), test.isRefused)
 		is.Equal(service.ErrFailed.Has(err), !test.isRefused)
 	}
--- a/peridotpath/tunnel/opening_test.go
+++ b/peridotpath/tunnel/opening_test.go
@@ -1,7 +1,6 @@
 package tunnel_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -15,30 +14,10 @@
 	"github.com/matryer/is"
 
 	"peridotpath.example/peridotpath/outbound"
+	"peridotpath.example/peridotpath/outbound/rawtest"
 	"peridotpath.example/peridotpath/tunnel"
 )
 
-// startPeer starts a peer that reads the head of a request for a tunnel and then calls answer.
-func startPeer(t *testing.T, answer func(conn net.Conn)) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			answer(conn)
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // A wrong byte in a peer's answer opens a tunnel that the peer has not opened, or says that the endpoint is
 // gone: requests are lost in it, or a sound endpoint is ejected.
 func TestMalformedAnswerOpensNoTunnel(t *testing.T) {
@@ -52,7 +31,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			peer := startPeer(t, func(conn net.Conn) {
+			peer := rawtest.Serve(t, func(conn net.Conn, _ *http.Request) {
 				_, _ = io.WriteString(conn, head+"\r\n")
 				_, _ = io.Copy(io.Discard, conn)
 			})
@@ -72,7 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			sent := make(chan int, 1)
-			peer := startPeer(t, func(conn net.Conn) {
+			peer := rawtest.Serve(t, func(conn net.Conn, _ *http.Request) {
 				total, text := 0, strings.Repeat(piece, 4<<10)
 				_, err := io.WriteString(conn, "HTTP/1.1 101 X\r\nPeridotpath-Tunnel-Result: opened\r\nX-Fill: ")
 				for err == nil && total < 1<<30 {
@@ -92,3 +71,21 @@
 		})
 	}
 }
+
+// A peer stops anywhere within its answer to a request for a tunnel. Taken for an answer, requests are lost in a tunnel
+// that is none, or a sound endpoint is ejected.
+func TestAnswerOfPeerThatStopsOpensNoTunnel(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 101 X\r\nPeridotpath-Tunnel-Result: opened\r\n\r\n",
+		"HTTP/1.1 502 X\r\nPeridotpath-Tunnel-Result: refused\r\nContent-Length: 0\r\n\r\n",
+	} {
+		is := is.New(t)
+		for length := range len(answer) {
+			peer := rawtest.Serve(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, answer[:length]) })
+			client := &tunnel.Client{Dial: outbound.DialDirect}
+			_, err := client.Open(t.Context(), peer, netip.MustParseAddrPort("127.0.0.1:9"))
+			is.True(tunnel.Error.Has(err)) // it says nothing about the endpoint
+			is.True(!errors.Is(err, syscall.ECONNREFUSED))
+		}
+	}
+}
--- a/peridotpath/tunnel/tunnel_test.go
+++ b/peridotpath/tunnel/tunnel_test.go
@@ -18,6 +18,7 @@
 
 	"peridotpath.example/peridotpath/outbound"
 	"peridotpath.example/peridotpath/outbound/linktest"
+	"peridotpath.example/peridotpath/outbound/rawtest"
 	"peridotpath.example/peridotpath/tcpinfo"
 	"peridotpath.example/peridotpath/tunnel"
 )
@@ -102,6 +103,49 @@
 	return string(text)
 }
 
+// An endpoint stops anywhere within its answer, on a connection that a peer carries: what came is taken for a whole
+// answer.
+func TestAnswerThatStopsWithinTunnelIsNone(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	for name, end := range map[string]func(conn net.Conn){"closed": func(net.Conn) {}, "reset": linktest.Reset} {
+		t.Run(name, func(t *testing.T) {
+			for length := range len(answer) {
+				if body, err := getThroughTunnel(t, answer[:length], end); err == nil {
+					t.Errorf("%q is a whole answer after %q, expected an error", body, answer[:length])
+				}
+			}
+		})
+	}
+	body, err := getThroughTunnel(t, answer, func(net.Conn) {})
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(body, "done")
+}
+
+// getThroughTunnel sends a request through a tunnel to an endpoint that sends the bytes and ends the
+// connection. It returns the body of the answer.
+func getThroughTunnel(t *testing.T, bytes string, end func(conn net.Conn)) (body string, err error) {
+	t.Helper()
+	carrying := startCarrying(t, nil)
+	rawtest.ServeOn(t, carrying.endpoint, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, bytes)
+		end(conn)
+	})
+	ctx := outbound.WithDial(t.Context(), func(ctx context.Context, _, _ string) (net.Conn, error) { return carrying.open(ctx) })
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+carrying.address().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	response, err := outbound.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
 // A tunnel that collects bytes delays the events of a stream.
 func TestTunnelPassesEachWriteOnAtOnce(t *testing.T) {
 	is := is.New(t)
