platform: inputs of FuzzEndpointAnswer share their listeners

The connections that they closed hold their ports for a minute, so that a run ended after 14 s by "address already in use", and other programs on the machine could not listen.

Change: one listener each for the endpoint and the ingress; the ingress is new with every input, as before.

--- a/peridotpath/outbound/rawtest/rawtest.go
+++ b/peridotpath/outbound/rawtest/rawtest.go
@@ -12,7 +12,7 @@
 
 // Serve starts a server that reads the head of one request on each connection and calls handle, which
 // may read the body. The connection is closed when handle returns.
-func Serve(t *testing.T, handle func(conn net.Conn, request *http.Request)) netip.AddrPort {
+func Serve(t testing.TB, handle func(conn net.Conn, request *http.Request)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -22,7 +22,7 @@
 }
 
 // ServeOn is Serve on a listener of the test.
-func ServeOn(t *testing.T, listener net.Listener, handle func(conn net.Conn, request *http.Request)) netip.AddrPort {
+func ServeOn(t testing.TB, listener net.Listener, handle func(conn net.Conn, request *http.Request)) netip.AddrPort {
 	t.Helper()
 	t.Cleanup(func() { listener.Close() })
 	go func() {
@@ -45,7 +45,7 @@
 }
 
 // Respond starts a server that reads each request whole, sends the same bytes and closes the connection.
-func Respond(t *testing.T, response string) netip.AddrPort {
+func Respond(t testing.TB, response string) netip.AddrPort {
 	t.Helper()
 	return Serve(t, func(conn net.Conn, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
